--- /dev/null
+++ b/admit/controller.go
@@ -0,0 +1,213 @@
+package admit
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+)
+
+// Bounds of what a refused caller is told.
+const (
+	minRetryAfter = time.Second
+	maxRetryAfter = 60 * time.Second
+)
+
+// RefusedError says that a request was refused before it went anywhere, and when to come back.
+type RefusedError struct {
+	Reason     string
+	RetryAfter time.Duration
+	// Overload says that the service, not the team, is at its limit.
+	Overload bool
+}
+
+// Error gives the reason.
+func (e *RefusedError) Error() string {
+	return fmt.Sprintf("refused: %s; come back in %s", e.Reason, e.RetryAfter)
+}
+
+// Request asks for a turn.
+type Request struct {
+	Team     string
+	Weight   int
+	Priority int
+	Deadline time.Time
+	// Concurrency bounds the team's requests, waiting and running; 0 means no limit.
+	Concurrency int
+	// Place reserves a box for the request; ok is false while none has room.
+	Place func() (box string, ok bool)
+}
+
+// Ticket is a request's turn, or its place in the queue.
+type Ticket struct {
+	req    Request
+	item   *Item
+	placed chan string
+	err    error
+}
+
+// Controller admits the requests of one service.
+type Controller struct {
+	mu      sync.Mutex
+	queue   *Queue
+	rate    Rate
+	running map[string]int
+}
+
+// NewController returns a controller whose queue takes at most limit requests.
+func NewController(limit int) *Controller {
+	return &Controller{
+		queue:   NewQueue(limit),
+		running: make(map[string]int),
+	}
+}
+
+// Acquire waits for a turn and returns the box that Place reserved. The caller calls Done once the request has ended.
+// A RefusedError comes at once when the request cannot make its deadline.
+func (c *Controller) Acquire(ctx context.Context, req Request) (box string, err error) {
+	ticket, err := c.enter(req, time.Now())
+	if err != nil {
+		return "", err
+	}
+	timer := time.NewTimer(time.Until(req.Deadline))
+	defer timer.Stop()
+	select {
+	case box, ok := <-ticket.placed:
+		if !ok {
+			return "", ticket.err
+		}
+		return box, nil
+	case <-timer.C:
+		return c.giveUp(ticket, "the deadline passed while waiting")
+	case <-ctx.Done():
+		return c.giveUp(ticket, "the caller has gone")
+	}
+}
+
+// Again asks for another box for a request that has had its turn, without waiting.
+func (c *Controller) Again(req Request) (box string, ok bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return req.Place()
+}
+
+// Done ends a request that had its turn.
+func (c *Controller) Done(team string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.running[team]--
+	if c.running[team] <= 0 {
+		delete(c.running, team)
+	}
+}
+
+// Kick gives turns to waiting requests while boxes have room.
+func (c *Controller) Kick() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.kick(time.Now())
+}
+
+// Waiting returns the number of waiting requests.
+func (c *Controller) Waiting() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.queue.Len()
+}
+
+func (c *Controller) enter(req Request, now time.Time) (*Ticket, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if req.Concurrency > 0 && c.running[req.Team] >= req.Concurrency {
+		return nil, &RefusedError{Reason: "the team is at its limit", RetryAfter: minRetryAfter}
+	}
+	ticket := &Ticket{req: req, placed: make(chan string, 1)}
+	if c.queue.Len() == 0 {
+		if box, ok := req.Place(); ok {
+			c.queue.Charge(req.Team, req.Weight)
+			c.grant(ticket, box, now)
+			return ticket, nil
+		}
+	}
+	if wait := c.expectedWait(now); now.Add(wait).After(req.Deadline) {
+		return nil, c.refusal("the deadline cannot be met", now)
+	}
+	ticket.item = &Item{Team: req.Team, Weight: req.Weight, Priority: req.Priority, Deadline: req.Deadline, ticket: ticket}
+	c.running[req.Team]++
+	evicted := c.queue.Push(ticket.item)
+	if evicted == ticket.item {
+		c.running[req.Team]--
+		return nil, c.refusal("the queue is full", now)
+	}
+	if evicted != nil {
+		c.evict(evicted, now)
+	}
+	c.kick(now)
+	return ticket, nil
+}
+
+// evict gives a waiting request its final answer.
+func (c *Controller) evict(item *Item, now time.Time) {
+	c.running[item.Team]--
+	item.ticket.err = c.refusal("the queue is full", now)
+	close(item.ticket.placed)
+}
+
+// expectedWait is how long a new request would wait at the present drain rate.
+func (c *Controller) expectedWait(now time.Time) time.Duration {
+	rate := c.rate.PerSecond(now)
+	if rate <= 0 {
+		return 0
+	}
+	return time.Duration(float64(c.queue.Len()) / rate * float64(time.Second))
+}
+
+// giveUp takes a request out of the queue; one that got its turn at the same moment keeps it.
+func (c *Controller) giveUp(ticket *Ticket, reason string) (string, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if ticket.item != nil && c.queue.Remove(ticket.item) {
+		c.running[ticket.req.Team]--
+		return "", c.refusal(reason, time.Now())
+	}
+	box, ok := <-ticket.placed
+	if !ok {
+		return "", ticket.err
+	}
+	return box, nil
+}
+
+func (c *Controller) grant(ticket *Ticket, box string, now time.Time) {
+	if ticket.item == nil {
+		c.running[ticket.req.Team]++
+	}
+	c.rate.Note(now)
+	ticket.placed <- box
+}
+
+func (c *Controller) kick(now time.Time) {
+	for {
+		item, ok := c.queue.Peek()
+		if !ok {
+			return
+		}
+		if now.After(item.Deadline) {
+			c.queue.Remove(item)
+			c.running[item.Team]--
+			item.ticket.err = c.refusal("the deadline passed while waiting", now)
+			close(item.ticket.placed)
+			continue
+		}
+		box, ok := item.ticket.req.Place()
+		if !ok {
+			return
+		}
+		c.queue.Pop()
+		c.grant(item.ticket, box, now)
+	}
+}
+
+func (c *Controller) refusal(reason string, now time.Time) *RefusedError {
+	wait := c.expectedWait(now)
+	return &RefusedError{Reason: reason, RetryAfter: min(max(wait, minRetryAfter), maxRetryAfter), Overload: true}
+}
--- /dev/null
+++ b/box/box.go
@@ -0,0 +1,158 @@
+package box
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/coralstair/coralstair/follower"
+	"github.com/coralstair/coralstair/link"
+	"github.com/coralstair/coralstair/membership"
+	"github.com/coralstair/coralstair/permit"
+	"github.com/coralstair/coralstair/supervise"
+	"github.com/coralstair/coralstair/swarm"
+	"github.com/coralstair/coralstair/transfer"
+	"github.com/coralstair/coralstair/upstream"
+	"github.com/coralstair/coralstair/weights"
+)
+
+const (
+	headerTimeout = 5 * time.Second
+	leaveNotice   = 200 * time.Millisecond
+)
+
+// Box is the daemon beside one upstream.
+type Box struct {
+	cfg      Config
+	log      *log.Entry
+	gate     Gate
+	store    *weights.Store
+	follower *follower.Follower
+	members  *membership.Watcher
+	transfer *transfer.Transfer
+	loader   *loader
+	peers    *peers
+	leaving  atomic.Bool
+
+	mu       sync.Mutex
+	sessions map[*session]bool
+}
+
+// New returns a box that has started nothing yet.
+func New(cfg Config) *Box {
+	cfg = cfg.withDefaults()
+	b := &Box{
+		cfg:      cfg,
+		log:      log.WithFields(log.Fields{"box": cfg.ID, "site": cfg.Site}),
+		store:    weights.NewStore(cfg.WeightsLimit),
+		follower: follower.New(cfg.Ledger, cfg.Fleet, follower.Options{Checks: cfg.Checks}),
+		members:  membership.New(cfg.List, cfg.Fleet, cfg.ListInterval),
+		sessions: make(map[*session]bool),
+	}
+	holder := cfg.ID + "/" + cfg.Incarnation
+	b.transfer = transfer.New(transfer.Config{
+		Params: cfg.Params, Store: b.store, Origin: cfg.Origin,
+		Permits: &permit.Draws{Table: cfg.Table, Holder: holder},
+	})
+	b.loader = &loader{
+		box:    b,
+		client: &upstream.Client{URL: cfg.UpstreamURL, HTTP: cfg.UpstreamClient},
+		drains: &permit.Drains{Table: cfg.Table, Fleet: cfg.Fleet, Holder: holder},
+	}
+	b.peers = newPeers(b)
+	return b
+}
+
+// Handler returns the handler of the box's port.
+func (b *Box) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+link.Path, b.serveLink)
+	mux.HandleFunc("GET "+pathWeights+"{digest}", b.serveWeights)
+	mux.HandleFunc("GET /metrics", b.serveMetrics)
+	mux.HandleFunc("GET /healthz", func(http.ResponseWriter, *http.Request) {})
+	mux.HandleFunc("GET /readyz", b.serveReady)
+	return mux
+}
+
+// Heartbeat returns what the box tells the entries of itself.
+func (b *Box) Heartbeat() *link.Heartbeat {
+	offer, open := b.gate.State()
+	beat := &link.Heartbeat{
+		Revision: b.follower.Config().Revision,
+		Leaving:  b.leaving.Load(),
+		Load:     b.gate.Inside(),
+		Slots:    b.cfg.Slots,
+		Service:  link.ServiceState{Service: b.cfg.Service, State: string(b.loader.phase())},
+		Progress: b.transfer.Progress(),
+	}
+	beat.Stopped = b.follower.Config().Stopped[b.cfg.ID]
+	if open {
+		beat.Service.Open = true
+		beat.Service.Version = offer.Version
+		beat.Service.Digest = offer.Digest
+	}
+	if version, ok := b.follower.Config().Declared(b.cfg.Service); ok {
+		beat.Progress.Version = version.Name
+	}
+	return beat
+}
+
+// Leave tells all entries that the box is leaving, lets no new request in, and waits until those in progress are done.
+func (b *Box) Leave(ctx context.Context) {
+	b.leaving.Store(true)
+	b.gate.Close("the box is leaving")
+	b.tellSessions()
+	ctx, cancel := context.WithTimeout(ctx, b.cfg.DrainLimit)
+	defer cancel()
+	select {
+	case <-b.gate.Idle():
+	case <-ctx.Done():
+		b.log.WithField("requests", b.gate.Inside()).Warn("box: leaves with requests in progress")
+	}
+	select {
+	case <-time.After(leaveNotice):
+	case <-ctx.Done():
+	}
+}
+
+// Serve runs the box until ctx ends, without draining; Leave comes first in a planned stop.
+func (b *Box) Serve(ctx context.Context) error {
+	stop := context.AfterFunc(ctx, b.closeSessions)
+	defer stop()
+	daemon := &supervise.Daemon{
+		Name: "box", Log: b.log, Listener: b.cfg.Listener,
+		Server: &http.Server{Handler: b.Handler(), ReadHeaderTimeout: headerTimeout},
+		Parts: []supervise.Part{
+			{Name: "follower", Run: b.follower.Serve},
+			{Name: "membership", Run: b.members.Serve},
+			{Name: "transfer", Run: b.transfer.Serve},
+			{Name: "loader", Run: b.loader.Serve},
+			{Name: "peers", Run: b.peers.Serve},
+		},
+	}
+	return daemon.Run(ctx)
+}
+
+// Transfer returns the box's part in the spread of weights.
+func (b *Box) Transfer() *transfer.Transfer { return b.transfer }
+
+// swarmMembers returns the live boxes of the own service.
+func (b *Box) swarmMembers() []swarm.Member {
+	stopped := b.follower.Config().Stopped
+	var members []swarm.Member
+	self := false
+	for _, member := range b.members.Boxes() {
+		if member.Service != b.cfg.Service || stopped[member.ID] {
+			continue
+		}
+		self = self || member.ID == b.cfg.ID
+		members = append(members, swarm.Member{ID: member.ID, Site: member.Site})
+	}
+	if !self {
+		members = append(members, b.cfg.Params.Self)
+	}
+	return members
+}
--- /dev/null
+++ b/box/config.go
@@ -0,0 +1,71 @@
+package box
+
+import (
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/coralstair/coralstair/fleet"
+	"github.com/coralstair/coralstair/follower"
+	"github.com/coralstair/coralstair/invariant"
+	"github.com/coralstair/coralstair/membership"
+	"github.com/coralstair/coralstair/permit"
+	"github.com/coralstair/coralstair/swarm"
+	"github.com/coralstair/coralstair/transfer"
+)
+
+// DefaultDrainLimit is how long a leaving box waits for the requests in progress.
+const DefaultDrainLimit = 10 * time.Minute
+
+// Config is what a box is built from.
+type Config struct {
+	ID          string
+	Fleet       string
+	Site        string
+	Service     string
+	Kind        fleet.Kind
+	Incarnation string
+
+	// Listener takes links, and the upstream's reads of weights.
+	Listener net.Listener
+	// Advertise is the host and port at which the upstream reaches Listener.
+	Advertise string
+	// UpstreamURL is the base of the upstream.
+	UpstreamURL string
+	// UncheckedFences says that the upstream takes orders whatever their fence.
+	UncheckedFences bool
+	// WeightsLimit is the memory for held weights in bytes; 0 means no limit.
+	WeightsLimit int64
+	// Slots is how many requests the upstream takes at a time; 0 leaves it to the entries.
+	Slots int
+	// DrainLimit is how long a leaving box waits for the requests in progress.
+	DrainLimit time.Duration
+	// Params tune the spread of weights; Self is set by the box.
+	Params swarm.Params
+
+	Ledger follower.Ledger
+	Table  permit.Table
+	Origin transfer.Origin
+	List   membership.List
+	// ListInterval is how often the live list is read; 0 takes the default.
+	ListInterval time.Duration
+	// LinkClient dials other boxes; nil means http.DefaultClient.
+	LinkClient *http.Client
+	// UpstreamClient calls the upstream; nil means http.DefaultClient.
+	UpstreamClient *http.Client
+	Checks         *invariant.Recorder
+}
+
+func (c Config) withDefaults() Config {
+	if c.DrainLimit == 0 {
+		c.DrainLimit = DefaultDrainLimit
+	}
+	if c.Kind == "" {
+		c.Kind = fleet.KindModel
+	}
+	if c.Checks == nil {
+		c.Checks = new(invariant.Recorder)
+	}
+	c.Params.Self = swarm.Member{ID: c.ID, Site: c.Site}
+	return c
+}
--- /dev/null
+++ b/client/doc.go
@@ -0,0 +1,2 @@
+// Package client sends operators' statements to entries.
+package client
--- /dev/null
+++ b/cmd/coralstair/main.go
@@ -0,0 +1,12 @@
+// Command coralstair runs the daemons and the operators' commands.
+package main
+
+import (
+	"os"
+
+	"github.com/coralstair/coralstair/internal/cmd"
+)
+
+func main() {
+	os.Exit(cmd.Main(os.Args))
+}
--- /dev/null
+++ b/entry/boxes.go
@@ -0,0 +1,337 @@
+package entry
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/coralstair/coralstair/fleet"
+	"github.com/coralstair/coralstair/link"
+	"github.com/coralstair/coralstair/operate"
+	"github.com/coralstair/coralstair/platform"
+	"github.com/coralstair/coralstair/relay"
+	"github.com/coralstair/coralstair/route"
+)
+
+const (
+	boxesEvery     = 250 * time.Millisecond
+	heartbeatEvery = time.Second
+	dialTimeout    = 3 * time.Second
+	dialPause      = 500 * time.Millisecond
+	// suspectAfter is the silence after which a box gets no new work.
+	suspectAfter = 3 * time.Second
+	// deadAfter is the silence after which the link is given up, and with it what is in progress there.
+	deadAfter = 10 * time.Second
+)
+
+// boxes keeps a link to each live box of the fleet and what each last said of itself.
+type boxes struct {
+	entry *Entry
+
+	mu      sync.Mutex
+	links   map[string]*boxLink
+	dialing map[string]bool
+	after   map[string]time.Time
+	dials   int64
+}
+
+// boxLink is the link to one box.
+type boxLink struct {
+	member      platform.Member
+	conn        *link.Conn
+	client      *relay.Client
+	incarnation string
+
+	// The rest is guarded by the boxes' mutex.
+	beat     *link.Heartbeat
+	beatAt   time.Time
+	beatOwn  int
+	inFlight int
+}
+
+func newBoxes(e *Entry) *boxes {
+	return &boxes{
+		entry:   e,
+		links:   make(map[string]*boxLink),
+		dialing: make(map[string]bool),
+		after:   make(map[string]time.Time),
+	}
+}
+
+// Serve opens a link to each live box until ctx ends.
+func (b *boxes) Serve(ctx context.Context) error {
+	ticker := time.NewTicker(boxesEvery)
+	defer ticker.Stop()
+	for {
+		for _, member := range b.entry.members.Boxes() {
+			b.want(ctx, member)
+		}
+		b.giveUpSilent()
+		changed := b.entry.members.Changed()
+		select {
+		case <-ctx.Done():
+			b.closeAll()
+			return ctx.Err()
+		case <-changed:
+		case <-ticker.C:
+		}
+	}
+}
+
+// Report returns what each box last said of itself; boxes on the list that were never heard are in it.
+func (b *boxes) Report() []operate.BoxReport {
+	var reports []operate.BoxReport
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, member := range b.entry.members.Members() {
+		if member.Role != platform.RoleBox {
+			continue
+		}
+		report := operate.BoxReport{ID: member.ID, Site: member.Site, Service: member.Service, Heard: -1, Leaving: member.Leaving}
+		if l := b.links[member.ID]; l != nil && l.beat != nil {
+			report = l.report(report, time.Now())
+		}
+		reports = append(reports, report)
+	}
+	return reports
+}
+
+// broadcast sends a message to all boxes without waiting for any.
+func (b *boxes) broadcast(msg link.Message) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, l := range b.links {
+		go func() { _ = l.conn.Send(l.conn.Context(), msg) }()
+	}
+}
+
+// candidates returns the boxes that serve the service in a version that the configuration knows, and have room.
+func (b *boxes) candidates(service fleet.Service, now time.Time) []route.Candidate {
+	cfg := b.entry.follower.Config()
+	allowed := cfg.Digests(service.Name)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var found []route.Candidate
+	for id, l := range b.links {
+		if cfg.Stopped[id] || !l.offers(service, allowed, now) {
+			continue
+		}
+		c := route.Candidate{ID: id, InFlight: l.inFlight, Reported: l.beat.Load, ReportedOwn: l.beatOwn}
+		if c.Load() < slotsOf(l.beat) {
+			found = append(found, c)
+		}
+	}
+	return found
+}
+
+// offering counts the boxes that serve the service, with room or without.
+func (b *boxes) offering(service fleet.Service, now time.Time) int {
+	allowed := b.entry.follower.Config().Digests(service.Name)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	n := 0
+	for _, l := range b.links {
+		if l.offers(service, allowed, now) {
+			n++
+		}
+	}
+	return n
+}
+
+func (b *boxes) closeAll() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, l := range b.links {
+		l.conn.Close()
+	}
+}
+
+// dial opens one link and runs it until it ends.
+func (b *boxes) dial(ctx context.Context, member platform.Member) {
+	defer func() {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		delete(b.dialing, member.ID)
+		b.after[member.ID] = time.Now().Add(dialPause/2 + rand.N(dialPause))
+	}()
+	dialCtx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	conn, err := link.Dial(dialCtx, b.entry.cfg.LinkClient, member.Address)
+	if err != nil {
+		b.entry.log.WithError(err).WithField("box", member.ID).Debug("entry: box not reached")
+		return
+	}
+	defer conn.Close()
+	silence := time.AfterFunc(dialTimeout, conn.Close)
+	if conn.Send(ctx, b.entry.hello()) != nil {
+		return
+	}
+	msg, err := conn.Receive()
+	silence.Stop()
+	if err != nil {
+		return
+	}
+	if hello, ok := msg.(*link.Hello); ok && hello.ID == member.ID {
+		b.run(conn, member, hello)
+	}
+}
+
+// giveUpSilent closes the links to boxes that have not been heard for long.
+func (b *boxes) giveUpSilent() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, l := range b.links {
+		if time.Since(l.beatAt) > deadAfter {
+			l.conn.Close()
+		}
+	}
+}
+
+// link returns the link to a box.
+func (b *boxes) link(id string) (*boxLink, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	l, ok := b.links[id]
+	return l, ok
+}
+
+// place chooses a box for a request among those not tried, and reserves room there.
+func (b *boxes) place(service fleet.Service, tried []string) (id string, ok bool) {
+	now := time.Now()
+	candidates := route.Without(b.candidates(service, now), tried)
+	picked, ok := b.entry.picker.Pick(b.entry.health.Filter(candidates, now))
+	if !ok {
+		return "", false
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	l, ok := b.links[picked.ID]
+	if !ok {
+		return "", false
+	}
+	l.inFlight++
+	return picked.ID, true
+}
+
+// release gives the room at a box back.
+func (b *boxes) release(id string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if l, ok := b.links[id]; ok && l.inFlight > 0 {
+		l.inFlight--
+	}
+}
+
+// run uses a greeted link until it ends.
+func (b *boxes) run(conn *link.Conn, member platform.Member, hello *link.Hello) {
+	l := &boxLink{
+		member: member, conn: conn, incarnation: hello.Incarnation,
+		client: relay.NewClient(conn.Context(), conn), beatAt: time.Now(),
+	}
+	b.mu.Lock()
+	b.links[member.ID] = l
+	b.mu.Unlock()
+	defer func() {
+		b.mu.Lock()
+		if b.links[member.ID] == l {
+			delete(b.links, member.ID)
+		}
+		b.mu.Unlock()
+		l.client.Close(nil)
+		b.entry.log.WithField("box", member.ID).Info("entry: link ended")
+	}()
+	b.entry.log.WithField("box", member.ID).Info("entry: link up")
+	b.entry.hear(conn, hello.Revision)
+	go b.beat(conn)
+	for {
+		msg, err := conn.Receive()
+		if err != nil {
+			return
+		}
+		switch m := msg.(type) {
+		case *link.Heartbeat:
+			b.take(l, m)
+		case *link.Config:
+			b.entry.follower.Offer(m.Config)
+		default:
+			l.client.Handle(msg)
+		}
+	}
+}
+
+// beat tells the box the entry's revision each second.
+func (b *boxes) beat(conn *link.Conn) {
+	ticker := time.NewTicker(heartbeatEvery)
+	defer ticker.Stop()
+	for {
+		if conn.Send(conn.Context(), &link.Heartbeat{Revision: b.entry.follower.Config().Revision}) != nil {
+			return
+		}
+		select {
+		case <-ticker.C:
+		case <-conn.Context().Done():
+			return
+		}
+	}
+}
+
+// take notes a box's heartbeat.
+func (b *boxes) take(l *boxLink, beat *link.Heartbeat) {
+	b.mu.Lock()
+	l.beat = beat
+	l.beatAt = time.Now()
+	l.beatOwn = l.inFlight
+	b.mu.Unlock()
+	b.entry.hear(l.conn, beat.Revision)
+	b.entry.kick(l.member.Service)
+}
+
+func (b *boxes) want(ctx context.Context, member platform.Member) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	l := b.links[member.ID]
+	if l != nil && (l.member.Address != member.Address || newer(l, member)) {
+		l.conn.Close()
+	}
+	if l != nil || b.dialing[member.ID] || time.Now().Before(b.after[member.ID]) {
+		return
+	}
+	b.dialing[member.ID] = true
+	go b.dial(ctx, member)
+}
+
+// newer reports whether the list knows of another daemon of a box than the one linked.
+func newer(l *boxLink, member platform.Member) bool {
+	return member.Incarnation != "" && l.incarnation != "" && member.Incarnation != l.incarnation && member.Incarnation > l.incarnation
+}
+
+// offers reports whether the box serves the service in one of the allowed versions and was heard lately.
+func (l *boxLink) offers(service fleet.Service, allowed map[string]bool, now time.Time) bool {
+	if l.beat == nil || now.Sub(l.beatAt) > suspectAfter {
+		return false
+	}
+	offered := l.beat.Service
+	if l.beat.Leaving || l.beat.Stopped || !offered.Open || offered.Service != service.Name {
+		return false
+	}
+	return service.Kind == fleet.KindPlain || allowed[offered.Digest]
+}
+
+func (l *boxLink) report(report operate.BoxReport, now time.Time) operate.BoxReport {
+	report.State, report.Version = l.beat.Service.State, l.beat.Service.Version
+	report.Revision, report.Load = l.beat.Revision, l.beat.Load
+	report.Heard = now.Sub(l.beatAt)
+	report.Leaving = report.Leaving || l.beat.Leaving
+	report.Have, report.Chunks = l.beat.Progress.Have, l.beat.Progress.Chunks
+	report.OriginBytes, report.PeerBytes = l.beat.Progress.OriginBytes, l.beat.Progress.PeerBytes
+	report.GivenBytes, report.Rejected = l.beat.Progress.GivenBytes, l.beat.Progress.Rejected
+	return report
+}
+
+func slotsOf(beat *link.Heartbeat) int {
+	if beat.Slots > 0 {
+		return beat.Slots
+	}
+	return DefaultBoxSlots
+}
--- /dev/null
+++ b/entry/caller.go
@@ -0,0 +1,187 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/google/uuid"
+	"go.opentelemetry.io/otel/attribute"
+
+	"github.com/coralstair/coralstair/fleet"
+	"github.com/coralstair/coralstair/keys"
+	"github.com/coralstair/coralstair/problem"
+	"github.com/coralstair/coralstair/tracing"
+	"github.com/coralstair/coralstair/upstream"
+)
+
+// Headers that callers send and read.
+const (
+	HeaderRequestID = "X-Request-Id"
+	HeaderTimeout   = "X-Request-Timeout"
+	HeaderPriority  = "X-Priority"
+	HeaderOnceKey   = "Idempotency-Key"
+	HeaderOutcome   = "X-Coralstair-Outcome"
+	HeaderBox       = "X-Coralstair-Box"
+	HeaderVersion   = "X-Coralstair-Version"
+	HeaderReplayed  = "X-Coralstair-Replayed"
+)
+
+const (
+	maxRequestID = 128
+	maxOnceKey   = 255
+	maxTimeout   = 30 * time.Minute
+	leaveRetry   = time.Second
+)
+
+// callerRequest is one caller's request as the entry handles it.
+type callerRequest struct {
+	id       string
+	team     fleet.Team
+	service  fleet.Service
+	method   string
+	path     string
+	header   http.Header
+	body     []byte
+	deadline time.Time
+	priority int
+	// onceKey marks a request that must not be repeated and that is claimed under this key.
+	onceKey string
+	// repeatable says that the request may be run again when it is not known whether it ran.
+	repeatable bool
+}
+
+// chatRouting is the part of a chat completion request that routing reads.
+type chatRouting struct {
+	Model string `json:"model"`
+}
+
+// serveChat takes a chat completion request for a model service.
+func (e *Entry) serveChat(w http.ResponseWriter, r *http.Request) {
+	req, ok := e.read(w, r)
+	if !ok {
+		return
+	}
+	var routing chatRouting
+	if err := json.Unmarshal(req.body, &routing); err != nil || routing.Model == "" {
+		e.refuse(w, notRun(http.StatusBadRequest, "bad-body", "the body names no model in JSON", req.id))
+		return
+	}
+	req.path = "/v1/chat/completions"
+	req.repeatable = true
+	e.serveService(w, r, req, routing.Model, fleet.KindModel)
+}
+
+// servePlain takes a request for a plain service.
+func (e *Entry) servePlain(w http.ResponseWriter, r *http.Request) {
+	req, ok := e.read(w, r)
+	if !ok {
+		return
+	}
+	req.path = "/" + r.PathValue("path")
+	if r.URL.RawQuery != "" {
+		req.path += "?" + r.URL.RawQuery
+	}
+	req.repeatable = r.Method == http.MethodGet || r.Method == http.MethodHead
+	e.serveService(w, r, req, r.PathValue("service"), fleet.KindPlain)
+}
+
+// serveService finds the service and runs the request there.
+func (e *Entry) serveService(w http.ResponseWriter, r *http.Request, req callerRequest, name string, kind fleet.Kind) {
+	cfg := e.follower.Config()
+	if cfg.Revision == 0 {
+		e.refuse(w, notRun(http.StatusServiceUnavailable, "no-configuration", "no configuration has been seen yet", req.id).WithRetryAfter(leaveRetry))
+		return
+	}
+	service, ok := serviceOf(cfg, name, kind)
+	if !ok {
+		e.refuse(w, notRun(http.StatusNotFound, "unknown-service", "there is no such service: "+name, req.id))
+		return
+	}
+	req.service = service
+	req.team = withName(cfg.Teams[req.team.Name], req.team.Name)
+	req.onceKey = r.Header.Get(HeaderOnceKey)
+	if service.Once || req.onceKey != "" {
+		req.repeatable = false
+	}
+	e.active.Add(1)
+	defer e.active.Done()
+	if e.leaving.Load() {
+		e.refuse(w, notRun(http.StatusServiceUnavailable, "leaving", "this entry is leaving", req.id).WithRetryAfter(leaveRetry))
+		return
+	}
+	ctx, span := tracing.Start(tracing.Extract(r.Context(), r.Header), "entry",
+		attribute.String("service", name), attribute.String("request", req.id))
+	defer span.End()
+	tracing.Inject(ctx, req.header)
+	ctx, cancel := context.WithDeadline(ctx, req.deadline)
+	defer cancel()
+	e.run(ctx, w, req)
+}
+
+// read reads and checks what all requests have in common; a bad one is answered.
+func (e *Entry) read(w http.ResponseWriter, r *http.Request) (callerRequest, bool) {
+	req := callerRequest{method: r.Method, id: r.Header.Get(HeaderRequestID)}
+	if req.id == "" || len(req.id) > maxRequestID {
+		req.id = uuid.NewString()
+	}
+	w.Header().Set(HeaderRequestID, req.id)
+	key, ok := e.identify(w, r)
+	if !ok {
+		return req, false
+	}
+	if key.Role != keys.RoleTeam {
+		e.refuse(w, notRun(http.StatusForbidden, "role", "an operator's key sends no requests", req.id))
+		return req, false
+	}
+	req.team.Name = key.Name
+	if p, ok := e.readLimits(r, &req); !ok {
+		e.refuse(w, p)
+		return req, false
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, e.cfg.BodyLimit))
+	if err != nil {
+		e.refuse(w, notRun(http.StatusRequestEntityTooLarge, "body", "the body cannot be read: "+err.Error(), req.id))
+		return req, false
+	}
+	req.body = body
+	req.header = upstream.CleanHeader(r.Header)
+	req.header.Set(HeaderRequestID, req.id)
+	return req, true
+}
+
+// readLimits reads deadline, priority and key of a request.
+func (e *Entry) readLimits(r *http.Request, req *callerRequest) (problem.Problem, bool) {
+	timeout := e.cfg.Deadline
+	if text := r.Header.Get(HeaderTimeout); text != "" {
+		d, err := time.ParseDuration(text)
+		if err != nil || d <= 0 || d > maxTimeout {
+			return notRun(http.StatusBadRequest, "bad-timeout", HeaderTimeout+" is a duration such as 1.5s, 30m at most", req.id), false
+		}
+		timeout = d
+	}
+	req.deadline = time.Now().Add(timeout)
+	if text := r.Header.Get(HeaderPriority); text != "" {
+		n, err := strconv.Atoi(text)
+		if err != nil || n < 0 || n > 9 {
+			return notRun(http.StatusBadRequest, "bad-priority", HeaderPriority+" is a number from 0 to 9", req.id), false
+		}
+		req.priority = n
+	}
+	if len(r.Header.Get(HeaderOnceKey)) > maxOnceKey {
+		return notRun(http.StatusBadRequest, "bad-once-key", HeaderOnceKey+" is too long", req.id), false
+	}
+	return problem.Problem{}, true
+}
+
+func notRun(status int, slug, detail, id string) problem.Problem {
+	return problem.New(status, slug, detail).WithOutcome("not-run").WithRequestID(id)
+}
+
+func withName(team fleet.Team, name string) fleet.Team {
+	team.Name = name
+	return team
+}
--- /dev/null
+++ b/entry/entry.go
@@ -0,0 +1,194 @@
+package entry
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/coralstair/coralstair/admit"
+	"github.com/coralstair/coralstair/claim"
+	"github.com/coralstair/coralstair/fleet"
+	"github.com/coralstair/coralstair/follower"
+	"github.com/coralstair/coralstair/link"
+	"github.com/coralstair/coralstair/membership"
+	"github.com/coralstair/coralstair/operate"
+	"github.com/coralstair/coralstair/platform"
+	"github.com/coralstair/coralstair/route"
+	"github.com/coralstair/coralstair/supervise"
+)
+
+const (
+	headerTimeout = 5 * time.Second
+	idleTimeout   = 2 * time.Minute
+	maxHeader     = 64 << 10
+	kickEvery     = 50 * time.Millisecond
+)
+
+// Entry is the daemon of a thin entry box.
+type Entry struct {
+	cfg      Config
+	log      *log.Entry
+	follower *follower.Follower
+	members  *membership.Watcher
+	boxes    *boxes
+	executor *operate.Executor
+	claims   *claim.Claims
+	picker   route.Picker
+	health   route.Health
+	budget   route.Budget
+	leaving  atomic.Bool
+	active   sync.WaitGroup
+
+	mu          sync.Mutex
+	controllers map[string]*admit.Controller
+}
+
+// New returns an entry that has started nothing yet.
+func New(cfg Config) *Entry {
+	cfg = cfg.withDefaults()
+	e := &Entry{
+		cfg:         cfg,
+		log:         log.WithFields(log.Fields{"entry": cfg.ID, "site": cfg.Site}),
+		follower:    follower.New(cfg.Ledger, cfg.Fleet, follower.Options{Relay: true, Checks: cfg.Checks}),
+		members:     membership.New(cfg.List, cfg.Fleet, cfg.ListInterval),
+		claims:      &claim.Claims{Table: cfg.Claims},
+		picker:      route.Picker{Intn: rand.IntN},
+		controllers: make(map[string]*admit.Controller),
+	}
+	e.boxes = newBoxes(e)
+	e.executor = &operate.Executor{Fleet: cfg.Fleet, Ledger: cfg.Ledger, View: e, Accept: e.accept}
+	return e
+}
+
+// Boxes returns what the boxes of the fleet last said of themselves.
+func (e *Entry) Boxes() []operate.BoxReport { return e.boxes.Report() }
+
+// Handler returns the handler of the entry's port.
+func (e *Entry) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/chat/completions", e.serveChat)
+	mux.HandleFunc("GET /v1/models", e.serveModels)
+	mux.HandleFunc("POST /v1/statements", e.serveStatement)
+	mux.HandleFunc("/services/{service}/{path...}", e.servePlain)
+	mux.HandleFunc("GET /metrics", e.serveMetrics)
+	mux.HandleFunc("GET /healthz", func(http.ResponseWriter, *http.Request) {})
+	mux.HandleFunc("GET /readyz", e.serveReady)
+	mux.HandleFunc("/", e.serveUnknown)
+	return mux
+}
+
+// Leave takes no new requests and waits until those in progress are done.
+func (e *Entry) Leave(ctx context.Context) {
+	e.leaving.Store(true)
+	done := make(chan struct{})
+	go func() {
+		e.active.Wait()
+		close(done)
+	}()
+	ctx, cancel := context.WithTimeout(ctx, e.cfg.DrainLimit)
+	defer cancel()
+	select {
+	case <-done:
+	case <-ctx.Done():
+		e.log.Warn("entry: leaves with requests in progress")
+	}
+}
+
+// Serve runs the entry until ctx ends, without draining; Leave comes first in a planned stop.
+func (e *Entry) Serve(ctx context.Context) error {
+	server := &http.Server{
+		Handler: e.Handler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
+		Protocols: new(http.Protocols),
+	}
+	server.Protocols.SetHTTP1(true)
+	server.Protocols.SetUnencryptedHTTP2(true)
+	daemon := &supervise.Daemon{
+		Name: "entry", Log: e.log, Listener: e.cfg.Listener, Server: server,
+		Parts: []supervise.Part{
+			{Name: "follower", Run: e.follower.Serve},
+			{Name: "membership", Run: e.members.Serve},
+			{Name: "boxes", Run: e.boxes.Serve},
+			{Name: "queues", Run: e.serveQueues},
+			{Name: "spread", Run: e.serveSpread},
+		},
+	}
+	return daemon.Run(ctx)
+}
+
+// accept puts a configuration in force that this entry had accepted.
+func (e *Entry) accept(cfg fleet.Config) {
+	e.follower.Offer(cfg)
+}
+
+// controller returns the controller of a service.
+func (e *Entry) controller(service string) *admit.Controller {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	c := e.controllers[service]
+	if c == nil {
+		c = admit.NewController(e.cfg.Queue)
+		e.controllers[service] = c
+	}
+	return c
+}
+
+// hear notes a box's revision and hands on the configuration when the box's is older.
+func (e *Entry) hear(conn *link.Conn, revision fleet.Revision) {
+	if _, older := e.follower.Heard(revision); older {
+		_ = conn.Send(conn.Context(), &link.Config{Config: e.follower.Config()})
+	}
+}
+
+func (e *Entry) hello() *link.Hello {
+	return &link.Hello{
+		ID: e.cfg.ID, Role: string(platform.RoleEntry), Fleet: e.cfg.Fleet, Site: e.cfg.Site,
+		Incarnation: e.cfg.Incarnation, Revision: e.follower.Config().Revision,
+	}
+}
+
+// kick gives turns to a service's waiting requests.
+func (e *Entry) kick(service string) {
+	e.mu.Lock()
+	c := e.controllers[service]
+	e.mu.Unlock()
+	if c != nil {
+		c.Kick()
+	}
+}
+
+// serveQueues looks after the waiting requests when nothing else gives them a turn.
+func (e *Entry) serveQueues(ctx context.Context) error {
+	ticker := time.NewTicker(kickEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		}
+		for _, name := range e.follower.Config().ServiceNames() {
+			e.kick(name)
+		}
+	}
+}
+
+// serveSpread hands each newer configuration to all boxes as soon as it is known.
+func (e *Entry) serveSpread(ctx context.Context) error {
+	for {
+		changed := e.follower.Changed()
+		cfg := e.follower.Config()
+		if cfg.Revision > 0 {
+			e.boxes.broadcast(&link.Config{Config: cfg})
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-changed:
+		}
+	}
+}
--- /dev/null
+++ b/entry/operator.go
@@ -0,0 +1,132 @@
+package entry
+
+import (
+	"encoding/json"
+	"errors"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/google/uuid"
+
+	"github.com/coralstair/coralstair/fleet"
+	"github.com/coralstair/coralstair/keys"
+	"github.com/coralstair/coralstair/ledger"
+	"github.com/coralstair/coralstair/operate"
+	"github.com/coralstair/coralstair/problem"
+	"github.com/coralstair/coralstair/statement"
+	"github.com/coralstair/coralstair/weights"
+)
+
+const (
+	statementLimit = 64 << 10
+	outageRetry    = 5 * time.Second
+	maxOperation   = 36
+)
+
+// StatementRequest is the body of a statement sent to an entry.
+type StatementRequest struct {
+	Statement  string         `json:"statement"`
+	Operation  string         `json:"operation,omitempty"`
+	IfRevision fleet.Revision `json:"if_revision,omitempty"`
+}
+
+// serveStatement carries out one operator's statement.
+func (e *Entry) serveStatement(w http.ResponseWriter, r *http.Request) {
+	key, ok := e.identify(w, r)
+	if !ok {
+		return
+	}
+	var req StatementRequest
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, statementLimit)).Decode(&req); err != nil {
+		e.refuse(w, problem.New(http.StatusBadRequest, "bad-body", "the body is not a statement in JSON: "+err.Error()))
+		return
+	}
+	if p, ok := mayState(key, req); !ok {
+		e.refuse(w, p)
+		return
+	}
+	if req.Operation == "" {
+		req.Operation = uuid.NewString()
+	}
+	result, err := e.executor.Execute(r.Context(), operate.Command{
+		Operator: key.Name, Operation: req.Operation, Text: req.Statement, IfRevision: req.IfRevision,
+	})
+	if err != nil {
+		e.refuse(w, statementProblem(err))
+		return
+	}
+	metrics.GetOrCreateCounter(`coralstair_statements_total{result="done"}`).Inc()
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(result)
+}
+
+// identify finds the key that a request carries; without a known one it answers the request.
+func (e *Entry) identify(w http.ResponseWriter, r *http.Request) (keys.Key, bool) {
+	secret, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	if !ok || secret == "" {
+		w.Header().Set("WWW-Authenticate", "Bearer")
+		e.refuse(w, problem.New(http.StatusUnauthorized, "no-key", "the request carries no key").WithOutcome("not-run"))
+		return keys.Key{}, false
+	}
+	key, ok := e.cfg.Keys.Find(secret)
+	if !ok {
+		e.refuse(w, problem.New(http.StatusUnauthorized, "unknown-key", "the key is not known").WithOutcome("not-run"))
+	}
+	return key, ok
+}
+
+// refuse answers with a problem and counts it.
+func (e *Entry) refuse(w http.ResponseWriter, p problem.Problem) {
+	metrics.GetOrCreateCounter(`coralstair_problems_total{type="` + p.Type + `"}`).Inc()
+	p.Write(w)
+}
+
+// mayState checks that the key's role allows the statement.
+func mayState(key keys.Key, req StatementRequest) (problem.Problem, bool) {
+	if len(req.Operation) > maxOperation {
+		return problem.New(http.StatusBadRequest, "bad-operation", "an operation's id has at most 36 characters"), false
+	}
+	if key.Role == keys.RoleTeam {
+		return problem.New(http.StatusForbidden, "role", "a team's key makes no statements"), false
+	}
+	if key.Role == keys.RoleOperate {
+		return problem.Problem{}, true
+	}
+	stmt, err := statement.Parse(req.Statement)
+	if err == nil && stmt.Show == nil && !stmt.Explain {
+		return problem.New(http.StatusForbidden, "role", "a key with role read makes no decisions"), false
+	}
+	return problem.Problem{}, true
+}
+
+// statementProblem tells an operator why a statement was not carried out.
+func statementProblem(err error) problem.Problem {
+	var (
+		syntax   *statement.SyntaxError
+		conflict *ledger.ConflictError
+		unknown  *ledger.UnknownError
+		refused  *ledger.RefusedError
+		rejected *operate.RejectedError
+		missing  *operate.UnknownNameError
+		column   *statement.ColumnError
+		digest   *weights.DigestSyntaxError
+	)
+	switch {
+	case errors.As(err, &syntax):
+		return problem.New(http.StatusBadRequest, "syntax", err.Error()).WithPlace(syntax.Line, syntax.Column)
+	case errors.As(err, &conflict):
+		return problem.New(http.StatusConflict, "conflict", err.Error()).WithOutcome("not-run")
+	case errors.As(err, &unknown):
+		return problem.New(http.StatusGatewayTimeout, "unknown-outcome", err.Error()).WithOutcome("unknown").WithRetryAfter(outageRetry)
+	case errors.As(err, &refused):
+		return problem.New(http.StatusServiceUnavailable, "platform-out", err.Error()).WithOutcome("not-run").WithRetryAfter(outageRetry)
+	case errors.As(err, &missing):
+		return problem.New(http.StatusNotFound, "unknown-name", err.Error()).WithOutcome("not-run")
+	case errors.As(err, &rejected), errors.As(err, &column), errors.As(err, &digest):
+		return problem.New(http.StatusUnprocessableEntity, "rejected", err.Error()).WithOutcome("not-run")
+	default:
+		return problem.New(http.StatusInternalServerError, "internal", err.Error())
+	}
+}
--- /dev/null
+++ b/entry/run.go
@@ -0,0 +1,209 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/coralstair/coralstair/admit"
+	"github.com/coralstair/coralstair/link"
+	"github.com/coralstair/coralstair/problem"
+	"github.com/coralstair/coralstair/relay"
+)
+
+// maxTurns is how often a request may be handed to boxes that did not run it.
+const maxTurns = 5
+
+// attempt is a request at one box, with the answer's head.
+type attempt struct {
+	box  string
+	call *relay.Call
+	// first is the first part of the body; err is io.EOF when that was all.
+	first []byte
+	err   error
+}
+
+// turn is a request's hold on the room that it takes: its team's share, and a place at one box at a time.
+type turn struct {
+	entry      *Entry
+	req        callerRequest
+	controller *admit.Controller
+	tried      []string
+	admitted   bool
+	box        string
+}
+
+// run admits a request and sees it through to its final answer.
+func (e *Entry) run(ctx context.Context, w http.ResponseWriter, req callerRequest) {
+	t := &turn{entry: e, req: req, controller: e.controller(req.service.Name)}
+	if err := t.acquire(ctx); err != nil {
+		e.refuse(w, t.refusal(err))
+		return
+	}
+	defer t.end()
+	e.budget.Earn()
+	if req.onceKey != "" {
+		e.runOnce(ctx, w, t)
+		return
+	}
+	e.finish(w, t, e.deliver(ctx, w, t, nil))
+}
+
+// finish answers a request that got no answer so far.
+func (e *Entry) finish(w http.ResponseWriter, t *turn, err error) {
+	if err == nil {
+		metrics.GetOrCreateCounter(`coralstair_requests_total{outcome="ran"}`).Inc()
+		return
+	}
+	var started *startedError
+	if errors.As(err, &started) {
+		metrics.GetOrCreateCounter(`coralstair_requests_total{outcome="broken-off"}`).Inc()
+		if started.Abort {
+			panic(http.ErrAbortHandler)
+		}
+		return
+	}
+	p := outcomeProblem(err, t.req.id)
+	metrics.GetOrCreateCounter(`coralstair_requests_total{outcome="` + p.Outcome + `"}`).Inc()
+	w.Header().Set(HeaderOutcome, p.Outcome)
+	e.refuse(w, p)
+}
+
+// outcomeProblem tells a caller what became of a request without an answer.
+func outcomeProblem(err error, id string) problem.Problem {
+	var notRunErr *relay.NotRunError
+	var refused *admit.RefusedError
+	switch {
+	case errors.As(err, &refused):
+		return refusedProblem(refused, id)
+	case errors.As(err, &notRunErr):
+		return notRun(http.StatusServiceUnavailable, "no-box", notRunErr.Reason, id).WithRetryAfter(time.Second)
+	default:
+		return problem.New(http.StatusBadGateway, "lost", err.Error()).WithOutcome("unknown").WithRequestID(id)
+	}
+}
+
+func refusedProblem(refused *admit.RefusedError, id string) problem.Problem {
+	status, slug := http.StatusTooManyRequests, "team-limit"
+	if refused.Overload {
+		status, slug = http.StatusServiceUnavailable, "overload"
+	}
+	return notRun(status, slug, refused.Reason, id).WithRetryAfter(refused.RetryAfter)
+}
+
+// begin hands the request to boxes until one begins to answer. A box that certainly did not run it is followed by
+// another; when it may have run, only a repeatable request is tried again, within the retry budget.
+func (t *turn) begin(ctx context.Context) (*attempt, error) {
+	for range maxTurns {
+		a, err := t.try(ctx)
+		if err == nil {
+			return a, nil
+		}
+		if ctx.Err() != nil {
+			return nil, err
+		}
+		var notRunErr *relay.NotRunError
+		ran := !errors.As(err, &notRunErr)
+		if ran && (!t.req.repeatable || !t.entry.budget.Spend()) {
+			return nil, err
+		}
+		if !t.next(ctx) {
+			return nil, err
+		}
+	}
+	return nil, &relay.NotRunError{Reason: "no box took the request"}
+}
+
+// try hands the request to the box that is held and waits for the first part of the answer.
+func (t *turn) try(ctx context.Context) (*attempt, error) {
+	l, ok := t.entry.boxes.link(t.box)
+	if !ok {
+		return nil, &relay.NotRunError{Reason: "the link to the box has ended"}
+	}
+	call, err := l.client.Do(ctx, link.Request{
+		Service: t.req.service.Name, Method: t.req.method, Path: t.req.path,
+		Header: t.req.header, Body: t.req.body, Deadline: time.Until(t.req.deadline),
+	})
+	if err != nil {
+		t.failed(ctx, err)
+		return nil, err
+	}
+	first, err := call.Next(ctx)
+	if err != nil && !errors.Is(err, errEnd) {
+		t.failed(ctx, err)
+		return nil, err
+	}
+	t.entry.health.Succeeded(t.box)
+	return &attempt{box: t.box, call: call, first: first, err: err}, nil
+}
+
+// failed counts a failure against the box, unless it only had no room or the caller has gone.
+func (t *turn) failed(ctx context.Context, err error) {
+	var notRunErr *relay.NotRunError
+	if ctx.Err() == nil && !errors.As(err, &notRunErr) {
+		t.entry.health.Failed(t.box, time.Now())
+	}
+}
+
+// acquire waits for the request's turn.
+func (t *turn) acquire(ctx context.Context) error {
+	box, err := t.controller.Acquire(ctx, t.admission())
+	t.box = box
+	t.admitted = err == nil
+	return err
+}
+
+func (t *turn) admission() admit.Request {
+	return admit.Request{
+		Team: t.req.team.Name, Weight: t.req.team.Weight, Priority: t.req.priority,
+		Deadline: t.req.deadline, Concurrency: t.req.team.Concurrency, Place: t.place,
+	}
+}
+
+// end gives back all that the request holds.
+func (t *turn) end() {
+	t.release()
+	t.leave()
+	t.controller.Kick()
+}
+
+// leave gives the team's share back.
+func (t *turn) leave() {
+	if t.admitted {
+		t.admitted = false
+		t.controller.Done(t.req.team.Name)
+	}
+}
+
+// next moves the request to another box; it waits its turn again when all that were not tried are full.
+func (t *turn) next(ctx context.Context) bool {
+	t.tried = append(t.tried, t.box)
+	t.release()
+	if box, ok := t.controller.Again(t.admission()); ok {
+		t.box = box
+		return true
+	}
+	t.leave()
+	if t.entry.boxes.offering(t.req.service, time.Now()) <= len(t.tried) {
+		t.tried = nil
+	}
+	return t.acquire(ctx) == nil
+}
+
+func (t *turn) place() (string, bool) {
+	return t.entry.boxes.place(t.req.service, t.tried)
+}
+
+func (t *turn) release() {
+	if t.box != "" {
+		t.entry.boxes.release(t.box)
+		t.box = ""
+	}
+}
+
+func (t *turn) refusal(err error) problem.Problem {
+	return outcomeProblem(err, t.req.id)
+}
--- /dev/null
+++ b/follower/follower.go
@@ -0,0 +1,140 @@
+package follower
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/coralstair/coralstair/fleet"
+	"github.com/coralstair/coralstair/invariant"
+)
+
+// Ledger is the part of the ledger that a follower reads.
+type Ledger interface {
+	Head(ctx context.Context, fleetName string) (fleet.Revision, error)
+	Load(ctx context.Context, fleetName string) (fleet.Config, error)
+}
+
+// Options are the settings of a follower; a zero field takes its default.
+type Options struct {
+	// Relay makes the follower read the table's head always, for others to learn from it.
+	Relay bool
+	// Interval is how often the head is read.
+	Interval time.Duration
+	// Silence is how long a follower that is no relay waits for its links before it reads itself.
+	Silence time.Duration
+	Checks  *invariant.Recorder
+}
+
+// Defaults of Options.
+const (
+	DefaultInterval = 500 * time.Millisecond
+	DefaultSilence  = 3 * time.Second
+)
+
+// Follower holds the newest configuration seen; it never takes a lower revision.
+type Follower struct {
+	ledger Ledger
+	opts   Options
+
+	mu      sync.Mutex
+	cfg     fleet.Config
+	heard   time.Time
+	changed chan struct{}
+}
+
+// New returns a follower of a fleet that has seen nothing yet.
+func New(ledger Ledger, fleetName string, opts Options) *Follower {
+	if opts.Interval == 0 {
+		opts.Interval = DefaultInterval
+	}
+	if opts.Silence == 0 {
+		opts.Silence = DefaultSilence
+	}
+	return &Follower{
+		ledger: ledger, opts: opts,
+		cfg:     fleet.Config{Fleet: fleetName},
+		changed: make(chan struct{}),
+	}
+}
+
+// Changed returns a channel that is closed at the next newer configuration.
+func (f *Follower) Changed() <-chan struct{} {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.changed
+}
+
+// Config returns the newest configuration; its revision is 0 while none has been seen.
+func (f *Follower) Config() fleet.Config {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.cfg
+}
+
+// Heard notes that a peer told its revision, and reports whether the peer's is newer or older than ours.
+func (f *Follower) Heard(revision fleet.Revision) (newer, older bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.heard = time.Now()
+	return revision > f.cfg.Revision, revision < f.cfg.Revision
+}
+
+// Offer takes a configuration when it is newer and reports whether it was.
+func (f *Follower) Offer(cfg fleet.Config) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if cfg.Fleet != f.cfg.Fleet || cfg.Revision <= f.cfg.Revision {
+		return false
+	}
+	f.opts.Checks.Check(cfg.Revision > f.cfg.Revision, invariant.RevisionGrows,
+		"revision %d would follow %d", cfg.Revision, f.cfg.Revision)
+	f.cfg = cfg
+	close(f.changed)
+	f.changed = make(chan struct{})
+	return true
+}
+
+// Serve reads the table as needed until ctx ends.
+func (f *Follower) Serve(ctx context.Context) error {
+	for {
+		if f.opts.Relay || f.silent() {
+			f.read(ctx)
+		}
+		wait := f.opts.Interval/2 + rand.N(f.opts.Interval)
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(wait):
+		}
+	}
+}
+
+func (f *Follower) read(ctx context.Context) {
+	name := f.Config().Fleet
+	head, err := f.ledger.Head(ctx, name)
+	if err != nil {
+		log.WithError(err).Debug("follower: head not read")
+		return
+	}
+	if head <= f.Config().Revision {
+		return
+	}
+	cfg, err := f.ledger.Load(ctx, name)
+	if err != nil {
+		log.WithError(err).Warn("follower: configuration not read")
+		return
+	}
+	if f.Offer(cfg) {
+		log.WithField("revision", cfg.Revision).Debug("follower: configuration taken from the table")
+	}
+}
+
+func (f *Follower) silent() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return time.Since(f.heard) > f.opts.Silence
+}
--- /dev/null
+++ b/internal/cmd/daemon.go
@@ -0,0 +1,91 @@
+package cmd
+
+import (
+	"context"
+	"net"
+	"os"
+	"os/signal"
+	"strconv"
+	"syscall"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/coralstair/coralstair/logging"
+	"github.com/coralstair/coralstair/platform"
+	"github.com/coralstair/coralstair/settings"
+	"github.com/coralstair/coralstair/tracing"
+)
+
+const traceFlush = 2 * time.Second
+
+// daemon is what the entry and the box have in common as processes.
+type daemon interface {
+	// Serve runs until ctx ends, without draining.
+	Serve(ctx context.Context) error
+	// Leave drains.
+	Leave(ctx context.Context)
+}
+
+// runDaemon runs a daemon until a signal; the first asks for a planned stop, a second ends it at once.
+func (c *Config) runDaemon(ctx context.Context, d daemon, cfg settings.Daemon, role string) error {
+	shutdown, err := tracing.Setup(ctx, cfg.OTLPURL, "coralstair-"+role, cfg.ID)
+	if err != nil {
+		return err
+	}
+	defer func() {
+		flushCtx, cancel := context.WithTimeout(context.Background(), traceFlush)
+		defer cancel()
+		_ = shutdown(flushCtx)
+	}()
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	defer signal.Stop(signals)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() {
+		select {
+		case <-signals:
+		case <-ctx.Done():
+			return
+		}
+		log.Info(role + ": planned stop")
+		leaveCtx, stop := context.WithCancel(ctx)
+		go func() {
+			<-signals
+			stop()
+		}()
+		d.Leave(leaveCtx)
+		cancel()
+	}()
+	log.WithFields(log.Fields{"id": cfg.ID, "listen": cfg.Listen}).Info(role + ": started")
+	return d.Serve(ctx)
+}
+
+// setupLog sets the log up as the settings say.
+func (c *Config) setupLog(cfg settings.Daemon) error {
+	return logging.Setup(c.stderr, cfg.LogFormat, cfg.LogLevel)
+}
+
+// incarnation tells daemons at the same address apart; a later one has a greater text.
+func incarnation() string {
+	return strconv.FormatInt(time.Now().UnixNano(), 36)
+}
+
+func listen(address string) (net.Listener, error) {
+	return net.Listen("tcp", address)
+}
+
+func newTable(p settings.Platform) *platform.Table {
+	return platform.NewTable(platform.TableConfig{
+		Endpoint: p.TableURL, Table: p.Table, Region: p.Region,
+		Access: platform.Credentials{ID: p.AccessID, Secret: p.Secret},
+	})
+}
+
+func newObjects(p settings.Platform) *platform.Objects {
+	return platform.NewObjects(platform.ObjectsConfig{
+		Endpoint: p.ObjectURL, Bucket: p.Bucket, Region: p.Region,
+		Access: platform.Credentials{ID: p.AccessID, Secret: p.Secret},
+	})
+}
--- /dev/null
+++ b/internal/cmd/doc.go
@@ -0,0 +1,2 @@
+// Package cmd holds the commands of coralstair, a file each.
+package cmd
--- /dev/null
+++ b/internal/labcmd/config.go
@@ -0,0 +1,101 @@
+package labcmd
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/urfave/cli/v3"
+)
+
+// Exit codes of all commands.
+const (
+	exitDone   = 0
+	exitFailed = 1
+	exitUsage  = 2
+)
+
+// Config carries what the commands share.
+type Config struct {
+	stdout io.Writer
+	stderr io.Writer
+	json   bool
+}
+
+// UsageError says that a command was called wrongly.
+type UsageError struct{ Reason string }
+
+// Error gives the reason.
+func (e *UsageError) Error() string { return e.Reason }
+
+// NewConfig returns a configuration that prints to two writers.
+func NewConfig(stdout, stderr io.Writer) *Config {
+	return &Config{stdout: stdout, stderr: stderr}
+}
+
+// Main runs the command line and returns the exit code.
+func Main(args []string) int {
+	return NewConfig(os.Stdout, os.Stderr).Run(context.Background(), args)
+}
+
+// Run runs one command line and returns its exit code.
+func (c *Config) Run(ctx context.Context, args []string) int {
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	err := c.newRootCmd().Run(ctx, args)
+	if err == nil {
+		return exitDone
+	}
+	_, _ = fmt.Fprintln(c.stderr, "coralstair-lab: "+err.Error())
+	var usage *UsageError
+	if errors.As(err, &usage) {
+		return exitUsage
+	}
+	return exitFailed
+}
+
+func (c *Config) newRootCmd() *cli.Command {
+	return &cli.Command{
+		Name:                  "coralstair-lab",
+		Usage:                 "stand-ins, demo and experiments for a developer's machine",
+		Description:           "Exit codes: 0 done, 1 failed, 2 wrong usage. All addresses are on this machine.",
+		Writer:                c.stdout,
+		ErrWriter:             c.stderr,
+		EnableShellCompletion: true,
+		ExitErrHandler:        func(context.Context, *cli.Command, error) {},
+		OnUsageError: func(_ context.Context, _ *cli.Command, err error, _ bool) error {
+			return &UsageError{Reason: err.Error()}
+		},
+		Commands: []*cli.Command{
+			c.newPlatformCmd(), c.newEngineCmd(), c.newPlainCmd(), c.newWeightsCmd(), c.newAskCmd(),
+		},
+	}
+}
+
+// listenFlag is the flag of the stand-ins' address.
+func listenFlag(value string) cli.Flag {
+	return &cli.StringFlag{Name: "listen", Usage: "`ADDRESS` to listen on", Value: value}
+}
+
+// serve answers at an address until ctx ends.
+func (c *Config) serve(ctx context.Context, address string, handler http.Handler) error {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return err
+	}
+	server := &http.Server{Handler: handler}
+	go func() {
+		<-ctx.Done()
+		_ = server.Close()
+	}()
+	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/labcmd/doc.go
@@ -0,0 +1,2 @@
+// Package labcmd holds the commands of coralstair-lab, a file each.
+package labcmd
--- /dev/null
+++ b/lab/livelist.go
@@ -0,0 +1,64 @@
+package lab
+
+import (
+	"encoding/json"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+
+	"github.com/coralstair/coralstair/platform"
+)
+
+// LiveList stands in for the platform's list of live and leaving boxes.
+type LiveList struct {
+	Faults Faults
+
+	mu      sync.Mutex
+	members map[string]platform.Member
+}
+
+// Put adds or replaces a member.
+func (l *LiveList) Put(member platform.Member) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.members == nil {
+		l.members = make(map[string]platform.Member)
+	}
+	l.members[member.ID] = member
+}
+
+// Remove takes a member off the list.
+func (l *LiveList) Remove(id string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.members, id)
+}
+
+// ServeHTTP answers GET with the list and takes PUT of one member.
+func (l *LiveList) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if l.Faults.refuse(w) {
+		return
+	}
+	if r.Method == http.MethodPut {
+		var member platform.Member
+		if err := json.NewDecoder(r.Body).Decode(&member); err != nil {
+			w.WriteHeader(http.StatusBadRequest)
+			return
+		}
+		l.Put(member)
+		return
+	}
+	writeJSON(w, l.sorted())
+}
+
+func (l *LiveList) sorted() []platform.Member {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	members := make([]platform.Member, 0, len(l.members))
+	for _, member := range l.members {
+		members = append(members, member)
+	}
+	slices.SortFunc(members, func(a, b platform.Member) int { return strings.Compare(a.ID, b.ID) })
+	return members
+}
--- /dev/null
+++ b/logging/doc.go
@@ -0,0 +1,2 @@
+// Package logging sets up the log: text on a terminal, JSON lines otherwise.
+package logging
--- /dev/null
+++ b/membership/watcher.go
@@ -0,0 +1,100 @@
+package membership
+
+import (
+	"context"
+	"math/rand/v2"
+	"reflect"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/coralstair/coralstair/platform"
+)
+
+// DefaultInterval is how often the list is read.
+const DefaultInterval = 2 * time.Second
+
+// List is the platform's list.
+type List interface {
+	Members(ctx context.Context) ([]platform.Member, error)
+}
+
+// Watcher keeps the members of one fleet as last read; while the list is out the last reading stands.
+type Watcher struct {
+	list     List
+	fleet    string
+	interval time.Duration
+
+	mu      sync.Mutex
+	members []platform.Member
+	changed chan struct{}
+}
+
+// New returns a watcher that has read nothing yet; an interval of 0 takes the default.
+func New(list List, fleet string, interval time.Duration) *Watcher {
+	if interval == 0 {
+		interval = DefaultInterval
+	}
+	return &Watcher{list: list, fleet: fleet, interval: interval, changed: make(chan struct{})}
+}
+
+// Boxes returns the boxes on the list that are not leaving.
+func (w *Watcher) Boxes() []platform.Member {
+	var boxes []platform.Member
+	for _, member := range w.Members() {
+		if member.Role == platform.RoleBox && !member.Leaving {
+			boxes = append(boxes, member)
+		}
+	}
+	return boxes
+}
+
+// Changed returns a channel that is closed when the list next differs.
+func (w *Watcher) Changed() <-chan struct{} {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.changed
+}
+
+// Members returns all members of the fleet as last read; the caller must not change them.
+func (w *Watcher) Members() []platform.Member {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.members
+}
+
+// Serve reads the list again and again until ctx ends.
+func (w *Watcher) Serve(ctx context.Context) error {
+	for {
+		w.read(ctx)
+		wait := w.interval/2 + rand.N(w.interval)
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(wait):
+		}
+	}
+}
+
+func (w *Watcher) read(ctx context.Context) {
+	all, err := w.list.Members(ctx)
+	if err != nil {
+		log.WithError(err).Debug("membership: list not read")
+		return
+	}
+	var members []platform.Member
+	for _, member := range all {
+		if member.Fleet == w.fleet {
+			members = append(members, member)
+		}
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if reflect.DeepEqual(members, w.members) {
+		return
+	}
+	w.members = members
+	close(w.changed)
+	w.changed = make(chan struct{})
+}
--- /dev/null
+++ b/operate/show.go
@@ -0,0 +1,228 @@
+package operate
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/coralstair/coralstair/fleet"
+	"github.com/coralstair/coralstair/ledger"
+	"github.com/coralstair/coralstair/statement"
+)
+
+const historyLimit = 200
+
+// BoxReport is what a box last said of itself, and how long ago.
+type BoxReport struct {
+	ID       string
+	Site     string
+	Service  string
+	State    string
+	Version  string
+	Revision fleet.Revision
+	// Heard is how long ago the box was heard; negative when it never was.
+	Heard   time.Duration
+	Load    int
+	Leaving bool
+
+	Have, Chunks           int
+	OriginBytes, PeerBytes int64
+	GivenBytes             int64
+	Rejected               int
+}
+
+func (e *Executor) show(ctx context.Context, show *statement.Show) (Result, error) {
+	name := e.Fleet
+	if show.Fleet != nil {
+		name = show.Fleet.Text
+	}
+	table, err := e.table(ctx, show.What, name)
+	if err != nil {
+		return Result{}, err
+	}
+	table, err = show.Apply(table)
+	if err != nil {
+		return Result{}, err
+	}
+	return Result{Fleet: name, Table: &table}, nil
+}
+
+func (e *Executor) table(ctx context.Context, what, name string) (statement.Table, error) {
+	switch what {
+	case "fleets":
+		return e.fleets(ctx)
+	case "history":
+		return e.history(ctx, name)
+	case "boxes":
+		return e.boxTable(name), nil
+	}
+	cfg, err := e.Ledger.Load(ctx, name)
+	if err != nil {
+		return statement.Table{}, &ledger.RefusedError{Err: err}
+	}
+	if cfg.Revision == 0 || cfg.Dropped {
+		return statement.Table{}, &UnknownNameError{What: "fleet", Name: name}
+	}
+	switch what {
+	case "services":
+		return e.services(cfg), nil
+	case "versions":
+		return versions(cfg), nil
+	case "teams":
+		return teams(cfg), nil
+	default:
+		return e.rollouts(cfg), nil
+	}
+}
+
+func (e *Executor) boxTable(name string) statement.Table {
+	table := statement.Table{Columns: []string{
+		"box", "site", "service", "state", "version", "revision", "heard", "load", "have", "chunks", "origin-bytes", "peer-bytes", "given-bytes", "rejected",
+	}}
+	for _, box := range e.boxes(name) {
+		table.Rows = append(table.Rows, []string{
+			box.ID, box.Site, box.Service, stateOf(box), orDash(box.Version), strconv.FormatUint(uint64(box.Revision), 10),
+			heard(box.Heard), strconv.Itoa(box.Load), strconv.Itoa(box.Have), strconv.Itoa(box.Chunks),
+			bytesText(box.OriginBytes), bytesText(box.PeerBytes), bytesText(box.GivenBytes), strconv.Itoa(box.Rejected),
+		})
+	}
+	return table
+}
+
+func (e *Executor) fleets(ctx context.Context) (statement.Table, error) {
+	table := statement.Table{Columns: []string{"fleet", "revision", "prefer", "services"}}
+	names, err := e.Ledger.Fleets(ctx)
+	if err != nil {
+		return table, &ledger.RefusedError{Err: err}
+	}
+	for _, name := range names {
+		cfg, err := e.Ledger.Load(ctx, name)
+		if err != nil {
+			return table, &ledger.RefusedError{Err: err}
+		}
+		if !cfg.Dropped {
+			table.Rows = append(table.Rows, []string{
+				name, strconv.FormatUint(uint64(cfg.Revision), 10), string(cfg.Prefer), strconv.Itoa(len(cfg.Services)),
+			})
+		}
+	}
+	return table, nil
+}
+
+func (e *Executor) history(ctx context.Context, name string) (statement.Table, error) {
+	table := statement.Table{Columns: []string{"revision", "at", "operator", "statement", "operation"}}
+	changes, err := e.Ledger.History(ctx, name, historyLimit)
+	if err != nil {
+		return table, &ledger.RefusedError{Err: err}
+	}
+	for _, change := range changes {
+		table.Rows = append(table.Rows, []string{
+			strconv.FormatUint(uint64(change.Revision), 10), change.At.Format(time.RFC3339),
+			change.Operator, change.Statement, change.Operation,
+		})
+	}
+	return table, nil
+}
+
+func (e *Executor) rollouts(cfg fleet.Config) statement.Table {
+	table := statement.Table{Columns: []string{"service", "version", "replicas", "boxes", "serving", "under-way", "origin-bytes", "peer-bytes", "rejected"}}
+	for _, name := range cfg.ServiceNames() {
+		version, ok := cfg.Declared(name)
+		if !ok {
+			continue
+		}
+		var boxes, serving, rejected int
+		var origin, peer int64
+		for _, box := range e.boxes(cfg.Fleet) {
+			if box.Service != name {
+				continue
+			}
+			boxes++
+			if box.State == "serving" && box.Version == version.Name {
+				serving++
+			}
+			origin += box.OriginBytes
+			peer += box.PeerBytes
+			rejected += box.Rejected
+		}
+		table.Rows = append(table.Rows, []string{
+			name, version.Name, strconv.Itoa(cfg.Services[name].Replicas), strconv.Itoa(boxes), strconv.Itoa(serving),
+			strconv.Itoa(boxes - serving), bytesText(origin), bytesText(peer), strconv.Itoa(rejected),
+		})
+	}
+	return table
+}
+
+func (e *Executor) services(cfg fleet.Config) statement.Table {
+	table := statement.Table{Columns: []string{"service", "kind", "version", "replicas", "serving", "rollout-share", "once"}}
+	for _, name := range cfg.ServiceNames() {
+		service := cfg.Services[name]
+		serving := 0
+		for _, box := range e.boxes(cfg.Fleet) {
+			if box.Service == name && box.State == "serving" {
+				serving++
+			}
+		}
+		share := service.RolloutShare
+		if share == 0 {
+			share = fleet.DefaultRolloutShare
+		}
+		once := "no"
+		if service.Once {
+			once = "yes"
+		}
+		table.Rows = append(table.Rows, []string{
+			name, string(service.Kind), orDash(service.Version), strconv.Itoa(service.Replicas),
+			strconv.Itoa(serving), strconv.Itoa(share), once,
+		})
+	}
+	return table
+}
+
+func teams(cfg fleet.Config) statement.Table {
+	table := statement.Table{Columns: []string{"team", "concurrency", "weight"}}
+	for _, name := range slices.Sorted(maps.Keys(cfg.Teams)) {
+		team := cfg.Teams[name]
+		table.Rows = append(table.Rows, []string{name, strconv.Itoa(team.Concurrency), strconv.Itoa(team.Weight)})
+	}
+	return table
+}
+
+func versions(cfg fleet.Config) statement.Table {
+	table := statement.Table{Columns: []string{"service", "version", "digest", "declared"}}
+	for _, key := range slices.Sorted(maps.Keys(cfg.Versions)) {
+		version := cfg.Versions[key]
+		declared := "no"
+		if cfg.Services[version.Service].Version == version.Name {
+			declared = "yes"
+		}
+		table.Rows = append(table.Rows, []string{version.Service, version.Name, version.Digest, declared})
+	}
+	return table
+}
+
+func bytesText(n int64) string { return strconv.FormatInt(n, 10) }
+
+// heard tells how many seconds ago a box was heard.
+func heard(ago time.Duration) string {
+	if ago < 0 {
+		return "never"
+	}
+	return strconv.FormatFloat(ago.Seconds(), 'f', 1, 64)
+}
+
+func orDash(text string) string {
+	if text == "" {
+		return "-"
+	}
+	return text
+}
+
+func stateOf(box BoxReport) string {
+	if box.Leaving {
+		return "leaving"
+	}
+	return orDash(box.State)
+}
--- /dev/null
+++ b/permit/epoch.go
@@ -0,0 +1,42 @@
+package permit
+
+import (
+	"context"
+	"errors"
+
+	"github.com/coralstair/coralstair/platform"
+)
+
+// Epoch takes the next epoch of a box's daemon: every order of an earlier daemon of the box is older from then on.
+func Epoch(ctx context.Context, table Table, fleet, box string) (int64, error) {
+	key := epochKey(fleet, box)
+	for {
+		row, found, err := table.Get(ctx, key)
+		if err != nil {
+			return 0, err
+		}
+		put := platform.Put{
+			Row:       platform.Row{Key: key, Number: row.Number + 1},
+			Condition: platform.IfNumber, Number: row.Number,
+		}
+		if !found {
+			put.Condition = platform.IfAbsent
+		}
+		err = table.Put(ctx, put)
+		var failed *platform.ConditionError
+		if errors.As(err, &failed) {
+			continue
+		}
+		return put.Row.Number, err
+	}
+}
+
+// Current reports whether no later daemon of the box has taken an epoch.
+func Current(ctx context.Context, table Table, fleet, box string, epoch int64) (bool, error) {
+	row, found, err := table.Get(ctx, epochKey(fleet, box))
+	return found && row.Number == epoch, err
+}
+
+func epochKey(fleet, box string) platform.Key {
+	return platform.Key{Partition: "epochs#" + fleet, Sort: box}
+}
--- /dev/null
+++ b/relay/errors.go
@@ -0,0 +1,26 @@
+package relay
+
+import "fmt"
+
+// NotRunError says that a request certainly did not run.
+type NotRunError struct{ Reason string }
+
+// Error gives the reason.
+func (e *NotRunError) Error() string { return "not run: " + e.Reason }
+
+// LostError says that it is not known whether, or how far, a request ran.
+type LostError struct {
+	Reason string
+	Err    error
+}
+
+// Error gives the reason.
+func (e *LostError) Error() string {
+	if e.Err == nil {
+		return "lost: " + e.Reason
+	}
+	return fmt.Sprintf("lost: %s: %v", e.Reason, e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *LostError) Unwrap() error { return e.Err }
--- /dev/null
+++ b/route/picker.go
@@ -0,0 +1,49 @@
+package route
+
+import "slices"
+
+// Candidate is a box that could take a request.
+type Candidate struct {
+	ID string
+	// InFlight is the number of requests that this entry has there.
+	InFlight int
+	// Reported is the number of requests in progress that the box last reported, from all entries.
+	Reported int
+	// ReportedOwn is how many of Reported were this entry's.
+	ReportedOwn int
+}
+
+// Load estimates the requests in progress at the box: this entry's own now, the others' as last reported.
+func (c Candidate) Load() int {
+	return c.InFlight + max(0, c.Reported-c.ReportedOwn)
+}
+
+// Picker chooses among candidates.
+type Picker struct {
+	// Intn returns a random number from 0 to n-1.
+	Intn func(n int) int
+}
+
+// Pick returns the less loaded of two candidates drawn at random; ok is false when there is none.
+func (p *Picker) Pick(candidates []Candidate) (picked Candidate, ok bool) {
+	switch len(candidates) {
+	case 0:
+		return Candidate{}, false
+	case 1:
+		return candidates[0], true
+	}
+	i := p.Intn(len(candidates))
+	j := p.Intn(len(candidates) - 1)
+	if j >= i {
+		j++
+	}
+	if candidates[j].Load() < candidates[i].Load() {
+		i = j
+	}
+	return candidates[i], true
+}
+
+// Without returns the candidates that are not among the tried.
+func Without(candidates []Candidate, tried []string) []Candidate {
+	return slices.DeleteFunc(slices.Clone(candidates), func(c Candidate) bool { return slices.Contains(tried, c.ID) })
+}
--- /dev/null
+++ b/supervise/daemon.go
@@ -0,0 +1,67 @@
+package supervise
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+
+	"github.com/apex/log"
+	"github.com/thejerf/suture/v4"
+)
+
+// Part is a named part of a daemon; Run returns when ctx ends.
+type Part struct {
+	Name string
+	Run  func(ctx context.Context) error
+}
+
+// Serve runs the part.
+func (p Part) Serve(ctx context.Context) error { return p.Run(ctx) }
+
+// String names the part in the log.
+func (p Part) String() string { return p.Name }
+
+// Daemon is the parts of one daemon.
+type Daemon struct {
+	Name     string
+	Log      log.Interface
+	Listener net.Listener
+	Server   *http.Server
+	Parts    []Part
+}
+
+// Run runs the server and all parts until ctx ends, then ends the server at once.
+func (d *Daemon) Run(ctx context.Context) error {
+	tree := suture.New(d.Name, suture.Spec{EventHook: d.logEvent})
+	for _, part := range d.Parts {
+		tree.Add(part)
+	}
+	go func() {
+		<-ctx.Done()
+		_ = d.Server.Close()
+	}()
+	served := make(chan error, 1)
+	go func() { served <- d.Server.Serve(d.Listener) }()
+	err := tree.Serve(ctx)
+	if errors.Is(err, context.Canceled) {
+		err = nil
+	}
+	if serveErr := <-served; !errors.Is(serveErr, http.ErrServerClosed) {
+		err = errors.Join(err, serveErr)
+	}
+	return err
+}
+
+// logEvent logs that a part ended; a panic is logged with its cause, not with its whole stack.
+func (d *Daemon) logEvent(event suture.Event) {
+	fields := event.Map()
+	entry := d.Log.WithField("part", fields["service_name"])
+	if panicked, ok := event.(suture.EventServicePanic); ok {
+		entry.WithField("panic", panicked.PanicMsg).WithField("stack", panicked.Stacktrace).Error(d.Name + ": a part panicked")
+		return
+	}
+	if event.Type() == suture.EventTypeServiceTerminate {
+		entry.WithField("cause", fields["err"]).Warn(d.Name + ": a part ended")
+	}
+}
--- /dev/null
+++ b/swarm/choose.go
@@ -0,0 +1,187 @@
+package swarm
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/coralstair/coralstair/fleet"
+)
+
+// candidate is a missing chunk that could be asked for now.
+type candidate struct {
+	chunk   int
+	copies  int
+	planned bool
+	tie     uint64
+}
+
+// nextAsks chooses chunks to ask of other boxes: the rarest first, those planned to be drawn last.
+func (n *Node) nextAsks(now time.Time) []Action {
+	room := n.params.Pulls - len(n.asked)
+	if room <= 0 {
+		return nil
+	}
+	var actions []Action
+	for _, c := range n.candidates(now) {
+		if len(actions) == room {
+			break
+		}
+		if holder := n.holder(c.chunk, now); holder != nil {
+			n.asked[c.chunk] = ask{peer: holder.member.ID, since: now}
+			holder.asked++
+			actions = append(actions, Action{Chunk: c.chunk, Peer: holder.member.ID})
+		}
+	}
+	return actions
+}
+
+// nextDraws chooses chunks to draw from the origin: those for which this box comes first, then by rank.
+func (n *Node) nextDraws(now time.Time) []Action {
+	room := n.params.Draws - len(n.drawing)
+	if room <= 0 {
+		return nil
+	}
+	type draw struct{ chunk, rank int }
+	var draws []draw
+	for chunk := range n.have {
+		if !n.wanted(chunk) {
+			continue
+		}
+		group := n.order.Group(chunk)
+		rank := n.ranks[group]
+		if rank >= 0 && n.mayDraw(chunk, group, rank, now) {
+			draws = append(draws, draw{chunk, rank})
+		}
+	}
+	slices.SortStableFunc(draws, func(a, b draw) int { return cmp.Compare(a.rank, b.rank) })
+	if len(draws) > room {
+		draws = draws[:room]
+	}
+	actions := make([]Action, 0, len(draws))
+	for _, d := range draws {
+		n.drawing[d.chunk] = true
+		actions = append(actions, Action{Chunk: d.chunk, Draw: true, Rank: d.rank})
+	}
+	return actions
+}
+
+// mayDraw says whether this box's turn to draw a group has come. A later rank waits longer, and draws only
+// what no box it knows of holds; when time weighs more the first ranks need not wait.
+func (n *Node) mayDraw(chunk, group, rank int, now time.Time) bool {
+	if now.Before(n.closed[group]) {
+		return false
+	}
+	if n.planned(rank) {
+		return true
+	}
+	if n.copies[chunk] > 0 {
+		return false
+	}
+	return n.waited(rank, now)
+}
+
+// planned reports whether a box of that rank draws a group without waiting.
+func (n *Node) planned(rank int) bool {
+	if n.params.Prefer == fleet.PreferTime {
+		return rank < timeRanks
+	}
+	return rank == 0
+}
+
+func (n *Node) candidates(now time.Time) []candidate {
+	var found []candidate
+	for chunk := range n.have {
+		if !n.wanted(chunk) {
+			continue
+		}
+		copies := n.copies[chunk]
+		if copies == 0 {
+			continue
+		}
+		group := n.order.Group(chunk)
+		rank := n.ranks[group]
+		found = append(found, candidate{
+			chunk: chunk, copies: copies,
+			planned: rank >= 0 && n.planned(rank) && !now.Before(n.closed[group]),
+			tie:     score(n.params.Self.ID, uint64(chunk), ""),
+		})
+	}
+	slices.SortFunc(found, compareCandidates)
+	return found
+}
+
+func compareCandidates(a, b candidate) int {
+	if a.planned != b.planned {
+		if a.planned {
+			return 1
+		}
+		return -1
+	}
+	if a.copies != b.copies {
+		return cmp.Compare(a.copies, b.copies)
+	}
+	return cmp.Compare(a.tie, b.tie)
+}
+
+// holder returns the box to ask for a chunk: one of the own site first; another site only when it is this
+// box's part to fetch the chunk across, so that a chunk crosses a thin link once.
+func (n *Node) holder(chunk int, now time.Time) *peer {
+	holders := n.holders(chunk, now)
+	for _, p := range holders {
+		if p.member.Site == n.params.Self.Site {
+			return p
+		}
+	}
+	if len(holders) == 0 || !n.mayCross(chunk, now) {
+		return nil
+	}
+	return holders[0]
+}
+
+// mayCross says whether this box's turn to fetch a chunk from another site has come.
+func (n *Node) mayCross(chunk int, now time.Time) bool {
+	place := n.places[n.order.Group(chunk)]
+	return n.near[chunk] == 0 && place >= 0 && n.waited(place, now)
+}
+
+// CrossLinks returns the boxes of other sites to which this box needs a link: the sources of the groups it is
+// home of, and stand-ins for those whose home has not delivered in time.
+func (n *Node) CrossLinks(now time.Time) []Member {
+	seen := make(map[string]bool)
+	var links []Member
+	for group := range n.order.Groups() {
+		if n.groupHeld(group) {
+			continue
+		}
+		if n.places[group] < 0 || !n.waited(n.places[group], now) {
+			continue
+		}
+		for _, member := range n.order.Sources(group, n.params.Self.Site) {
+			if !seen[member.ID] {
+				seen[member.ID] = true
+				links = append(links, member)
+			}
+		}
+	}
+	return links
+}
+
+// waited reports whether nothing new has been seen for as long as a rank has to wait. While chunks still come,
+// those in front are at work and a later rank must not draw or fetch the same again.
+func (n *Node) waited(rank int, now time.Time) bool {
+	wait := max(n.params.RankWait, patienceFactor*n.usual)
+	return now.Sub(n.news) >= time.Duration(min(rank, maxRankWaits))*wait
+}
+
+// maxRankWaits bounds how many times RankWait a late rank waits.
+const maxRankWaits = 8
+
+func (n *Node) groupHeld(group int) bool {
+	for chunk := group * n.order.chunks / n.order.Groups(); chunk < len(n.have) && n.order.Group(chunk) <= group; chunk++ {
+		if n.order.Group(chunk) == group && !n.have[chunk] {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/swarm/node.go
@@ -0,0 +1,309 @@
+package swarm
+
+import (
+	"slices"
+	"time"
+
+	"github.com/coralstair/coralstair/fleet"
+)
+
+// Node is one box's view of one version on its way: what it has, what others have, what is asked for.
+// It is not safe for concurrent use.
+type Node struct {
+	params  Params
+	order   *Order
+	have    []bool
+	missing int
+	copies  []int
+	near    []int
+	ranks   []int
+	places  []int
+	peers   map[string]*peer
+	asked   map[int]ask
+	drawing map[int]bool
+	closed  map[int]time.Time
+	usual   time.Duration
+	news    time.Time
+	salt    uint64
+}
+
+// Action is one thing to do now: ask a box for a chunk or, when Draw is set, draw it from the origin.
+// Rank is this box's place among those that may draw the chunk.
+type Action struct {
+	Chunk int
+	Peer  string
+	Draw  bool
+	Rank  int
+}
+
+// Fault says why a chunk did not come.
+type Fault int
+
+// The faults of a giver.
+const (
+	// FaultDeclined means that the giver had no time; it is no fault of its.
+	FaultDeclined Fault = iota
+	// FaultStalled means that the giver did not answer in time.
+	FaultStalled
+	// FaultCorrupt means that what came had another digest.
+	FaultCorrupt
+)
+
+type ask struct {
+	peer  string
+	since time.Time
+}
+
+type peer struct {
+	member Member
+	have   []bool
+	queue  int
+	asked  int
+	faults int
+	pause  time.Time
+}
+
+// NewNode returns a node that already holds the chunks in have.
+func NewNode(params Params, order *Order, have []int, now time.Time) *Node {
+	n := &Node{
+		params:  params.withDefaults(),
+		have:    make([]bool, order.chunks),
+		copies:  make([]int, order.chunks),
+		near:    make([]int, order.chunks),
+		missing: order.chunks,
+		peers:   make(map[string]*peer),
+		asked:   make(map[int]ask),
+		drawing: make(map[int]bool),
+		closed:  make(map[int]time.Time),
+		news:    now,
+		salt:    score(params.Self.ID, 0, params.Self.Site),
+	}
+	n.Reorder(order)
+	for _, chunk := range have {
+		n.hold(chunk)
+	}
+	return n
+}
+
+// CloseGroup keeps a group from being drawn from the origin until a time: its permit was not to be had.
+func (n *Node) CloseGroup(group int, until time.Time) {
+	n.closed[group] = until
+}
+
+// Complete reports whether all chunks are held.
+func (n *Node) Complete() bool { return n.missing == 0 }
+
+// DrawFailed says that the origin did not give a chunk.
+func (n *Node) DrawFailed(chunk int, now time.Time) {
+	delete(n.drawing, chunk)
+	n.CloseGroup(n.order.Group(chunk), now.Add(n.params.RankWait))
+}
+
+// Failed says that an asked chunk did not come from a box, and why.
+func (n *Node) Failed(chunk int, from string, fault Fault, now time.Time) {
+	n.release(chunk, from)
+	p := n.peers[from]
+	if p == nil {
+		return
+	}
+	switch fault {
+	case FaultDeclined:
+		p.pause = now.Add(max(n.usual, minPause))
+	case FaultStalled:
+		p.pause = now.Add(n.params.Patience)
+		p.faults++
+	case FaultCorrupt:
+		p.faults++
+	}
+	if p.faults >= faultsBeforePause {
+		p.faults = 0
+		p.pause = now.Add(n.params.FaultPause)
+	}
+}
+
+const minPause = 20 * time.Millisecond
+
+// Got says that a chunk came and was verified; from is empty when it was drawn. It reports whether the chunk was new.
+func (n *Node) Got(chunk int, from string, now time.Time) bool {
+	if a, ok := n.asked[chunk]; ok && a.peer == from {
+		n.observe(now.Sub(a.since))
+		n.peers[from].faults = 0
+	}
+	if a, ok := n.asked[chunk]; ok {
+		n.release(chunk, a.peer)
+	}
+	delete(n.drawing, chunk)
+	n.news = now
+	return n.hold(chunk)
+}
+
+// Have returns the number of chunks held.
+func (n *Node) Have() int { return len(n.have) - n.missing }
+
+// Holds reports whether a chunk is held.
+func (n *Node) Holds(chunk int) bool { return n.have[chunk] }
+
+// Missing returns the chunks that are not held.
+func (n *Node) Missing() []int {
+	var missing []int
+	for chunk, held := range n.have {
+		if !held {
+			missing = append(missing, chunk)
+		}
+	}
+	return missing
+}
+
+// Next returns what to do now and marks it as being done.
+func (n *Node) Next(now time.Time) []Action {
+	if n.Complete() {
+		return nil
+	}
+	n.expire(now)
+	actions := n.nextDraws(now)
+	return append(actions, n.nextAsks(now)...)
+}
+
+// Peer tells of a box to which a link is up.
+func (n *Node) Peer(member Member) {
+	if n.peers[member.ID] == nil {
+		n.peers[member.ID] = &peer{member: member, have: make([]bool, len(n.have))}
+	}
+}
+
+// PeerGone tells that the link to a box has ended.
+func (n *Node) PeerGone(id string) {
+	for chunk, a := range n.asked {
+		if a.peer == id {
+			delete(n.asked, chunk)
+		}
+	}
+	if p := n.peers[id]; p != nil {
+		n.forget(p)
+	}
+	delete(n.peers, id)
+}
+
+// PeerHas tells which chunks a box holds, all of them when reset, and how many asks it has waiting.
+func (n *Node) PeerHas(id string, reset bool, chunks []uint32, queue int, now time.Time) {
+	p := n.peers[id]
+	if p == nil {
+		return
+	}
+	if reset {
+		n.forget(p)
+	}
+	for _, chunk := range chunks {
+		if int(chunk) < len(p.have) && !p.have[chunk] {
+			p.have[chunk] = true
+			n.count(p, int(chunk), 1)
+		}
+	}
+	p.queue = queue
+	if len(chunks) > 0 {
+		n.news = now
+	}
+}
+
+// Reorder takes a new order after boxes came or went.
+func (n *Node) Reorder(order *Order) {
+	n.order = order
+	n.ranks = make([]int, order.Groups())
+	n.places = make([]int, order.Groups())
+	for group := range n.ranks {
+		n.ranks[group], n.places[group] = order.Places(group, n.params.Self)
+	}
+}
+
+// SetPrefer takes another preference of the fleet.
+func (n *Node) SetPrefer(prefer fleet.Preference) {
+	n.params.Prefer = prefer
+}
+
+// count adds to the number of linked boxes that hold a chunk.
+func (n *Node) count(p *peer, chunk, by int) {
+	n.copies[chunk] += by
+	if p.member.Site == n.params.Self.Site {
+		n.near[chunk] += by
+	}
+}
+
+// expire gives up asks that have taken much longer than usual, so that the chunk is asked for elsewhere.
+func (n *Node) expire(now time.Time) {
+	patience := max(n.params.Patience, patienceFactor*n.usual)
+	for chunk, a := range n.asked {
+		if now.Sub(a.since) > patience {
+			n.Failed(chunk, a.peer, FaultStalled, now)
+		}
+	}
+}
+
+// forget takes back what a box was known to hold.
+func (n *Node) forget(p *peer) {
+	for chunk, held := range p.have {
+		if held {
+			p.have[chunk] = false
+			n.count(p, chunk, -1)
+		}
+	}
+}
+
+func (n *Node) hold(chunk int) bool {
+	if n.have[chunk] {
+		return false
+	}
+	n.have[chunk] = true
+	n.missing--
+	return true
+}
+
+func (n *Node) observe(took time.Duration) {
+	if n.usual == 0 {
+		n.usual = took
+		return
+	}
+	n.usual += time.Duration(smoothing * float64(took-n.usual))
+}
+
+func (n *Node) release(chunk int, from string) {
+	a, ok := n.asked[chunk]
+	if !ok || a.peer != from {
+		return
+	}
+	delete(n.asked, chunk)
+	if p := n.peers[from]; p != nil {
+		p.asked--
+	}
+}
+
+func (n *Node) wanted(chunk int) bool {
+	_, asked := n.asked[chunk]
+	return !n.have[chunk] && !asked && !n.drawing[chunk]
+}
+
+// holders returns the boxes that can be asked for a chunk now.
+func (n *Node) holders(chunk int, now time.Time) []*peer {
+	var holders []*peer
+	for _, p := range n.peers {
+		if p.have[chunk] && p.asked < n.params.PullsPerPeer && !now.Before(p.pause) {
+			holders = append(holders, p)
+		}
+	}
+	slices.SortFunc(holders, func(a, b *peer) int { return n.comparePeers(a, b) })
+	return holders
+}
+
+// comparePeers puts the least loaded box first; ties are broken differently on each box.
+func (n *Node) comparePeers(a, b *peer) int {
+	if load := (a.queue + a.asked) - (b.queue + b.asked); load != 0 {
+		return load
+	}
+	if n.tie(a.member.ID) < n.tie(b.member.ID) {
+		return -1
+	}
+	return 1
+}
+
+func (n *Node) tie(id string) uint64 {
+	return score(id, n.salt+uint64(n.missing), "")
+}
--- /dev/null
+++ b/upstream/client.go
@@ -0,0 +1,137 @@
+package upstream
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"strings"
+	"sync/atomic"
+	"time"
+)
+
+// Paths of an engine's control interface.
+const (
+	PathOrders = "/control/orders"
+	PathState  = "/control/state"
+)
+
+const controlTimeout = 3 * time.Second
+
+// Client calls one upstream.
+type Client struct {
+	// URL is the upstream's base, without a slash at the end.
+	URL string
+	// HTTP makes the calls; nil means http.DefaultClient.
+	HTTP *http.Client
+}
+
+// Do hands a caller's request to the upstream; an UnsentError says that it never saw it.
+func (c *Client) Do(ctx context.Context, method, path string, header http.Header, body []byte) (*http.Response, error) {
+	var sent atomic.Bool
+	trace := &httptrace.ClientTrace{
+		WroteHeaders: func() { sent.Store(true) },
+	}
+	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), method, c.URL+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, &UnsentError{Err: err}
+	}
+	req.Header = header.Clone()
+	resp, err := c.client().Do(req)
+	if err == nil {
+		return resp, nil
+	}
+	if !sent.Load() {
+		return nil, &UnsentError{Err: err}
+	}
+	return nil, &CallError{Call: method + " " + path, Err: err}
+}
+
+// Order gives an engine an order; any error but a StaleFenceError leaves open whether it was taken.
+func (c *Client) Order(ctx context.Context, order Order) error {
+	body, err := json.Marshal(order)
+	if err != nil {
+		return &CallError{Call: "order", Err: err}
+	}
+	status, _, err := c.control(ctx, http.MethodPost, PathOrders, body)
+	switch {
+	case err != nil:
+		return &CallError{Call: "order", Err: err}
+	case status == http.StatusConflict:
+		return &StaleFenceError{Sent: order.Fence}
+	case status >= http.StatusBadRequest:
+		return &CallError{Call: "order", Err: &StatusError{Status: status}}
+	default:
+		return nil
+	}
+}
+
+// State asks an engine for its state.
+func (c *Client) State(ctx context.Context) (State, error) {
+	status, body, err := c.control(ctx, http.MethodGet, PathState, nil)
+	if err != nil {
+		return State{}, &CallError{Call: "state", Err: err}
+	}
+	if status != http.StatusOK {
+		return State{}, &CallError{Call: "state", Err: &StatusError{Status: status}}
+	}
+	var state State
+	if err := json.Unmarshal(body, &state); err != nil {
+		return State{}, &CallError{Call: "state", Err: err}
+	}
+	return state, nil
+}
+
+// Reachable reports whether the upstream answers at all.
+func (c *Client) Reachable(ctx context.Context) bool {
+	_, _, err := c.control(ctx, http.MethodGet, "/healthz", nil)
+	return err == nil
+}
+
+func (c *Client) client() *http.Client {
+	if c.HTTP == nil {
+		return http.DefaultClient
+	}
+	return c.HTTP
+}
+
+func (c *Client) control(ctx context.Context, method, path string, body []byte) (status int, answer []byte, err error) {
+	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, method, c.URL+path, bytes.NewReader(body))
+	if err != nil {
+		return 0, nil, err
+	}
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := c.client().Do(req)
+	if err != nil {
+		return 0, nil, err
+	}
+	answer, err = io.ReadAll(io.LimitReader(resp.Body, maxControlAnswer))
+	return resp.StatusCode, answer, errors.Join(err, resp.Body.Close())
+}
+
+const maxControlAnswer = 1 << 20
+
+// hopHeaders are meant for one hop only and are not handed on.
+var hopHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Authorization", "Content-Length",
+}
+
+// CleanHeader returns the headers to hand on: without those of one hop and without the caller's key.
+func CleanHeader(header http.Header) http.Header {
+	clean := header.Clone()
+	for _, field := range clean.Values("Connection") {
+		for name := range strings.SplitSeq(field, ",") {
+			clean.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range hopHeaders {
+		clean.Del(name)
+	}
+	return clean
+}
