The rig, the rollout experiment and its baselines

Cause: nothing measured a rollout on paced links. Change: lab.Rig (real daemons on loopback in one process, links paced by the byte), coralstair-lab rollout with policies swarm, origin, tree and chain, a plot; one client for the platform's services where none is set.

--- a/internal/labcmd/config.go
+++ b/internal/labcmd/config.go
@@ -74,6 +74,7 @@
 		},
 		Commands: []*cli.Command{
 			c.newPlatformCmd(), c.newEngineCmd(), c.newPlainCmd(), c.newWeightsCmd(), c.newAskCmd(),
+			c.newRolloutCmd(),
 		},
 	}
 }
--- a/lab/caller.go
+++ b/lab/caller.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -47,6 +48,12 @@
 // Error gives the reason.
 func (e *CutAnswerError) Error() string { return "answer cut off: " + e.Reason }
 
+// isWrong reports whether an error says that an answer was wrong.
+func isWrong(err error) bool {
+	var wrong *WrongAnswerError
+	return errors.As(err, &wrong)
+}
+
 // ChatCall is one chat request.
 type ChatCall struct {
 	Service string
--- /dev/null
+++ b/lab/rig.go
@@ -0,0 +1,373 @@
+package lab
+
+import (
+	"context"
+	"crypto/rand"
+	"fmt"
+	"io"
+	mathrand "math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/coralstair/coralstair/box"
+	"github.com/coralstair/coralstair/client"
+	"github.com/coralstair/coralstair/entry"
+	"github.com/coralstair/coralstair/fleet"
+	"github.com/coralstair/coralstair/invariant"
+	"github.com/coralstair/coralstair/keys"
+	"github.com/coralstair/coralstair/ledger"
+	"github.com/coralstair/coralstair/platform"
+	"github.com/coralstair/coralstair/swarm"
+	"github.com/coralstair/coralstair/weights"
+)
+
+// Names used by the rig.
+const (
+	RigFleet   = "lab"
+	RigService = "drafts"
+	RigLedger  = "ledger"
+
+	rigSecret       = "secret"
+	rigBucket       = "weights"
+	rigListInterval = 200 * time.Millisecond
+	waitPoll        = 10 * time.Millisecond
+)
+
+// RigConfig says what a rig consists of.
+type RigConfig struct {
+	Boxes, Sites, Entries int
+	// Plain is how many more boxes stand before plain services.
+	Plain int
+	// Teams is how many teams have keys.
+	Teams int
+	// Slots is how many answers an engine makes at a time; 0 for no limit.
+	Slots     int
+	TokenTime time.Duration
+	Params    swarm.Params
+	Seed      uint64
+	Checks    *invariant.Recorder
+}
+
+// Rig is the whole system inside one process, with real daemons on loopback and stand-ins around them.
+type Rig struct {
+	Platform *Platform
+	Entries  []*RigEntry
+	Boxes    []*RigBox
+	Checks   *invariant.Recorder
+
+	cfg         RigConfig
+	ctx         context.Context
+	cancel      context.CancelFunc
+	platformURL string
+	ring        *keys.Ring
+	operator    string
+	teams       []string
+	running     sync.WaitGroup
+}
+
+// RigBox is one box of a rig.
+type RigBox struct {
+	ID, Site string
+	Service  string
+	Address  string
+	Link     *Link
+	Engine   *Engine
+	Plain    *Plain
+
+	rig      *Rig
+	kind     fleet.Kind
+	upstream string
+
+	mu     sync.Mutex
+	daemon *box.Box
+	cancel context.CancelFunc
+	done   chan struct{}
+}
+
+// RigEntry is one entry of a rig.
+type RigEntry struct {
+	ID  string
+	URL string
+
+	daemon *entry.Entry
+	cancel context.CancelFunc
+	done   chan struct{}
+}
+
+// NewRig starts a rig; Close ends it.
+func NewRig(cfg RigConfig) (*Rig, error) {
+	if cfg.Checks == nil {
+		cfg.Checks = new(invariant.Recorder)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	r := &Rig{Platform: new(Platform), Checks: cfg.Checks, cfg: cfg, ctx: ctx, cancel: cancel}
+	if err := r.start(); err != nil {
+		r.Close()
+		return nil, err
+	}
+	return r, nil
+}
+
+// Client returns an operator's client of all entries.
+func (r *Rig) Client() *client.Client {
+	c := &client.Client{Key: r.operator}
+	for _, e := range r.Entries {
+		c.Entries = append(c.Entries, e.URL)
+	}
+	return c
+}
+
+// Caller returns a caller of a team that sends to an entry.
+func (r *Rig) Caller(team, entry int) *Caller {
+	return &Caller{URL: r.Entries[entry].URL, Key: r.teams[team]}
+}
+
+// Close ends all that the rig started.
+func (r *Rig) Close() {
+	r.cancel()
+	r.running.Wait()
+}
+
+// Do has statements carried out, one after another.
+func (r *Rig) Do(ctx context.Context, statements ...string) error {
+	c := r.Client()
+	for _, text := range statements {
+		if _, err := c.Do(ctx, text, 0); err != nil {
+			return fmt.Errorf("%s: %w", text, err)
+		}
+	}
+	return nil
+}
+
+// Objects returns the rig's object store as the daemons see it, without a link in between.
+func (r *Rig) Objects() *platform.Objects { return r.objects(nil) }
+
+// Publish stores weights of a size made from a seed and returns their manifest's digest.
+func (r *Rig) Publish(ctx context.Context, name string, size, chunkSize int64, seed uint64) (weights.Digest, weights.Manifest, error) {
+	var key [32]byte
+	for i := range 8 {
+		key[i] = byte(seed >> (8 * i))
+	}
+	source := io.LimitReader(mathrand.NewChaCha8(key), size)
+	return weights.Publish(ctx, r.Objects(), name, source, chunkSize)
+}
+
+// Serving counts the boxes whose engine runs the weights with a digest and whose gate is open.
+func (r *Rig) Serving(whole string) int {
+	n := 0
+	for _, b := range r.Boxes {
+		if b.Serves(whole) {
+			n++
+		}
+	}
+	return n
+}
+
+// Wait waits until a condition holds; false means that the time ran out.
+func (r *Rig) Wait(limit time.Duration, holds func() bool) bool {
+	deadline := time.Now().Add(limit)
+	for !holds() {
+		if time.Now().After(deadline) {
+			return false
+		}
+		time.Sleep(waitPoll)
+	}
+	return true
+}
+
+func (r *Rig) start() error {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	r.platformURL = "http://" + listener.Addr().String()
+	r.serve(listener, r.Platform.Handler())
+	if err := r.makeKeys(); err != nil {
+		return err
+	}
+	for i := range r.cfg.Boxes + r.cfg.Plain {
+		b, err := r.newBox(i)
+		if err != nil {
+			return err
+		}
+		r.Boxes = append(r.Boxes, b)
+		if err := b.Start(); err != nil {
+			return err
+		}
+	}
+	for i := range max(1, r.cfg.Entries) {
+		if err := r.startEntry(i); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// serve answers on a listener until the rig is closed.
+func (r *Rig) serve(listener net.Listener, handler http.Handler) {
+	server := &http.Server{Handler: handler}
+	r.running.Add(1)
+	go func() {
+		defer r.running.Done()
+		_ = server.Serve(listener)
+	}()
+	context.AfterFunc(r.ctx, func() { _ = server.Close() })
+}
+
+func (r *Rig) makeKeys() error {
+	var lines strings.Builder
+	r.operator = rand.Text()
+	fmt.Fprintf(&lines, "operate op %s\n", keys.Hash(r.operator))
+	for i := range max(1, r.cfg.Teams) {
+		secret := rand.Text()
+		r.teams = append(r.teams, secret)
+		fmt.Fprintf(&lines, "team team-%d %s\n", i, keys.Hash(secret))
+	}
+	ring, err := keys.Read(strings.NewReader(lines.String()))
+	r.ring = ring
+	return err
+}
+
+func (r *Rig) table() *platform.Table {
+	return platform.NewTable(platform.TableConfig{
+		Endpoint: r.platformURL + PathTable, Table: "coralstair", Region: "local",
+		Access: platform.Credentials{ID: "lab", Secret: rigSecret}, Client: pooledClient(nil),
+	})
+}
+
+func (r *Rig) objects(link *Link) *platform.Objects {
+	return platform.NewObjects(platform.ObjectsConfig{
+		Endpoint: r.platformURL + "/objects", Bucket: rigBucket, Region: "local",
+		Access: platform.Credentials{ID: "lab", Secret: rigSecret}, Client: pooledClient(link),
+	})
+}
+
+func (r *Rig) list() *platform.LiveList {
+	return &platform.LiveList{URL: r.platformURL + PathLive}
+}
+
+func (r *Rig) startEntry(i int) error {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	e := &RigEntry{ID: "entry-" + strconv.Itoa(i), URL: "http://" + listener.Addr().String(), done: make(chan struct{})}
+	table := r.table()
+	e.daemon = entry.New(entry.Config{
+		ID: e.ID, Fleet: RigFleet, Site: r.site(i), Incarnation: strconv.FormatInt(time.Now().UnixNano(), 36),
+		Listener: listener, Ledger: ledger.New(table), Claims: table, List: r.list(), ListInterval: rigListInterval,
+		Keys: r.ring, Checks: r.Checks,
+	})
+	ctx, cancel := context.WithCancel(r.ctx)
+	e.cancel = cancel
+	r.running.Add(1)
+	go func() {
+		defer r.running.Done()
+		defer close(e.done)
+		_ = e.daemon.Serve(ctx)
+	}()
+	r.Entries = append(r.Entries, e)
+	return nil
+}
+
+func (r *Rig) site(i int) string {
+	return "site-" + strconv.Itoa(i%max(1, r.cfg.Sites))
+}
+
+// newBox makes a box with its link and upstream; the upstream runs from now on, the daemon after Start.
+func (r *Rig) newBox(i int) (*RigBox, error) {
+	b := &RigBox{
+		ID: fmt.Sprintf("box-%03d", i), Site: r.site(i), Service: RigService, kind: fleet.KindModel,
+		Link: NewLink(0, r.cfg.Seed+uint64(i)), rig: r,
+	}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	b.upstream = "http://" + listener.Addr().String()
+	if i >= r.cfg.Boxes {
+		b.Service, b.kind, b.Plain = RigLedger, fleet.KindPlain, new(Plain)
+		r.serve(listener, b.Plain.Handler())
+		return b, nil
+	}
+	b.Engine = &Engine{TokenTime: r.cfg.TokenTime, Slots: r.cfg.Slots}
+	r.serve(listener, b.Engine.Handler())
+	return b, nil
+}
+
+// Daemon returns the box's daemon.
+func (b *RigBox) Daemon() *box.Box {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.daemon
+}
+
+// Kill ends the daemon without draining, as when the box loses power; the live list notices later.
+func (b *RigBox) Kill() {
+	b.mu.Lock()
+	cancel, done := b.cancel, b.done
+	b.mu.Unlock()
+	cancel()
+	<-done
+}
+
+// Serves reports whether the box's engine runs the weights with a digest and the daemon lets requests in.
+func (b *RigBox) Serves(whole string) bool {
+	if b.Engine == nil {
+		return false
+	}
+	daemon := b.Daemon()
+	beat := daemon.Heartbeat()
+	return beat.Service.Open && b.Engine.State().Digest == whole
+}
+
+// Start starts a daemon for the box, a new one after Kill, and puts it on the live list.
+func (b *RigBox) Start() error {
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	local, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	incarnation := strconv.FormatInt(time.Now().UnixNano(), 36)
+	table := b.rig.table()
+	daemon := box.New(box.Config{
+		ID: b.ID, Fleet: RigFleet, Site: b.Site, Service: b.Service, Kind: b.kind, Incarnation: incarnation,
+		Listener: b.Link.Listener(inner), Advertise: local.Addr().String(), UpstreamURL: b.upstream,
+		Params: b.rig.cfg.Params, Ledger: ledger.New(table), Table: table, Origin: b.rig.objects(b.Link),
+		List: b.rig.list(), ListInterval: rigListInterval, LinkClient: pooledClient(b.Link), Checks: b.rig.Checks,
+		Slots: b.rig.cfg.Slots,
+	})
+	ctx, cancel := context.WithCancel(b.rig.ctx)
+	done := make(chan struct{})
+	b.mu.Lock()
+	b.daemon, b.cancel, b.done, b.Address = daemon, cancel, done, inner.Addr().String()
+	b.mu.Unlock()
+	b.rig.serve(local, daemon.Handler())
+	b.rig.running.Add(1)
+	go func() {
+		defer b.rig.running.Done()
+		defer close(done)
+		_ = daemon.Serve(ctx)
+	}()
+	b.rig.Platform.Live.Put(platform.Member{
+		ID: b.ID, Role: platform.RoleBox, Fleet: RigFleet, Site: b.Site, Address: inner.Addr().String(),
+		Service: b.Service, Incarnation: incarnation,
+	})
+	return nil
+}
+
+// pooledClient returns an HTTP client of its own, over a link if one is given.
+func pooledClient(link *Link) *http.Client {
+	transport := &http.Transport{MaxIdleConnsPerHost: 16}
+	if link != nil {
+		transport.DialContext = link.Dial
+	}
+	return &http.Client{Transport: transport}
+}
--- a/link/message.go
+++ b/link/message.go
@@ -60,7 +60,8 @@
 	Open    bool   `cbor:"5,keyasint,omitempty"`
 }
 
-// RolloutProgress counts chunks on the way to the declared version and bytes per source.
+// RolloutProgress counts chunks on the way to the declared version and bytes per source; CrossBytes are those of
+// PeerBytes that came from other sites.
 type RolloutProgress struct {
 	Version     string `cbor:"1,keyasint,omitempty"`
 	Have        int    `cbor:"2,keyasint,omitempty"`
@@ -69,6 +70,7 @@
 	PeerBytes   int64  `cbor:"5,keyasint,omitempty"`
 	GivenBytes  int64  `cbor:"6,keyasint,omitempty"`
 	Rejected    int    `cbor:"7,keyasint,omitempty"`
+	CrossBytes  int64  `cbor:"8,keyasint,omitempty"`
 }
 
 // Config hands on a whole configuration to a peer with an older revision.
--- a/transfer/run.go
+++ b/transfer/run.go
@@ -141,6 +141,9 @@
 	}
 	if from != "" {
 		t.progress.PeerBytes += int64(len(data))
+		if p := t.peers[from]; p != nil && p.member.Site != t.cfg.Params.Self.Site {
+			t.progress.CrossBytes += int64(len(data))
+		}
 	}
 	t.finish(r)
 	t.wakeUp()
