Swarm: givers of even load, two choices, and less control traffic

Three causes, found one after another: (1) with few chunks a drawer each, all draws end at the same late moment, and later ranks took the silence for death; (2) rendezvous alone made some boxes home of several times as many groups; (3) all boxes that heard the same news asked the same least loaded giver.

--- a/internal/labcmd/config.go
+++ b/internal/labcmd/config.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"runtime/pprof"
 	"syscall"
 
 	"github.com/urfave/cli/v3"
@@ -26,6 +27,9 @@
 	stdout io.Writer
 	stderr io.Writer
 	json   bool
+
+	profile     string
+	profileFile *os.File
 }
 
 // UsageError says that a command was called wrongly.
@@ -72,6 +76,11 @@
 		OnUsageError: func(_ context.Context, _ *cli.Command, err error, _ bool) error {
 			return &UsageError{Reason: err.Error()}
 		},
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "cpu-profile", Usage: "write a CPU profile to `FILE`", Destination: &c.profile},
+		},
+		Before: c.startProfile,
+		After:  c.stopProfile,
 		Commands: []*cli.Command{
 			c.newPlatformCmd(), c.newEngineCmd(), c.newPlainCmd(), c.newWeightsCmd(), c.newAskCmd(),
 			c.newRolloutCmd(),
@@ -79,6 +88,27 @@
 	}
 }
 
+// startProfile begins the CPU profile, if one is asked for.
+func (c *Config) startProfile(ctx context.Context, _ *cli.Command) (context.Context, error) {
+	if c.profile == "" {
+		return ctx, nil
+	}
+	file, err := os.Create(c.profile)
+	if err != nil {
+		return ctx, err
+	}
+	c.profileFile = file
+	return ctx, pprof.StartCPUProfile(file)
+}
+
+func (c *Config) stopProfile(context.Context, *cli.Command) error {
+	if c.profileFile == nil {
+		return nil
+	}
+	pprof.StopCPUProfile()
+	return c.profileFile.Close()
+}
+
 // listenFlag is the flag of the stand-ins' address.
 func listenFlag(value string) cli.Flag {
 	return &cli.StringFlag{Name: "listen", Usage: "`ADDRESS` to listen on", Value: value}
--- a/lab/rig.go
+++ b/lab/rig.go
@@ -33,7 +33,7 @@
 
 	rigSecret       = "secret"
 	rigBucket       = "weights"
-	rigListInterval = 200 * time.Millisecond
+	rigListInterval = 500 * time.Millisecond
 	waitPoll        = 10 * time.Millisecond
 )
 
--- a/link/message.go
+++ b/link/message.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"github.com/coralstair/coralstair/fleet"
-	"github.com/coralstair/coralstair/weights"
 )
 
 // Kind tells the type of a message on the wire; numbers are never given anew.
@@ -147,31 +146,36 @@
 	}
 }
 
-// Have tells a neighbour which chunks of a manifest the sender holds: all of them when Reset, else those new since the last.
+// Have, Want, Chunk and Decline name a manifest by the first eight bytes of its digest: what comes is verified against
+// the whole digest anyway, and on a thin link 32 bytes in each message would cost more than the message.
+
+// Have tells a neighbour which chunks of a manifest the sender holds: all of them when Reset, else those new since the
+// last. Queue is how many asks wait at the sender, Given how many chunks it has given.
 type Have struct {
-	Manifest weights.Digest `cbor:"1,keyasint"`
-	Reset    bool           `cbor:"2,keyasint,omitempty"`
-	Chunks   []uint32       `cbor:"3,keyasint,omitempty"`
-	Queue    int            `cbor:"4,keyasint,omitempty"`
+	Manifest uint64   `cbor:"1,keyasint"`
+	Reset    bool     `cbor:"2,keyasint,omitempty"`
+	Chunks   []uint32 `cbor:"3,keyasint,omitempty"`
+	Queue    int      `cbor:"4,keyasint,omitempty"`
+	Given    int      `cbor:"5,keyasint,omitempty"`
 }
 
 // Want asks a neighbour for one chunk.
 type Want struct {
-	Manifest weights.Digest `cbor:"1,keyasint"`
-	Chunk    uint32         `cbor:"2,keyasint"`
+	Manifest uint64 `cbor:"1,keyasint"`
+	Chunk    uint32 `cbor:"2,keyasint"`
 }
 
 // Chunk carries one chunk.
 type Chunk struct {
-	Manifest weights.Digest `cbor:"1,keyasint"`
-	Chunk    uint32         `cbor:"2,keyasint"`
-	Body     []byte         `cbor:"3,keyasint"`
+	Manifest uint64 `cbor:"1,keyasint"`
+	Chunk    uint32 `cbor:"2,keyasint"`
+	Body     []byte `cbor:"3,keyasint"`
 }
 
 // Decline says that a wanted chunk will not come from here now.
 type Decline struct {
-	Manifest weights.Digest `cbor:"1,keyasint"`
-	Chunk    uint32         `cbor:"2,keyasint"`
+	Manifest uint64 `cbor:"1,keyasint"`
+	Chunk    uint32 `cbor:"2,keyasint"`
 }
 
 // Kind returns KindHello.
--- a/swarm/choose.go
+++ b/swarm/choose.go
@@ -38,47 +38,55 @@
 
 // nextDraws chooses chunks to draw from the origin: those for which this box comes first, then by rank.
 func (n *Node) nextDraws(now time.Time) []Action {
-	room := n.params.Draws - len(n.drawing)
-	if room <= 0 {
-		return nil
-	}
-	type draw struct{ chunk, rank int }
-	var draws []draw
-	for chunk := range n.have {
-		if !n.wanted(chunk) {
-			continue
+	var actions []Action
+	for _, chunk := range n.drawable(now) {
+		if len(n.drawing) >= n.params.Draws {
+			break
 		}
 		group := n.order.Group(chunk)
-		rank := n.ranks[group]
-		if rank >= 0 && n.mayDraw(chunk, group, rank, now) {
-			draws = append(draws, draw{chunk, rank})
+		if n.wanted(chunk) && n.mayDraw(chunk, group, now) {
+			n.drawing[chunk] = true
+			actions = append(actions, Action{Chunk: chunk, Draw: true, Rank: n.ranks[group]})
 		}
 	}
-	slices.SortStableFunc(draws, func(a, b draw) int { return cmp.Compare(a.rank, b.rank) })
-	if len(draws) > room {
-		draws = draws[:room]
+	return actions
+}
+
+// drawable returns the chunks that may be this box's to draw: those planned, and all once nothing has come for long.
+func (n *Node) drawable(now time.Time) []int {
+	for len(n.plan) > 0 && n.have[n.plan[0]] {
+		n.plan = n.plan[1:]
 	}
-	actions := make([]Action, 0, len(draws))
-	for _, d := range draws {
-		n.drawing[d.chunk] = true
-		actions = append(actions, Action{Chunk: d.chunk, Draw: true, Rank: d.rank})
+	if !n.waited(1, now) {
+		return n.plan
 	}
-	return actions
+	return n.Missing()
+}
+
+// makePlan lists the chunks that this box draws without waiting, the lowest rank first.
+func (n *Node) makePlan() {
+	n.plan = nil
+	for chunk := range n.have {
+		if rank := n.ranks[n.order.Group(chunk)]; rank >= 0 && n.planned(rank) && !n.have[chunk] {
+			n.plan = append(n.plan, chunk)
+		}
+	}
+	slices.SortStableFunc(n.plan, func(a, b int) int {
+		return cmp.Compare(n.ranks[n.order.Group(a)], n.ranks[n.order.Group(b)])
+	})
 }
 
 // mayDraw says whether this box's turn to draw a group has come. A later rank waits longer, and draws only
 // what no box it knows of holds; when time weighs more the first ranks need not wait.
-func (n *Node) mayDraw(chunk, group, rank int, now time.Time) bool {
-	if now.Before(n.closed[group]) {
+func (n *Node) mayDraw(chunk, group int, now time.Time) bool {
+	rank := n.ranks[group]
+	if rank < 0 || now.Before(n.closed[group]) {
 		return false
 	}
 	if n.planned(rank) {
 		return true
 	}
-	if n.copies[chunk] > 0 {
-		return false
-	}
-	return n.waited(rank, now)
+	return n.copies[chunk] == 0 && n.waited(rank, now)
 }
 
 // planned reports whether a box of that rank draws a group without waiting.
@@ -128,15 +136,14 @@
 // box's part to fetch the chunk across, so that a chunk crosses a thin link once.
 func (n *Node) holder(chunk int, now time.Time) *peer {
 	holders := n.holders(chunk, now)
-	for _, p := range holders {
-		if p.member.Site == n.params.Self.Site {
-			return p
-		}
+	near := slices.DeleteFunc(slices.Clone(holders), func(p *peer) bool { return p.member.Site != n.params.Self.Site })
+	if len(near) > 0 {
+		return lighter(near)
 	}
-	if len(holders) == 0 || !n.mayCross(chunk, now) {
+	if !n.mayCross(chunk, now) {
 		return nil
 	}
-	return holders[0]
+	return lighter(holders)
 }
 
 // mayCross says whether this box's turn to fetch a chunk from another site has come.
--- a/swarm/node.go
+++ b/swarm/node.go
@@ -1,6 +1,7 @@
 package swarm
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -18,6 +19,7 @@
 	near    []int
 	ranks   []int
 	places  []int
+	plan    []int
 	peers   map[string]*peer
 	asked   map[int]ask
 	drawing map[int]bool
@@ -58,6 +60,7 @@
 	member Member
 	have   []bool
 	queue  int
+	given  int
 	asked  int
 	faults int
 	pause  time.Time
@@ -78,10 +81,10 @@
 		news:    now,
 		salt:    score(params.Self.ID, 0, params.Self.Site),
 	}
-	n.Reorder(order)
 	for _, chunk := range have {
 		n.hold(chunk)
 	}
+	n.Reorder(order)
 	return n
 }
 
@@ -184,8 +187,15 @@
 	delete(n.peers, id)
 }
 
-// PeerHas tells which chunks a box holds, all of them when reset, and how many asks it has waiting.
-func (n *Node) PeerHas(id string, reset bool, chunks []uint32, queue int, now time.Time) {
+// PeerLoad tells how many asks a box has waiting and how many chunks it has given so far.
+func (n *Node) PeerLoad(id string, queue, given int) {
+	if p := n.peers[id]; p != nil {
+		p.queue, p.given = queue, given
+	}
+}
+
+// PeerHas tells which chunks a box holds, all of them when reset.
+func (n *Node) PeerHas(id string, reset bool, chunks []uint32, now time.Time) {
 	p := n.peers[id]
 	if p == nil {
 		return
@@ -199,12 +209,17 @@
 			n.count(p, int(chunk), 1)
 		}
 	}
-	p.queue = queue
 	if len(chunks) > 0 {
 		n.news = now
 	}
 }
 
+// PeerHolds reports whether a box is known to hold a chunk.
+func (n *Node) PeerHolds(id string, chunk int) bool {
+	p := n.peers[id]
+	return p != nil && p.have[chunk]
+}
+
 // Reorder takes a new order after boxes came or went.
 func (n *Node) Reorder(order *Order) {
 	n.order = order
@@ -213,11 +228,15 @@
 	for group := range n.ranks {
 		n.ranks[group], n.places[group] = order.Places(group, n.params.Self)
 	}
+	n.makePlan()
 }
 
 // SetPrefer takes another preference of the fleet.
 func (n *Node) SetPrefer(prefer fleet.Preference) {
-	n.params.Prefer = prefer
+	if n.params.Prefer != prefer {
+		n.params.Prefer = prefer
+		n.makePlan()
+	}
 }
 
 // count adds to the number of linked boxes that hold a chunk.
@@ -281,7 +300,7 @@
 	return !n.have[chunk] && !asked && !n.drawing[chunk]
 }
 
-// holders returns the boxes that can be asked for a chunk now.
+// holders returns the boxes that can be asked for a chunk now, in an order of this box's own.
 func (n *Node) holders(chunk int, now time.Time) []*peer {
 	var holders []*peer
 	for _, p := range n.peers {
@@ -289,21 +308,31 @@
 			holders = append(holders, p)
 		}
 	}
-	slices.SortFunc(holders, func(a, b *peer) int { return n.comparePeers(a, b) })
+	slices.SortFunc(holders, func(a, b *peer) int { return cmp.Compare(n.tie(a.member.ID), n.tie(b.member.ID)) })
 	return holders
 }
 
-// comparePeers puts the least loaded box first; ties are broken differently on each box.
-func (n *Node) comparePeers(a, b *peer) int {
-	if load := (a.queue + a.asked) - (b.queue + b.asked); load != 0 {
-		return load
-	}
-	if n.tie(a.member.ID) < n.tie(b.member.ID) {
-		return -1
+// lighter returns the less loaded of the first two holders. Asking the least loaded of all would send every box that
+// heard the same news to the same giver at once.
+func lighter(holders []*peer) *peer {
+	switch {
+	case len(holders) == 0:
+		return nil
+	case len(holders) == 1 || holders[0].load() <= holders[1].load():
+		return holders[0]
+	default:
+		return holders[1]
 	}
-	return 1
 }
 
+// load is the chunks that a box has given and those it has been asked for.
+func (p *peer) load() int {
+	return p.given + queueWeight*(p.queue+p.asked)
+}
+
+// queueWeight is how many chunks given count as much as one that waits.
+const queueWeight = 2
+
 func (n *Node) tie(id string) uint64 {
 	return score(id, n.salt+uint64(n.missing), "")
 }
--- a/swarm/params.go
+++ b/swarm/params.go
@@ -29,7 +29,7 @@
 const (
 	DefaultPulls        = 4
 	DefaultPullsPerPeer = 2
-	DefaultDraws        = 2
+	DefaultDraws        = 1
 	DefaultPatience     = 2 * time.Second
 	DefaultRankWait     = 3 * time.Second
 	DefaultFaultPause   = 30 * time.Second
--- a/transfer/peer.go
+++ b/transfer/peer.go
@@ -31,13 +31,13 @@
 
 	// The rest is guarded by the transfer's mutex: chunks to tell of, for which target, and what the other told.
 	fresh  []uint32
-	joined weights.Digest
+	joined uint64
 	theirs theirs
 }
 
 // theirs is what the other box told that it holds of its own target, which this box may learn of later.
 type theirs struct {
-	manifest weights.Digest
+	manifest uint64
 	chunks   []uint32
 }
 
@@ -126,6 +126,7 @@
 	if p.sender.Send(ctx, &link.Chunk{Manifest: want.Manifest, Chunk: want.Chunk, Body: data}) == nil {
 		p.t.mu.Lock()
 		p.t.progress.GivenBytes += int64(len(data))
+		p.t.given++
 		p.t.mu.Unlock()
 	}
 }
@@ -133,7 +134,7 @@
 func (p *Peer) handleChunk(m *link.Chunk) {
 	p.t.mu.Lock()
 	r := p.t.current
-	known := r != nil && r.node != nil && r.target == m.Manifest && int(m.Chunk) < len(r.manifest.Chunks)
+	known := r != nil && r.node != nil && r.target.Short() == m.Manifest && int(m.Chunk) < len(r.manifest.Chunks)
 	if !known {
 		p.t.wasted += int64(len(m.Body))
 	}
@@ -161,7 +162,7 @@
 	p.t.mu.Lock()
 	defer p.t.mu.Unlock()
 	r := p.t.current
-	if r != nil && r.node != nil && r.target == m.Manifest {
+	if r != nil && r.node != nil && r.target.Short() == m.Manifest {
 		r.node.Failed(int(m.Chunk), p.member.ID, swarm.FaultDeclined, time.Now())
 		p.t.wakeUp()
 	}
@@ -175,10 +176,11 @@
 	}
 	p.theirs.chunks = append(p.theirs.chunks, m.Chunks...)
 	r := p.t.current
-	if r == nil || r.node == nil || r.target != m.Manifest {
+	if r == nil || r.node == nil || r.target.Short() != m.Manifest {
 		return
 	}
-	r.node.PeerHas(p.member.ID, m.Reset, m.Chunks, m.Queue, time.Now())
+	r.node.PeerHas(p.member.ID, m.Reset, m.Chunks, time.Now())
+	r.node.PeerLoad(p.member.ID, m.Queue, m.Given)
 	p.t.wakeUp()
 }
 
@@ -197,12 +199,12 @@
 // join tells the other box all that this one holds of a run's target; the transfer's mutex is held.
 func (p *Peer) join(r *run) {
 	r.node.Peer(p.member)
-	if p.theirs.manifest == r.target {
-		r.node.PeerHas(p.member.ID, true, p.theirs.chunks, 0, time.Now())
+	if p.theirs.manifest == r.target.Short() {
+		r.node.PeerHas(p.member.ID, true, p.theirs.chunks, time.Now())
 	}
 	p.fresh = nil
-	p.joined = r.target
-	p.enqueue(&link.Have{Manifest: r.target, Reset: true, Chunks: r.held()})
+	p.joined = r.target.Short()
+	p.enqueue(&link.Have{Manifest: r.target.Short(), Reset: true, Chunks: r.held()})
 }
 
 // leave takes the box out of the current run; the transfer's mutex is held.
@@ -227,19 +229,26 @@
 }
 
 // tell sends the chunks that came since the last time; the transfer's mutex is held.
-func (p *Peer) tell(target weights.Digest, waiting int) {
+func (p *Peer) tell(target uint64, waiting, given int) {
 	if len(p.fresh) == 0 || p.joined != target {
 		return
 	}
-	if p.enqueue(&link.Have{Manifest: target, Chunks: p.fresh, Queue: waiting}) {
+	if p.enqueue(&link.Have{Manifest: target, Chunks: p.fresh, Queue: waiting, Given: given}) {
 		p.fresh = nil
 	}
 }
 
 // chunk returns a chunk that this box holds and can give.
-func (t *Transfer) chunk(manifest weights.Digest, chunk uint32) ([]byte, bool) {
-	known, ok := t.Manifest(manifest)
-	if !ok || int(chunk) >= len(known.Chunks) {
+func (t *Transfer) chunk(short uint64, chunk uint32) ([]byte, bool) {
+	t.mu.Lock()
+	var known weights.Manifest
+	for digest, manifest := range t.manifests {
+		if digest.Short() == short {
+			known = manifest
+		}
+	}
+	t.mu.Unlock()
+	if int(chunk) >= len(known.Chunks) {
 		return nil, false
 	}
 	return t.cfg.Store.Chunk(known.Chunks[chunk])
--- a/transfer/run.go
+++ b/transfer/run.go
@@ -133,7 +133,7 @@
 	for _, i := range r.indices[digest] {
 		if r.node.Got(i, from, time.Now()) {
 			fresh = true
-			t.spread(uint32(i), from)
+			t.spread(r, uint32(i))
 		}
 	}
 	if !fresh {
@@ -150,10 +150,10 @@
 	return nil
 }
 
-// spread notes a new chunk for all neighbours but the one it came from; mu is held.
-func (t *Transfer) spread(chunk uint32, from string) {
+// spread notes a new chunk for all neighbours that are not known to hold it; mu is held.
+func (t *Transfer) spread(r *run, chunk uint32) {
 	for id, p := range t.peers {
-		if id != from {
+		if !r.node.PeerHolds(id, int(chunk)) {
 			p.fresh = append(p.fresh, chunk)
 		}
 	}
--- a/transfer/transfer.go
+++ b/transfer/transfer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -33,7 +34,7 @@
 }
 
 const (
-	tick          = 25 * time.Millisecond
+	tick          = 50 * time.Millisecond
 	manifestRetry = time.Second
 	// givesAtOnce is how many chunks a box gives at a time, each on another link.
 	givesAtOnce = 4
@@ -56,6 +57,8 @@
 	changed   chan struct{}
 	progress  link.RolloutProgress
 	wasted    int64
+	// given counts the chunks given since the target was set.
+	given int
 }
 
 // New returns a transfer that has no target yet.
@@ -129,6 +132,9 @@
 func (t *Transfer) SetMembers(members []swarm.Member) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if slices.Equal(members, t.members) {
+		return
+	}
 	t.members = members
 	if t.current != nil && t.current.node != nil {
 		t.current.reorder(members)
@@ -231,6 +237,7 @@
 	}
 	r.start(manifest, t.cfg, t.members)
 	t.progress = link.RolloutProgress{}
+	t.given = 0
 	for _, p := range t.peers {
 		p.join(r)
 	}
@@ -282,7 +289,7 @@
 	}
 	waiting := int(t.waiting.Load())
 	for _, p := range t.peers {
-		p.tell(t.current.target, waiting)
+		p.tell(t.current.target.Short(), waiting, t.given)
 	}
 }
 
@@ -300,7 +307,7 @@
 			continue
 		}
 		p := t.peers[action.Peer]
-		if p == nil || !p.enqueue(&link.Want{Manifest: r.target, Chunk: uint32(action.Chunk)}) {
+		if p == nil || !p.enqueue(&link.Want{Manifest: r.target.Short(), Chunk: uint32(action.Chunk)}) {
 			r.node.Failed(action.Chunk, action.Peer, swarm.FaultDeclined, time.Now())
 		}
 	}
--- a/weights/digest.go
+++ b/weights/digest.go
@@ -2,6 +2,7 @@
 
 import (
 	"crypto/sha256"
+	"encoding/binary"
 	"encoding/hex"
 	"strings"
 )
@@ -37,6 +38,11 @@
 	return hex.EncodeToString(d[:])
 }
 
+// Short returns the first eight bytes of the digest, to name it where it is verified otherwise.
+func (d Digest) Short() uint64 {
+	return binary.BigEndian.Uint64(d[:])
+}
+
 // IsZero reports whether the digest is unset.
 func (d Digest) IsZero() bool {
 	return d == Digest{}
