Swarm: a box left alone is still asked for what it alone holds

Ruled out: the deaths (the live list drops the dead at once and the order is computed anew); the origin (1.01 copies, so no drawer was missing). Change: a box left alone is asked, one chunk at a time, for what no other linked box holds.

--- a/swarm/node.go
+++ b/swarm/node.go
@@ -63,7 +63,9 @@
 	given  int
 	asked  int
 	faults int
-	pause  time.Time
+	// pause is until when the box is left alone, retry until when even for chunks that no other box holds.
+	pause time.Time
+	retry time.Time
 }
 
 // NewNode returns a node that already holds the chunks in have.
@@ -109,9 +111,10 @@
 	if p == nil {
 		return
 	}
+	p.retry = now.Add(max(n.usual, minPause))
 	switch fault {
 	case FaultDeclined:
-		p.pause = now.Add(max(n.usual, minPause))
+		p.pause = p.retry
 	case FaultStalled:
 		p.pause = now.Add(n.params.Patience)
 		p.faults++
@@ -300,14 +303,26 @@
 	return !n.have[chunk] && !asked && !n.drawing[chunk]
 }
 
-// holders returns the boxes that can be asked for a chunk now, in an order of this box's own.
+// holders returns the boxes that can be asked for a chunk now, in an order of this box's own. Boxes left alone come
+// in only, one ask at a time, when no other holds the chunk: it may be theirs alone.
 func (n *Node) holders(chunk int, now time.Time) []*peer {
-	var holders []*peer
+	var holders, paused []*peer
+	others := false
 	for _, p := range n.peers {
-		if p.have[chunk] && p.asked < n.params.PullsPerPeer && !now.Before(p.pause) {
-			holders = append(holders, p)
+		switch {
+		case !p.have[chunk]:
+		case now.Before(p.pause):
+			paused = append(paused, p)
+		default:
+			others = true
+			if p.asked < n.params.PullsPerPeer {
+				holders = append(holders, p)
+			}
 		}
 	}
+	if !others {
+		holders = slices.DeleteFunc(paused, func(p *peer) bool { return p.asked > 0 || now.Before(p.retry) })
+	}
 	slices.SortFunc(holders, func(a, b *peer) int { return cmp.Compare(n.tie(a.member.ID), n.tie(b.member.ID)) })
 	return holders
 }
