Entry: fair shares between teams and between entries, refusals at once

Causes, one after another: (1) the wait was estimated for the whole queue, not for the team; (2) one entry with requests always waiting took each slot of a box again as it fell free, so the other's callers starved; (3) the load of a box was up to a second old; (4) the deadline cut off streams that had begun.

--- a/admit/controller.go
+++ b/admit/controller.go
@@ -13,6 +13,11 @@
 	maxRetryAfter = 60 * time.Second
 )
 
+// waitShare is the part, in percent, of the time left that a request may be expected to wait. The rest is for the
+// answer and for an estimate that was too good: a request that is let in and then misses its deadline has been
+// refused late, which helps nobody.
+const waitShare = 25
+
 // RefusedError says that a request was refused before it went anywhere, and when to come back.
 type RefusedError struct {
 	Reason     string
@@ -32,6 +37,8 @@
 	Weight   int
 	Priority int
 	Deadline time.Time
+	// Again marks a request that had its turn at a box that did not run it: it is not refused for a wait again.
+	Again bool
 	// Concurrency bounds the team's requests, waiting and running; 0 means no limit.
 	Concurrency int
 	// Place reserves a box for the request; ok is false while none has room.
@@ -48,9 +55,12 @@
 
 // Controller admits the requests of one service.
 type Controller struct {
-	mu      sync.Mutex
-	queue   *Queue
-	rate    Rate
+	mu    sync.Mutex
+	queue *Queue
+	rate  Rate
+	// shares measures each team's turns since it last began to wait: while a team asks for less than its share its
+	// own rate says nothing of what it could get.
+	shares  map[string]*Rate
 	running map[string]int
 }
 
@@ -58,6 +68,7 @@
 func NewController(limit int) *Controller {
 	return &Controller{
 		queue:   NewQueue(limit),
+		shares:  make(map[string]*Rate),
 		running: make(map[string]int),
 	}
 }
@@ -108,6 +119,23 @@
 	c.kick(time.Now())
 }
 
+// Shed refuses waiting requests that are no longer expected to get their turn in time, the last of a team first.
+func (c *Controller) Shed() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	for _, team := range c.queue.Teams() {
+		for {
+			last, waiting := c.queue.Last(team)
+			if last == nil || c.waitBehind(team, last.Weight, waiting-1, now) <= last.Deadline.Sub(now) {
+				break
+			}
+			c.queue.Remove(last)
+			c.evict(last, "the deadline can no longer be met", now)
+		}
+	}
+}
+
 // Waiting returns the number of waiting requests.
 func (c *Controller) Waiting() int {
 	c.mu.Lock()
@@ -129,37 +157,58 @@
 			return ticket, nil
 		}
 	}
-	if wait := c.expectedWait(now); now.Add(wait).After(req.Deadline) {
-		return nil, c.refusal("the deadline cannot be met", now)
+	if wait := c.expectedWait(req, now); !req.Again && wait > req.Deadline.Sub(now)*waitShare/100 {
+		return nil, c.refusal("the deadline cannot be met", wait)
 	}
 	ticket.item = &Item{Team: req.Team, Weight: req.Weight, Priority: req.Priority, Deadline: req.Deadline, ticket: ticket}
 	c.running[req.Team]++
+	if c.queue.Waiting(req.Team) == 0 {
+		c.shares[req.Team] = &Rate{}
+	}
 	evicted := c.queue.Push(ticket.item)
 	if evicted == ticket.item {
 		c.running[req.Team]--
-		return nil, c.refusal("the queue is full", now)
+		return nil, c.refusal("the queue is full", c.drainTime(now))
 	}
 	if evicted != nil {
-		c.evict(evicted, now)
+		c.evict(evicted, "the queue is full", now)
 	}
 	c.kick(now)
 	return ticket, nil
 }
 
 // evict gives a waiting request its final answer.
-func (c *Controller) evict(item *Item, now time.Time) {
+func (c *Controller) evict(item *Item, reason string, now time.Time) {
 	c.running[item.Team]--
-	item.ticket.err = c.refusal("the queue is full", now)
+	item.ticket.err = c.refusal(reason, c.drainTime(now))
 	close(item.ticket.placed)
 }
 
-// expectedWait is how long a new request would wait at the present drain rate.
-func (c *Controller) expectedWait(now time.Time) time.Duration {
-	rate := c.rate.PerSecond(now)
-	if rate <= 0 {
+// drainTime is how long all that waits takes at the present rate.
+func (c *Controller) drainTime(now time.Time) time.Duration {
+	return waitFor(c.queue.Len(), c.rate.PerSecond(now))
+}
+
+// expectedWait is how long a new request of a team would wait.
+func (c *Controller) expectedWait(req Request, now time.Time) time.Duration {
+	return c.waitBehind(req.Team, req.Weight, c.queue.Waiting(req.Team), now)
+}
+
+// waitBehind is how long a request waits that has n of its team before it: for all that go first as the queue is, or
+// at the rate at which the team has had its turns since it began to wait, whichever is longer.
+func (c *Controller) waitBehind(team string, weight, n int, now time.Time) time.Duration {
+	wait := waitFor(c.queue.Ahead(team, weight, n), c.rate.PerSecond(now))
+	if own := c.shares[team]; own != nil {
+		wait = max(wait, waitFor(n, own.PerSecond(now)))
+	}
+	return wait
+}
+
+func waitFor(waiting int, perSecond float64) time.Duration {
+	if perSecond <= 0 {
 		return 0
 	}
-	return time.Duration(float64(c.queue.Len()) / rate * float64(time.Second))
+	return time.Duration(float64(waiting) / perSecond * float64(time.Second))
 }
 
 // giveUp takes a request out of the queue; one that got its turn at the same moment keeps it.
@@ -168,7 +217,7 @@
 	defer c.mu.Unlock()
 	if ticket.item != nil && c.queue.Remove(ticket.item) {
 		c.running[ticket.req.Team]--
-		return "", c.refusal(reason, time.Now())
+		return "", c.refusal(reason, c.drainTime(time.Now()))
 	}
 	box, ok := <-ticket.placed
 	if !ok {
@@ -182,6 +231,9 @@
 		c.running[ticket.req.Team]++
 	}
 	c.rate.Note(now)
+	if share := c.shares[ticket.req.Team]; share != nil {
+		share.Note(now)
+	}
 	ticket.placed <- box
 }
 
@@ -193,9 +245,7 @@
 		}
 		if now.After(item.Deadline) {
 			c.queue.Remove(item)
-			c.running[item.Team]--
-			item.ticket.err = c.refusal("the deadline passed while waiting", now)
-			close(item.ticket.placed)
+			c.evict(item, "the deadline passed while waiting", now)
 			continue
 		}
 		box, ok := item.ticket.req.Place()
@@ -207,7 +257,6 @@
 	}
 }
 
-func (c *Controller) refusal(reason string, now time.Time) *RefusedError {
-	wait := c.expectedWait(now)
+func (c *Controller) refusal(reason string, wait time.Duration) *RefusedError {
 	return &RefusedError{Reason: reason, RetryAfter: min(max(wait, minRetryAfter), maxRetryAfter), Overload: true}
 }
--- a/admit/queue.go
+++ b/admit/queue.go
@@ -103,6 +103,47 @@
 	return true
 }
 
+// Last returns the last request of a team, and how many of the team wait.
+func (q *Queue) Last(team string) (last *Item, waiting int) {
+	t := q.teams[team]
+	if t == nil || len(t.items) == 0 {
+		return nil, 0
+	}
+	return t.last(), len(t.items)
+}
+
+// Ahead returns how many requests get their turn before one of a team that has n of its own before it, if no more
+// come: by weight each other team has so many turns meanwhile, or as many as it has requests.
+func (q *Queue) Ahead(team string, weight, n int) int {
+	ahead := n
+	for name, t := range q.teams {
+		if name != team {
+			ahead += min(len(t.items), (n+1)*t.weight/max(1, weight))
+		}
+	}
+	return ahead
+}
+
+// Waiting returns how many requests of a team wait.
+func (q *Queue) Waiting(team string) int {
+	t := q.teams[team]
+	if t == nil {
+		return 0
+	}
+	return len(t.items)
+}
+
+// Teams returns the teams that have requests waiting.
+func (q *Queue) Teams() []string {
+	var teams []string
+	for name, t := range q.teams {
+		if len(t.items) > 0 {
+			teams = append(teams, name)
+		}
+	}
+	return teams
+}
+
 // next returns the team whose turn it is; nil when nobody waits.
 func (q *Queue) next() *teamQueue {
 	var best *teamQueue
@@ -138,8 +179,13 @@
 			worst = t
 		}
 	}
-	last := worst.items[0]
-	for _, item := range worst.items {
+	return worst.last()
+}
+
+// last returns the request of the team that would go last.
+func (t *teamQueue) last() *Item {
+	last := t.items[0]
+	for _, item := range t.items {
 		if itemLess(last, item) {
 			last = item
 		}
--- a/box/box.go
+++ b/box/box.go
@@ -88,6 +88,7 @@
 		Leaving:  b.leaving.Load(),
 		Load:     b.gate.Inside(),
 		Slots:    b.cfg.Slots,
+		Entries:  b.entries(),
 		Service:  link.ServiceState{Service: b.cfg.Service, State: string(b.loader.phase())},
 		Progress: b.transfer.Progress(),
 	}
--- a/box/session.go
+++ b/box/session.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -28,9 +29,10 @@
 
 // session is the link of one entry.
 type session struct {
-	box  *Box
-	conn *link.Conn
-	poke chan struct{}
+	box    *Box
+	conn   *link.Conn
+	poke   chan struct{}
+	inside atomic.Int64
 }
 
 // greet exchanges hellos on a link that a peer opened.
@@ -60,7 +62,7 @@
 	defer b.removeSession(s)
 	b.hear(conn, hello.Revision)
 	go s.beat()
-	server := relay.NewServer(conn.Context(), conn, b.serveRequest)
+	server := relay.NewServer(conn.Context(), conn, s.serveRequest)
 	for {
 		msg, err := conn.Receive()
 		if err != nil {
@@ -133,17 +135,42 @@
 	}
 }
 
+// entries returns the number of entries that have a link to the box.
+func (b *Box) entries() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.sessions)
+}
+
+// limit is how many requests may be inside for one more of this entry to be let in. An entry with less than its even
+// share of the slots may go beyond them a little: else one that always has requests waiting would take each slot
+// again as it falls free, and the others would get none.
+func (s *session) limit() int {
+	slots, entries := s.box.cfg.Slots, s.box.entries()
+	if slots == 0 || entries == 0 || int(s.inside.Load()) >= slots/entries {
+		return slots
+	}
+	return slots + (slots+overcommit-1)/overcommit
+}
+
+// overcommit divides the slots into the part by which they may be exceeded.
+const overcommit = 4
+
 // serveRequest runs one request at the upstream, if the box serves what it asks for.
-func (b *Box) serveRequest(ctx context.Context, req *link.Request, resp *relay.Responder) {
-	end := b.run(ctx, req, resp)
+func (s *session) serveRequest(ctx context.Context, req *link.Request, resp *relay.Responder) {
+	limit := s.limit()
+	s.inside.Add(1)
+	end := s.box.run(ctx, limit, req, resp)
+	s.inside.Add(-1)
+	end.Load = s.box.gate.Inside()
 	metrics.GetOrCreateCounter(`coralstair_box_requests_total{outcome="` + end.Outcome.String() + `"}`).Inc()
 	if err := resp.End(end); err != nil {
-		b.log.WithError(err).Debug("box: end of answer not sent")
+		s.box.log.WithError(err).Debug("box: end of answer not sent")
 	}
 }
 
-func (b *Box) run(ctx context.Context, req *link.Request, resp *relay.Responder) link.End {
-	offer, reason, ok := b.gate.Enter(b.cfg.Slots)
+func (b *Box) run(ctx context.Context, limit int, req *link.Request, resp *relay.Responder) link.End {
+	offer, reason, ok := b.gate.Enter(limit)
 	if !ok {
 		return link.End{Outcome: link.OutcomeNotRun, Reason: reason}
 	}
@@ -183,9 +210,13 @@
 	if err := resp.Head(head); err != nil {
 		return link.End{Outcome: link.OutcomeUnknown, Reason: err.Error()}
 	}
+	stream := upstream.IsStream(answer.Header)
 	for {
 		buf := make([]byte, bodyPiece)
 		n, err := answer.Body.Read(buf)
+		if n > 0 && stream {
+			resp.Stream()
+		}
 		if n > 0 {
 			b.pacer.Live(n)
 			if sendErr := resp.Data(buf[:n]); sendErr != nil {
--- a/entry/boxes.go
+++ b/entry/boxes.go
@@ -118,7 +118,8 @@
 			continue
 		}
 		c := route.Candidate{ID: id, InFlight: l.inFlight, Reported: l.beat.Load, ReportedOwn: l.beatOwn}
-		if c.Load() < slotsOf(l.beat) {
+		slots := slotsOf(l.beat)
+		if c.Load() < slots || c.InFlight < slots/max(1, l.beat.Entries) {
 			found = append(found, c)
 		}
 	}
@@ -200,7 +201,7 @@
 func (b *boxes) place(service fleet.Service, tried []string) (id string, ok bool) {
 	now := time.Now()
 	candidates := route.Without(b.candidates(service, now), tried)
-	picked, ok := b.entry.picker.Pick(b.entry.health.Filter(candidates, now))
+	picked, ok := b.entry.cfg.Picker.Pick(b.entry.health.Filter(candidates, now))
 	if !ok {
 		return "", false
 	}
@@ -254,6 +255,9 @@
 			b.take(l, m)
 		case *link.Config:
 			b.entry.follower.Offer(m.Config)
+		case *link.End:
+			b.noteLoad(l, m.Load)
+			l.client.Handle(msg)
 		default:
 			l.client.Handle(msg)
 		}
@@ -276,6 +280,19 @@
 	}
 }
 
+// noteLoad takes the load that a box tells with an answer, which is newer than its last heartbeat.
+func (b *boxes) noteLoad(l *boxLink, load int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if l.beat == nil {
+		return
+	}
+	beat := *l.beat
+	beat.Load = load
+	l.beat = &beat
+	l.beatOwn = max(0, l.inFlight-1)
+}
+
 // take notes a box's heartbeat.
 func (b *boxes) take(l *boxLink, beat *link.Heartbeat) {
 	b.mu.Lock()
--- a/entry/caller.go
+++ b/entry/caller.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"context"
 	"encoding/json"
 	"io"
 	"net/http"
@@ -117,8 +116,6 @@
 		attribute.String("service", name), attribute.String("request", req.id))
 	defer span.End()
 	tracing.Inject(ctx, req.header)
-	ctx, cancel := context.WithDeadline(ctx, req.deadline)
-	defer cancel()
 	e.run(ctx, w, req)
 }
 
--- a/entry/config.go
+++ b/entry/config.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"time"
@@ -12,6 +13,7 @@
 	"github.com/coralstair/coralstair/keys"
 	"github.com/coralstair/coralstair/membership"
 	"github.com/coralstair/coralstair/operate"
+	"github.com/coralstair/coralstair/route"
 )
 
 // Defaults of Config.
@@ -29,6 +31,11 @@
 	follower.Ledger
 }
 
+// Picker chooses the box for a request among those with room.
+type Picker interface {
+	Pick(candidates []route.Candidate) (picked route.Candidate, ok bool)
+}
+
 // KeyRing tells who sends a key.
 type KeyRing interface {
 	Find(secret string) (key keys.Key, ok bool)
@@ -58,6 +65,8 @@
 	Keys         KeyRing
 	LinkClient   *http.Client
 	Checks       *invariant.Recorder
+	// Picker chooses boxes; nil means the less loaded of two drawn at random.
+	Picker Picker
 }
 
 func (c Config) withDefaults() Config {
@@ -73,6 +82,9 @@
 	if c.DrainLimit == 0 {
 		c.DrainLimit = DefaultDrainLimit
 	}
+	if c.Picker == nil {
+		c.Picker = &route.Picker{Intn: rand.IntN}
+	}
 	if c.Checks == nil {
 		c.Checks = new(invariant.Recorder)
 	}
--- a/entry/deliver.go
+++ b/entry/deliver.go
@@ -8,12 +8,12 @@
 	"fmt"
 	"io"
 	"net/http"
-	"strings"
 	"time"
 
 	"github.com/coralstair/coralstair/claim"
 	"github.com/coralstair/coralstair/invariant"
 	"github.com/coralstair/coralstair/problem"
+	"github.com/coralstair/coralstair/upstream"
 )
 
 const (
@@ -21,8 +21,6 @@
 	bufferLimit = 1 << 20
 	// writeTimeout is how long a caller may take to read a part of an answer.
 	writeTimeout = time.Minute
-
-	eventStream = "text/event-stream"
 )
 
 var errEnd = io.EOF
@@ -48,7 +46,7 @@
 			return err
 		}
 		if isStream(a) {
-			return e.stream(ctx, w, t, a, record)
+			return e.stream(t.whole, w, t, a, record)
 		}
 		body, whole, err := gather(ctx, a)
 		if err != nil {
@@ -59,7 +57,7 @@
 			return err
 		}
 		if !whole {
-			return e.stream(ctx, w, t, a.withFirst(body), record)
+			return e.stream(t.whole, w, t, a.withFirst(body), record)
 		}
 		e.checkVersion(a)
 		a.record(record, body)
@@ -144,7 +142,7 @@
 }
 
 func isStream(a *attempt) bool {
-	return strings.HasPrefix(http.Header(a.call.Head().Header).Get("Content-Type"), eventStream)
+	return upstream.IsStream(http.Header(a.call.Head().Header))
 }
 
 func writeHead(w http.ResponseWriter, a *attempt, id string) {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -38,7 +37,6 @@
 	boxes    *boxes
 	executor *operate.Executor
 	claims   *claim.Claims
-	picker   route.Picker
 	health   route.Health
 	budget   route.Budget
 	leaving  atomic.Bool
@@ -57,7 +55,6 @@
 		follower:    follower.New(cfg.Ledger, cfg.Fleet, follower.Options{Relay: true, Checks: cfg.Checks}),
 		members:     membership.New(cfg.List, cfg.Fleet, cfg.ListInterval),
 		claims:      &claim.Claims{Table: cfg.Claims},
-		picker:      route.Picker{Intn: rand.IntN},
 		controllers: make(map[string]*admit.Controller),
 	}
 	e.boxes = newBoxes(e)
@@ -161,6 +158,16 @@
 	}
 }
 
+// shed refuses waiting requests of a service that would miss their deadlines.
+func (e *Entry) shed(service string) {
+	e.mu.Lock()
+	c := e.controllers[service]
+	e.mu.Unlock()
+	if c != nil {
+		c.Shed()
+	}
+}
+
 // serveQueues looks after the waiting requests when nothing else gives them a turn.
 func (e *Entry) serveQueues(ctx context.Context) error {
 	ticker := time.NewTicker(kickEvery)
@@ -173,6 +180,7 @@
 		}
 		for _, name := range e.follower.Config().ServiceNames() {
 			e.kick(name)
+			e.shed(name)
 		}
 	}
 }
--- a/entry/run.go
+++ b/entry/run.go
@@ -14,8 +14,12 @@
 	"github.com/coralstair/coralstair/relay"
 )
 
-// maxTurns is how often a request may be handed to boxes that did not run it.
-const maxTurns = 5
+const (
+	// maxTurns is how often a request may be handed to boxes that did not run it.
+	maxTurns = 8
+	// againPriority puts a request that had its turn already before all of its team that had none.
+	againPriority = 10
+)
 
 // attempt is a request at one box, with the answer's head.
 type attempt struct {
@@ -28,7 +32,9 @@
 
 // turn is a request's hold on the room that it takes: its team's share, and a place at one box at a time.
 type turn struct {
-	entry      *Entry
+	entry *Entry
+	// whole lasts as long as the caller waits; the request's deadline is for the beginning of a stream.
+	whole      context.Context
 	req        callerRequest
 	controller *admit.Controller
 	tried      []string
@@ -37,8 +43,10 @@
 }
 
 // run admits a request and sees it through to its final answer.
-func (e *Entry) run(ctx context.Context, w http.ResponseWriter, req callerRequest) {
-	t := &turn{entry: e, req: req, controller: e.controller(req.service.Name)}
+func (e *Entry) run(whole context.Context, w http.ResponseWriter, req callerRequest) {
+	ctx, cancel := context.WithDeadline(whole, req.deadline)
+	defer cancel()
+	t := &turn{entry: e, whole: whole, req: req, controller: e.controller(req.service.Name)}
 	if err := t.acquire(ctx); err != nil {
 		e.refuse(w, t.refusal(err))
 		return
@@ -157,8 +165,12 @@
 }
 
 func (t *turn) admission() admit.Request {
+	priority := t.req.priority
+	if len(t.tried) > 0 {
+		priority += againPriority
+	}
 	return admit.Request{
-		Team: t.req.team.Name, Weight: t.req.team.Weight, Priority: t.req.priority,
+		Team: t.req.team.Name, Weight: t.req.team.Weight, Priority: priority, Again: len(t.tried) > 0,
 		Deadline: t.req.deadline, Concurrency: t.req.team.Concurrency, Place: t.place,
 	}
 }
@@ -188,7 +200,7 @@
 	}
 	t.leave()
 	if t.entry.boxes.offering(t.req.service, time.Now()) <= len(t.tried) {
-		t.tried = nil
+		t.tried = t.tried[len(t.tried)-1:]
 	}
 	return t.acquire(ctx) == nil
 }
--- a/lab/rig.go
+++ b/lab/rig.go
@@ -53,6 +53,8 @@
 	Params   swarm.Params
 	Seed     uint64
 	Checks   *invariant.Recorder
+	// Picker makes the entries' picker; nil means the product's.
+	Picker func() entry.Picker
 }
 
 // Rig is the whole system inside one process, with real daemons on loopback and stand-ins around them.
@@ -260,10 +262,14 @@
 	}
 	e := &RigEntry{ID: "entry-" + strconv.Itoa(i), URL: "http://" + listener.Addr().String(), done: make(chan struct{})}
 	table := r.table()
+	var picker entry.Picker
+	if r.cfg.Picker != nil {
+		picker = r.cfg.Picker()
+	}
 	e.daemon = entry.New(entry.Config{
 		ID: e.ID, Fleet: RigFleet, Site: r.site(i), Incarnation: strconv.FormatInt(time.Now().UnixNano(), 36),
 		Listener: listener, Ledger: ledger.New(table), Claims: table, List: r.list(), ListInterval: rigListInterval,
-		Keys: r.ring, Checks: r.Checks,
+		Keys: r.ring, Checks: r.Checks, Picker: picker,
 	})
 	ctx, cancel := context.WithCancel(r.ctx)
 	e.cancel = cancel
@@ -302,6 +308,13 @@
 	return b, nil
 }
 
+// Leave stops the daemon as planned, draining first, and takes it off the live list late.
+func (b *RigBox) Leave(ctx context.Context) {
+	b.Daemon().Leave(ctx)
+	b.Kill()
+	b.rig.Platform.Live.Remove(b.ID)
+}
+
 // Daemon returns the box's daemon.
 func (b *RigBox) Daemon() *box.Box {
 	b.mu.Lock()
--- a/link/message.go
+++ b/link/message.go
@@ -39,7 +39,8 @@
 	Revision    fleet.Revision `cbor:"6,keyasint"`
 }
 
-// Heartbeat is sent every second each way; Load is the box's requests in progress, Slots how many it takes.
+// Heartbeat is sent every second each way; Load is the box's requests in progress, Slots how many it takes, Entries how
+// many entries share them.
 type Heartbeat struct {
 	Revision fleet.Revision  `cbor:"1,keyasint"`
 	Leaving  bool            `cbor:"2,keyasint,omitempty"`
@@ -48,6 +49,7 @@
 	Service  ServiceState    `cbor:"5,keyasint"`
 	Progress RolloutProgress `cbor:"6,keyasint"`
 	Slots    int             `cbor:"7,keyasint,omitempty"`
+	Entries  int             `cbor:"8,keyasint,omitempty"`
 }
 
 // ServiceState is what a box offers for its service; Open says that it lets requests in.
@@ -116,12 +118,13 @@
 	Body []byte `cbor:"2,keyasint"`
 }
 
-// End closes an answer with its outcome.
+// End closes an answer with its outcome; Load is the box's requests in progress then.
 type End struct {
 	ID      uint64  `cbor:"1,keyasint"`
 	Outcome Outcome `cbor:"2,keyasint"`
 	Reason  string  `cbor:"3,keyasint,omitempty"`
 	Digest  string  `cbor:"4,keyasint,omitempty"`
+	Load    int     `cbor:"5,keyasint,omitempty"`
 }
 
 // Outcome says what became of a request.
--- a/relay/server.go
+++ b/relay/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"github.com/coralstair/coralstair/link"
 )
@@ -54,16 +55,18 @@
 }
 
 func (s *Server) start(req *link.Request) {
-	ctx, cancel := context.WithTimeout(s.ctx, req.Deadline)
+	ctx, cancel := context.WithCancel(s.ctx)
 	resp := &Responder{
 		server: s, id: req.ID, ctx: ctx, cancel: cancel,
 		credit: req.Credit, more: make(chan struct{}, 1),
 	}
+	resp.deadline = time.AfterFunc(req.Deadline, cancel)
 	s.mu.Lock()
 	s.runs[req.ID] = resp
 	s.mu.Unlock()
 	go func() {
 		defer cancel()
+		defer resp.deadline.Stop()
 		defer s.forget(req.ID)
 		s.handler(ctx, req, resp)
 	}()
@@ -76,6 +79,8 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 	more   chan struct{}
+	// deadline ends the request unless a stream has begun.
+	deadline *time.Timer
 
 	mu     sync.Mutex
 	credit int
@@ -101,6 +106,10 @@
 	return r.server.sender.Send(r.ctx, &head)
 }
 
+// Stream says that the answer is a stream that has begun: the request's deadline, which is for its beginning, no
+// longer cuts it off.
+func (r *Responder) Stream() { r.deadline.Stop() }
+
 func (r *Responder) addCredit(n int) {
 	r.mu.Lock()
 	r.credit += n
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -135,3 +135,8 @@
 	}
 	return clean
 }
+
+// IsStream reports whether an answer with a header is a stream of events.
+func IsStream(header http.Header) bool {
+	return strings.HasPrefix(header.Get("Content-Type"), "text/event-stream")
+}
