--- a/lab/judge.go
+++ b/lab/judge.go
@@ -2,9 +2,7 @@
 
 import (
 	"errors"
-	"fmt"
 	"net/http"
-	"os"
 	"strings"
 	"time"
 
@@ -72,9 +70,6 @@
 	case isWrong(o.err):
 		result.WrongAnswers++
 	case errors.As(o.err, &cut):
-		if os.Getenv("DBG") != "" {
-			fmt.Println("cut", o.err, o.took, o.answer)
-		}
 		result.CutAnswers++
 	case o.err != nil:
 		result.Unknown++
--- a/lab/rollout.go
+++ b/lab/rollout.go
@@ -57,8 +57,10 @@
 
 // Sample is the state of an experiment at one time.
 type Sample struct {
-	At          time.Duration
-	Serving     int
+	At      time.Duration
+	Serving int
+	// Chunks is the part of all chunks of all boxes that are held, from 0 to 1.
+	Chunks      float64
 	OriginBytes int64
 }
 
@@ -226,7 +228,7 @@
 		<-ticker.C
 		serving := x.rig.Serving(x.whole)
 		at := time.Since(x.began)
-		sample := Sample{At: at, Serving: serving, OriginBytes: x.rig.Platform.Objects.Drawn() - drawn}
+		sample := Sample{At: at, Serving: serving, Chunks: x.held(), OriginBytes: x.rig.Platform.Objects.Drawn() - drawn}
 		x.result.Samples = append(x.result.Samples, sample)
 		if x.cfg.Progress != nil {
 			x.cfg.Progress(sample)
@@ -239,6 +241,17 @@
 	}
 }
 
+// held is the part of all chunks that the boxes hold.
+func (x *rollout) held() float64 {
+	var have, chunks int
+	for _, b := range x.rig.Boxes {
+		progress := b.Daemon().Transfer().Progress()
+		have += progress.Have
+		chunks += progress.Chunks
+	}
+	return float64(have) / float64(max(1, chunks))
+}
+
 func (x *rollout) note(serving int, at time.Duration) {
 	if serving >= 1 && x.result.TimeToFirst == 0 {
 		x.result.TimeToFirst = at.Seconds()
--- a/swarm/order.go
+++ b/swarm/order.go
@@ -136,7 +136,7 @@
 	if len(homes) == 0 {
 		return order
 	}
-	drawer := max(0, slices.IndexFunc(homes, func(i int) bool { return s.drawings[i] < s.drawCap }))
+	drawer := s.drawer(homes)
 	s.drawings[homes[drawer]]++
 	front := append([]int{homes[drawer]}, slices.Delete(slices.Clone(homes), drawer, drawer+1)...)
 	for _, i := range order {
@@ -147,6 +147,20 @@
 	return front
 }
 
+// drawer returns the place of the first home that has not yet its share of draws, or has the fewest.
+func (s *shares) drawer(homes []int) int {
+	fewest := 0
+	for place, i := range homes {
+		if s.drawings[i] < s.drawCap {
+			return place
+		}
+		if s.drawings[i] < s.drawings[homes[fewest]] {
+			fewest = place
+		}
+	}
+	return fewest
+}
+
 func rank(salt string, group int, members []Member) []int {
 	scores := make([]uint64, len(members))
 	order := make([]int, len(members))
