--- a/admit/controller.go
+++ b/admit/controller.go
@@ -106,10 +106,7 @@
 func (c *Controller) Done(team string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.running[team]--
-	if c.running[team] <= 0 {
-		delete(c.running, team)
-	}
+	c.uncount(team)
 }
 
 // Kick gives turns to waiting requests while boxes have room.
@@ -167,7 +164,7 @@
 	}
 	evicted := c.queue.Push(ticket.item)
 	if evicted == ticket.item {
-		c.running[req.Team]--
+		c.uncount(req.Team)
 		return nil, c.refusal("the queue is full", c.drainTime(now))
 	}
 	if evicted != nil {
@@ -179,7 +176,7 @@
 
 // evict gives a waiting request its final answer.
 func (c *Controller) evict(item *Item, reason string, now time.Time) {
-	c.running[item.Team]--
+	c.uncount(item.Team)
 	item.ticket.err = c.refusal(reason, c.drainTime(now))
 	close(item.ticket.placed)
 }
@@ -216,7 +213,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if ticket.item != nil && c.queue.Remove(ticket.item) {
-		c.running[ticket.req.Team]--
+		c.uncount(ticket.req.Team)
 		return "", c.refusal(reason, c.drainTime(time.Now()))
 	}
 	box, ok := <-ticket.placed
@@ -257,6 +254,14 @@
 	}
 }
 
+// uncount takes one request, waiting or running, off a team's count.
+func (c *Controller) uncount(team string) {
+	c.running[team]--
+	if c.running[team] <= 0 {
+		delete(c.running, team)
+	}
+}
+
 func (c *Controller) refusal(reason string, wait time.Duration) *RefusedError {
 	return &RefusedError{Reason: reason, RetryAfter: min(max(wait, minRetryAfter), maxRetryAfter), Overload: true}
 }
