--- /dev/null
+++ b/box/phase_test.go
@@ -0,0 +1,103 @@
+package box
+
+import (
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/coralstair/coralstair/invariant"
+	"github.com/coralstair/coralstair/weights"
+)
+
+func TestNext(t *testing.T) {
+	v1, v2 := weights.DigestOf([]byte("1")), weights.DigestOf([]byte("2"))
+	for name, tc := range map[string]struct {
+		facts Facts
+		phase Phase
+		step  Step
+	}{
+		"nothing declared":          {Facts{}, PhaseNone, StepNothing},
+		"first version":             {Facts{Declared: v1}, PhaseFetching, StepFetch},
+		"verified, nothing serving": {Facts{Declared: v1, Complete: true}, PhaseLoading, StepLoad},
+		"order is at work":          {Facts{Declared: v1, Complete: true, Loading: true}, PhaseLoading, StepNothing},
+		"loaded":                    {Facts{Declared: v1, Complete: true, Loaded: true}, PhaseLoading, StepServe},
+		"serving":                   {Facts{Declared: v1, Offered: v1, Open: true, Complete: true, Loaded: true}, PhaseServing, StepNothing},
+		"upstream lost its weights": {Facts{Declared: v1, Offered: v1, Open: true, Complete: true}, PhaseLoading, StepClose},
+		"new version on the way":    {Facts{Declared: v2, Offered: v1, Open: true, Inside: 3}, PhaseFetching, StepFetch},
+		"new version, no permit":    {Facts{Declared: v2, Offered: v1, Open: true, Complete: true}, PhaseVerified, StepTakeSlot},
+		"new version, permit":       {Facts{Declared: v2, Offered: v1, Open: true, Complete: true, Slot: true, Inside: 2}, PhaseDraining, StepClose},
+		"draining":                  {Facts{Declared: v2, Offered: v1, Complete: true, Slot: true, Inside: 2}, PhaseDraining, StepDrain},
+		"drained":                   {Facts{Declared: v2, Offered: v1, Complete: true, Slot: true}, PhaseLoading, StepLoad},
+		"back to the old":           {Facts{Declared: v1, Offered: v1, Open: true, Loaded: true}, PhaseServing, StepNothing},
+		"withdrawn":                 {Facts{Offered: v1, Open: true, Withdrawn: true}, PhaseNone, StepClose},
+		"stopped by an operator":    {Facts{Declared: v1, Offered: v1, Open: true, Stopped: true, Inside: 1}, PhaseStopped, StepClose},
+		"stopped":                   {Facts{Declared: v1, Offered: v1, Stopped: true}, PhaseStopped, StepNothing},
+		"started again":             {Facts{Declared: v1, Offered: v1, Complete: true, Loaded: true}, PhaseLoading, StepServe},
+	} {
+		t.Run(name, func(t *testing.T) {
+			phase, step := Next(tc.facts)
+			if phase != tc.phase || step != tc.step {
+				t.Errorf("%s, step %d; want %s, step %d", phase, step, tc.phase, tc.step)
+			}
+		})
+	}
+}
+
+// TestNextSafe draws any facts: no order to load while requests are inside or let in, none before the weights are
+// verified, none for a stopped box, and no request let in unless the upstream reports the declared weights.
+func TestNextSafe(t *testing.T) {
+	digests := []weights.Digest{{}, weights.DigestOf([]byte("1")), weights.DigestOf([]byte("2"))}
+	rapid.Check(t, func(rt *rapid.T) {
+		yes := func(name string) bool { return rapid.Bool().Draw(rt, name) }
+		f := Facts{
+			Declared: rapid.SampledFrom(digests).Draw(rt, "declared"), Offered: rapid.SampledFrom(digests).Draw(rt, "offered"),
+			Open: yes("open"), Stopped: yes("stopped"), Withdrawn: yes("withdrawn"), Complete: yes("complete"),
+			Loaded: yes("loaded"), Loading: yes("loading"), Slot: yes("slot"), Inside: rapid.IntRange(0, 2).Draw(rt, "inside"),
+		}
+		phase, step := Next(f)
+		if step == StepLoad && (f.Open || f.Inside > 0 || !f.Complete || f.Stopped) {
+			rt.Errorf("%+v: order to load", f)
+		}
+		if step == StepServe && (!f.Loaded || f.Stopped || f.Declared.IsZero()) {
+			rt.Errorf("%+v: requests let in", f)
+		}
+		if phase == PhaseServing && !(f.Open && f.Loaded && f.Offered == f.Declared) {
+			rt.Errorf("%+v: counts as serving", f)
+		}
+		if f.Open && (f.Stopped || f.Declared.IsZero()) && step != StepClose {
+			rt.Errorf("%+v: still open", f)
+		}
+	})
+}
+
+func TestGate(t *testing.T) {
+	checks := new(invariant.Recorder)
+	g := new(Gate)
+	if _, reason, ok := g.Enter(0); ok || reason == "" {
+		t.Error("a closed gate lets a request in, or gives no reason")
+	}
+	v1, v2 := Offer{Digest: "1"}, Offer{Digest: "2"}
+	g.Open(v1, checks)
+	offer, _, ok := g.Enter(1)
+	if !ok || offer != v1 {
+		t.Fatalf("let in %v to %+v", ok, offer)
+	}
+	if _, _, ok := g.Enter(1); ok {
+		t.Error("let in beyond the slots")
+	}
+	g.Close("draining")
+	select {
+	case <-g.Idle():
+		t.Error("idle with a request inside")
+	default:
+	}
+	if g.Open(v2, checks) || len(checks.Broken()) != 1 {
+		t.Error("another version was opened under a request, or that was not noted as broken")
+	}
+	idle := g.Idle()
+	g.Leave()
+	<-idle
+	if !g.Open(v2, checks) {
+		t.Error("the next version is not let in once the gate is idle")
+	}
+}
--- /dev/null
+++ b/link/frame_test.go
@@ -0,0 +1,65 @@
+package link
+
+import (
+	"reflect"
+	"testing"
+	"time"
+
+	"github.com/coralstair/coralstair/fleet"
+)
+
+func messages() map[string]Message {
+	return map[string]Message{
+		"hello":     &Hello{ID: "b", Role: "box", Fleet: "f", Site: "s", Incarnation: "i", Revision: 3},
+		"heartbeat": &Heartbeat{Revision: 4, Leaving: true, Load: 2, Service: ServiceState{Service: "s", State: "serving", Open: true}},
+		"config":    &Config{Config: fleet.Config{Fleet: "f", Revision: 9, Stopped: map[string]bool{"b": true}}},
+		"request":   &Request{ID: 1, Service: "s", Method: "POST", Path: "/", Header: map[string][]string{"A": {"b"}}, Body: []byte("x"), Deadline: time.Second, Credit: 5},
+		"cancel":    &Cancel{ID: 1},
+		"credit":    &Credit{ID: 1, Bytes: 7},
+		"head":      &Head{ID: 1, Status: 200, Version: "v", Digest: "d"},
+		"data":      &Data{ID: 1, Body: []byte("y")},
+		"end":       &End{ID: 1, Outcome: OutcomeRan, Load: 3},
+		"have":      &Have{Manifest: 7, Reset: true, Chunks: []uint32{1, 2}, Queue: 1, Given: 2},
+		"want":      &Want{Manifest: 7, Chunk: 3},
+		"chunk":     &Chunk{Manifest: 7, Chunk: 3, Body: []byte("z")},
+		"decline":   &Decline{Manifest: 7, Chunk: 3},
+	}
+}
+
+func TestFrames(t *testing.T) {
+	for name, msg := range messages() {
+		t.Run(name, func(t *testing.T) {
+			data, err := Encode(msg)
+			if err != nil {
+				t.Fatal(err)
+			}
+			got, err := Decode(data)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if !reflect.DeepEqual(got, msg) {
+				t.Errorf("got %+v, want %+v", got, msg)
+			}
+		})
+	}
+}
+
+func FuzzDecode(f *testing.F) {
+	for _, msg := range messages() {
+		data, err := Encode(msg)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(data)
+	}
+	f.Add([]byte{0x82, 0x18, 0xff, 0xa0})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		msg, err := Decode(data)
+		if err != nil {
+			return
+		}
+		if _, err := Encode(msg); err != nil {
+			t.Errorf("decoded %T can't be encoded: %v", msg, err)
+		}
+	})
+}
--- a/settings/load.go
+++ b/settings/load.go
@@ -24,7 +24,7 @@
 
 // load reads a file into what the keys point to, and returns all that is wrong.
 func load(path string, keys []key) []*Fault {
-	file, err := ini.LoadSources(ini.LoadOptions{SkipUnrecognizableLines: false}, path)
+	file, err := ini.LoadSources(ini.LoadOptions{IgnoreInlineComment: true}, path)
 	if err != nil {
 		return []*Fault{{File: path, Reason: err.Error()}}
 	}
