--- a/box/session.go
+++ b/box/session.go
@@ -188,6 +188,8 @@
 	header := http.Header(req.Header)
 	ctx, span := tracing.Start(tracing.Extract(ctx, header), "box", attribute.String("box", b.cfg.ID))
 	defer span.End()
+	ctx, call := tracing.Start(ctx, "upstream")
+	defer call.End()
 	tracing.Inject(ctx, header)
 	answer, err := b.loader.client.Do(ctx, req.Method, req.Path, header, req.Body)
 	if err != nil {
--- a/entry/caller.go
+++ b/entry/caller.go
@@ -115,7 +115,6 @@
 	ctx, span := tracing.Start(tracing.Extract(r.Context(), r.Header), "entry",
 		attribute.String("service", name), attribute.String("request", req.id))
 	defer span.End()
-	tracing.Inject(ctx, req.header)
 	e.run(ctx, w, req)
 }
 
--- a/entry/run.go
+++ b/entry/run.go
@@ -7,11 +7,13 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"go.opentelemetry.io/otel/attribute"
 
 	"github.com/coralstair/coralstair/admit"
 	"github.com/coralstair/coralstair/link"
 	"github.com/coralstair/coralstair/problem"
 	"github.com/coralstair/coralstair/relay"
+	"github.com/coralstair/coralstair/tracing"
 )
 
 const (
@@ -131,9 +133,13 @@
 	if !ok {
 		return nil, &relay.NotRunError{Reason: "the link to the box has ended"}
 	}
+	ctx, span := tracing.Start(ctx, "link", attribute.String("box", t.box))
+	defer span.End()
+	header := t.req.header.Clone()
+	tracing.Inject(ctx, header)
 	call, err := l.client.Do(ctx, link.Request{
 		Service: t.req.service.Name, Method: t.req.method, Path: t.req.path,
-		Header: t.req.header, Body: t.req.body, Deadline: time.Until(t.req.deadline),
+		Header: header, Body: t.req.body, Deadline: time.Until(t.req.deadline),
 	})
 	if err != nil {
 		t.failed(ctx, err)
--- a/lab/rig.go
+++ b/lab/rig.go
@@ -3,11 +3,14 @@
 import (
 	"context"
 	"crypto/rand"
+	"errors"
 	"fmt"
 	"io"
 	mathrand "math/rand/v2"
 	"net"
 	"net/http"
+	"os"
+	"path/filepath"
 	"strconv"
 	"strings"
 	"sync"
@@ -126,6 +129,19 @@
 	return c
 }
 
+// Env returns the environment with which the command line reaches the rig; key files are written to dir.
+func (r *Rig) Env(dir string) ([]string, error) {
+	keyFile, secretFile := filepath.Join(dir, "operator.key"), filepath.Join(dir, "secret")
+	err := errors.Join(
+		os.WriteFile(keyFile, []byte(r.operator+"\n"), 0o600),
+		os.WriteFile(secretFile, []byte(rigSecret), 0o600),
+	)
+	return []string{
+		"CORALSTAIR_ENTRY=" + r.Entries[0].URL, "CORALSTAIR_KEY_FILE=" + keyFile,
+		"CORALSTAIR_OBJECT_URL=" + r.platformURL + "/objects", "CORALSTAIR_SECRET_FILE=" + secretFile,
+	}, err
+}
+
 // Caller returns a caller of a team that sends to an entry.
 func (r *Rig) Caller(team, entry int) *Caller {
 	return &Caller{URL: r.Entries[entry].URL, Key: r.teams[team]}
--- a/transfer/run.go
+++ b/transfer/run.go
@@ -6,8 +6,10 @@
 	"time"
 
 	"github.com/apex/log"
+	"go.opentelemetry.io/otel/attribute"
 
 	"github.com/coralstair/coralstair/swarm"
+	"github.com/coralstair/coralstair/tracing"
 	"github.com/coralstair/coralstair/weights"
 )
 
@@ -74,7 +76,9 @@
 		t.mu.Unlock()
 		return
 	}
-	data, err := t.cfg.Origin.Get(r.ctx, weights.ChunkKey(r.manifest.Chunks[action.Chunk]))
+	ctx, span := tracing.Start(r.ctx, "draw", attribute.Int("chunk", action.Chunk))
+	defer span.End()
+	data, err := t.cfg.Origin.Get(ctx, weights.ChunkKey(r.manifest.Chunks[action.Chunk]))
 	if err == nil {
 		t.mu.Lock()
 		t.progress.OriginBytes += int64(len(data))
