A replaced box asks its neighbours before the origin; end-to-end failure tests

Cause: found by TestReplacedBox: a box that came back empty drew a chunk from the origin, as its first drawer, before it had heard what its neighbours hold. Ruled out: permits (the draw was allowed: one of four). Change: no draw before one other box was heard (or RankWait passed); when origin bytes weigh more, nothing that a linked box holds is drawn; the drawer's site has the next home as a source across sites. Also found: the experiment waited for a version whose declaration the outage had refused; it now waits for the version declared last. Tests: rollout and load under each fault and all together, planned stop, once, bad input, withdrawal, replacement.

--- /dev/null
+++ b/lab/rig_test.go
@@ -0,0 +1,351 @@
+package lab
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/coralstair/coralstair/fleet"
+	"github.com/coralstair/coralstair/problem"
+)
+
+// patience is how long a test waits for what must happen; it decides nothing but when to give up.
+const patience = 2 * time.Minute
+
+func startRig(t *testing.T, cfg RigConfig) *Rig {
+	t.Helper()
+	log.SetLevel(log.FatalLevel)
+	rig, err := NewRig(cfg)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		rig.Close()
+		for _, broken := range rig.Checks.Broken() {
+			t.Error(broken)
+		}
+	})
+	return rig
+}
+
+// serveVersion publishes and declares a version, waits until n boxes serve it, and returns its whole digest.
+func serveVersion(t *testing.T, rig *Rig, name string, seed uint64, n int) string {
+	t.Helper()
+	digest, manifest, err := rig.Publish(t.Context(), name, 256<<10, 16<<10, seed)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := rig.Do(t.Context(), fmt.Sprintf("declare version %s of %s in %s digest %s", name, RigService, RigFleet, digest)); err != nil {
+		t.Fatal(err)
+	}
+	whole := manifest.Whole.String()
+	if !rig.Wait(patience, func() bool { return rig.Serving(whole) >= n }) {
+		t.Fatalf("%s is served by %d of %d boxes", name, rig.Serving(whole), n)
+	}
+	return whole
+}
+
+// declareServices creates the fleet and its services.
+func declareServices(t *testing.T, rig *Rig, boxes int) {
+	t.Helper()
+	if !rig.Wait(patience, func() bool { return rig.Do(t.Context(), "create fleet "+RigFleet) == nil }) {
+		t.Fatal("no entry takes statements")
+	}
+	if err := rig.Do(t.Context(),
+		fmt.Sprintf("create service %s in %s kind model replicas %d", RigService, RigFleet, boxes),
+		fmt.Sprintf("create service %s in %s kind plain replicas 1 once", RigLedger, RigFleet),
+		fmt.Sprintf("set rollout-share of service %s in %s to 50", RigService, RigFleet),
+	); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// awaitAnswer waits until an entry answers a chat.
+func awaitAnswer(t *testing.T, caller *Caller) {
+	t.Helper()
+	deadline := time.Now().Add(patience)
+	for time.Now().Before(deadline) {
+		answer, err := caller.Chat(t.Context(), ChatCall{Service: RigService, Prompt: "ready?", Tokens: 1})
+		if err == nil && answer.Status == http.StatusOK {
+			return
+		}
+		time.Sleep(waitPoll)
+	}
+	t.Fatal("no answer")
+}
+
+// TestRolloutFaults rolls a version out under live requests with each fault, and with all together: all that live
+// serve it at the end, no answer is mixed or wrong, and without a death no request fails.
+func TestRolloutFaults(t *testing.T) {
+	log.SetLevel(log.FatalLevel)
+	all := []string{FaultCorrupt, FaultStall, FaultDie, FaultNewVersion, FaultOutage, FaultCut}
+	for name, tc := range map[string]struct {
+		faults []string
+		prefer fleet.Preference
+		deaths bool
+	}{
+		"none":       {prefer: fleet.PreferOriginBytes},
+		"none, time": {prefer: fleet.PreferTime},
+		"corrupt":    {faults: all[:1]},
+		"stall":      {faults: all[1:2]},
+		"die":        {faults: all[2:3], deaths: true},
+		"newversion": {faults: all[3:4]},
+		"outage":     {faults: all[4:5]},
+		"cut":        {faults: all[5:], deaths: true},
+		"all":        {faults: all, deaths: true},
+		"all, time":  {faults: all, prefer: fleet.PreferTime, deaths: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			prefer := tc.prefer
+			if prefer == "" {
+				prefer = fleet.PreferOriginBytes
+			}
+			result, err := Rollout(t.Context(), RolloutConfig{
+				Boxes: 9, Sites: 3, Size: 1 << 20, ChunkSize: 16 << 10, OriginCopies: 4, BoxCopies: 2,
+				Window: 2 * time.Second, Prefer: prefer, Policy: PolicySwarm, Faults: tc.faults, Live: 20, Seed: 7, Limit: patience,
+			})
+			if err != nil {
+				t.Fatal(err)
+			}
+			if !result.AllServing || result.MixedAnswers > 0 || result.PartialServed > 0 || result.InvariantsBroken > 0 {
+				t.Errorf("result %+v", result)
+			}
+			if !tc.deaths && result.LiveFailed > 0 {
+				t.Errorf("%d of %d live requests failed", result.LiveFailed, result.LiveRequests)
+			}
+			if result.OriginCopies > 4 && len(tc.faults) == 0 {
+				t.Errorf("%.2f copies drawn from the origin", result.OriginCopies)
+			}
+		})
+	}
+}
+
+// TestDriveFaults sends mixed load under each fault and all together: never a wrong answer, a repeated run of a request
+// that must not be repeated, or a run after "not run".
+func TestDriveFaults(t *testing.T) {
+	log.SetLevel(log.FatalLevel)
+	all := []string{FaultKill, FaultStall, FaultFreeze, FaultLeave, FaultOutage, FaultLag}
+	cases := map[string][]string{"none": nil, "all": all}
+	for _, fault := range all {
+		cases[fault] = []string{fault}
+	}
+	for name, faults := range cases {
+		t.Run(name, func(t *testing.T) {
+			result, err := Drive(t.Context(), DriveConfig{
+				Entries: 2, Boxes: 4, RPS: 60, Duration: 3 * time.Second, Teams: 4, OnceShare: 0.3, Faults: faults,
+				Policy: "coralstair", Seed: 11,
+			})
+			if err != nil {
+				t.Fatal(err)
+			}
+			if result.WrongAnswers+result.RepeatedRuns+result.RanAfterNotRun+result.InvariantsBroken > 0 {
+				t.Errorf("result %+v", result)
+			}
+			mayCut := name == FaultKill || name == FaultFreeze || name == "all"
+			if !mayCut && result.CutAnswers > 0 {
+				t.Errorf("%d answers cut off", result.CutAnswers)
+			}
+		})
+	}
+}
+
+// TestPlannedStop: an operator stops the box that is answering a long stream; the stream ends whole, and the box gets
+// nothing more until it is started again.
+func TestPlannedStop(t *testing.T) {
+	rig := startRig(t, RigConfig{Boxes: 2, Sites: 1, TokenTime: 10 * time.Millisecond})
+	declareServices(t, rig, 2)
+	serveVersion(t, rig, "v1", 1, 2)
+	caller := rig.Caller(0, 0)
+	awaitAnswer(t, caller)
+	var answer Answer
+	var err error
+	var streaming sync.WaitGroup
+	streaming.Go(func() {
+		answer, err = caller.Chat(t.Context(), ChatCall{Service: RigService, Prompt: "long", Tokens: 150, Stream: true})
+	})
+	var busy *RigBox
+	rig.Wait(patience, func() bool {
+		for _, b := range rig.Boxes {
+			if b.Daemon().Heartbeat().Load > 0 {
+				busy = b
+			}
+		}
+		return busy != nil
+	})
+	if err := rig.Do(t.Context(), fmt.Sprintf("stop box %s in %s", busy.ID, RigFleet)); err != nil {
+		t.Fatal(err)
+	}
+	stopped := func() bool { return !busy.Daemon().Heartbeat().Service.Open }
+	if !rig.Wait(patience, stopped) {
+		t.Fatal("the box still lets requests in")
+	}
+	for i := range 10 {
+		other, err := caller.Chat(t.Context(), ChatCall{Service: RigService, Prompt: fmt.Sprint("short", i), Tokens: 1})
+		if err != nil || other.Status != http.StatusOK || other.Box == busy.ID {
+			t.Errorf("answer %+v, %v; want one of the other box", other, err)
+		}
+	}
+	streaming.Wait()
+	if err != nil || answer.Tokens != 151 || answer.Box != busy.ID {
+		t.Errorf("stream of %d tokens from %s: %v", answer.Tokens, answer.Box, err)
+	}
+	if err := rig.Do(t.Context(), fmt.Sprintf("start box %s in %s", busy.ID, RigFleet)); err != nil {
+		t.Fatal(err)
+	}
+	if !rig.Wait(patience, func() bool { return busy.Daemon().Heartbeat().Service.Open }) {
+		t.Error("the box does not serve after it was started again")
+	}
+}
+
+// TestOnce: the same key at two entries at once runs once, later arrivals get the first answer, and the same key with
+// another body is refused.
+func TestOnce(t *testing.T) {
+	rig := startRig(t, RigConfig{Boxes: 1, Sites: 1, Entries: 2, Plain: 1})
+	declareServices(t, rig, 1)
+	ready := func() bool {
+		for e := range rig.Entries {
+			answer, err := rig.Caller(0, e).Plain(t.Context(), RigLedger, "/ping", nil, ChatCall{ID: fmt.Sprint("ping", time.Now().UnixNano())})
+			if err != nil || answer.Status != http.StatusOK {
+				return false
+			}
+		}
+		return true
+	}
+	if !rig.Wait(patience, ready) {
+		t.Fatal("the ledger does not answer")
+	}
+	call := ChatCall{ID: "slot-1", OnceKey: "slot-1"}
+	var sending sync.WaitGroup
+	for i := range 8 {
+		sending.Go(func() {
+			_, _ = rig.Caller(0, i%2).Plain(context.Background(), RigLedger, "/slots", []byte("slot 1"), call)
+		})
+	}
+	sending.Wait()
+	runs := &rig.Boxes[1].Plain.Runs
+	if n := runs.Count("slot-1"); n != 1 {
+		t.Errorf("the submission ran %d times", n)
+	}
+	again, err := rig.Caller(0, 1).Plain(t.Context(), RigLedger, "/slots", []byte("slot 1"), call)
+	if err != nil || again.Status != http.StatusOK || again.Outcome != "ran" || runs.Count("slot-1") != 1 {
+		t.Errorf("later arrival: %+v, %v", again, err)
+	}
+	other, err := rig.Caller(0, 0).Plain(t.Context(), RigLedger, "/slots", []byte("slot 2"), call)
+	if err != nil || other.Status != http.StatusUnprocessableEntity || other.Outcome != "not-run" {
+		t.Errorf("another request under the same key: %+v, %v", other, err)
+	}
+	rig.Platform.Table.Faults.SetOut(true)
+	defer rig.Platform.Table.Faults.SetOut(false)
+	refused, err := rig.Caller(0, 0).Plain(t.Context(), RigLedger, "/slots", nil, ChatCall{ID: "slot-3", OnceKey: "slot-3"})
+	if err != nil || refused.Outcome != "not-run" || runs.Count("slot-3") != 0 {
+		t.Errorf("with the table out: %+v, %v, %d runs", refused, err, runs.Count("slot-3"))
+	}
+}
+
+// TestBadInput: what cannot be served is refused with a problem in JSON that says that it did not run.
+func TestBadInput(t *testing.T) {
+	rig := startRig(t, RigConfig{Boxes: 1, Sites: 1})
+	declareServices(t, rig, 1)
+	team, operator := "Bearer "+rig.teams[0], "Bearer "+rig.operator
+	chat := func(model string) string {
+		return `{"model":"` + model + `","messages":[{"role":"user","content":"x"}]}`
+	}
+	long := strings.Repeat("x", 9<<20)
+	for name, tc := range map[string]struct {
+		path, key, body string
+		header          http.Header
+		status          int
+	}{
+		"no key":                {path: "/v1/chat/completions", body: chat("drafts"), status: 401},
+		"wrong key":             {path: "/v1/chat/completions", key: "Bearer nobody", body: chat("drafts"), status: 401},
+		"no bearer":             {path: "/v1/chat/completions", key: "Basic x", body: chat("drafts"), status: 401},
+		"operator asks":         {path: "/v1/chat/completions", key: operator, body: chat("drafts"), status: 403},
+		"broken JSON":           {path: "/v1/chat/completions", key: team, body: "{", status: 400},
+		"no model":              {path: "/v1/chat/completions", key: team, body: "{}", status: 400},
+		"unknown model":         {path: "/v1/chat/completions", key: team, body: chat("wall"), status: 404},
+		"plain as model":        {path: "/v1/chat/completions", key: team, body: chat("ledger"), status: 404},
+		"model as plain":        {path: "/services/drafts/x", key: team, status: 404},
+		"body too long":         {path: "/v1/chat/completions", key: team, body: long, status: 413},
+		"bad timeout":           {path: "/v1/chat/completions", key: team, body: chat("drafts"), header: http.Header{"X-Request-Timeout": {"soon"}}, status: 400},
+		"bad priority":          {path: "/v1/chat/completions", key: team, body: chat("drafts"), header: http.Header{"X-Priority": {"first"}}, status: 400},
+		"once key too long":     {path: "/v1/chat/completions", key: team, body: chat("drafts"), header: http.Header{"Idempotency-Key": {long[:300]}}, status: 400},
+		"unknown path":          {path: "/wall", key: team, status: 404},
+		"team's statement":      {path: "/v1/statements", key: team, body: `{"statement":"show boxes"}`, status: 403},
+		"statement not in JSON": {path: "/v1/statements", key: operator, body: "show boxes", status: 400},
+		"statement's syntax":    {path: "/v1/statements", key: operator, body: `{"statement":"show walls"}`, status: 400},
+		"statement too long":    {path: "/v1/statements", key: operator, body: `{"statement":"` + long[:70<<10] + `"}`, status: 400},
+		"operation's id":        {path: "/v1/statements", key: operator, body: `{"statement":"show boxes","operation":"` + long[:60] + `"}`, status: 400},
+	} {
+		t.Run(name, func(t *testing.T) {
+			req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, rig.Entries[0].URL+tc.path, bytes.NewBufferString(tc.body))
+			if err != nil {
+				t.Fatal(err)
+			}
+			for key, values := range tc.header {
+				req.Header[key] = values
+			}
+			if tc.key != "" {
+				req.Header.Set("Authorization", tc.key)
+			}
+			resp, err := http.DefaultClient.Do(req)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = resp.Body.Close() }()
+			var p problem.Problem
+			if err := json.NewDecoder(resp.Body).Decode(&p); err != nil {
+				t.Fatal(err)
+			}
+			if resp.StatusCode != tc.status || resp.Header.Get("Content-Type") != problem.ContentType || p.Status != tc.status || p.Type == "" {
+				t.Errorf("status %d, %+v; want %d", resp.StatusCode, p, tc.status)
+			}
+			if tc.path != "/v1/statements" && p.Outcome != "not-run" {
+				t.Errorf("outcome %q, want not-run", p.Outcome)
+			}
+		})
+	}
+}
+
+// TestReplacedBox: a box that dies and comes back empty is fed by its neighbours, not by the origin.
+func TestReplacedBox(t *testing.T) {
+	rig := startRig(t, RigConfig{Boxes: 5, Sites: 2})
+	declareServices(t, rig, 5)
+	whole := serveVersion(t, rig, "v1", 1, 5)
+	drawn := rig.Platform.Objects.Drawn()
+	rig.Boxes[2].Kill()
+	if err := rig.Boxes[2].Start(); err != nil {
+		t.Fatal(err)
+	}
+	if !rig.Wait(patience, func() bool { return rig.Serving(whole) == 5 }) {
+		t.Fatal("the replaced box does not serve")
+	}
+	if more := rig.Platform.Objects.Drawn() - drawn; more != 0 {
+		t.Errorf("%d bytes drawn from the origin for a replaced box", more)
+	}
+}
+
+// TestWithdrawn: once a version is dropped no box answers from it, and its name can be declared again.
+func TestWithdrawn(t *testing.T) {
+	rig := startRig(t, RigConfig{Boxes: 2, Sites: 1})
+	declareServices(t, rig, 2)
+	whole := serveVersion(t, rig, "v1", 1, 2)
+	if err := rig.Do(t.Context(), fmt.Sprintf("drop version v1 of %s in %s", RigService, RigFleet)); err != nil {
+		t.Fatal(err)
+	}
+	if !rig.Wait(patience, func() bool { return rig.Serving(whole) == 0 }) {
+		t.Fatal("boxes still serve a withdrawn version")
+	}
+	answer, err := rig.Caller(0, 0).Chat(t.Context(), ChatCall{Service: RigService, Prompt: "x", Tokens: 1, Timeout: time.Second})
+	if err != nil || answer.Status == http.StatusOK || answer.Outcome != "not-run" {
+		t.Errorf("answer %+v, %v; want that it did not run", answer, err)
+	}
+	serveVersion(t, rig, "v2", 2, 2)
+}
--- a/lab/rollout.go
+++ b/lab/rollout.go
@@ -108,11 +108,13 @@
 type rollout struct {
 	cfg    RolloutConfig
 	rig    *Rig
-	whole  string
 	began  time.Time
 	result RolloutResult
 	live   liveLoad
 	dead   map[string]bool
+
+	mu    sync.Mutex
+	whole string
 }
 
 // Rollout runs one experiment.
@@ -167,7 +169,7 @@
 		if err := x.declare(ctx, "v0", cfg.ChunkSize, cfg.Seed+1000); err != nil {
 			return err
 		}
-		if !x.rig.Wait(time.Minute, func() bool { return x.rig.Serving(x.whole) == cfg.Boxes }) {
+		if !x.rig.Wait(time.Minute, func() bool { return x.rig.Serving(x.declared()) == cfg.Boxes }) {
 			return fmt.Errorf("the first version is not served everywhere")
 		}
 	}
@@ -193,8 +195,21 @@
 	if err != nil {
 		return err
 	}
+	statement := fmt.Sprintf("declare version %s of %s in %s digest %s", name, RigService, RigFleet, digest)
+	if err := x.rig.Do(ctx, statement); err != nil {
+		return err
+	}
+	x.mu.Lock()
+	defer x.mu.Unlock()
 	x.whole = manifest.Whole.String()
-	return x.rig.Do(ctx, fmt.Sprintf("declare version %s of %s in %s digest %s", name, RigService, RigFleet, digest))
+	return nil
+}
+
+// declared returns the digest of the whole weights declared last.
+func (x *rollout) declared() string {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.whole
 }
 
 func (x *rollout) run(ctx context.Context) error {
@@ -226,7 +241,7 @@
 	defer ticker.Stop()
 	for ctx.Err() == nil && time.Since(x.began) < x.cfg.Limit {
 		<-ticker.C
-		serving := x.rig.Serving(x.whole)
+		serving := x.rig.Serving(x.declared())
 		at := time.Since(x.began)
 		sample := Sample{At: at, Serving: serving, Chunks: x.held(), OriginBytes: x.rig.Platform.Objects.Drawn() - drawn}
 		x.result.Samples = append(x.result.Samples, sample)
--- a/swarm/choose.go
+++ b/swarm/choose.go
@@ -80,13 +80,19 @@
 // what no box it knows of holds; when time weighs more the first ranks need not wait.
 func (n *Node) mayDraw(chunk, group int, now time.Time) bool {
 	rank := n.ranks[group]
-	if rank < 0 || now.Before(n.closed[group]) {
+	if rank < 0 || now.Before(n.closed[group]) || !n.knows(now) {
 		return false
 	}
-	if n.planned(rank) {
+	if n.planned(rank) && n.params.Prefer == fleet.PreferTime {
 		return true
 	}
-	return n.copies[chunk] == 0 && n.waited(rank, now)
+	return n.copies[chunk] == 0 && (n.planned(rank) || n.waited(rank, now))
+}
+
+// knows reports whether this box knows enough of the others to draw: it has heard what one of them holds, there is
+// none, or it has waited for long. A box that is replaced would otherwise draw what its neighbours hold.
+func (n *Node) knows(now time.Time) bool {
+	return n.heard || len(n.order.members) < 2 || now.Sub(n.began) >= n.params.RankWait
 }
 
 // planned reports whether a box of that rank draws a group without waiting.
--- a/swarm/node.go
+++ b/swarm/node.go
@@ -26,6 +26,8 @@
 	closed  map[int]time.Time
 	usual   time.Duration
 	news    time.Time
+	began   time.Time
+	heard   bool
 	salt    uint64
 }
 
@@ -81,6 +83,7 @@
 		drawing: make(map[int]bool),
 		closed:  make(map[int]time.Time),
 		news:    now,
+		began:   now,
 		salt:    score(params.Self.ID, 0, params.Self.Site),
 	}
 	for _, chunk := range have {
@@ -203,6 +206,7 @@
 	if p == nil {
 		return
 	}
+	n.heard = true
 	if reset {
 		n.forget(p)
 	}
--- a/swarm/order.go
+++ b/swarm/order.go
@@ -78,13 +78,17 @@
 }
 
 // Sources returns the boxes in other sites from which the home of a site takes a group:
-// the home of its parent site in a binary tree over the sites, then the drawer.
+// the home of its parent site in a binary tree over the sites, then the drawer. The drawer's own site has the next
+// home as its source, for the case that the drawer was replaced and others hold what it once drew.
 func (o *Order) Sources(group int, site string) []Member {
 	homes := o.Homes(group)
 	place := slices.IndexFunc(homes, func(m Member) bool { return m.Site == site })
-	if place <= 0 {
+	if place < 0 || len(homes) < 2 {
 		return nil
 	}
+	if place == 0 {
+		return homes[1:2]
+	}
 	parent := (place - 1) / 2
 	if parent == 0 {
 		return homes[:1]
