Control experiment: decisions in force, audited against the history; command pages

Cause: what a decision takes to be in force, and what control costs, was not measured. A page per command, kept in step by a test; publish can send a trace; refused requests leave no goroutine.

--- a/internal/cmd/cmd_test.go
+++ b/internal/cmd/cmd_test.go
@@ -1,8 +1,11 @@
 package cmd
 
 import (
+	"bytes"
 	"context"
 	"os"
+	"path/filepath"
+	"strings"
 	"testing"
 	"time"
 
@@ -18,6 +21,33 @@
 	})
 }
 
+// TestCommandPages keeps a page of each command's help under docs/commands.
+func TestCommandPages(t *testing.T) {
+	for _, name := range []string{"entry", "box", "do", "show", "shell", "publish", "check", "key", "version"} {
+		t.Run(name, func(t *testing.T) {
+			var help bytes.Buffer
+			c := NewConfig(WithOutput(&help, &help))
+			if code := c.Run(t.Context(), []string{"coralstair", name, "--help"}); code != ExitDone {
+				t.Fatalf("exit code %d", code)
+			}
+			if !strings.Contains(help.String(), "Example:") {
+				t.Error("the help has no example")
+			}
+			path := filepath.Join("..", "..", "docs", "commands", name+".md")
+			want := "# coralstair " + name + "\n\n```\n" + help.String() + "```\n"
+			if os.Getenv("CORALSTAIR_WRITE_PAGES") != "" {
+				if err := os.WriteFile(path, []byte(want), 0o600); err != nil {
+					t.Fatal(err)
+				}
+			}
+			got, err := os.ReadFile(path)
+			if err != nil || string(got) != want {
+				t.Errorf("%s is not the command's help (CORALSTAIR_WRITE_PAGES=1 writes it): %v", path, err)
+			}
+		})
+	}
+}
+
 // TestScripts runs each script against a rig of its own: two boxes in two sites, one entry.
 func TestScripts(t *testing.T) {
 	log.SetLevel(log.FatalLevel)
--- a/internal/cmd/publishcmd.go
+++ b/internal/cmd/publishcmd.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"os"
 	"path/filepath"
@@ -10,8 +11,10 @@
 
 	"github.com/dustin/go-humanize"
 	"github.com/urfave/cli/v3"
+	"go.opentelemetry.io/otel/attribute"
 
 	"github.com/coralstair/coralstair/platform"
+	"github.com/coralstair/coralstair/tracing"
 	"github.com/coralstair/coralstair/weights"
 )
 
@@ -40,6 +43,7 @@
 			&cli.StringFlag{Name: "region", Usage: "`REGION` with which calls are signed", Value: "local"},
 			&cli.StringFlag{Name: "name", Usage: "`NAME` of the weights; else the file's"},
 			&cli.StringFlag{Name: "chunk-size", Usage: "`SIZE` of a chunk", Value: "1MiB"},
+			&cli.StringFlag{Name: "otlp-url", Usage: "`URL` where a trace is sent by OTLP over HTTP", Sources: cli.EnvVars("CORALSTAIR_OTLP_URL")},
 			&cli.BoolFlag{Name: "json", Usage: "print JSON", Destination: &c.json},
 		},
 		Action: c.runPublishCmd,
@@ -72,10 +76,16 @@
 	if name == "" {
 		name = filepath.Base(file.Name())
 	}
-	digest, manifest, err := weights.Publish(ctx, objects, name, file, int64(chunkSize))
+	shutdown, err := tracing.Setup(ctx, cmd.String("otlp-url"), "coralstair-publish", name)
 	if err != nil {
 		return err
 	}
+	ctx, span := tracing.Start(ctx, "publish", attribute.String("name", name))
+	digest, manifest, err := weights.Publish(ctx, objects, name, file, int64(chunkSize))
+	span.End()
+	if err := errors.Join(err, shutdown(context.WithoutCancel(ctx))); err != nil {
+		return err
+	}
 	return c.printPublished(published{
 		Name: name, Digest: digest.String(), Whole: manifest.Whole.String(),
 		Size: manifest.Size, Chunks: len(manifest.Chunks),
--- a/lab/rig_test.go
+++ b/lab/rig_test.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"runtime"
 	"strings"
 	"sync"
 	"testing"
@@ -314,6 +315,55 @@
 	}
 }
 
+// TestControlFaults makes decisions while daemons are replaced, the table goes out and links are cut: none that was
+// accepted is lost, none that was refused is there, and no daemon goes back.
+func TestControlFaults(t *testing.T) {
+	log.SetLevel(log.FatalLevel)
+	for name, faults := range map[string][]string{
+		"none": nil, "replace": {FaultReplace}, "all": {FaultReplace, FaultOutage, FaultCut},
+	} {
+		t.Run(name, func(t *testing.T) {
+			result, err := Control(t.Context(), ControlConfig{
+				Boxes: 6, Sites: 3, Entries: 2, ChangesPerMinute: 120, Duration: 4 * time.Second, Faults: faults, Seed: 5,
+			})
+			if err != nil {
+				t.Fatal(err)
+			}
+			if result.Reverted+result.LostAccepted+result.FalseAccepted+result.InvariantsBroken > 0 || result.Changes == 0 {
+				t.Errorf("result %+v", result)
+			}
+		})
+	}
+}
+
+// TestRefusalsLeaveNothing: requests that are refused leave no goroutine behind.
+func TestRefusalsLeaveNothing(t *testing.T) {
+	rig := startRig(t, RigConfig{Boxes: 1, Sites: 1})
+	declareServices(t, rig, 1)
+	transport := &http.Transport{DisableKeepAlives: true}
+	send := func() {
+		req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, rig.Entries[0].URL+"/v1/chat/completions", strings.NewReader("{"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		req.Header.Set("Authorization", "Bearer "+rig.teams[0])
+		resp, err := transport.RoundTrip(req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = resp.Body.Close()
+	}
+	send()
+	before := runtime.NumGoroutine()
+	for range 100 {
+		send()
+	}
+	const slack = 20
+	if !rig.Wait(patience, func() bool { return runtime.NumGoroutine() <= before+slack }) {
+		t.Errorf("%d goroutines before, %d after 100 refused requests", before, runtime.NumGoroutine())
+	}
+}
+
 // TestReplacedBox: a box that dies and comes back empty is fed by its neighbours, not by the origin.
 func TestReplacedBox(t *testing.T) {
 	rig := startRig(t, RigConfig{Boxes: 5, Sites: 2})
