Streams go on at another box of the same version when theirs dies

Ruled out: running the request again from the start (the caller has part of the answer, and engines sample). The digest of the second box is asserted. Test: TestStreamGoesOn.

--- a/box/box.go
+++ b/box/box.go
@@ -89,6 +89,7 @@
 		Load:     b.gate.Inside(),
 		Slots:    b.cfg.Slots,
 		Entries:  b.entries(),
+		Resumes:  b.cfg.Resumes,
 		Service:  link.ServiceState{Service: b.cfg.Service, State: string(b.loader.phase())},
 		Progress: b.transfer.Progress(),
 	}
--- a/box/config.go
+++ b/box/config.go
@@ -35,6 +35,8 @@
 	UpstreamURL string
 	// UncheckedFences says that the upstream takes orders whatever their fence.
 	UncheckedFences bool
+	// Resumes says that the engine goes on with a broken-off stream after the events named in X-Resume-Events.
+	Resumes bool
 	// WeightsLimit is the memory for held weights in bytes; 0 means no limit.
 	WeightsLimit int64
 	// Slots is how many requests the upstream takes at a time; 0 leaves it to the entries.
--- a/entry/boxes.go
+++ b/entry/boxes.go
@@ -106,15 +106,19 @@
 	}
 }
 
-// candidates returns the boxes that serve the service in a version that the configuration knows, and have room.
-func (b *boxes) candidates(service fleet.Service, now time.Time) []route.Candidate {
+// candidates returns the boxes that serve the service in a version that the configuration knows, and have room. With
+// a pin they serve just that version, and their engines can go on with a stream.
+func (b *boxes) candidates(service fleet.Service, pin string, now time.Time) []route.Candidate {
 	cfg := b.entry.follower.Config()
 	allowed := cfg.Digests(service.Name)
+	if pin != "" {
+		allowed = map[string]bool{pin: allowed[pin]}
+	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	var found []route.Candidate
 	for id, l := range b.links {
-		if cfg.Stopped[id] || !l.offers(service, allowed, now) {
+		if cfg.Stopped[id] || !l.offers(service, allowed, now) || pin != "" && !l.beat.Resumes {
 			continue
 		}
 		c := route.Candidate{ID: id, InFlight: l.inFlight, Reported: l.beat.Load, ReportedOwn: l.beatOwn}
@@ -198,9 +202,9 @@
 }
 
 // place chooses a box for a request among those not tried, and reserves room there.
-func (b *boxes) place(service fleet.Service, tried []string) (id string, ok bool) {
+func (b *boxes) place(service fleet.Service, pin string, tried []string) (id string, ok bool) {
 	now := time.Now()
-	candidates := route.Without(b.candidates(service, now), tried)
+	candidates := route.Without(b.candidates(service, pin, now), tried)
 	picked, ok := b.entry.cfg.Picker.Pick(b.entry.health.Filter(candidates, now))
 	if !ok {
 		return "", false
@@ -224,6 +228,15 @@
 	}
 }
 
+// resumes reports whether a box, when last heard, had an engine that goes on with broken-off streams. A box whose link
+// has just ended is taken to have had one: what counts is the box to go on at.
+func (b *boxes) resumes(id string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	l, ok := b.links[id]
+	return !ok || l.beat == nil || l.beat.Resumes
+}
+
 // run uses a greeted link until it ends.
 func (b *boxes) run(conn *link.Conn, member platform.Member, hello *link.Hello) {
 	l := &boxLink{
--- a/entry/caller.go
+++ b/entry/caller.go
@@ -29,6 +29,9 @@
 	HeaderReplayed  = "X-Coralstair-Replayed"
 )
 
+// HeaderResume tells an engine how many events of a stream the caller has already: it goes on after them.
+const HeaderResume = "X-Resume-Events"
+
 const (
 	maxRequestID = 128
 	maxOnceKey   = 255
@@ -146,6 +149,7 @@
 	req.body = body
 	req.header = upstream.CleanHeader(r.Header)
 	req.header.Set(HeaderRequestID, req.id)
+	req.header.Del(HeaderResume)
 	return req, true
 }
 
--- a/entry/deliver.go
+++ b/entry/deliver.go
@@ -1,27 +1,19 @@
 package entry
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
 	"net/http"
-	"time"
 
 	"github.com/coralstair/coralstair/claim"
 	"github.com/coralstair/coralstair/invariant"
-	"github.com/coralstair/coralstair/problem"
 	"github.com/coralstair/coralstair/upstream"
 )
 
-const (
-	// bufferLimit is the longest answer that is held until it is whole; a longer one is sent as it comes.
-	bufferLimit = 1 << 20
-	// writeTimeout is how long a caller may take to read a part of an answer.
-	writeTimeout = time.Minute
-)
+// bufferLimit is the longest answer that is held until it is whole; a longer one is sent as it comes.
+const bufferLimit = 1 << 20
 
 var errEnd = io.EOF
 
@@ -88,53 +80,6 @@
 	return body, false, nil
 }
 
-// stream sends an answer as it comes. One that breaks off ends in an explicit error: an event in an event stream,
-// a broken connection otherwise; never silently short.
-func (e *Entry) stream(ctx context.Context, w http.ResponseWriter, t *turn, a *attempt, record *claim.Answer) error {
-	writeHead(w, a, t.req.id)
-	control := http.NewResponseController(w)
-	var kept bytes.Buffer
-	part, err := a.first, a.err
-	for {
-		if len(part) > 0 {
-			_ = control.SetWriteDeadline(time.Now().Add(writeTimeout))
-			if _, writeErr := w.Write(part); writeErr != nil {
-				a.call.Cancel()
-				return &startedError{Err: writeErr}
-			}
-			_ = control.Flush()
-			if record != nil && kept.Len() <= claim.MaxAnswer {
-				kept.Write(part)
-			}
-		}
-		if err != nil {
-			break
-		}
-		part, err = a.call.Next(ctx)
-	}
-	if errors.Is(err, errEnd) {
-		e.checkVersion(a)
-		a.record(record, kept.Bytes())
-		return nil
-	}
-	t.failed(ctx, err)
-	return &startedError{Abort: !tellBroken(w, a, err, t.req.id), Err: err}
-}
-
-// tellBroken tells the caller of an event stream that the rest will not come, and reports whether it could.
-func tellBroken(w http.ResponseWriter, a *attempt, err error, id string) bool {
-	if !isStream(a) {
-		return false
-	}
-	p := problem.New(http.StatusBadGateway, "broken-off", err.Error()).WithOutcome("unknown").WithRequestID(id)
-	data, jsonErr := json.Marshal(p)
-	if jsonErr != nil {
-		return false
-	}
-	_, writeErr := fmt.Fprintf(w, "\n\nevent: error\ndata: %s\n\n", data)
-	return writeErr == nil
-}
-
 // checkVersion asserts that a whole answer came from one version, from start to end.
 func (e *Entry) checkVersion(a *attempt) {
 	e.cfg.Checks.Check(a.call.Digest() == a.call.Head().Digest, invariant.OneVersion,
--- a/entry/run.go
+++ b/entry/run.go
@@ -42,6 +42,8 @@
 	tried      []string
 	admitted   bool
 	box        string
+	// pin, when set, is the digest of the version that the answer must come from.
+	pin string
 }
 
 // run admits a request and sees it through to its final answer.
@@ -139,7 +141,7 @@
 	tracing.Inject(ctx, header)
 	call, err := l.client.Do(ctx, link.Request{
 		Service: t.req.service.Name, Method: t.req.method, Path: t.req.path,
-		Header: header, Body: t.req.body, Deadline: time.Until(t.req.deadline),
+		Digest: t.pin, Header: header, Body: t.req.body, Deadline: time.Until(t.req.deadline),
 	})
 	if err != nil {
 		t.failed(ctx, err)
@@ -212,7 +214,7 @@
 }
 
 func (t *turn) place() (string, bool) {
-	return t.entry.boxes.place(t.req.service, t.tried)
+	return t.entry.boxes.place(t.req.service, t.pin, t.tried)
 }
 
 func (t *turn) release() {
--- a/internal/cmd/boxcmd.go
+++ b/internal/cmd/boxcmd.go
@@ -44,7 +44,7 @@
 		ID: cfg.Daemon.ID, Fleet: cfg.Daemon.Fleet, Site: cfg.Daemon.Site, Service: cfg.Service,
 		Kind: fleet.Kind(cfg.Kind), Incarnation: incarnation(), Listener: listener, Advertise: cfg.Advertise,
 		UpstreamURL: cfg.UpstreamURL, Slots: cfg.Slots, WeightsLimit: cfg.WeightsLimit, Pacer: pacer, DrainLimit: cfg.Daemon.DrainLimit,
-		UncheckedFences: cfg.ChecksFences == "no",
+		UncheckedFences: cfg.ChecksFences == "no", Resumes: cfg.Resumes == "yes",
 		Ledger:          ledger.New(table), Table: table, Origin: newObjects(cfg.Platform, pacer),
 		List: &platform.LiveList{URL: cfg.Platform.LiveURL}, ListInterval: cfg.Platform.ListInterval,
 	})
--- a/lab/engine.go
+++ b/lab/engine.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -69,6 +70,7 @@
 	defaultTokens = 16
 	tokenBytes    = 5
 	requestHeader = "X-Request-Id"
+	resumeHeader  = "X-Resume-Events"
 )
 
 // Token returns token i of the answer that weights give to a prompt.
@@ -207,7 +209,11 @@
 
 func (a answerer) stream(w http.ResponseWriter, r *http.Request) {
 	w.Header().Set("Content-Type", "text/event-stream")
-	for i := range a.req.MaxTokens {
+	done, err := strconv.Atoi(r.Header.Get(resumeHeader))
+	if err != nil {
+		done = 0
+	}
+	for i := done; i < a.req.MaxTokens; i++ {
 		if !a.pause(r) {
 			return
 		}
--- a/lab/rig_test.go
+++ b/lab/rig_test.go
@@ -172,15 +172,7 @@
 	streaming.Go(func() {
 		answer, err = caller.Chat(t.Context(), ChatCall{Service: RigService, Prompt: "long", Tokens: 150, Stream: true})
 	})
-	var busy *RigBox
-	rig.Wait(patience, func() bool {
-		for _, b := range rig.Boxes {
-			if b.Daemon().Heartbeat().Load > 0 {
-				busy = b
-			}
-		}
-		return busy != nil
-	})
+	busy := busyBox(rig)
 	if err := rig.Do(t.Context(), fmt.Sprintf("stop box %s in %s", busy.ID, RigFleet)); err != nil {
 		t.Fatal(err)
 	}
@@ -206,6 +198,43 @@
 	}
 }
 
+// TestStreamGoesOn: the box that answers a long stream dies; the stream goes on at another box of the same version, and
+// the caller has every token once.
+func TestStreamGoesOn(t *testing.T) {
+	rig := startRig(t, RigConfig{Boxes: 2, Sites: 1, TokenTime: 10 * time.Millisecond})
+	declareServices(t, rig, 2)
+	serveVersion(t, rig, "v1", 1, 2)
+	caller := rig.Caller(0, 0)
+	awaitAnswer(t, caller)
+	var answer Answer
+	var err error
+	var streaming sync.WaitGroup
+	streaming.Go(func() {
+		answer, err = caller.Chat(t.Context(), ChatCall{Service: RigService, Prompt: "long", Tokens: 100, Stream: true})
+	})
+	busy := busyBox(rig)
+	time.Sleep(200 * time.Millisecond)
+	busy.Kill()
+	streaming.Wait()
+	if err != nil || answer.Tokens != 101 {
+		t.Errorf("stream of %d tokens that began at %s, which died: %v", answer.Tokens, answer.Box, err)
+	}
+}
+
+// busyBox waits for a box with a request in progress.
+func busyBox(rig *Rig) *RigBox {
+	var busy *RigBox
+	rig.Wait(patience, func() bool {
+		for _, b := range rig.Boxes {
+			if b.Daemon().Heartbeat().Load > 0 {
+				busy = b
+			}
+		}
+		return busy != nil
+	})
+	return busy
+}
+
 // TestOnce: the same key at two entries at once runs once, later arrivals get the first answer, and the same key with
 // another body is refused.
 func TestOnce(t *testing.T) {
--- a/link/message.go
+++ b/link/message.go
@@ -40,7 +40,7 @@
 }
 
 // Heartbeat is sent every second each way; Load is the box's requests in progress, Slots how many it takes, Entries how
-// many entries share them.
+// many entries share them; Resumes says that its engine goes on with broken-off streams.
 type Heartbeat struct {
 	Revision fleet.Revision  `cbor:"1,keyasint"`
 	Leaving  bool            `cbor:"2,keyasint,omitempty"`
@@ -50,6 +50,7 @@
 	Progress RolloutProgress `cbor:"6,keyasint"`
 	Slots    int             `cbor:"7,keyasint,omitempty"`
 	Entries  int             `cbor:"8,keyasint,omitempty"`
+	Resumes  bool            `cbor:"9,keyasint,omitempty"`
 }
 
 // ServiceState is what a box offers for its service; Open says that it lets requests in.
--- a/settings/daemon.go
+++ b/settings/daemon.go
@@ -42,6 +42,7 @@
 	Advertise    string
 	UpstreamURL  string
 	ChecksFences string
+	Resumes      string
 	Slots        int
 	WeightsLimit int64
 	LinkRate     int64
@@ -107,6 +108,7 @@
 		urlKey("box", "upstream-url", "http://127.0.0.1:8000", "Where the upstream answers.", &b.UpstreamURL),
 		optional(addressKey("box", "advertise", "10.0.0.7:7400", "Address at which other boxes and the upstream reach this daemon; else that of listen.", &b.Advertise)),
 		choiceKey("box", "checks-fences", "yes", "Whether the upstream refuses orders with an older fence: yes or no.", []string{"yes", "no"}, &b.ChecksFences),
+		choiceKey("box", "resumes", "no", "Whether the engine goes on with a broken-off stream after the events named in X-Resume-Events: yes or no.", []string{"yes", "no"}, &b.Resumes),
 		optional(countKey("box", "slots", "64", "Requests that the upstream takes at a time; else the entries decide.", 1, maxSlots, &b.Slots)),
 		optional(exampled("80GiB", bytesKey("box", "weights-limit", "", "Memory for held weights, such as 80GiB; else no limit.", &b.WeightsLimit))),
 		optional(exampled("12MB", bytesKey("box", "link-rate", "", "Bytes a second that the box's link carries, in and out together, so that chunks leave room for requests; else they are not paced.", &b.LinkRate))),
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -86,6 +86,7 @@
 		"box.upstream-url":       {true, urls},
 		"box.advertise":          {true, map[string]bool{"10.0.0.7:1": true, "0.0.0.0:1": false, "x": false}},
 		"box.checks-fences":      {true, map[string]bool{"yes": true, "no": true, "maybe": false}},
+		"box.resumes":            {true, map[string]bool{"yes": true, "no": true, "often": false}},
 		"box.slots":              {true, map[string]bool{"1": true, "0": false, "many": false}},
 		"box.weights-limit":      {true, map[string]bool{"80GiB": true, "1000": true, "much": false}},
 		"box.link-rate":          {true, map[string]bool{"12MB": true, "fast": false}},
