Requests at a silent box are given up where they may run again

Cause: with one of 12 boxes frozen, what was in progress there waited for the link's end after 10 s: 8 unknown and 2 cut answers of 5,921. Ruled out: closing links sooner (links stall for long stretches; what must not be repeated would become unknown for nothing). Change: after 2.5 s of silence the calls that may be repeated are given up and run, or go on, elsewhere; the others wait as before. Test: TestAbandon.

--- a/entry/boxes.go
+++ b/entry/boxes.go
@@ -20,7 +20,7 @@
 	dialTimeout    = 3 * time.Second
 	dialPause      = 500 * time.Millisecond
 	// suspectAfter is the silence after which a box gets no new work.
-	suspectAfter = 3 * time.Second
+	suspectAfter = 2500 * time.Millisecond
 	// deadAfter is the silence after which the link is given up, and with it what is in progress there.
 	deadAfter = 10 * time.Second
 )
@@ -182,12 +182,16 @@
 	}
 }
 
-// giveUpSilent closes the links to boxes that have not been heard for long.
+// giveUpSilent gives up what may be run elsewhere at boxes that are silent, and the links to those that have been for long.
 func (b *boxes) giveUpSilent() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for _, l := range b.links {
-		if time.Since(l.beatAt) > deadAfter {
+		silent := time.Since(l.beatAt)
+		if silent > suspectAfter {
+			l.client.Abandon()
+		}
+		if silent > deadAfter {
 			l.conn.Close()
 		}
 	}
--- a/entry/run.go
+++ b/entry/run.go
@@ -142,7 +142,7 @@
 	call, err := l.client.Do(ctx, link.Request{
 		Service: t.req.service.Name, Method: t.req.method, Path: t.req.path,
 		Digest: t.pin, Header: header, Body: t.req.body, Deadline: time.Until(t.req.deadline),
-	})
+	}, t.req.repeatable)
 	if err != nil {
 		t.failed(ctx, err)
 		return nil, err
--- a/relay/call.go
+++ b/relay/call.go
@@ -10,8 +10,9 @@
 
 // Call is one request in progress at a box.
 type Call struct {
-	client *Client
-	id     uint64
+	client     *Client
+	id         uint64
+	repeatable bool
 
 	mu      sync.Mutex
 	head    *link.Head
@@ -30,7 +31,8 @@
 // Cancel tells the box that nobody waits for the answer any more.
 func (c *Call) Cancel() {
 	if c.client.remove(c) {
-		_ = c.client.sender.Send(c.client.ctx, &link.Cancel{ID: c.id})
+		// Not waited for: the link may be stuck.
+		go func() { _ = c.client.sender.Send(c.client.ctx, &link.Cancel{ID: c.id}) }()
 	}
 }
 
--- a/relay/client.go
+++ b/relay/client.go
@@ -34,6 +34,23 @@
 	return &Client{ctx: ctx, sender: sender, calls: make(map[uint64]*Call)}
 }
 
+// Abandon gives up the calls that may be made again elsewhere: the box has been silent for long. Others go on waiting,
+// since what became of them could not be found out.
+func (c *Client) Abandon() {
+	c.mu.Lock()
+	var given []*Call
+	for _, call := range c.calls {
+		if call.repeatable {
+			given = append(given, call)
+		}
+	}
+	c.mu.Unlock()
+	for _, call := range given {
+		call.Cancel()
+		call.end(&LostError{Reason: "the box is silent"})
+	}
+}
+
 // Close ends the client with its link: what became of the calls in progress is not known.
 func (c *Client) Close(cause error) {
 	c.mu.Lock()
@@ -45,12 +62,13 @@
 	}
 }
 
-// Do hands a request over and waits for the answer's head.
+// Do hands a request over and waits for the answer's head; repeatable says that it may be given up by Abandon.
 // A NotRunError says that the request did not run, a LostError that this is not known.
-func (c *Client) Do(ctx context.Context, req link.Request) (*Call, error) {
+func (c *Client) Do(ctx context.Context, req link.Request, repeatable bool) (*Call, error) {
 	req.ID = c.last.Add(1)
 	req.Credit = Window
 	call := newCall(c, req.ID)
+	call.repeatable = repeatable
 	if !c.add(call) {
 		return nil, &NotRunError{Reason: "the link to the box has ended"}
 	}
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -93,7 +93,7 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				client := connect(t.Context(), tc.handler)
-				call, err := client.Do(t.Context(), link.Request{Body: []byte("x"), Deadline: time.Minute})
+				call, err := client.Do(t.Context(), link.Request{Body: []byte("x"), Deadline: time.Minute}, true)
 				var notRunErr *NotRunError
 				var lostErr *LostError
 				if errors.As(err, &notRunErr) != tc.notRun || errors.As(err, &lostErr) != tc.lost {
@@ -129,7 +129,7 @@
 			}
 			_ = resp.End(link.End{Outcome: link.OutcomeRan})
 		})
-		slow, err := client.Do(t.Context(), link.Request{Deadline: time.Hour})
+		slow, err := client.Do(t.Context(), link.Request{Deadline: time.Hour}, true)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -137,7 +137,7 @@
 		if sent > 9 {
 			t.Errorf("%d parts sent without being read, a window holds 8", sent)
 		}
-		quick, err := client.Do(t.Context(), link.Request{Path: "/quick", Body: []byte("x"), Deadline: time.Hour})
+		quick, err := client.Do(t.Context(), link.Request{Path: "/quick", Body: []byte("x"), Deadline: time.Hour}, true)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -156,7 +156,7 @@
 			_ = resp.Head(link.Head{Status: 200})
 			<-ctx.Done()
 		})
-		call, err := client.Do(t.Context(), link.Request{Deadline: time.Hour})
+		call, err := client.Do(t.Context(), link.Request{Deadline: time.Hour}, true)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -166,7 +166,7 @@
 			t.Errorf("error %v, want that the answer is lost", err)
 		}
 		var notRunErr *NotRunError
-		if _, err := client.Do(t.Context(), link.Request{Deadline: time.Hour}); !errors.As(err, &notRunErr) {
+		if _, err := client.Do(t.Context(), link.Request{Deadline: time.Hour}, true); !errors.As(err, &notRunErr) {
 			t.Errorf("error %v, want that nothing was handed over", err)
 		}
 	})
@@ -183,7 +183,7 @@
 		})
 		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 		defer cancel()
-		if _, err := client.Do(ctx, link.Request{Deadline: time.Hour}); err == nil {
+		if _, err := client.Do(ctx, link.Request{Deadline: time.Hour}, true); err == nil {
 			t.Fatal("an answer without a head")
 		}
 		<-cancelled
@@ -194,6 +194,30 @@
 	})
 }
 
+// TestAbandon: of the calls at a silent box those that may be made again are given up, the others are not.
+func TestAbandon(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		client := connect(t.Context(), func(ctx context.Context, _ *link.Request, resp *Responder) {
+			_ = resp.Head(link.Head{Status: 200})
+			<-ctx.Done()
+		})
+		for name, repeatable := range map[string]bool{"repeatable": true, "once": false} {
+			call, err := client.Do(t.Context(), link.Request{Deadline: time.Hour}, repeatable)
+			if err != nil {
+				t.Fatal(err)
+			}
+			client.Abandon()
+			ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+			begin := time.Now()
+			_, err = call.Next(ctx)
+			cancel()
+			if givenUp := err != nil && time.Since(begin) == 0; givenUp != repeatable {
+				t.Errorf("%s: given up %v", name, givenUp)
+			}
+		}
+	})
+}
+
 // TestDeadline is for the beginning of an answer: a stream that has begun is not cut off.
 func TestDeadline(t *testing.T) {
 	for name, stream := range map[string]bool{"stream": true, "whole answer": false} {
@@ -211,7 +235,7 @@
 						_ = resp.End(link.End{Outcome: link.OutcomeUnknown})
 					}
 				})
-				call, err := client.Do(t.Context(), link.Request{Deadline: time.Second})
+				call, err := client.Do(t.Context(), link.Request{Deadline: time.Second}, true)
 				if err != nil {
 					t.Fatal(err)
 				}
