An upstream that does not tell its state is not ordered to load again

Change: an unknown state is a fact of its own: no order, gate as it is. Test: TestNext, TestNextSafe (no order while unknown).

--- a/box/loader.go
+++ b/box/loader.go
@@ -36,6 +36,7 @@
 	nextOrder time.Time
 	state     upstream.State
 	stateAt   time.Time
+	unknown   bool
 	reachable bool
 
 	mu      sync.Mutex
@@ -142,7 +143,8 @@
 		Declared: declared, Offered: digestOrZero(offer.Digest), Open: open,
 		Withdrawn: open && !cfg.Digests(l.box.cfg.Service)[offer.Digest],
 		Stopped:   l.stopped(cfg), Complete: complete, Slot: l.slot != nil, Inside: l.box.gate.Inside(),
-		Loaded:  l.loaded(manifest, complete, offer, declared),
+		Loaded:  !l.unknown && l.loaded(manifest, complete, offer, declared),
+		Unknown: l.unknown,
 		Loading: l.state.Phase == upstream.PhaseLoading && l.ordered == declared,
 	}
 	phase, step := Next(facts)
@@ -242,13 +244,15 @@
 	if !doubt && !loading && time.Since(l.stateAt) < stateEvery {
 		return
 	}
+	l.stateAt = time.Now()
 	state, err := l.client.State(ctx)
 	if err != nil {
-		l.box.log.WithError(err).Debug("loader: upstream's state not known")
-		state = upstream.State{}
+		l.unknown = true
+		l.box.log.WithError(err).Warn("loader: upstream's state not known")
+		return
 	}
+	l.unknown = false
 	l.state = state
-	l.stateAt = time.Now()
 }
 
 // renewSlot keeps the drain permit while long answers are waited for.
--- a/box/phase.go
+++ b/box/phase.go
@@ -47,6 +47,8 @@
 	Complete bool
 	// Loaded says that the upstream reports exactly the declared weights.
 	Loaded bool
+	// Unknown says that the upstream has not told its state for a while: nothing is to be concluded from that.
+	Unknown bool
 	// Loading says that the upstream is at work on an order for the declared weights.
 	Loading bool
 	// Slot says that the box holds a permit to drain.
@@ -66,6 +68,10 @@
 		return PhaseNone, StepClose
 	case f.Declared.IsZero():
 		return PhaseNone, StepNothing
+	case f.Unknown && f.Open && f.Offered == f.Declared:
+		return PhaseServing, StepNothing
+	case f.Unknown && !f.Open && f.Complete:
+		return PhaseLoading, StepNothing
 	case f.Open && f.Offered == f.Declared && f.Loaded:
 		return PhaseServing, StepNothing
 	case f.Open && f.Offered == f.Declared:
--- a/internal/cmd/boxcmd.go
+++ b/internal/cmd/boxcmd.go
@@ -45,7 +45,7 @@
 		Kind: fleet.Kind(cfg.Kind), Incarnation: incarnation(), Listener: listener, Advertise: cfg.Advertise,
 		UpstreamURL: cfg.UpstreamURL, Slots: cfg.Slots, WeightsLimit: cfg.WeightsLimit, Pacer: pacer, DrainLimit: cfg.Daemon.DrainLimit,
 		UncheckedFences: cfg.ChecksFences == "no", Resumes: cfg.Resumes == "yes",
-		Ledger:          ledger.New(table), Table: table, Origin: newObjects(cfg.Platform, pacer),
+		Ledger: ledger.New(table), Table: table, Origin: newObjects(cfg.Platform, pacer),
 		List: &platform.LiveList{URL: cfg.Platform.LiveURL}, ListInterval: cfg.Platform.ListInterval,
 	})
 	return c.runDaemon(ctx, b, cfg.Daemon, "box")
--- a/internal/labcmd/drivecmd.go
+++ b/internal/labcmd/drivecmd.go
@@ -85,5 +85,10 @@
 			r.RepeatedRuns, r.RanAfterNotRun, r.GoodputRPS, r.CapacityRPS, r.GoodputRatio, r.TTFTP50, r.TTFTP95, r.P99,
 			r.RefusalP99, r.SmallTeamGoodput, r.TableWritesPerSecond, r.TableReadsPerSecond, r.InvariantsBroken)
 	}
+	for _, r := range results {
+		for _, broken := range r.Broken {
+			_, _ = fmt.Fprintln(tab, broken)
+		}
+	}
 	return tab.Flush()
 }
--- a/lab/drive.go
+++ b/lab/drive.go
@@ -89,6 +89,8 @@
 	TableWritesPerSecond float64 `json:"table_writes_per_s"`
 	TableReadsPerSecond  float64 `json:"table_reads_per_s"`
 	InvariantsBroken     int     `json:"invariants_broken"`
+	// Broken tells each broken invariant.
+	Broken []string `json:"broken,omitempty"`
 }
 
 // outcome is what became of one request, as its caller saw it.
--- a/lab/judge.go
+++ b/lab/judge.go
@@ -20,6 +20,9 @@
 		Policy: d.cfg.Policy, Faults: strings.Join(d.cfg.Faults, ","), Seed: d.cfg.Seed, Sent: len(d.outcomes),
 		CapacityRPS: capacity, InvariantsBroken: len(d.rig.Checks.Broken()),
 	}
+	for _, broken := range d.rig.Checks.Broken() {
+		result.Broken = append(result.Broken, broken.Error())
+	}
 	runs := d.runs()
 	all, first, refusals, gaps := histogram(), histogram(), histogram(), histogram()
 	good, goodAll, small, smallGood := 0, 0, 0, 0
