An entry refuses a header that is too long with a problem

Cause: the HTTP server's own refusal is plain text and is not counted. Change: headers over 64 KiB are refused as a problem (431, not-run) up to 512 KiB, where the server's own limit is. Test: TestBadInput, header too long; it failed before.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -17,6 +17,7 @@
 	"github.com/coralstair/coralstair/membership"
 	"github.com/coralstair/coralstair/operate"
 	"github.com/coralstair/coralstair/platform"
+	"github.com/coralstair/coralstair/problem"
 	"github.com/coralstair/coralstair/route"
 	"github.com/coralstair/coralstair/supervise"
 )
@@ -24,8 +25,11 @@
 const (
 	headerTimeout = 5 * time.Second
 	idleTimeout   = 2 * time.Minute
-	maxHeader     = 64 << 10
-	kickEvery     = 50 * time.Millisecond
+	// maxHeader is the longest header, in bytes, that is taken; up to maxRawHeader it is refused with a problem, beyond
+	// that by the HTTP server itself.
+	maxHeader    = 64 << 10
+	maxRawHeader = 512 << 10
+	kickEvery    = 50 * time.Millisecond
 )
 
 // Entry is the daemon of a thin entry box.
@@ -76,7 +80,7 @@
 	mux.HandleFunc("GET /healthz", func(http.ResponseWriter, *http.Request) {})
 	mux.HandleFunc("GET /readyz", e.serveReady)
 	mux.HandleFunc("/", e.serveUnknown)
-	return mux
+	return e.limitHeader(mux)
 }
 
 // Leave takes no new requests and waits until those in progress are done.
@@ -99,7 +103,7 @@
 // Serve runs the entry until ctx ends, without draining; Leave comes first in a planned stop.
 func (e *Entry) Serve(ctx context.Context) error {
 	server := &http.Server{
-		Handler: e.Handler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
+		Handler: e.Handler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxRawHeader,
 		Protocols: new(http.Protocols),
 	}
 	server.Protocols.SetHTTP1(true)
@@ -168,6 +172,24 @@
 	}
 }
 
+// limitHeader refuses requests with a header that is too long.
+func (e *Entry) limitHeader(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		size := len(r.RequestURI)
+		for name, values := range r.Header {
+			for _, value := range values {
+				size += len(name) + len(value)
+			}
+		}
+		if size > maxHeader {
+			p := problem.New(http.StatusRequestHeaderFieldsTooLarge, "header", "the header is too long").WithOutcome("not-run")
+			e.refuse(w, p)
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
 // serveQueues looks after the waiting requests when nothing else gives them a turn.
 func (e *Entry) serveQueues(ctx context.Context) error {
 	ticker := time.NewTicker(kickEvery)
--- a/lab/rig_test.go
+++ b/lab/rig_test.go
@@ -310,6 +310,7 @@
 		"body too long":         {path: "/v1/chat/completions", key: team, body: long, status: 413},
 		"bad timeout":           {path: "/v1/chat/completions", key: team, body: chat("drafts"), header: http.Header{"X-Request-Timeout": {"soon"}}, status: 400},
 		"bad priority":          {path: "/v1/chat/completions", key: team, body: chat("drafts"), header: http.Header{"X-Priority": {"first"}}, status: 400},
+		"header too long":       {path: "/v1/chat/completions", key: team, body: chat("drafts"), header: http.Header{"X-Long": {long[:100<<10]}}, status: 431},
 		"once key too long":     {path: "/v1/chat/completions", key: team, body: chat("drafts"), header: http.Header{"Idempotency-Key": {long[:300]}}, status: 400},
 		"unknown path":          {path: "/wall", key: team, status: 404},
 		"team's statement":      {path: "/v1/statements", key: team, body: `{"statement":"show boxes"}`, status: 403},
