--- a/internal/labcmd/config.go
+++ b/internal/labcmd/config.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -10,6 +11,7 @@
 	"os"
 	"os/signal"
 	"runtime/pprof"
+	"strings"
 	"syscall"
 
 	"github.com/urfave/cli/v3"
@@ -130,3 +132,25 @@
 	}
 	return nil
 }
+
+// runAll runs an experiment with each policy that the flags name and, for each, with one seed after another; with
+// --json each result is printed as soon as it is there.
+func runAll[T any](c *Config, cmd *cli.Command, run func(policy string, seed uint64) (T, error)) ([]T, error) {
+	var results []T
+	for policy := range strings.SplitSeq(cmd.String("policy"), ",") {
+		for n := range cmd.Int("runs") {
+			result, err := run(policy, cmd.Uint64("seed")+uint64(n))
+			if err != nil {
+				return nil, err
+			}
+			results = append(results, result)
+			if !c.json {
+				continue
+			}
+			if err := json.NewEncoder(c.stdout).Encode(result); err != nil {
+				return nil, err
+			}
+		}
+	}
+	return results, nil
+}
--- a/internal/labcmd/rolloutcmd.go
+++ b/internal/labcmd/rolloutcmd.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"strings"
@@ -52,23 +51,13 @@
 		return err
 	}
 	log.SetLevelFromString(cmd.String("log-level"))
-	var results []lab.RolloutResult
-	for _, policy := range strings.Split(cmd.String("policy"), ",") {
-		for run := range cmd.Int("runs") {
-			one := cfg
-			one.Policy = policy
-			one.Seed += uint64(run)
-			result, err := lab.Rollout(ctx, one)
-			if err != nil {
-				return err
-			}
-			results = append(results, result)
-			if c.json {
-				if err := json.NewEncoder(c.stdout).Encode(result); err != nil {
-					return err
-				}
-			}
-		}
+	results, err := runAll(c, cmd, func(policy string, seed uint64) (lab.RolloutResult, error) {
+		one := cfg
+		one.Policy, one.Seed = policy, seed
+		return lab.Rollout(ctx, one)
+	})
+	if err != nil {
+		return err
 	}
 	if path := cmd.String("plot"); path != "" {
 		if err := lab.Plot(path, results); err != nil {
