The DynamoDB and S3 adapter gets a package of its own name; its values move to the product

Cause: platform/ is to hold only the translation to the users' platform, and ledger, permit, claim, membership and the daemons imported the types of an adapter. Change: package dynamo holds the adapter, store the rows and errors of any store, membership the members of the list. Nothing behaves differently. Conclusion: the product's packages import no adapter; only internal/cmd and the lab put one together.

--- a/box/http.go
+++ b/box/http.go
@@ -8,7 +8,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/coralstair/coralstair/link"
-	"github.com/coralstair/coralstair/platform"
+	"github.com/coralstair/coralstair/membership"
 	"github.com/coralstair/coralstair/weights"
 )
 
@@ -27,10 +27,10 @@
 		b.log.WithError(err).Debug("box: link not greeted")
 		return
 	}
-	switch platform.Role(hello.Role) {
-	case platform.RoleEntry:
+	switch membership.Role(hello.Role) {
+	case membership.RoleEntry:
 		b.serveEntry(conn, hello)
-	case platform.RoleBox:
+	case membership.RoleBox:
 		b.peers.run(conn, hello, hello.ID)
 	}
 }
--- a/box/session.go
+++ b/box/session.go
@@ -14,7 +14,7 @@
 	"github.com/coralstair/coralstair/fleet"
 	"github.com/coralstair/coralstair/invariant"
 	"github.com/coralstair/coralstair/link"
-	"github.com/coralstair/coralstair/platform"
+	"github.com/coralstair/coralstair/membership"
 	"github.com/coralstair/coralstair/relay"
 	"github.com/coralstair/coralstair/tracing"
 	"github.com/coralstair/coralstair/upstream"
@@ -50,7 +50,7 @@
 
 func (b *Box) hello() *link.Hello {
 	return &link.Hello{
-		ID: b.cfg.ID, Role: string(platform.RoleBox), Fleet: b.cfg.Fleet, Site: b.cfg.Site,
+		ID: b.cfg.ID, Role: string(membership.RoleBox), Fleet: b.cfg.Fleet, Site: b.cfg.Site,
 		Incarnation: b.cfg.Incarnation, Revision: b.follower.Config().Revision,
 	}
 }
--- a/claim/claims.go
+++ b/claim/claims.go
@@ -8,7 +8,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
-	"github.com/coralstair/coralstair/platform"
+	"github.com/coralstair/coralstair/store"
 )
 
 // MaxAnswer is the longest answer that is kept for a second arrival, in bytes.
@@ -19,8 +19,8 @@
 
 // Table is the part of the platform's table service that claims use.
 type Table interface {
-	Get(ctx context.Context, key platform.Key) (row platform.Row, ok bool, err error)
-	Put(ctx context.Context, put platform.Put) error
+	Get(ctx context.Context, key store.Key) (row store.Row, ok bool, err error)
+	Put(ctx context.Context, put store.Put) error
 }
 
 // Status is what is known of a claimed request.
@@ -93,7 +93,7 @@
 	if err != nil {
 		return &UnavailableError{Err: err}
 	}
-	err = c.Table.Put(ctx, platform.Put{Row: row, Condition: platform.IfAbsent})
+	err = c.Table.Put(ctx, store.Put{Row: row, Condition: store.IfAbsent})
 	if err == nil {
 		return nil
 	}
@@ -120,10 +120,10 @@
 	if err != nil {
 		return err
 	}
-	return c.Table.Put(ctx, platform.Put{Row: row, Condition: platform.IfNumber, Number: int64(StatusClaimed)})
+	return c.Table.Put(ctx, store.Put{Row: row, Condition: store.IfNumber, Number: int64(StatusClaimed)})
 }
 
-func (c *Claims) read(ctx context.Context, key platform.Key) (status Status, claim Claim, ok bool, err error) {
+func (c *Claims) read(ctx context.Context, key store.Key) (status Status, claim Claim, ok bool, err error) {
 	row, ok, err := c.Table.Get(ctx, key)
 	if err != nil || !ok {
 		return 0, Claim{}, false, err
@@ -135,8 +135,8 @@
 }
 
 // retake claims a request again that certainly did not run; of several attempts one wins.
-func (c *Claims) retake(ctx context.Context, row platform.Row, claim Claim) error {
-	err := c.Table.Put(ctx, platform.Put{Row: row, Condition: platform.IfNumber, Number: int64(StatusNotRun)})
+func (c *Claims) retake(ctx context.Context, row store.Row, claim Claim) error {
+	err := c.Table.Put(ctx, store.Put{Row: row, Condition: store.IfNumber, Number: int64(StatusNotRun)})
 	if err == nil {
 		return nil
 	}
@@ -150,13 +150,13 @@
 	return &HeldError{Status: status, Claim: held}
 }
 
-func rowOf(team, key string, status Status, claim Claim) (platform.Row, error) {
+func rowOf(team, key string, status Status, claim Claim) (store.Row, error) {
 	body, err := cbor.Marshal(claim)
 	if err != nil {
-		return platform.Row{}, err
+		return store.Row{}, err
 	}
-	return platform.Row{
-		Key:    platform.Key{Partition: "claims#" + team, Sort: key},
+	return store.Row{
+		Key:    store.Key{Partition: "claims#" + team, Sort: key},
 		Number: int64(status), Body: body,
 	}, nil
 }
--- a/platform/objects.go
+++ b/dynamo/objects.go
@@ -1,4 +1,4 @@
-package platform
+package dynamo
 
 import (
 	"bytes"
@@ -11,6 +11,8 @@
 	"github.com/aws/aws-sdk-go-v2/service/s3"
 	"github.com/aws/aws-sdk-go-v2/service/s3/types"
 	"github.com/aws/smithy-go"
+
+	"github.com/coralstair/coralstair/store"
 )
 
 const objectAttempts = 2
@@ -45,7 +47,7 @@
 	return &Objects{bucket: cfg.Bucket, client: client}
 }
 
-// Get returns a whole object; a NotFoundError says that there is none.
+// Get returns a whole object; a store.NotFoundError says that there is none.
 func (o *Objects) Get(ctx context.Context, key string) ([]byte, error) {
 	out, err := o.client.GetObject(ctx, &s3.GetObjectInput{Bucket: &o.bucket, Key: &key})
 	if err != nil {
@@ -80,7 +82,7 @@
 func wrapObject(call, key string, err error) error {
 	var missing *types.NoSuchKey
 	if errors.As(err, &missing) {
-		return &NotFoundError{Key: key}
+		return &store.NotFoundError{Key: key}
 	}
-	return &UnavailableError{Service: "object store", Call: call, Err: err}
+	return &store.UnavailableError{Service: "object store", Call: call, Err: err}
 }
--- a/platform/table.go
+++ b/dynamo/table.go
@@ -1,4 +1,4 @@
-package platform
+package dynamo
 
 import (
 	"context"
@@ -10,6 +10,8 @@
 	"github.com/aws/aws-sdk-go-v2/aws"
 	"github.com/aws/aws-sdk-go-v2/service/dynamodb"
 	"github.com/aws/aws-sdk-go-v2/service/dynamodb/types"
+
+	"github.com/coralstair/coralstair/store"
 )
 
 // Names of the table's attributes and the conditions that writes use.
@@ -29,34 +31,6 @@
 	tableTimeout  = 2 * time.Second
 )
 
-// Key addresses a row.
-type Key struct{ Partition, Sort string }
-
-// Row is one row of the table: a number to put conditions on and a body.
-type Row struct {
-	Key    Key
-	Number int64
-	Body   []byte
-}
-
-// Condition says when a write may take effect.
-type Condition int
-
-// The conditions of a write.
-const (
-	Always Condition = iota
-	IfAbsent
-	IfNumber
-	IfLower
-)
-
-// Put is one write of a row; IfNumber and IfLower compare the stored number with Number.
-type Put struct {
-	Row       Row
-	Condition Condition
-	Number    int64
-}
-
 // TableConfig addresses the table service.
 type TableConfig struct {
 	Endpoint string
@@ -93,7 +67,7 @@
 }
 
 // Delete removes a row; a row that is not there is no error.
-func (t *Table) Delete(ctx context.Context, key Key) error {
+func (t *Table) Delete(ctx context.Context, key store.Key) error {
 	ctx, cancel := context.WithTimeout(ctx, tableTimeout)
 	defer cancel()
 	_, err := t.client.DeleteItem(ctx, &dynamodb.DeleteItemInput{TableName: &t.name, Key: keyAttributes(key)})
@@ -101,23 +75,23 @@
 }
 
 // Get returns a row; ok is false when it is not there.
-func (t *Table) Get(ctx context.Context, key Key) (row Row, ok bool, err error) {
+func (t *Table) Get(ctx context.Context, key store.Key) (row store.Row, ok bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, tableTimeout)
 	defer cancel()
 	out, err := t.client.GetItem(ctx, &dynamodb.GetItemInput{
 		TableName: &t.name, Key: keyAttributes(key), ConsistentRead: aws.Bool(true),
 	})
 	if err != nil {
-		return Row{}, false, wrapTable("get", err)
+		return store.Row{}, false, wrapTable("get", err)
 	}
 	if len(out.Item) == 0 {
-		return Row{}, false, nil
+		return store.Row{}, false, nil
 	}
 	return rowOf(out.Item), true, nil
 }
 
-// Put writes one row; a ConditionError says that the condition did not hold.
-func (t *Table) Put(ctx context.Context, put Put) error {
+// store.Put writes one row; a store.ConditionError says that the condition did not hold.
+func (t *Table) Put(ctx context.Context, put store.Put) error {
 	ctx, cancel := context.WithTimeout(ctx, tableTimeout)
 	defer cancel()
 	condition, values := conditionOf(put)
@@ -129,7 +103,7 @@
 }
 
 // Query returns up to limit rows of a partition whose sort key starts with prefix; last first when backward.
-func (t *Table) Query(ctx context.Context, partition, prefix string, limit int, backward bool) ([]Row, error) {
+func (t *Table) Query(ctx context.Context, partition, prefix string, limit int, backward bool) ([]store.Row, error) {
 	ctx, cancel := context.WithTimeout(ctx, tableTimeout)
 	defer cancel()
 	out, err := t.client.Query(ctx, &dynamodb.QueryInput{
@@ -146,7 +120,7 @@
 	if err != nil {
 		return nil, wrapTable("query", err)
 	}
-	rows := make([]Row, 0, len(out.Items))
+	rows := make([]store.Row, 0, len(out.Items))
 	for _, item := range out.Items {
 		rows = append(rows, rowOf(item))
 	}
@@ -154,7 +128,7 @@
 }
 
 // Transact writes all rows or none; token makes a repetition of the same call harmless.
-func (t *Table) Transact(ctx context.Context, token string, puts ...Put) error {
+func (t *Table) Transact(ctx context.Context, token string, puts ...store.Put) error {
 	ctx, cancel := context.WithTimeout(ctx, tableTimeout)
 	defer cancel()
 	items := make([]types.TransactWriteItem, 0, len(puts))
@@ -171,28 +145,28 @@
 	return wrapTable("transact", err)
 }
 
-func conditionOf(put Put) (*string, map[string]types.AttributeValue) {
+func conditionOf(put store.Put) (*string, map[string]types.AttributeValue) {
 	number := map[string]types.AttributeValue{":num": numberAttribute(put.Number)}
 	switch put.Condition {
-	case IfAbsent:
+	case store.IfAbsent:
 		return aws.String(conditionAbsent), nil
-	case IfNumber:
+	case store.IfNumber:
 		return aws.String(conditionNumber), number
-	case IfLower:
+	case store.IfLower:
 		return aws.String(conditionNewer), number
 	default:
 		return nil, nil
 	}
 }
 
-func itemOf(row Row) map[string]types.AttributeValue {
+func itemOf(row store.Row) map[string]types.AttributeValue {
 	item := keyAttributes(row.Key)
 	item[attrNumber] = numberAttribute(row.Number)
 	item[attrBody] = &types.AttributeValueMemberB{Value: row.Body}
 	return item
 }
 
-func keyAttributes(key Key) map[string]types.AttributeValue {
+func keyAttributes(key store.Key) map[string]types.AttributeValue {
 	return map[string]types.AttributeValue{
 		attrPartition: &types.AttributeValueMemberS{Value: key.Partition},
 		attrSort:      &types.AttributeValueMemberS{Value: key.Sort},
@@ -203,8 +177,8 @@
 	return &types.AttributeValueMemberN{Value: strconv.FormatInt(n, 10)}
 }
 
-func rowOf(item map[string]types.AttributeValue) Row {
-	var row Row
+func rowOf(item map[string]types.AttributeValue) store.Row {
+	var row store.Row
 	if value, ok := item[attrPartition].(*types.AttributeValueMemberS); ok {
 		row.Key.Partition = value.Value
 	}
@@ -227,9 +201,9 @@
 	var failed *types.ConditionalCheckFailedException
 	var canceled *types.TransactionCanceledException
 	if errors.As(err, &failed) || errors.As(err, &canceled) {
-		return &ConditionError{Call: call, Err: err}
+		return &store.ConditionError{Call: call, Err: err}
 	}
-	return &UnavailableError{Service: "table", Call: call, Err: err}
+	return &store.UnavailableError{Service: "table", Call: call, Err: err}
 }
 
 // clientOrDefault keeps a nil client from being taken for one that is set.
--- a/entry/boxes.go
+++ b/entry/boxes.go
@@ -8,8 +8,8 @@
 
 	"github.com/coralstair/coralstair/fleet"
 	"github.com/coralstair/coralstair/link"
+	"github.com/coralstair/coralstair/membership"
 	"github.com/coralstair/coralstair/operate"
-	"github.com/coralstair/coralstair/platform"
 	"github.com/coralstair/coralstair/relay"
 	"github.com/coralstair/coralstair/route"
 )
@@ -38,7 +38,7 @@
 
 // boxLink is the link to one box.
 type boxLink struct {
-	member      platform.Member
+	member      membership.Member
 	conn        *link.Conn
 	client      *relay.Client
 	incarnation string
@@ -85,7 +85,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for _, member := range b.entry.members.Members() {
-		if member.Role != platform.RoleBox {
+		if member.Role != membership.RoleBox {
 			continue
 		}
 		report := operate.BoxReport{ID: member.ID, Site: member.Site, Service: member.Service, Heard: -1, Leaving: member.Leaving}
@@ -153,7 +153,7 @@
 }
 
 // dial opens one link and runs it until it ends.
-func (b *boxes) dial(ctx context.Context, member platform.Member) {
+func (b *boxes) dial(ctx context.Context, member membership.Member) {
 	defer func() {
 		b.mu.Lock()
 		defer b.mu.Unlock()
@@ -242,7 +242,7 @@
 }
 
 // run uses a greeted link until it ends.
-func (b *boxes) run(conn *link.Conn, member platform.Member, hello *link.Hello) {
+func (b *boxes) run(conn *link.Conn, member membership.Member, hello *link.Hello) {
 	l := &boxLink{
 		member: member, conn: conn, incarnation: hello.Incarnation,
 		client: relay.NewClient(conn.Context(), conn), beatAt: time.Now(),
@@ -321,7 +321,7 @@
 	b.entry.kick(l.member.Service)
 }
 
-func (b *boxes) want(ctx context.Context, member platform.Member) {
+func (b *boxes) want(ctx context.Context, member membership.Member) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	l := b.links[member.ID]
@@ -336,7 +336,7 @@
 }
 
 // newer reports whether the list knows of another daemon of a box than the one linked.
-func newer(l *boxLink, member platform.Member) bool {
+func newer(l *boxLink, member membership.Member) bool {
 	return member.Incarnation != "" && l.incarnation != "" && member.Incarnation != l.incarnation && member.Incarnation > l.incarnation
 }
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -16,7 +16,7 @@
 	"github.com/coralstair/coralstair/link"
 	"github.com/coralstair/coralstair/membership"
 	"github.com/coralstair/coralstair/operate"
-	"github.com/coralstair/coralstair/platform"
+
 	"github.com/coralstair/coralstair/problem"
 	"github.com/coralstair/coralstair/route"
 	"github.com/coralstair/coralstair/supervise"
@@ -147,7 +147,7 @@
 
 func (e *Entry) hello() *link.Hello {
 	return &link.Hello{
-		ID: e.cfg.ID, Role: string(platform.RoleEntry), Fleet: e.cfg.Fleet, Site: e.cfg.Site,
+		ID: e.cfg.ID, Role: string(membership.RoleEntry), Fleet: e.cfg.Fleet, Site: e.cfg.Site,
 		Incarnation: e.cfg.Incarnation, Revision: e.follower.Config().Revision,
 	}
 }
--- a/internal/cmd/boxcmd.go
+++ b/internal/cmd/boxcmd.go
@@ -6,10 +6,10 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/coralstair/coralstair/box"
+	"github.com/coralstair/coralstair/dynamo"
 	"github.com/coralstair/coralstair/fleet"
 	"github.com/coralstair/coralstair/ledger"
 	"github.com/coralstair/coralstair/pace"
-	"github.com/coralstair/coralstair/platform"
 	"github.com/coralstair/coralstair/settings"
 )
 
@@ -46,7 +46,7 @@
 		UpstreamURL: cfg.UpstreamURL, Slots: cfg.Slots, WeightsLimit: cfg.WeightsLimit, Pacer: pacer, DrainLimit: cfg.Daemon.DrainLimit,
 		UncheckedFences: cfg.ChecksFences == "no", Resumes: cfg.Resumes == "yes",
 		Ledger: ledger.New(table), Table: table, Origin: newObjects(cfg.Platform, pacer),
-		List: &platform.LiveList{URL: cfg.Platform.LiveURL}, ListInterval: cfg.Platform.ListInterval,
+		List: &dynamo.LiveList{URL: cfg.Platform.LiveURL}, ListInterval: cfg.Platform.ListInterval,
 	})
 	return c.runDaemon(ctx, b, cfg.Daemon, "box")
 }
--- a/internal/cmd/daemon.go
+++ b/internal/cmd/daemon.go
@@ -12,9 +12,9 @@
 
 	"github.com/apex/log"
 
+	"github.com/coralstair/coralstair/dynamo"
 	"github.com/coralstair/coralstair/logging"
 	"github.com/coralstair/coralstair/pace"
-	"github.com/coralstair/coralstair/platform"
 	"github.com/coralstair/coralstair/settings"
 	"github.com/coralstair/coralstair/tracing"
 )
@@ -78,19 +78,19 @@
 	return net.Listen("tcp", address)
 }
 
-func newTable(p settings.Platform) *platform.Table {
-	return platform.NewTable(platform.TableConfig{
+func newTable(p settings.Platform) *dynamo.Table {
+	return dynamo.NewTable(dynamo.TableConfig{
 		Endpoint: p.TableURL, Table: p.Table, Region: p.Region,
-		Access: platform.Credentials{ID: p.AccessID, Secret: p.Secret},
+		Access: dynamo.Credentials{ID: p.AccessID, Secret: p.Secret},
 	})
 }
 
 // newObjects returns the object store, whose reads leave room for requests.
-func newObjects(p settings.Platform, pacer *pace.Pacer) *platform.Objects {
+func newObjects(p settings.Platform, pacer *pace.Pacer) *dynamo.Objects {
 	transport := &http.Transport{DialContext: pacer.Dialer(new(net.Dialer).DialContext)}
-	return platform.NewObjects(platform.ObjectsConfig{
+	return dynamo.NewObjects(dynamo.ObjectsConfig{
 		Endpoint: p.ObjectURL, Bucket: p.Bucket, Region: p.Region,
-		Access: platform.Credentials{ID: p.AccessID, Secret: p.Secret},
+		Access: dynamo.Credentials{ID: p.AccessID, Secret: p.Secret},
 		Client: &http.Client{Transport: transport},
 	})
 }
--- a/internal/cmd/entrycmd.go
+++ b/internal/cmd/entrycmd.go
@@ -6,10 +6,10 @@
 
 	"github.com/urfave/cli/v3"
 
+	"github.com/coralstair/coralstair/dynamo"
 	"github.com/coralstair/coralstair/entry"
 	"github.com/coralstair/coralstair/keys"
 	"github.com/coralstair/coralstair/ledger"
-	"github.com/coralstair/coralstair/platform"
 	"github.com/coralstair/coralstair/settings"
 )
 
@@ -48,7 +48,7 @@
 		Listener: listener, Queue: cfg.Queue, Deadline: cfg.Deadline, BodyLimit: cfg.BodyLimit,
 		DrainLimit: cfg.Daemon.DrainLimit,
 		Ledger:     ledger.New(table), Claims: table, Keys: ring,
-		List: &platform.LiveList{URL: cfg.Platform.LiveURL}, ListInterval: cfg.Platform.ListInterval,
+		List: &dynamo.LiveList{URL: cfg.Platform.LiveURL}, ListInterval: cfg.Platform.ListInterval,
 	})
 	return c.runDaemon(ctx, e, cfg.Daemon, "entry")
 }
--- a/internal/cmd/publishcmd.go
+++ b/internal/cmd/publishcmd.go
@@ -13,7 +13,7 @@
 	"github.com/urfave/cli/v3"
 	"go.opentelemetry.io/otel/attribute"
 
-	"github.com/coralstair/coralstair/platform"
+	"github.com/coralstair/coralstair/dynamo"
 	"github.com/coralstair/coralstair/tracing"
 	"github.com/coralstair/coralstair/weights"
 )
@@ -67,9 +67,9 @@
 		return err
 	}
 	defer func() { _ = file.Close() }()
-	objects := platform.NewObjects(platform.ObjectsConfig{
+	objects := dynamo.NewObjects(dynamo.ObjectsConfig{
 		Endpoint: cmd.String("object-url"), Bucket: cmd.String("bucket"), Region: cmd.String("region"),
-		Access: platform.Credentials{ID: cmd.String("access-id"), Secret: strings.TrimSpace(string(secret))},
+		Access: dynamo.Credentials{ID: cmd.String("access-id"), Secret: strings.TrimSpace(string(secret))},
 		Client: c.http,
 	})
 	name := cmd.String("name")
--- a/internal/labcmd/platformcmd.go
+++ b/internal/labcmd/platformcmd.go
@@ -8,7 +8,7 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/coralstair/coralstair/lab"
-	"github.com/coralstair/coralstair/platform"
+	"github.com/coralstair/coralstair/membership"
 )
 
 func (c *Config) newPlatformCmd() *cli.Command {
@@ -34,7 +34,7 @@
 		if err != nil {
 			return err
 		}
-		var members []platform.Member
+		var members []membership.Member
 		if err := json.Unmarshal(data, &members); err != nil {
 			return err
 		}
--- a/lab/livelist.go
+++ b/lab/livelist.go
@@ -7,7 +7,7 @@
 	"strings"
 	"sync"
 
-	"github.com/coralstair/coralstair/platform"
+	"github.com/coralstair/coralstair/membership"
 )
 
 // LiveList stands in for the platform's list of live and leaving boxes.
@@ -15,15 +15,15 @@
 	Faults Faults
 
 	mu      sync.Mutex
-	members map[string]platform.Member
+	members map[string]membership.Member
 }
 
 // Put adds or replaces a member.
-func (l *LiveList) Put(member platform.Member) {
+func (l *LiveList) Put(member membership.Member) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.members == nil {
-		l.members = make(map[string]platform.Member)
+		l.members = make(map[string]membership.Member)
 	}
 	l.members[member.ID] = member
 }
@@ -41,7 +41,7 @@
 		return
 	}
 	if r.Method == http.MethodPut {
-		var member platform.Member
+		var member membership.Member
 		if err := json.NewDecoder(r.Body).Decode(&member); err != nil {
 			w.WriteHeader(http.StatusBadRequest)
 			return
@@ -52,13 +52,13 @@
 	writeJSON(w, l.sorted())
 }
 
-func (l *LiveList) sorted() []platform.Member {
+func (l *LiveList) sorted() []membership.Member {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	members := make([]platform.Member, 0, len(l.members))
+	members := make([]membership.Member, 0, len(l.members))
 	for _, member := range l.members {
 		members = append(members, member)
 	}
-	slices.SortFunc(members, func(a, b platform.Member) int { return strings.Compare(a.ID, b.ID) })
+	slices.SortFunc(members, func(a, b membership.Member) int { return strings.Compare(a.ID, b.ID) })
 	return members
 }
--- a/lab/local.go
+++ b/lab/local.go
@@ -3,12 +3,12 @@
 import (
 	"net/http/httptest"
 
-	"github.com/coralstair/coralstair/platform"
+	"github.com/coralstair/coralstair/dynamo"
 )
 
 // LocalTable is a stand-in table service on loopback with a client of it.
 type LocalTable struct {
-	*platform.Table
+	*dynamo.Table
 	Service *Table
 
 	server *httptest.Server
@@ -18,9 +18,9 @@
 func NewLocalTable() *LocalTable {
 	service := new(Table)
 	server := httptest.NewServer(service)
-	client := platform.NewTable(platform.TableConfig{
+	client := dynamo.NewTable(dynamo.TableConfig{
 		Endpoint: server.URL, Table: "coralstair", Region: "local",
-		Access: platform.Credentials{ID: "lab", Secret: rigSecret}, Client: server.Client(),
+		Access: dynamo.Credentials{ID: "lab", Secret: rigSecret}, Client: server.Client(),
 	})
 	return &LocalTable{Table: client, Service: service, server: server}
 }
--- a/lab/rig.go
+++ b/lab/rig.go
@@ -18,13 +18,14 @@
 
 	"github.com/coralstair/coralstair/box"
 	"github.com/coralstair/coralstair/client"
+	"github.com/coralstair/coralstair/dynamo"
 	"github.com/coralstair/coralstair/entry"
 	"github.com/coralstair/coralstair/fleet"
 	"github.com/coralstair/coralstair/invariant"
 	"github.com/coralstair/coralstair/keys"
 	"github.com/coralstair/coralstair/ledger"
+	"github.com/coralstair/coralstair/membership"
 	"github.com/coralstair/coralstair/pace"
-	"github.com/coralstair/coralstair/platform"
 	"github.com/coralstair/coralstair/swarm"
 	"github.com/coralstair/coralstair/weights"
 )
@@ -165,7 +166,7 @@
 }
 
 // Objects returns the rig's object store as the daemons see it, without a link in between.
-func (r *Rig) Objects() *platform.Objects { return r.objects(nil) }
+func (r *Rig) Objects() *dynamo.Objects { return r.objects(nil) }
 
 // Publish stores weights of a size made from a seed and returns their manifest's digest.
 func (r *Rig) Publish(ctx context.Context, name string, size, chunkSize int64, seed uint64) (weights.Digest, weights.Manifest, error) {
@@ -253,22 +254,22 @@
 	return err
 }
 
-func (r *Rig) table() *platform.Table {
-	return platform.NewTable(platform.TableConfig{
+func (r *Rig) table() *dynamo.Table {
+	return dynamo.NewTable(dynamo.TableConfig{
 		Endpoint: r.platformURL + PathTable, Table: "coralstair", Region: "local",
-		Access: platform.Credentials{ID: "lab", Secret: rigSecret}, Client: pooledClient(nil),
+		Access: dynamo.Credentials{ID: "lab", Secret: rigSecret}, Client: pooledClient(nil),
 	})
 }
 
-func (r *Rig) objects(dial dialFunc) *platform.Objects {
-	return platform.NewObjects(platform.ObjectsConfig{
+func (r *Rig) objects(dial dialFunc) *dynamo.Objects {
+	return dynamo.NewObjects(dynamo.ObjectsConfig{
 		Endpoint: r.platformURL + "/objects", Bucket: rigBucket, Region: "local",
-		Access: platform.Credentials{ID: "lab", Secret: rigSecret}, Client: pooledClient(dial),
+		Access: dynamo.Credentials{ID: "lab", Secret: rigSecret}, Client: pooledClient(dial),
 	})
 }
 
-func (r *Rig) list() *platform.LiveList {
-	return &platform.LiveList{URL: r.platformURL + PathLive}
+func (r *Rig) list() *dynamo.LiveList {
+	return &dynamo.LiveList{URL: r.platformURL + PathLive}
 }
 
 func (r *Rig) startEntry(i int) error {
@@ -389,8 +390,8 @@
 		defer close(done)
 		_ = daemon.Serve(ctx)
 	}()
-	b.rig.Platform.Live.Put(platform.Member{
-		ID: b.ID, Role: platform.RoleBox, Fleet: RigFleet, Site: b.Site, Address: inner.Addr().String(),
+	b.rig.Platform.Live.Put(membership.Member{
+		ID: b.ID, Role: membership.RoleBox, Fleet: RigFleet, Site: b.Site, Address: inner.Addr().String(),
 		Service: b.Service, Incarnation: incarnation,
 	})
 	return nil
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -7,7 +7,7 @@
 	"slices"
 
 	"github.com/coralstair/coralstair/fleet"
-	"github.com/coralstair/coralstair/platform"
+	"github.com/coralstair/coralstair/store"
 )
 
 const (
@@ -23,9 +23,9 @@
 
 // Table is the part of the platform's table service that the ledger uses.
 type Table interface {
-	Get(ctx context.Context, key platform.Key) (row platform.Row, ok bool, err error)
-	Query(ctx context.Context, partition, prefix string, limit int, backward bool) ([]platform.Row, error)
-	Transact(ctx context.Context, token string, puts ...platform.Put) error
+	Get(ctx context.Context, key store.Key) (row store.Row, ok bool, err error)
+	Query(ctx context.Context, partition, prefix string, limit int, backward bool) ([]store.Row, error)
+	Transact(ctx context.Context, token string, puts ...store.Put) error
 }
 
 // Ledger reads and writes the declared state of fleets.
@@ -62,7 +62,7 @@
 		if err == nil {
 			return next, nil
 		}
-		var failed *platform.ConditionError
+		var failed *store.ConditionError
 		if errors.As(err, &failed) {
 			return l.resolve(ctx, base, next, change)
 		}
@@ -160,8 +160,8 @@
 	return &ConflictError{Base: base.Revision, Since: since}
 }
 
-func fleetKey(fleetName, sort string) platform.Key {
-	return platform.Key{Partition: fleetPartition(fleetName), Sort: sort}
+func fleetKey(fleetName, sort string) store.Key {
+	return store.Key{Partition: fleetPartition(fleetName), Sort: sort}
 }
 
 func fleetPartition(fleetName string) string { return "fleet#" + fleetName }
@@ -170,7 +170,7 @@
 	return fmt.Sprintf("%s%012d", historyPrefix, revision)
 }
 
-func putsOf(base, next fleet.Config, change fleet.Change) ([]platform.Put, error) {
+func putsOf(base, next fleet.Config, change fleet.Change) ([]store.Put, error) {
 	configBody, err := next.Encode()
 	if err != nil {
 		return nil, err
@@ -180,22 +180,22 @@
 		return nil, err
 	}
 	number := int64(next.Revision)
-	head := platform.Put{
-		Row:       platform.Row{Key: fleetKey(next.Fleet, headSort), Number: number},
-		Condition: platform.IfNumber, Number: int64(base.Revision),
+	head := store.Put{
+		Row:       store.Row{Key: fleetKey(next.Fleet, headSort), Number: number},
+		Condition: store.IfNumber, Number: int64(base.Revision),
 	}
 	if base.Revision == 0 {
-		head.Condition = platform.IfAbsent
+		head.Condition = store.IfAbsent
 	}
-	puts := []platform.Put{
+	puts := []store.Put{
 		head,
-		{Row: platform.Row{Key: fleetKey(next.Fleet, configSort), Number: number, Body: configBody}},
-		{Row: platform.Row{Key: fleetKey(next.Fleet, historySort(next.Revision)), Number: number, Body: changeBody}, Condition: platform.IfAbsent},
-		{Row: platform.Row{Key: fleetKey(next.Fleet, operationPrefix+change.Operation), Number: number, Body: changeBody}, Condition: platform.IfAbsent},
+		{Row: store.Row{Key: fleetKey(next.Fleet, configSort), Number: number, Body: configBody}},
+		{Row: store.Row{Key: fleetKey(next.Fleet, historySort(next.Revision)), Number: number, Body: changeBody}, Condition: store.IfAbsent},
+		{Row: store.Row{Key: fleetKey(next.Fleet, operationPrefix+change.Operation), Number: number, Body: changeBody}, Condition: store.IfAbsent},
 	}
 	if base.Revision == 0 {
-		index := platform.Row{Key: platform.Key{Partition: fleetsPartition, Sort: next.Fleet}, Number: number}
-		puts = append(puts, platform.Put{Row: index})
+		index := store.Row{Key: store.Key{Partition: fleetsPartition, Sort: next.Fleet}, Number: number}
+		puts = append(puts, store.Put{Row: index})
 	}
 	return puts, nil
 }
--- a/membership/watcher.go
+++ b/membership/watcher.go
@@ -8,8 +8,6 @@
 	"time"
 
 	"github.com/apex/log"
-
-	"github.com/coralstair/coralstair/platform"
 )
 
 // DefaultInterval is how often the list is read.
@@ -17,7 +15,7 @@
 
 // List is the platform's list.
 type List interface {
-	Members(ctx context.Context) ([]platform.Member, error)
+	Members(ctx context.Context) ([]Member, error)
 }
 
 // Watcher keeps the members of one fleet as last read; while the list is out the last reading stands.
@@ -27,7 +25,7 @@
 	interval time.Duration
 
 	mu      sync.Mutex
-	members []platform.Member
+	members []Member
 	changed chan struct{}
 }
 
@@ -40,10 +38,10 @@
 }
 
 // Boxes returns the boxes on the list that are not leaving.
-func (w *Watcher) Boxes() []platform.Member {
-	var boxes []platform.Member
+func (w *Watcher) Boxes() []Member {
+	var boxes []Member
 	for _, member := range w.Members() {
-		if member.Role == platform.RoleBox && !member.Leaving {
+		if member.Role == RoleBox && !member.Leaving {
 			boxes = append(boxes, member)
 		}
 	}
@@ -58,7 +56,7 @@
 }
 
 // Members returns all members of the fleet as last read; the caller must not change them.
-func (w *Watcher) Members() []platform.Member {
+func (w *Watcher) Members() []Member {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	return w.members
@@ -83,7 +81,7 @@
 		log.WithError(err).Debug("membership: list not read")
 		return
 	}
-	var members []platform.Member
+	var members []Member
 	for _, member := range all {
 		if member.Fleet == w.fleet {
 			members = append(members, member)
--- a/permit/drain.go
+++ b/permit/drain.go
@@ -5,7 +5,7 @@
 	"fmt"
 	"time"
 
-	"github.com/coralstair/coralstair/platform"
+	"github.com/coralstair/coralstair/store"
 )
 
 // DrainWindow is how long a drain permit counts when its holder does not give it back.
@@ -20,7 +20,7 @@
 
 // Slot is a drain permit held; its number in the table is when it lapses, in milliseconds since 1970.
 type Slot struct {
-	key   platform.Key
+	key   store.Key
 	lapse int64
 }
 
@@ -35,18 +35,18 @@
 	if err != nil || !found || string(row.Body) != d.Holder {
 		return err
 	}
-	return d.Table.Put(ctx, platform.Put{
-		Row:       platform.Row{Key: slot.key},
-		Condition: platform.IfNumber, Number: row.Number,
+	return d.Table.Put(ctx, store.Put{
+		Row:       store.Row{Key: slot.key},
+		Condition: store.IfNumber, Number: row.Number,
 	})
 }
 
 // Renew holds a permit for another DrainWindow; an error leaves it as it is.
 func (d *Drains) Renew(ctx context.Context, slot Slot) (Slot, error) {
 	next := Slot{key: slot.key, lapse: time.Now().Add(DrainWindow).UnixMilli()}
-	err := d.Table.Put(ctx, platform.Put{
-		Row:       platform.Row{Key: slot.key, Number: next.lapse, Body: []byte(d.Holder)},
-		Condition: platform.IfNumber, Number: slot.lapse,
+	err := d.Table.Put(ctx, store.Put{
+		Row:       store.Row{Key: slot.key, Number: next.lapse, Body: []byte(d.Holder)},
+		Condition: store.IfNumber, Number: slot.lapse,
 	})
 	if err != nil {
 		return slot, err
@@ -57,7 +57,7 @@
 // Take takes one of limit permits of a service; ok is false while all are held.
 func (d *Drains) Take(ctx context.Context, service string, limit int) (slot Slot, ok bool, err error) {
 	for number := range limit {
-		key := platform.Key{
+		key := store.Key{
 			Partition: fmt.Sprintf("drains#%s#%s", d.Fleet, service),
 			Sort:      fmt.Sprintf("%04d", number),
 		}
--- a/permit/draw.go
+++ b/permit/draw.go
@@ -7,7 +7,7 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/coralstair/coralstair/platform"
+	"github.com/coralstair/coralstair/store"
 	"github.com/coralstair/coralstair/swarm"
 	"github.com/coralstair/coralstair/weights"
 )
@@ -17,8 +17,8 @@
 
 // Table is the part of the platform's table service that permits use.
 type Table interface {
-	Get(ctx context.Context, key platform.Key) (row platform.Row, ok bool, err error)
-	Put(ctx context.Context, put platform.Put) error
+	Get(ctx context.Context, key store.Key) (row store.Row, ok bool, err error)
+	Put(ctx context.Context, put store.Put) error
 }
 
 // Draws hands out permits to draw chunk groups from the origin, at most swarm.MaxPermits a group and window.
@@ -34,7 +34,7 @@
 	holder := fmt.Sprintf("%s#%d", d.Holder, d.taken.Add(1))
 	for i := range swarm.MaxPermits {
 		number := (first + i) % swarm.MaxPermits
-		key := platform.Key{
+		key := store.Key{
 			Partition: "draws#" + manifest.Hex(),
 			Sort:      fmt.Sprintf("%04d#%d", group, number),
 		}
@@ -48,12 +48,12 @@
 
 // take writes a permit that is absent or has lapsed, and returns when it will lapse, in milliseconds since 1970.
 // A lost answer is resolved by reading the holder back.
-func take(ctx context.Context, table Table, key platform.Key, holder string, ttl time.Duration) (lapse int64, ok bool, err error) {
+func take(ctx context.Context, table Table, key store.Key, holder string, ttl time.Duration) (lapse int64, ok bool, err error) {
 	now := time.Now()
 	lapse = now.Add(ttl).UnixMilli()
-	err = table.Put(ctx, platform.Put{
-		Row:       platform.Row{Key: key, Number: lapse, Body: []byte(holder)},
-		Condition: platform.IfLower, Number: now.UnixMilli(),
+	err = table.Put(ctx, store.Put{
+		Row:       store.Row{Key: key, Number: lapse, Body: []byte(holder)},
+		Condition: store.IfLower, Number: now.UnixMilli(),
 	})
 	if err == nil {
 		return lapse, true, nil
@@ -65,7 +65,7 @@
 	if found && string(row.Body) == holder && row.Number > now.UnixMilli() {
 		return row.Number, true, nil
 	}
-	var failed *platform.ConditionError
+	var failed *store.ConditionError
 	if errors.As(err, &failed) {
 		return 0, false, nil
 	}
--- a/permit/epoch.go
+++ b/permit/epoch.go
@@ -4,7 +4,7 @@
 	"context"
 	"errors"
 
-	"github.com/coralstair/coralstair/platform"
+	"github.com/coralstair/coralstair/store"
 )
 
 // Epoch takes the next epoch of a box's daemon: every order of an earlier daemon of the box is older from then on.
@@ -15,15 +15,15 @@
 		if err != nil {
 			return 0, err
 		}
-		put := platform.Put{
-			Row:       platform.Row{Key: key, Number: row.Number + 1},
-			Condition: platform.IfNumber, Number: row.Number,
+		put := store.Put{
+			Row:       store.Row{Key: key, Number: row.Number + 1},
+			Condition: store.IfNumber, Number: row.Number,
 		}
 		if !found {
-			put.Condition = platform.IfAbsent
+			put.Condition = store.IfAbsent
 		}
 		err = table.Put(ctx, put)
-		var failed *platform.ConditionError
+		var failed *store.ConditionError
 		if errors.As(err, &failed) {
 			continue
 		}
@@ -37,6 +37,6 @@
 	return found && row.Number == epoch, err
 }
 
-func epochKey(fleet, box string) platform.Key {
-	return platform.Key{Partition: "epochs#" + fleet, Sort: box}
+func epochKey(fleet, box string) store.Key {
+	return store.Key{Partition: "epochs#" + fleet, Sort: box}
 }
--- a/permit/permit_test.go
+++ b/permit/permit_test.go
@@ -10,7 +10,7 @@
 
 	"github.com/coralstair/coralstair/lab"
 	"github.com/coralstair/coralstair/permit"
-	"github.com/coralstair/coralstair/platform"
+	"github.com/coralstair/coralstair/store"
 	"github.com/coralstair/coralstair/swarm"
 	"github.com/coralstair/coralstair/weights"
 )
@@ -85,9 +85,9 @@
 func TestDrainLapses(t *testing.T) {
 	ctx := context.Background()
 	table := newTable(t)
-	key := platform.Key{Partition: "drains#f#s", Sort: "0000"}
-	dead := platform.Row{Key: key, Number: time.Now().Add(-time.Second).UnixMilli(), Body: []byte("dead")}
-	if err := table.Put(ctx, platform.Put{Row: dead}); err != nil {
+	key := store.Key{Partition: "drains#f#s", Sort: "0000"}
+	dead := store.Row{Key: key, Number: time.Now().Add(-time.Second).UnixMilli(), Body: []byte("dead")}
+	if err := table.Put(ctx, store.Put{Row: dead}); err != nil {
 		t.Fatal(err)
 	}
 	drains := &permit.Drains{Table: table, Fleet: "f", Holder: "next"}
--- a/platform/errors.go
+++ b/store/errors.go
@@ -1,4 +1,4 @@
-package platform
+package store
 
 import "fmt"
 
