--- /dev/null
+++ b/fill/box.go
@@ -0,0 +1,132 @@
+package fill
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/coralstair/coralstair/contract"
+	"github.com/coralstair/coralstair/machine"
+	"github.com/coralstair/coralstair/supervise"
+	"github.com/coralstair/coralstair/swarm"
+	"github.com/coralstair/coralstair/view"
+)
+
+// Config is what a box works with.
+type Config struct {
+	Machine  machine.Machine
+	View     *view.View
+	Engine   Engine
+	Origin   Origin
+	Log      log.Interface
+	Listener net.Listener
+}
+
+// Box brings the server on its machine to the version that should run.
+type Box struct {
+	cfg    Config
+	log    log.Interface
+	server *http.Server
+	links  *links
+	woken  chan struct{}
+
+	mu      sync.Mutex
+	state   State
+	stateAt time.Time
+	fill    *filling
+	// closing says that the server is about to load and takes nothing new.
+	closing bool
+}
+
+// New returns a box that does not run yet.
+func New(cfg Config) *Box {
+	b := &Box{cfg: cfg, log: cfg.Log, woken: make(chan struct{}, 1)}
+	b.links = newLinks(b)
+	b.server = &http.Server{Handler: http.HandlerFunc(b.links.accept), ReadHeaderTimeout: headerTime}
+	return b
+}
+
+const headerTime = 5 * time.Second
+
+// Parts returns what runs in the box.
+func (b *Box) Parts() []supervise.Part {
+	return []supervise.Part{
+		{Name: "links", Run: b.serveLinks},
+		{Name: "reporter", Run: b.report},
+		{Name: "filler", Run: b.follow},
+	}
+}
+
+func (b *Box) serveLinks(ctx context.Context) error {
+	stop := context.AfterFunc(ctx, func() { _ = b.server.Close() })
+	defer stop()
+	err := b.server.Serve(b.cfg.Listener)
+	if ctx.Err() != nil {
+		return ctx.Err()
+	}
+	return err
+}
+
+func (b *Box) wake() {
+	select {
+	case b.woken <- struct{}{}:
+	default:
+	}
+}
+
+// model returns the model that the server on this machine should run, with its engine's figures; ok is false while that
+// is not known.
+func (b *Box) model() (name string, engine *contract.Engine, ok bool) {
+	cfg := b.cfg.View.Config()
+	if cfg == nil {
+		return "", nil, false
+	}
+	service := cfg.Service(b.cfg.Machine.Service)
+	if service == nil || service.Engine == nil {
+		return "", nil, false
+	}
+	model, ok := service.Engine.Model()
+	return model.Name, service.Engine, ok
+}
+
+// origin returns the address at which weights are handed out; empty while none is known.
+func (b *Box) origin() string {
+	cfg := b.cfg.View.Config()
+	if cfg == nil {
+		return ""
+	}
+	for _, service := range cfg.Origins() {
+		return service.Origin
+	}
+	return ""
+}
+
+// serverID returns the id under which the server on this machine is listed now; empty while it is not.
+func (b *Box) serverID() string {
+	for _, server := range b.cfg.View.Servers() {
+		if server.Address == b.cfg.Machine.UpstreamAt && server.Missing.IsZero() {
+			return server.ID
+		}
+	}
+	return ""
+}
+
+// siblings returns the boxes of the servers of this service, this one among them; the host of a box is its id.
+func (b *Box) siblings() []swarm.Member {
+	self := swarm.Member{ID: b.cfg.Machine.Address, Site: b.cfg.Machine.Site}
+	members := []swarm.Member{self}
+	seen := map[string]bool{self.ID: true}
+	for _, server := range b.cfg.View.Servers() {
+		host, _, err := net.SplitHostPort(server.Address)
+		if err != nil || server.Service != b.cfg.Machine.Service || seen[host] {
+			continue
+		}
+		seen[host] = true
+		members = append(members, swarm.Member{ID: host, Site: server.Site})
+	}
+	return members
+}
--- /dev/null
+++ b/fill/doc.go
@@ -0,0 +1,6 @@
+// Package fill is a box beside a model server that takes its weights piece by
+// piece: it brings the server to the version that should run, by pieces from
+// other boxes and few from the origin, staged at the server, read back and
+// checked right before the order to load them, in waves that keep the capacity
+// which the load needs; and it reports to entries what the server does.
+package fill
--- /dev/null
+++ b/fill/inlink.go
@@ -0,0 +1,277 @@
+package fill
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/coralstair/coralstair/contract"
+	"github.com/coralstair/coralstair/link"
+)
+
+// giveTime is how long a piece may take to leave.
+const giveTime = 10 * time.Second
+
+// inLink is a link that another daemon opened: a box that asks for pieces, or an entry that hears reports.
+type inLink struct {
+	links *links
+	conn  *link.Conn
+	id    string
+	entry bool
+
+	mu sync.Mutex
+	// key is the version of which the other box asks, wants the pieces that it waits for, queue those to be sent.
+	key      uint64
+	wants    map[int]bool
+	queue    []gift
+	manifest *link.WantManifest
+	woken    chan struct{}
+	reports  chan *link.Report
+}
+
+// gift is a piece to be sent; its data is read from the server when it is not at hand.
+type gift struct {
+	piece int
+	data  []byte
+}
+
+func newInLink(ls *links, conn *link.Conn, hello *link.Hello) *inLink {
+	return &inLink{
+		links: ls, conn: conn, id: hello.ID, entry: hello.Role == roleEntry, wants: make(map[int]bool),
+		woken: make(chan struct{}, 1), reports: make(chan *link.Report, 1),
+	}
+}
+
+// run takes what the other daemon sends until the link ends.
+func (l *inLink) run() {
+	go func() {
+		for l.sendNext() {
+			continue
+		}
+	}()
+	for {
+		msg, err := l.conn.Receive()
+		if err != nil {
+			return
+		}
+		l.handle(msg)
+	}
+}
+
+func (l *inLink) handle(msg link.Message) {
+	b := l.links.box
+	switch m := msg.(type) {
+	case *link.Target:
+		b.cfg.View.OfferTarget(contract.Target{Model: m.Model, Version: contract.Version(m.Version)}, m.Ago)
+	case *link.WantManifest:
+		l.mu.Lock()
+		l.manifest = m
+		l.mu.Unlock()
+		b.mu.Lock()
+		f := b.fill
+		b.mu.Unlock()
+		if f != nil {
+			l.giveManifest(f)
+		}
+	case *link.Have:
+		l.handleHave(m)
+	case *link.Want:
+		l.handleWant(m)
+	}
+}
+
+// giveManifest sends the manifest that the other box waits for, if this is it.
+func (l *inLink) giveManifest(f *filling) {
+	b := l.links.box
+	b.mu.Lock()
+	m := f.manifest
+	b.mu.Unlock()
+	l.mu.Lock()
+	want := l.manifest
+	fits := want != nil && m != nil && want.Model == m.Model && contract.Version(want.Version) == m.Version
+	if fits {
+		l.manifest = nil
+	}
+	l.mu.Unlock()
+	if fits {
+		l.send(m.message())
+	}
+}
+
+func (l *inLink) handleHave(m *link.Have) {
+	l.mu.Lock()
+	if l.key != m.Manifest {
+		l.key, l.queue = m.Manifest, nil
+		clear(l.wants)
+	}
+	for _, piece := range m.Chunks {
+		delete(l.wants, int(piece))
+		l.queue = slices.DeleteFunc(l.queue, func(g gift) bool { return g.piece == int(piece) })
+	}
+	l.mu.Unlock()
+	if f := l.links.box.filling(m.Manifest); f != nil && m.Reset {
+		l.tellHeld(f)
+	}
+}
+
+// tellHeld tells the other box what this one holds.
+func (l *inLink) tellHeld(f *filling) {
+	b := l.links.box
+	b.mu.Lock()
+	have := &link.Have{Manifest: f.key, Reset: true, Chunks: f.feed.Held()}
+	b.mu.Unlock()
+	l.send(have)
+}
+
+func (l *inLink) handleWant(m *link.Want) {
+	b := l.links.box
+	f := b.filling(m.Manifest)
+	held := false
+	if f != nil {
+		b.mu.Lock()
+		held = int(m.Chunk) < len(f.manifest.Digests) && f.feed.Holds(int(m.Chunk))
+		b.mu.Unlock()
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.key != m.Manifest {
+		return
+	}
+	if held {
+		l.enqueue(gift{piece: int(m.Chunk)})
+		return
+	}
+	l.wants[int(m.Chunk)] = true
+}
+
+// begin serves what was asked of a version before this box knew its manifest.
+func (l *inLink) begin(f *filling) {
+	l.giveManifest(f)
+	l.mu.Lock()
+	asks := l.key == f.key
+	l.mu.Unlock()
+	if !asks {
+		return
+	}
+	l.tellHeld(f)
+	b := l.links.box
+	b.mu.Lock()
+	var held []int
+	l.mu.Lock()
+	for piece := range l.wants {
+		if piece < len(f.manifest.Digests) && f.feed.Holds(piece) {
+			held = append(held, piece)
+		}
+	}
+	for _, piece := range held {
+		delete(l.wants, piece)
+		l.enqueue(gift{piece: piece})
+	}
+	l.mu.Unlock()
+	b.mu.Unlock()
+}
+
+// got gives a new piece to the other box if it waits for it, and tells it once all are held.
+func (l *inLink) got(f *filling, piece int, data []byte, complete bool) {
+	l.mu.Lock()
+	asks := l.key == f.key
+	if asks && l.wants[piece] {
+		delete(l.wants, piece)
+		l.enqueue(gift{piece: piece, data: data})
+	}
+	l.mu.Unlock()
+	if asks && complete {
+		l.tellHeld(f)
+	}
+}
+
+// enqueue adds a piece to be sent; mu is held.
+func (l *inLink) enqueue(g gift) {
+	l.queue = append(l.queue, g)
+	select {
+	case l.woken <- struct{}{}:
+	default:
+	}
+}
+
+// offer hands a report to an entry; an older one that has not left yet gives way.
+func (l *inLink) offer(report *link.Report) {
+	for {
+		select {
+		case l.reports <- report:
+			return
+		default:
+		}
+		select {
+		case <-l.reports:
+		default:
+		}
+	}
+}
+
+// sendNext sends the next report or piece; it reports whether the link still stands.
+func (l *inLink) sendNext() bool {
+	select {
+	case <-l.conn.Context().Done():
+		return false
+	case report := <-l.reports:
+		l.send(report)
+	case <-l.woken:
+		for l.giveNext() {
+			continue
+		}
+	}
+	return true
+}
+
+// giveNext sends the first queued piece, if it still fits; false when none is left.
+func (l *inLink) giveNext() bool {
+	l.mu.Lock()
+	if len(l.queue) == 0 {
+		l.mu.Unlock()
+		return false
+	}
+	g, key := l.queue[0], l.key
+	l.queue = l.queue[1:]
+	l.mu.Unlock()
+	data := g.data
+	if data == nil {
+		data = l.read(key, g.piece)
+	}
+	ctx, cancel := context.WithTimeout(l.conn.Context(), giveTime)
+	defer cancel()
+	if data == nil {
+		return l.conn.Send(ctx, &link.Decline{Manifest: key, Chunk: uint32(g.piece)}) == nil
+	}
+	bytesGiven.Add(len(data))
+	return l.conn.Send(ctx, &link.Chunk{Manifest: key, Chunk: uint32(g.piece), Body: data}) == nil
+}
+
+// read reads a piece back from the server; nil when it is not held or turned bad, and then it is fetched again.
+func (l *inLink) read(key uint64, piece int) []byte {
+	b := l.links.box
+	f := b.filling(key)
+	if f == nil {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(l.conn.Context(), stageTime)
+	defer cancel()
+	data, err := b.cfg.Engine.Staged(ctx, f.model, piece)
+	if err == nil && f.manifest.Fits(piece, data) {
+		return data
+	}
+	b.mu.Lock()
+	f.feed.Lost(piece)
+	b.mu.Unlock()
+	b.wake()
+	return nil
+}
+
+func (l *inLink) send(msg link.Message) {
+	ctx, cancel := context.WithTimeout(l.conn.Context(), askTime)
+	defer cancel()
+	if err := l.conn.Send(ctx, msg); err != nil {
+		l.conn.Close()
+	}
+}
--- /dev/null
+++ b/fill/links.go
@@ -0,0 +1,227 @@
+package fill
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/coralstair/coralstair/link"
+	"github.com/coralstair/coralstair/swarm"
+)
+
+const (
+	dialTime   = time.Second
+	dialPause  = 500 * time.Millisecond
+	askTime    = 100 * time.Millisecond
+	keepIdle   = time.Second
+	keepProbes = 2
+	linkBuffer = 2 << 10
+	// restTime is how long after its last use a link to another box stays.
+	restTime = 6 * time.Second
+	// maxLinks bounds the links that a box opens to others.
+	maxLinks = 48
+
+	roleBox   = "box"
+	roleEntry = "entry"
+)
+
+// links are a box's links: those it opened, on which it asks other boxes, and those it took, on which it gives to boxes
+// and reports to entries.
+type links struct {
+	box    *Box
+	client *http.Client
+
+	mu      sync.Mutex
+	out     map[string]*outLink
+	dialing map[string]bool
+	after   map[string]time.Time
+	in      map[*inLink]bool
+	hearing int
+}
+
+func newLinks(b *Box) *links {
+	dialer := &net.Dialer{
+		Timeout:         dialTime,
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepIdle, Interval: keepIdle, Count: keepProbes},
+	}
+	return &links{
+		box: b,
+		client: &http.Client{Transport: &http.Transport{
+			DialContext: dialer.DialContext, ReadBufferSize: linkBuffer, WriteBufferSize: linkBuffer,
+		}},
+		out: make(map[string]*outLink), dialing: make(map[string]bool), after: make(map[string]time.Time),
+		in: make(map[*inLink]bool),
+	}
+}
+
+// accept takes a link that another daemon opens.
+func (ls *links) accept(w http.ResponseWriter, r *http.Request) {
+	conn, err := link.Accept(w, r, nil)
+	if err != nil {
+		return
+	}
+	defer conn.Close()
+	msg, err := conn.Receive()
+	hello, ok := msg.(*link.Hello)
+	if err != nil || !ok {
+		return
+	}
+	l := newInLink(ls, conn, hello)
+	ls.add(l)
+	defer ls.remove(l)
+	ls.box.log.WithField("peer", hello.ID).WithField("role", hello.Role).Debug("fill: link taken")
+	l.run()
+}
+
+func (ls *links) add(l *inLink) {
+	ls.mu.Lock()
+	ls.in[l] = true
+	if l.entry {
+		ls.hearing++
+	}
+	ls.mu.Unlock()
+	if l.entry {
+		ls.box.sendReport()
+	}
+}
+
+func (ls *links) remove(l *inLink) {
+	ls.mu.Lock()
+	defer ls.mu.Unlock()
+	delete(ls.in, l)
+	if l.entry {
+		ls.hearing--
+	}
+}
+
+// entries returns how many entries hear this box.
+func (ls *links) entries() int {
+	ls.mu.Lock()
+	defer ls.mu.Unlock()
+	return ls.hearing
+}
+
+// tell sends a message to all entries that hear this box; one whose link is full misses it.
+func (ls *links) tell(report *link.Report) {
+	ls.mu.Lock()
+	defer ls.mu.Unlock()
+	for l := range ls.in {
+		if l.entry {
+			l.offer(report)
+			reportsSent.Inc()
+		}
+	}
+}
+
+// want opens links to the boxes to which there is none.
+func (ls *links) want(ctx context.Context, members []swarm.Member) {
+	ls.mu.Lock()
+	defer ls.mu.Unlock()
+	now := time.Now()
+	for _, member := range members {
+		switch {
+		case member.ID == ls.box.cfg.Machine.Address:
+		case ls.out[member.ID] != nil:
+			ls.out[member.ID].used = now
+		case ls.dialing[member.ID] || now.Before(ls.after[member.ID]) || len(ls.out)+len(ls.dialing) >= maxLinks:
+		default:
+			ls.dialing[member.ID] = true
+			go ls.dial(ctx, member)
+		}
+	}
+	for _, l := range ls.out {
+		if now.Sub(l.used) > restTime {
+			l.conn.Close()
+		}
+	}
+}
+
+// dial opens a link and runs it until it ends.
+func (ls *links) dial(ctx context.Context, member swarm.Member) {
+	defer func() {
+		ls.mu.Lock()
+		defer ls.mu.Unlock()
+		delete(ls.dialing, member.ID)
+		ls.after[member.ID] = time.Now().Add(dialPause)
+	}()
+	dialCtx, cancel := context.WithTimeout(ctx, dialTime)
+	defer cancel()
+	conn, err := link.Dial(dialCtx, ls.client, ls.box.cfg.Machine.LinkAt(member.ID), nil)
+	if err != nil {
+		return
+	}
+	defer conn.Close()
+	hello := &link.Hello{ID: ls.box.cfg.Machine.Address, Role: roleBox, Site: ls.box.cfg.Machine.Site}
+	if err := conn.Send(dialCtx, hello); err != nil {
+		return
+	}
+	l := &outLink{links: ls, conn: conn, member: member, used: time.Now()}
+	ls.mu.Lock()
+	ls.out[member.ID] = l
+	delete(ls.dialing, member.ID)
+	ls.mu.Unlock()
+	l.run()
+	ls.mu.Lock()
+	if ls.out[member.ID] == l {
+		delete(ls.out, member.ID)
+	}
+	ls.mu.Unlock()
+}
+
+// begin tells all links that the pieces of a version can be asked for and given.
+func (ls *links) begin(f *filling) {
+	ls.mu.Lock()
+	var out []*outLink
+	var in []*inLink
+	for _, l := range ls.out {
+		out = append(out, l)
+	}
+	for l := range ls.in {
+		if !l.entry {
+			in = append(in, l)
+		}
+	}
+	ls.mu.Unlock()
+	for _, l := range out {
+		l.join(f)
+	}
+	for _, l := range in {
+		l.begin(f)
+	}
+}
+
+// ask asks a box for a piece; it is given as soon as the other has it.
+func (ls *links) ask(f *filling, peer string, piece int) {
+	ls.mu.Lock()
+	l := ls.out[peer]
+	ls.mu.Unlock()
+	if l != nil {
+		l.send(&link.Want{Manifest: f.key, Chunk: uint32(piece)})
+	}
+}
+
+// got hands a new piece to the boxes that wait for it, and tells those that were asked for it in vain.
+func (ls *links) got(f *filling, piece int, data []byte, others []string, complete bool) {
+	ls.mu.Lock()
+	var told []*outLink
+	for _, id := range others {
+		if l := ls.out[id]; l != nil {
+			told = append(told, l)
+		}
+	}
+	var in []*inLink
+	for l := range ls.in {
+		if !l.entry {
+			in = append(in, l)
+		}
+	}
+	ls.mu.Unlock()
+	for _, l := range told {
+		l.send(&link.Have{Manifest: f.key, Chunks: []uint32{uint32(piece)}})
+	}
+	for _, l := range in {
+		l.got(f, piece, data, complete)
+	}
+}
--- /dev/null
+++ b/fill/outlink.go
@@ -0,0 +1,142 @@
+package fill
+
+import (
+	"context"
+	"time"
+
+	"github.com/coralstair/coralstair/contract"
+	"github.com/coralstair/coralstair/link"
+	"github.com/coralstair/coralstair/swarm"
+)
+
+// outLink is a link that this box opened, to ask another for pieces.
+type outLink struct {
+	links  *links
+	conn   *link.Conn
+	member swarm.Member
+	used   time.Time
+}
+
+// run takes what the other box sends until the link ends.
+func (l *outLink) run() {
+	b := l.links.box
+	l.greet()
+	defer func() {
+		b.mu.Lock()
+		if b.fill != nil && b.fill.feed != nil {
+			b.fill.feed.PeerGone(l.member.ID)
+		}
+		b.mu.Unlock()
+		b.wake()
+	}()
+	for {
+		msg, err := l.conn.Receive()
+		if err != nil {
+			return
+		}
+		l.handle(msg)
+	}
+}
+
+// greet tells the other box what is aimed at, and asks for its manifest when this one has none.
+func (l *outLink) greet() {
+	b := l.links.box
+	b.mu.Lock()
+	f := b.fill
+	b.mu.Unlock()
+	if f == nil {
+		return
+	}
+	if _, named := b.cfg.View.Target(f.model); !named.IsZero() {
+		l.send(&link.Target{Model: f.model, Version: int64(f.version), Ago: time.Since(named)})
+	}
+	l.join(f)
+}
+
+// join tells the other box what this one holds of a version; the other answers with what it holds.
+func (l *outLink) join(f *filling) {
+	b := l.links.box
+	b.mu.Lock()
+	if f.feed == nil {
+		b.mu.Unlock()
+		l.send(&link.WantManifest{Model: f.model, Version: int64(f.version)})
+		return
+	}
+	f.feed.Peer(l.member)
+	have := &link.Have{Manifest: f.key, Reset: true, Chunks: f.feed.Held()}
+	b.mu.Unlock()
+	l.send(have)
+	b.wake()
+}
+
+func (l *outLink) handle(msg link.Message) {
+	b := l.links.box
+	switch m := msg.(type) {
+	case *link.Manifest:
+		if manifest, ok := manifestOf(m); ok {
+			b.takeManifest(manifest, l.member.ID)
+		}
+	case *link.Target:
+		b.cfg.View.OfferTarget(contract.Target{Model: m.Model, Version: contract.Version(m.Version)}, m.Ago)
+	case *link.Have:
+		if f := b.filling(m.Manifest); f != nil {
+			b.mu.Lock()
+			f.feed.PeerHas(l.member.ID, m.Reset, m.Chunks)
+			b.mu.Unlock()
+			b.wake()
+		}
+	case *link.Chunk:
+		l.handleChunk(m)
+	case *link.Decline:
+		l.failed(m.Manifest, int(m.Chunk))
+	}
+}
+
+func (l *outLink) handleChunk(m *link.Chunk) {
+	b := l.links.box
+	f := b.filling(m.Manifest)
+	if f == nil {
+		piecesTwice.Inc()
+		return
+	}
+	if !b.take(f, int(m.Chunk), l.member.ID, m.Body) {
+		l.failed(m.Manifest, int(m.Chunk))
+		return
+	}
+	if l.member.Site == b.cfg.Machine.Site {
+		piecesNear.Inc()
+	} else {
+		piecesFar.Inc()
+	}
+}
+
+func (l *outLink) failed(key uint64, piece int) {
+	b := l.links.box
+	if f := b.filling(key); f != nil {
+		b.mu.Lock()
+		if piece < len(f.manifest.Digests) {
+			f.feed.Failed(piece, l.member.ID, time.Now())
+		}
+		b.mu.Unlock()
+		b.wake()
+	}
+}
+
+// send sends a message; a link that does not take it in time is ended.
+func (l *outLink) send(msg link.Message) {
+	ctx, cancel := context.WithTimeout(l.conn.Context(), askTime)
+	defer cancel()
+	if err := l.conn.Send(ctx, msg); err != nil {
+		l.conn.Close()
+	}
+}
+
+// filling returns the version on its way if its manifest has a key.
+func (b *Box) filling(key uint64) *filling {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.fill == nil || b.fill.feed == nil || b.fill.key != key {
+		return nil
+	}
+	return b.fill
+}
--- /dev/null
+++ b/fill/reporter.go
@@ -0,0 +1,90 @@
+package fill
+
+import (
+	"context"
+	"time"
+
+	"github.com/coralstair/coralstair/link"
+)
+
+const (
+	// stateEvery is how often the server is asked for its state, quietEvery how often entries hear of it at least.
+	stateEvery = 50 * time.Millisecond
+	quietEvery = 500 * time.Millisecond
+	// reportEvery is how often entries hear of changes at most.
+	reportEvery = 100 * time.Millisecond
+)
+
+// report asks the server for its state and tells entries of changes, until ctx ends.
+func (b *Box) report(ctx context.Context) error {
+	ticker := time.NewTicker(stateEvery)
+	defer ticker.Stop()
+	var last link.Report
+	var sent time.Time
+	for {
+		stateCtx, cancel := context.WithTimeout(ctx, stateTime)
+		state, err := b.cfg.Engine.State(stateCtx)
+		cancel()
+		b.setState(state, err)
+		report, ok := b.newReport()
+		age := time.Since(sent)
+		if ok && (urgent(report, last) || report != last && age >= reportEvery || age >= quietEvery) {
+			b.links.tell(&report)
+			last, sent = report, time.Now()
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		}
+	}
+}
+
+// urgent reports whether entries should hear of a change at once.
+func urgent(report, last link.Report) bool {
+	return report.Closing != last.Closing || report.Version != last.Version || report.Server != last.Server
+}
+
+// setState takes what the server told; one that does not answer keeps its last state.
+func (b *Box) setState(state State, err error) {
+	if err != nil {
+		return
+	}
+	b.mu.Lock()
+	changed := b.state.Busy != state.Busy || len(b.state.Loaded) != len(state.Loaded)
+	for model, version := range state.Loaded {
+		if b.state.Loaded[model] != version {
+			changed = true
+			b.log.WithField("model", model).WithField("version", int64(version)).Info("fill: the server runs a version")
+		}
+	}
+	b.state, b.stateAt = state, time.Now()
+	b.mu.Unlock()
+	if changed {
+		b.wake()
+	}
+}
+
+// newReport returns what entries should hear now; ok is false while the server does not answer or is not listed.
+func (b *Box) newReport() (report link.Report, ok bool) {
+	id := b.serverID()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if id == "" || time.Since(b.stateAt) > stateTime {
+		return link.Report{}, false
+	}
+	report = link.Report{
+		Server: id, Running: b.state.Running, Waiting: b.state.Waiting, Used: b.state.Used, Slow: b.state.Slow,
+		Closing: b.closing || b.state.Busy, Entries: b.links.entries(),
+	}
+	for model, version := range b.state.Loaded {
+		report.Model, report.Version = model, int64(version)
+	}
+	return report, true
+}
+
+func (b *Box) sendReport() {
+	if report, ok := b.newReport(); ok {
+		b.links.tell(&report)
+	}
+}
--- /dev/null
+++ b/fill/wave.go
@@ -0,0 +1,42 @@
+package fill
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/coralstair/coralstair/contract"
+)
+
+const (
+	// fillTime is how long after a version is named its pieces are usually everywhere: no wave begins before.
+	fillTime = 2700 * time.Millisecond
+	// loadMargin is how long before the bound the last server gets its order.
+	loadMargin = 1300 * time.Millisecond
+)
+
+// Turn returns when a server that runs an older version gets its order: the servers of a service come one after the
+// other, by rank, from when the pieces are usually everywhere until a margin before the bound. Each server works this
+// out alone; they need not agree on more than the list.
+func Turn(named, due time.Time, rank, n int) time.Time {
+	from, to := named.Add(fillTime), due.Add(-loadMargin)
+	if !to.After(from) || n < 2 {
+		return from
+	}
+	return from.Add(to.Sub(from) * time.Duration(rank) / time.Duration(n-1))
+}
+
+// Rank returns the place of a server among those of its service for a version, and their number.
+func Rank(id string, ids []string, version contract.Version) (rank, n int) {
+	own := rankScore(id, version)
+	for _, other := range ids {
+		if other != id && rankScore(other, version) < own {
+			rank++
+		}
+	}
+	return rank, max(len(ids), 1)
+}
+
+func rankScore(id string, version contract.Version) uint64 {
+	return xxhash.Sum64String(id + "/" + string(rune('0'+version%10)))
+}
--- /dev/null
+++ b/forward/budget.go
@@ -0,0 +1,91 @@
+package forward
+
+import (
+	"sync"
+	"time"
+)
+
+// Budget bounds the second sends of one entry to its share of what all entries may make together.
+type Budget struct {
+	ratio  float64
+	slack  int
+	window time.Duration
+
+	mu      sync.Mutex
+	entries int
+	of      map[string]*windowed
+}
+
+// buckets is into how many parts a window is divided; counts are at most one part too old.
+const buckets = 10
+
+// windowed counts the requests and second sends of one service by parts of the window.
+type windowed struct {
+	first [buckets + 1]int
+	again [buckets + 1]int
+	part  int64
+}
+
+// safetyShare is the part of the budget that is used: entries see their number late.
+const safetyShare = 0.7
+
+// NewBudget returns a budget of ratio times the requests and slack more in a window, over all entries.
+func NewBudget(ratio float64, slack int, window time.Duration) *Budget {
+	return &Budget{ratio: ratio, slack: slack, window: window, entries: 1, of: make(map[string]*windowed)}
+}
+
+// First counts a request of a service.
+func (b *Budget) First(service string, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.at(service, now).first[0]++
+}
+
+// SetEntries tells how many entries share the budget.
+func (b *Budget) SetEntries(n int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.entries = max(n, 1)
+}
+
+// Again takes one second send of a service from the budget; false when there is none left.
+func (b *Budget) Again(service string, now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	w := b.at(service, now)
+	first, again := 0, 0
+	for i := range w.first {
+		first += w.first[i]
+		again += w.again[i]
+	}
+	allowed := safetyShare * (b.ratio*float64(first) + float64(b.slack)/float64(b.entries))
+	if float64(again+1) > allowed {
+		noBudget.Inc()
+		return false
+	}
+	w.again[0]++
+	repeats.Inc()
+	return true
+}
+
+// at returns a service's counts moved on to now; mu is held.
+func (b *Budget) at(service string, now time.Time) *windowed {
+	w := b.of[service]
+	if w == nil {
+		w = &windowed{}
+		b.of[service] = w
+	}
+	part := now.UnixNano() / int64(b.window/buckets)
+	if w.part == 0 {
+		w.part = part
+	}
+	for ; w.part < part; w.part++ {
+		if part-w.part > buckets+1 {
+			w.part = part - buckets - 1
+		}
+		copy(w.first[1:], w.first[:buckets])
+		copy(w.again[1:], w.again[:buckets])
+		w.first[0], w.again[0] = 0, 0
+	}
+	return w
+}
--- /dev/null
+++ b/forward/call.go
@@ -0,0 +1,221 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/coralstair/coralstair/contract"
+)
+
+const (
+	// answerMargin is how much earlier than the caller's time a server has to answer.
+	answerMargin = 20 * time.Millisecond
+	// notRunTries is how many more servers than its attempts a request may be offered when each says that it did not run.
+	notRunTries = 1
+	// comeBack is when a caller is told to come back where nothing better is known.
+	comeBack = 300 * time.Millisecond
+)
+
+// call is one caller's request on its way.
+type call struct {
+	entry   *Entry
+	w       http.ResponseWriter
+	r       *http.Request
+	ask     Ask
+	route   *contract.Route
+	service *contract.Service
+	team    *contract.Team
+	body    []byte
+
+	started time.Time
+	ends    time.Time
+	config  contract.Revision
+
+	// offered counts the servers the request was sent to, ran those that may have run it.
+	offered int
+	ran     int
+	not     map[string]bool
+	// unknown says that it may have run without an answer.
+	unknown bool
+	last    choice
+	first   time.Duration
+	story   []string
+}
+
+// step is what became of one attempt.
+type step int
+
+const (
+	// stepDone means that the caller has its answer, whole or cut.
+	stepDone step = iota
+	// stepNotRun means that the server did not run it.
+	stepNotRun
+	// stepLost means that it may have run, and there is no answer.
+	stepLost
+	// stepFailed means that the server ran it and answered with a failure of its own, which is kept.
+	stepFailed
+)
+
+// run sends the request until it is answered or nothing more may be tried.
+func (c *call) run(ctx context.Context) {
+	ctx, cancel := context.WithDeadline(ctx, c.ends)
+	defer cancel()
+	c.entry.budget.First(c.service.Name, c.started)
+	var kept *answer
+	for {
+		ch, err := c.next()
+		if err != nil {
+			c.giveUp(ctx, kept, err)
+			return
+		}
+		if c.offered > 0 && !c.entry.budget.Again(c.service.Name, time.Now()) {
+			c.giveUp(ctx, kept, errNoBudget)
+			return
+		}
+		c.offered++
+		c.last = ch
+		c.not[ch.server.ID] = true
+		got, result, err := c.try(ctx, ch)
+		c.note(ch, result, err)
+		switch result {
+		case stepDone:
+			return
+		case stepFailed:
+			kept = got
+		case stepLost:
+			c.unknown = true
+		case stepNotRun:
+		}
+		if ctx.Err() != nil || !c.mayGoOn(result) {
+			c.giveUp(ctx, kept, err)
+			return
+		}
+	}
+}
+
+// mayGoOn reports whether another server may be tried after a result.
+func (c *call) mayGoOn(result step) bool {
+	if result == stepNotRun && !c.unknown {
+		return c.offered < c.route.Attempts+notRunTries
+	}
+	return c.route.Repeatable() && c.offered < max(c.route.Attempts, 1)
+}
+
+// next chooses the next server.
+func (c *call) next() (choice, error) {
+	now := time.Now()
+	want := wanted{service: c.service, model: c.ask.Model, prompt: c.ask.Prompt, not: c.not}
+	if c.service.Engine != nil {
+		want.floor = c.entry.floor(c.model(), now)
+	}
+	ch, ok := c.entry.choose(want, now)
+	if !ok {
+		return choice{}, &NoServerError{Service: c.service.Name, Reason: "none can take it now"}
+	}
+	return ch, nil
+}
+
+// model returns the model that the request asks for, or the service's only one.
+func (c *call) model() string {
+	if c.ask.Model != "" {
+		return c.ask.Model
+	}
+	model, _ := c.service.Engine.Model()
+	return model.Name
+}
+
+var errNoBudget = errors.New("no budget for a second send")
+
+// giveUp answers when nothing more may be tried: with a server's own failure, or with one of the entry's own that says
+// whether the request may have run.
+func (c *call) giveUp(ctx context.Context, kept *answer, err error) {
+	switch {
+	case c.r.Context().Err() != nil:
+		c.outcome("caller-gone", 0, err)
+		panic(http.ErrAbortHandler)
+	case kept != nil:
+		kept.deliver(c.w, c.entry.leaving.Load())
+		c.outcome("failed-at-server", kept.status, err)
+	case c.unknown && ctx.Err() != nil:
+		c.refuse(http.StatusGatewayTimeout, "out-of-time", "the time is over; it may have run", 0, err)
+	case c.unknown:
+		c.refuse(http.StatusBadGateway, "unknown", "no whole answer came; it may have run", 0, err)
+	default:
+		c.refuse(http.StatusServiceUnavailable, "not-run", "no server took it", c.comeBack(), err)
+	}
+}
+
+// comeBack says when the request is likely to be served.
+func (c *call) comeBack() time.Duration {
+	return c.entry.comeBack(c.service, c.route, time.Now())
+}
+
+// priority returns the rank of the request: that of its team before that of its route.
+func (c *call) priority() int {
+	if c.team != nil && c.team.HasPriority {
+		return c.team.Priority
+	}
+	return c.route.Priority
+}
+
+func (c *call) teamName() string {
+	if c.team == nil {
+		return ""
+	}
+	return c.team.Name
+}
+
+// note keeps what became of an attempt for the request's line in the log, and what it says of the server.
+func (c *call) note(ch choice, result step, err error) {
+	now := time.Now()
+	reason := "done"
+	switch result {
+	case stepNotRun:
+		reason = "not-run"
+	case stepLost:
+		reason = "lost"
+		ch.up.failed(now)
+	case stepFailed:
+		reason = "failed"
+	case stepDone:
+		if err != nil {
+			ch.up.failed(now)
+		} else {
+			ch.up.succeeded()
+		}
+	}
+	if err != nil {
+		reason += ": " + err.Error()
+	}
+	c.story = append(c.story, ch.server.ID+" "+reason)
+}
+
+// refuse answers with a problem of the entry's own.
+func (c *call) refuse(status int, slug, detail string, after time.Duration, cause error) {
+	c.entry.refuse(c.w, c.ask.ID, status, slug, detail, after)
+	c.outcome(slug, status, cause)
+}
+
+// outcome writes the request's line in the log and counts it.
+func (c *call) outcome(outcome string, status int, cause error) {
+	took := time.Since(c.started)
+	countOutcome(c.route.Name, outcome)
+	answerTime.Update(took.Seconds())
+	fields := log.Fields{
+		"id": c.ask.ID, "route": c.route.Name, "team": c.teamName(), "revision": int64(c.config),
+		"outcome": outcome, "status": status, "ms": took.Milliseconds(), "first_ms": c.first.Milliseconds(),
+		"server": c.last.server.ID, "predicted_ms": c.last.first.Milliseconds(),
+		"writing": c.last.load.Writing, "reading": c.last.load.Reading, "attempts": c.offered,
+	}
+	if cause != nil {
+		fields["cause"] = cause.Error()
+	}
+	if c.offered > 1 {
+		fields["tries"] = c.story
+	}
+	c.entry.log.WithFields(fields).Info("request")
+}
--- /dev/null
+++ b/forward/choose.go
@@ -0,0 +1,111 @@
+package forward
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/coralstair/coralstair/contract"
+	"github.com/coralstair/coralstair/engine"
+)
+
+const (
+	// otherSite and otherRegion are what the bytes to another site or region count as, in time.
+	otherSite   = 5 * time.Millisecond
+	otherRegion = 15 * time.Millisecond
+	// spread keeps entries from all choosing the same server.
+	spread = 10 * time.Millisecond
+	// deniedTime is how long a server that denied what the list says is passed over without newer news.
+	deniedTime = time.Second
+	// plainWork is what a request at a plain service counts as.
+	plainWork = 60 * time.Millisecond
+	// missingTime is what a server that is no longer listed counts as.
+	missingTime = 10 * time.Second
+)
+
+// wanted is what a server has to be to take a request.
+type wanted struct {
+	service *contract.Service
+	model   string
+	prompt  int
+	// floor is the least version, exact the only one; 0 for any.
+	floor contract.Version
+	exact contract.Version
+	not   map[string]bool
+}
+
+// choice is a server with what is predicted there.
+type choice struct {
+	up      *upstream
+	server  contract.Server
+	version contract.Version
+	// first is when the first event, or a plain answer, is predicted; cost adds the price of the way there.
+	first time.Duration
+	cost  time.Duration
+	load  engine.Load
+}
+
+// choose returns the server at which a request is done soonest; ok is false when none may take it. Servers that failed
+// lately come in only when they are the most of a service.
+func (e *Entry) choose(want wanted, now time.Time) (best choice, ok bool) {
+	var paused choice
+	usable, resting := 0, 0
+	hasPaused := false
+	for _, up := range e.upstreams.of(want.service.Name) {
+		c, until, fits := e.consider(up, want, now)
+		if !fits {
+			continue
+		}
+		if now.Before(until) {
+			resting++
+			if !hasPaused || c.cost < paused.cost {
+				paused, hasPaused = c, true
+			}
+			continue
+		}
+		usable++
+		if !ok || c.cost < best.cost {
+			best, ok = c, true
+		}
+	}
+	if !ok || resting > usable && hasPaused && paused.cost < best.cost {
+		return paused, hasPaused || ok
+	}
+	return best, ok
+}
+
+func (e *Entry) consider(up *upstream, want wanted, now time.Time) (c choice, until time.Time, fits bool) {
+	up.mu.Lock()
+	defer up.mu.Unlock()
+	server := up.server
+	if server.Leaving || want.not[server.ID] || now.Sub(up.denied) < deniedTime {
+		return choice{}, time.Time{}, false
+	}
+	c = choice{up: up, server: server}
+	if want.service.Engine != nil {
+		c.version = up.version(want.model, now)
+		if c.version == 0 || c.version < want.floor || want.exact != 0 && c.version != want.exact || up.closing(now) {
+			return choice{}, time.Time{}, false
+		}
+		c.load = up.load(want.service.Engine, now)
+		c.first = engine.First(want.service.Engine, c.load, want.prompt)
+	} else {
+		c.first = plainWork*time.Duration(1+up.inFlight/max(server.Slots, 1)) + time.Duration(up.inFlight)*time.Millisecond
+	}
+	c.cost = c.first + e.way(server.Site) + rand.N(spread)
+	if up.missing {
+		c.cost += missingTime
+	}
+	return c, up.until, true
+}
+
+// way returns what the way to a site counts as.
+func (e *Entry) way(site string) time.Duration {
+	switch here := e.cfg.Machine.Site; {
+	case site == here:
+		return 0
+	case e.cfg.Machine.Region(site) == e.cfg.Machine.Region(here):
+		return otherSite
+	default:
+		return otherRegion
+	}
+}
--- /dev/null
+++ b/forward/handler.go
@@ -0,0 +1,139 @@
+package forward
+
+import (
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/coralstair/coralstair/contract"
+	"github.com/coralstair/coralstair/problem"
+)
+
+// defaultWait is how long a caller that does not say is taken to wait.
+const defaultWait = 30 * time.Second
+
+// ServeHTTP takes one request of a caller.
+func (e *Entry) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	started := time.Now()
+	ask := e.cfg.Wire.Ask(r)
+	if e.leaving.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	cfg := e.cfg.View.Config()
+	if cfg == nil {
+		e.deny(w, r, ask, http.StatusServiceUnavailable, "no-configuration", "no configuration is known yet", comeBack)
+		return
+	}
+	route := cfg.Route(r.Host, r.URL.Path)
+	if route == nil {
+		e.deny(w, r, ask, http.StatusNotFound, "no-route", "no route leads there", 0)
+		return
+	}
+	var team *contract.Team
+	if cfg.Keyed && !route.Public {
+		if team = cfg.Team(ask.Key); team == nil {
+			e.deny(w, r, ask, http.StatusUnauthorized, "no-team", "the key is not known", 0)
+			return
+		}
+	}
+	if headerBytes(r) > cfg.Limits.HeaderBytes && cfg.Limits.HeaderBytes > 0 {
+		e.deny(w, r, ask, http.StatusRequestHeaderFieldsTooLarge, "long-header", "the header is too long", 0)
+		return
+	}
+	body, ok := e.readBody(w, r, ask, cfg.Limits.BodyBytes)
+	if !ok {
+		return
+	}
+	c := &call{
+		entry: e, w: w, r: r, ask: ask, route: route, team: team, body: body,
+		started: started, ends: started.Add(wait(ask, route)), config: cfg.Revision, not: make(map[string]bool),
+	}
+	c.service = cfg.Service(route.Service(rand.Float64()))
+	if c.service == nil {
+		c.refuse(http.StatusServiceUnavailable, "no-service", "the route's service is not known", comeBack, nil)
+		return
+	}
+	c.run(r.Context())
+}
+
+// wait returns how long a request is held at most.
+func wait(ask Ask, route *contract.Route) time.Duration {
+	held := ask.Wait
+	if held <= 0 {
+		held = defaultWait
+	}
+	if route.TimeLimit > 0 {
+		held = min(held, route.TimeLimit)
+	}
+	return held
+}
+
+// readBody reads the whole body, which may be sent more than once.
+func (e *Entry) readBody(w http.ResponseWriter, r *http.Request, ask Ask, limit int64) ([]byte, bool) {
+	if r.ContentLength == 0 {
+		return nil, true
+	}
+	if limit > 0 && r.ContentLength > limit {
+		w.Header().Set("Connection", "close")
+		e.deny(w, r, ask, http.StatusRequestEntityTooLarge, "long-body", "the body is too long", 0)
+		return nil, false
+	}
+	reader := io.Reader(r.Body)
+	if limit > 0 {
+		reader = http.MaxBytesReader(w, r.Body, limit)
+	}
+	body, err := io.ReadAll(reader)
+	if err == nil {
+		return body, true
+	}
+	var long *http.MaxBytesError
+	if errors.As(err, &long) {
+		e.deny(w, r, ask, http.StatusRequestEntityTooLarge, "long-body", "the body is too long", 0)
+		return nil, false
+	}
+	w.Header().Set("Connection", "close")
+	e.deny(w, r, ask, http.StatusBadRequest, "torn-body", "the body did not come whole", 0)
+	return nil, false
+}
+
+// deny answers a request that is not let in, and logs it.
+func (e *Entry) deny(w http.ResponseWriter, r *http.Request, ask Ask, status int, slug, detail string, after time.Duration) {
+	countOutcome("", slug)
+	e.log.WithField("id", ask.ID).WithField("host", r.Host).WithField("path", r.URL.Path).
+		WithField("status", status).WithField("outcome", slug).Info("request")
+	e.refuse(w, ask.ID, status, slug, detail, after)
+}
+
+// refuse answers with a problem of the entry's own.
+func (e *Entry) refuse(w http.ResponseWriter, id string, status int, slug, detail string, after time.Duration) {
+	p := problem.New(status, slug, detail).WithRequestID(id)
+	switch status {
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests:
+		p = p.WithOutcome(outcomeNotRun)
+	case http.StatusBadGateway, http.StatusGatewayTimeout:
+		p = p.WithOutcome(outcomeUnknown)
+	}
+	if e.leaving.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	e.cfg.Wire.Refused(w.Header(), id, after)
+	p.Write(w)
+}
+
+// Outcomes as problems tell them.
+const (
+	outcomeNotRun  = "not-run"
+	outcomeUnknown = "unknown"
+)
+
+func headerBytes(r *http.Request) int {
+	n := len(r.Method) + len(r.RequestURI) + len(r.Host)
+	for name, values := range r.Header {
+		for _, value := range values {
+			n += len(name) + len(value) + len(": \r\n")
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/forward/metrics.go
@@ -0,0 +1,17 @@
+package forward
+
+import "github.com/VictoriaMetrics/metrics"
+
+var (
+	connections  = metrics.NewCounter("coralstair_upstream_connections_total")
+	resumes      = metrics.NewCounter("coralstair_streams_resumed_total")
+	repeats      = metrics.NewCounter("coralstair_repeats_total")
+	noBudget     = metrics.NewCounter("coralstair_repeats_without_budget_total")
+	firstEvent   = metrics.NewHistogram("coralstair_first_event_seconds")
+	answerTime   = metrics.NewHistogram("coralstair_answer_seconds")
+	reportsTaken = metrics.NewCounter("coralstair_reports_taken_total")
+)
+
+func countOutcome(route, outcome string) {
+	metrics.GetOrCreateCounter(`coralstair_direct_requests_total{route="` + route + `",outcome="` + outcome + `"}`).Inc()
+}
--- /dev/null
+++ b/forward/reports.go
@@ -0,0 +1,154 @@
+package forward
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/coralstair/coralstair/link"
+)
+
+const (
+	reportDialTime  = time.Second
+	reportSilence   = 3 * time.Second
+	reportRedial    = 500 * time.Millisecond
+	reportDialEvery = 250 * time.Millisecond
+)
+
+// RoleEntry is how an entry names itself on a link.
+const RoleEntry = "entry"
+
+// reports keeps a link to the box of each engine, on which the box tells what its engine does.
+type reports struct {
+	entry  *Entry
+	client *http.Client
+	woken  chan struct{}
+
+	mu      sync.Mutex
+	linked  map[string]context.CancelFunc
+	entries map[string]int
+}
+
+func newReports(e *Entry) *reports {
+	dialer := &net.Dialer{
+		Timeout:         reportDialTime,
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepIdle, Interval: keepProbe, Count: keepProbes},
+		Control:         setUserTimeout,
+	}
+	return &reports{
+		entry:  e,
+		client: &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, ReadBufferSize: connBuffer, WriteBufferSize: connBuffer}},
+		woken:  make(chan struct{}, 1),
+		linked: make(map[string]context.CancelFunc), entries: make(map[string]int),
+	}
+}
+
+func (rs *reports) wake() {
+	select {
+	case rs.woken <- struct{}{}:
+	default:
+	}
+}
+
+// serve opens a link to each box that is new, and ends those whose box is gone, until ctx ends.
+func (rs *reports) serve(ctx context.Context) error {
+	for {
+		rs.follow(ctx)
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-rs.woken:
+		}
+	}
+}
+
+func (rs *reports) follow(ctx context.Context) {
+	wanted := make(map[string]bool)
+	cfg := rs.entry.cfg.View.Config()
+	if cfg == nil {
+		return
+	}
+	for _, server := range rs.entry.cfg.View.Servers() {
+		service := cfg.Service(server.Service)
+		if service == nil || service.Engine == nil {
+			continue
+		}
+		if host, _, err := net.SplitHostPort(server.Address); err == nil {
+			wanted[rs.entry.cfg.Machine.LinkAt(host)] = true
+		}
+	}
+	rs.mu.Lock()
+	defer rs.mu.Unlock()
+	for address, cancel := range rs.linked {
+		if !wanted[address] {
+			cancel()
+			delete(rs.linked, address)
+			delete(rs.entries, address)
+		}
+	}
+	for address := range wanted {
+		if rs.linked[address] == nil {
+			linkCtx, cancel := context.WithCancel(ctx)
+			rs.linked[address] = cancel
+			go rs.keep(linkCtx, address)
+		}
+	}
+}
+
+// keep holds a link to one box until ctx ends.
+func (rs *reports) keep(ctx context.Context, address string) {
+	for ctx.Err() == nil {
+		rs.hear(ctx, address)
+		select {
+		case <-ctx.Done():
+		case <-time.After(reportRedial):
+		}
+	}
+}
+
+// hear takes reports from one box until the link ends or falls silent.
+func (rs *reports) hear(ctx context.Context, address string) {
+	dialCtx, cancel := context.WithTimeout(ctx, reportDialTime)
+	defer cancel()
+	conn, err := link.Dial(dialCtx, rs.client, address, nil)
+	if err != nil {
+		return
+	}
+	defer conn.Close()
+	stop := context.AfterFunc(ctx, conn.Close)
+	defer stop()
+	hello := &link.Hello{ID: rs.entry.cfg.Machine.ID, Role: RoleEntry, Site: rs.entry.cfg.Machine.Site}
+	if err := conn.Send(ctx, hello); err != nil {
+		return
+	}
+	silence := time.AfterFunc(reportSilence, conn.Close)
+	defer silence.Stop()
+	for {
+		msg, err := conn.Receive()
+		if err != nil {
+			return
+		}
+		silence.Reset(reportSilence)
+		if report, ok := msg.(*link.Report); ok {
+			rs.entry.upstreams.heard(*report, time.Now())
+			rs.count(address, report.Entries)
+		}
+	}
+}
+
+// count takes how many entries a box hears; the most that any tells share the budget.
+func (rs *reports) count(address string, entries int) {
+	rs.mu.Lock()
+	defer rs.mu.Unlock()
+	if rs.entries[address] == entries {
+		return
+	}
+	rs.entries[address] = entries
+	most := 1
+	for _, n := range rs.entries {
+		most = max(most, n)
+	}
+	rs.entry.budget.SetEntries(most)
+}
--- /dev/null
+++ b/forward/upstreams.go
@@ -0,0 +1,51 @@
+package forward
+
+import (
+	"sync"
+	"time"
+
+	"github.com/coralstair/coralstair/link"
+	"github.com/coralstair/coralstair/view"
+)
+
+// upstreams are all servers that this entry may call.
+type upstreams struct {
+	mu        sync.RWMutex
+	byID      map[string]*upstream
+	byService map[string][]*upstream
+}
+
+// update takes the list of servers; those that stay keep what is known of them.
+func (us *upstreams) update(servers []view.Listed) {
+	us.mu.Lock()
+	defer us.mu.Unlock()
+	old := us.byID
+	us.byID = make(map[string]*upstream, len(servers))
+	us.byService = make(map[string][]*upstream)
+	for _, server := range servers {
+		up := old[server.ID]
+		if up == nil {
+			up = &upstream{}
+		}
+		up.listed(server.Server, !server.Missing.IsZero())
+		us.byID[server.ID] = up
+		us.byService[server.Service] = append(us.byService[server.Service], up)
+	}
+}
+
+func (us *upstreams) of(service string) []*upstream {
+	us.mu.RLock()
+	defer us.mu.RUnlock()
+	return us.byService[service]
+}
+
+// heard takes a report of a server's box.
+func (us *upstreams) heard(report link.Report, now time.Time) {
+	us.mu.RLock()
+	up := us.byID[report.Server]
+	us.mu.RUnlock()
+	if up != nil {
+		up.heard(report, now)
+		reportsTaken.Inc()
+	}
+}
--- /dev/null
+++ b/internal/daemoncmd/main.go
@@ -0,0 +1,65 @@
+package daemoncmd
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"runtime/debug"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/urfave/cli/v3"
+
+	"github.com/coralstair/coralstair/logging"
+	"github.com/coralstair/coralstair/platform"
+	"github.com/coralstair/coralstair/settings"
+)
+
+// Exit codes.
+const (
+	exitDone   = 0
+	exitFailed = 1
+	exitUsage  = 2
+)
+
+const (
+	// collectPercent is how much garbage may stand beside what is in use: memory is dearer here than the time to collect.
+	collectPercent = 50
+	logFlush       = 200 * time.Millisecond
+)
+
+// Main runs one daemon and returns the exit code.
+func Main(args []string) int {
+	debug.SetGCPercent(collectPercent)
+	root := &cli.Command{
+		Name:  "coralstaird",
+		Usage: "run a daemon on the users' platform",
+		Description: "The settings file is named by the environment variable " + platform.SettingsVariable + ".\n" +
+			"Exit codes: 0 done, 1 failed, 2 wrong usage or bad settings.",
+		ExitErrHandler: func(context.Context, *cli.Command, error) {},
+		Commands: []*cli.Command{
+			{Name: "entry", Usage: "take callers' requests and call upstreams", Action: daemonAction(newEntry)},
+			{Name: "box", Usage: "bring the server on this machine to the declared version", Action: daemonAction(newBox)},
+		},
+	}
+	err := root.Run(context.Background(), args)
+	if err == nil {
+		return exitDone
+	}
+	fmt.Fprintln(os.Stderr, "coralstaird: "+err.Error())
+	var faults *settings.FaultsError
+	if errors.As(err, &faults) {
+		return exitUsage
+	}
+	return exitFailed
+}
+
+func daemonAction(build buildFunc) cli.ActionFunc {
+	return func(ctx context.Context, cmd *cli.Command) error {
+		stream := logging.NewStream(os.Stdout)
+		defer stream.Close(logFlush)
+		logger := &log.Logger{Handler: stream, Level: log.InfoLevel}
+		return run(ctx, cmd.Name, os.Getenv(platform.SettingsVariable), logger, build)
+	}
+}
--- a/link/message.go
+++ b/link/message.go
@@ -24,6 +24,10 @@
 	KindWant
 	KindChunk
 	KindDecline
+	KindReport
+	KindWantManifest
+	KindManifest
+	KindTarget
 )
 
 // Message is one typed message.
@@ -182,6 +186,43 @@
 	Chunk    uint32 `cbor:"2,keyasint"`
 }
 
+// Report tells entries what the upstream of a box is doing. Closing says that it takes nothing new for a short time,
+// Model and Version what it runs, Waiting and Running its requests, Slow how many times slower than usual it works, and
+// Entries how many entries hear it.
+type Report struct {
+	Server  string  `cbor:"1,keyasint"`
+	Model   string  `cbor:"2,keyasint,omitempty"`
+	Version int64   `cbor:"3,keyasint,omitempty"`
+	Running int     `cbor:"4,keyasint,omitempty"`
+	Waiting int     `cbor:"5,keyasint,omitempty"`
+	Used    int     `cbor:"6,keyasint,omitempty"`
+	Closing bool    `cbor:"7,keyasint,omitempty"`
+	Slow    float64 `cbor:"8,keyasint,omitempty"`
+	Entries int     `cbor:"9,keyasint,omitempty"`
+	Filled  float64 `cbor:"10,keyasint,omitempty"`
+}
+
+// WantManifest asks a neighbour for the digests of a version's pieces, now or as soon as it has them.
+type WantManifest struct {
+	Model   string `cbor:"1,keyasint"`
+	Version int64  `cbor:"2,keyasint"`
+}
+
+// Manifest hands on the digests of a version's pieces, each 32 bytes long, in order.
+type Manifest struct {
+	Model   string `cbor:"1,keyasint"`
+	Version int64  `cbor:"2,keyasint"`
+	Size    int    `cbor:"3,keyasint"`
+	Digests []byte `cbor:"4,keyasint"`
+}
+
+// Target tells which version of a model should run, and how long ago that was named.
+type Target struct {
+	Model   string        `cbor:"1,keyasint"`
+	Version int64         `cbor:"2,keyasint"`
+	Ago     time.Duration `cbor:"3,keyasint"`
+}
+
 // Kind returns KindHello.
 func (*Hello) Kind() Kind { return KindHello }
 
@@ -221,6 +262,18 @@
 // Kind returns KindDecline.
 func (*Decline) Kind() Kind { return KindDecline }
 
+// Kind returns KindReport.
+func (*Report) Kind() Kind { return KindReport }
+
+// Kind returns KindWantManifest.
+func (*WantManifest) Kind() Kind { return KindWantManifest }
+
+// Kind returns KindManifest.
+func (*Manifest) Kind() Kind { return KindManifest }
+
+// Kind returns KindTarget.
+func (*Target) Kind() Kind { return KindTarget }
+
 func newMessage(kind Kind) Message {
 	switch kind {
 	case KindHello:
@@ -249,6 +302,14 @@
 		return new(Chunk)
 	case KindDecline:
 		return new(Decline)
+	case KindReport:
+		return new(Report)
+	case KindWantManifest:
+		return new(WantManifest)
+	case KindManifest:
+		return new(Manifest)
+	case KindTarget:
+		return new(Target)
 	default:
 		return nil
 	}
--- a/supervise/daemon.go
+++ b/supervise/daemon.go
@@ -31,6 +31,19 @@
 	Parts    []Part
 }
 
+// Run runs named parts until ctx ends; one that ends before is started again.
+func Run(ctx context.Context, name string, logger log.Interface, parts []Part) error {
+	d := &Daemon{Name: name, Log: logger}
+	tree := suture.New(name, suture.Spec{EventHook: d.logEvent})
+	for _, part := range parts {
+		tree.Add(part)
+	}
+	if err := tree.Serve(ctx); !errors.Is(err, context.Canceled) {
+		return err
+	}
+	return nil
+}
+
 // Run runs the server and all parts until ctx ends, then ends the server at once.
 func (d *Daemon) Run(ctx context.Context) error {
 	tree := suture.New(d.Name, suture.Spec{EventHook: d.logEvent})
--- /dev/null
+++ b/view/metrics.go
@@ -0,0 +1,8 @@
+package view
+
+import "github.com/VictoriaMetrics/metrics"
+
+var (
+	configFaults   = metrics.NewCounter("coralstair_declared_faults_total")
+	configRevision = metrics.NewGauge("coralstair_config_revision", nil)
+)
--- /dev/null
+++ b/view/source.go
@@ -0,0 +1,45 @@
+package view
+
+import (
+	"context"
+	"time"
+
+	"github.com/coralstair/coralstair/contract"
+)
+
+// Cursor is a place in the store's history.
+type Cursor int64
+
+// Declared is what operators declared, whole or as far as it changed.
+type Declared struct {
+	// Config is nil when it did not change.
+	Config  *contract.Config
+	Targets []contract.Target
+	// Faults tell of rows that could not be read.
+	Faults []error
+	Cursor Cursor
+}
+
+// Servers is the list of servers, whole or as far as it changed.
+type Servers struct {
+	Present []contract.Server
+	// Gone holds the ids of servers that are no longer listed.
+	Gone   []string
+	Faults []error
+	Cursor Cursor
+}
+
+// Source is the platform's store as a view reads it. The calls with a cursor answer as soon as there is a change, at the
+// latest after wait; a HistoryGoneError says that the whole has to be read again.
+type Source interface {
+	Declared(ctx context.Context) (Declared, error)
+	DeclaredAfter(ctx context.Context, cursor Cursor, wait time.Duration) (Declared, error)
+	Servers(ctx context.Context) (Servers, error)
+	ServersAfter(ctx context.Context, cursor Cursor, wait time.Duration) (Servers, error)
+}
+
+// HistoryGoneError says that the store no longer has the history after a cursor.
+type HistoryGoneError struct{}
+
+// Error says so.
+func (*HistoryGoneError) Error() string { return "the store's history after this place is gone" }
