Pieces go out one at a time and are drawn one after the other; versions wait for their turn to load

Cause: live events waited behind pieces on the boxes' links, all servers loaded within two seconds, and 15 in 100 pieces came twice. Ruled out: processor time (0.001 of a core). Change: a box's pieces are paced with turns (pace), draws follow the origin's link rate, an older complete version is loaded in its turn while the next one's pieces wait in memory, entries hear when a server closes.

--- a/engine/model.go
+++ b/engine/model.go
@@ -70,3 +70,14 @@
 	// Each slot is read for once in the time in which its answer is written.
 	return Read(e, e.UsualPrompt*max(writing, 1), max(writing, 1)) + time.Duration(e.UsualAnswer)*step
 }
+
+// Write returns how long so many tokens of an answer take after the first, at a load; an unknown number is the usual one.
+func Write(e *contract.Engine, load Load, tokens int) time.Duration {
+	if tokens <= 0 {
+		tokens = e.UsualAnswer
+	}
+	writing := max(load.Writing+load.Reading, 1)
+	// While a request is written, the others of its slots are read for in turn.
+	reading := Read(e, e.UsualPrompt, 1) * time.Duration(writing) * time.Duration(tokens) / time.Duration(max(e.UsualAnswer, 1))
+	return time.Duration(tokens)*Step(e, writing) + reading
+}
--- a/fill/box.go
+++ b/fill/box.go
@@ -11,6 +11,7 @@
 
 	"github.com/coralstair/coralstair/contract"
 	"github.com/coralstair/coralstair/machine"
+	"github.com/coralstair/coralstair/pace"
 	"github.com/coralstair/coralstair/supervise"
 	"github.com/coralstair/coralstair/swarm"
 	"github.com/coralstair/coralstair/view"
@@ -32,25 +33,35 @@
 	log    log.Interface
 	server *http.Server
 	links  *links
+	pacer  *pace.Pacer
 	woken  chan struct{}
 
 	mu      sync.Mutex
 	state   State
 	stateAt time.Time
 	fill    *filling
+	// pending is an older version whose pieces are all staged and whose turn to load has not come.
+	pending *filling
 	// closing says that the server is about to load and takes nothing new.
 	closing bool
+	// closes is when the server's turn to load comes.
+	closes      time.Time
+	newestAsked time.Time
 }
 
 // New returns a box that does not run yet.
 func New(cfg Config) *Box {
-	b := &Box{cfg: cfg, log: cfg.Log, woken: make(chan struct{}, 1)}
+	b := &Box{cfg: cfg, log: cfg.Log, woken: make(chan struct{}, 1), pacer: pace.New(int64(cfg.Machine.LinkRate)).WithTurns(givesAtOnce)}
 	b.links = newLinks(b)
 	b.server = &http.Server{Handler: http.HandlerFunc(b.links.accept), ReadHeaderTimeout: headerTime}
 	return b
 }
 
-const headerTime = 5 * time.Second
+const (
+	headerTime = 5 * time.Second
+	// givesAtOnce is how many pieces are on their way out at a time.
+	givesAtOnce = 2
+)
 
 // Parts returns what runs in the box.
 func (b *Box) Parts() []supervise.Part {
@@ -93,16 +104,16 @@
 	return model.Name, service.Engine, ok
 }
 
-// origin returns the address at which weights are handed out; empty while none is known.
-func (b *Box) origin() string {
+// origin returns the service that hands out weights; nil while none is known.
+func (b *Box) origin() *contract.Service {
 	cfg := b.cfg.View.Config()
 	if cfg == nil {
-		return ""
+		return nil
 	}
 	for _, service := range cfg.Origins() {
-		return service.Origin
+		return service
 	}
-	return ""
+	return nil
 }
 
 // serverID returns the id under which the server on this machine is listed now; empty while it is not.
--- a/fill/engine.go
+++ b/fill/engine.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 
 	"github.com/coralstair/coralstair/contract"
 )
@@ -37,7 +38,7 @@
 	Start(ctx context.Context, order Order) error
 }
 
-// Origin hands out weights at an address.
+// Origin hands out weights at an address; version 0 asks for the newest manifest.
 type Origin interface {
 	Manifest(ctx context.Context, address, model string, version contract.Version) (*Manifest, error)
 	Piece(ctx context.Context, address, model string, version contract.Version, piece int) ([]byte, error)
@@ -49,6 +50,12 @@
 // Error says so.
 func (*NotHeldError) Error() string { return "the piece is not held" }
 
+// MisfitError says that a piece does not fit its digest.
+type MisfitError struct{ Piece int }
+
+// Error names the piece.
+func (e *MisfitError) Error() string { return fmt.Sprintf("piece %d does not fit its digest", e.Piece) }
+
 // RefusedError says that a server did not take an order.
 type RefusedError struct{ Reason string }
 
--- a/fill/filler.go
+++ b/fill/filler.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/apex/log"
@@ -12,7 +13,7 @@
 )
 
 const (
-	followEvery = 50 * time.Millisecond
+	followEvery = 25 * time.Millisecond
 	stateTime   = time.Second
 	originTime  = 2 * time.Second
 	stageTime   = time.Second
@@ -24,6 +25,8 @@
 	manifestWait = 300 * time.Millisecond
 	// freshCheck is how old the reading back of all pieces may be when the order is given.
 	freshCheck = 150 * time.Millisecond
+	// newestPause is how long after asking for the newest version it is asked for again.
+	newestPause = time.Second
 	// badManifest is how many drawn pieces in a row may not fit before the manifest itself is drawn again.
 	badManifest = 3
 )
@@ -32,6 +35,7 @@
 type filling struct {
 	model    string
 	version  contract.Version
+	named    time.Time
 	began    time.Time
 	manifest *Manifest
 	key      uint64
@@ -39,11 +43,14 @@
 	members  []swarm.Member
 	asking   bool
 	misfits  int
-	complete time.Time
-	checked  time.Time
-	ordered  time.Time
-	ctx      context.Context
-	cancel   context.CancelFunc
+	// memory holds pieces that came while the server's own place for pieces still held an older version to be loaded.
+	memory  map[int][]byte
+	checked time.Time
+	ordered time.Time
+	// given says that the server took the order.
+	given  bool
+	ctx    context.Context
+	cancel context.CancelFunc
 }
 
 // follow takes step after step towards the version that should run, until ctx ends.
@@ -65,14 +72,16 @@
 
 func (b *Box) step(ctx context.Context) {
 	model, _, ok := b.model()
-	if !ok {
+	if !ok || !b.known() {
 		return
 	}
 	target, named := b.cfg.View.Target(model)
 	if target == 0 {
+		b.askNewest(ctx, model)
 		return
 	}
 	f := b.aim(ctx, model, target)
+	b.loadPending(ctx)
 	if b.runs(model) >= target {
 		b.settle(f)
 		return
@@ -80,10 +89,78 @@
 	if !b.haveManifest(f) {
 		return
 	}
+	b.stageMemory(f)
 	b.spread(f)
 	b.load(ctx, f, named)
 }
 
+// known reports whether the server on this machine has told its state yet.
+func (b *Box) known() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return !b.stateAt.IsZero()
+}
+
+// loadPending loads an older version whose pieces were complete when a newer one was named: its turn comes first, and
+// the server is then not as long behind.
+func (b *Box) loadPending(ctx context.Context) {
+	b.mu.Lock()
+	p := b.pending
+	if p != nil && (b.state.Loaded[p.model] >= p.version || p.given) {
+		p.cancel()
+		b.pending, p = nil, nil
+		b.closing = false
+	}
+	b.mu.Unlock()
+	if p != nil {
+		b.load(ctx, p, p.named)
+	}
+}
+
+// stageMemory lays the pieces held in memory at the server once its place is free.
+func (b *Box) stageMemory(f *filling) {
+	b.mu.Lock()
+	if b.pending != nil || len(f.memory) == 0 {
+		b.mu.Unlock()
+		return
+	}
+	pieces := f.memory
+	f.memory = nil
+	b.mu.Unlock()
+	for piece, data := range pieces {
+		ctx, cancel := context.WithTimeout(f.ctx, stageTime)
+		err := b.cfg.Engine.Stage(ctx, f.model, piece, data)
+		cancel()
+		if err != nil {
+			b.mu.Lock()
+			f.feed.Lost(piece)
+			b.mu.Unlock()
+		}
+	}
+}
+
+// askNewest asks the origin which version is the newest, when nobody has named one and the server runs none.
+func (b *Box) askNewest(ctx context.Context, model string) {
+	origin := b.origin()
+	b.mu.Lock()
+	due := len(b.state.Loaded) == 0 && !b.stateAt.IsZero() && origin != nil && time.Since(b.newestAsked) > newestPause
+	if due {
+		b.newestAsked = time.Now()
+	}
+	b.mu.Unlock()
+	if !due {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, originTime)
+	defer cancel()
+	m, err := b.cfg.Origin.Manifest(ctx, origin.Origin, model, 0)
+	if err != nil {
+		b.log.WithField("cause", err.Error()).Warn("fill: the newest version is not known")
+		return
+	}
+	b.cfg.View.OfferTarget(contract.Target{Model: model, Version: m.Version}, 0)
+}
+
 // runs returns the version of a model that the server was last seen to run.
 func (b *Box) runs(model string) contract.Version {
 	b.mu.Lock()
@@ -98,21 +175,40 @@
 	if b.fill != nil && b.fill.model == model && b.fill.version == target {
 		return b.fill
 	}
-	if b.fill != nil {
-		b.fill.cancel()
-	}
+	b.replace(model)
 	f := &filling{model: model, version: target, began: time.Now()}
+	_, f.named = b.cfg.View.Target(model)
 	f.ctx, f.cancel = context.WithCancel(ctx)
 	b.fill = f
-	b.closing = false
+	if b.pending == nil {
+		b.closing = false
+	}
 	b.log.WithFields(log.Fields{"model": model, "version": int64(target)}).Info("fill: a version is aimed at")
 	return f
 }
 
+// replace ends the filling of the version that was aimed at before, unless its pieces are complete and only its turn has
+// not come; mu is held.
+func (b *Box) replace(model string) {
+	old := b.fill
+	if old == nil {
+		return
+	}
+	waits := old.feed != nil && old.feed.Complete() && len(old.memory) == 0 && b.state.Loaded[model] < old.version &&
+		b.state.Loaded[model] != 0 && !old.given
+	if waits && b.pending == nil {
+		b.pending = old
+		return
+	}
+	old.cancel()
+}
+
 // settle ends the links to other boxes some time after the server runs what it should; it goes on to give pieces.
 func (b *Box) settle(f *filling) {
 	b.mu.Lock()
 	b.closing = false
+	b.closes = time.Time{}
+	f.given = false
 	done := f.manifest != nil
 	b.mu.Unlock()
 	if !done {
@@ -132,10 +228,11 @@
 	members := b.siblings()
 	b.links.want(f.ctx, swarm.Neighbours(b.self(), members))
 	wait := manifestWait
-	if first := swarm.NewOrder(f.model, 1, members); len(first.Homes(0)) > 0 && first.Homes(0)[0].ID == b.self().ID {
+	if slices.Contains(swarm.NewOrder(f.model, 1, members).Homes(0), b.self()) {
 		wait = 0
 	}
-	if asking || time.Since(f.began) < wait || b.origin() == "" {
+	origin := b.origin()
+	if asking || time.Since(f.began) < wait || origin == nil {
 		return false
 	}
 	b.mu.Lock()
@@ -144,7 +241,7 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(f.ctx, originTime)
 		defer cancel()
-		m, err := b.cfg.Origin.Manifest(ctx, b.origin(), f.model, f.version)
+		m, err := b.cfg.Origin.Manifest(ctx, origin.Origin, f.model, f.version)
 		if err != nil {
 			b.log.WithField("cause", err.Error()).Warn("fill: no manifest from the origin")
 			time.Sleep(orderPause)
@@ -174,19 +271,30 @@
 	}
 	f.manifest, f.key = m, m.Key()
 	b.mu.Unlock()
+	began := time.Now()
 	have := b.heldPieces(f.ctx, m)
 	members := b.siblings()
 	b.mu.Lock()
 	f.members = members
-	f.feed = swarm.NewFeed(swarm.FeedParams{}, b.self(), swarm.NewOrder(f.model, len(m.Digests), members), have, time.Now())
+	f.feed = swarm.NewFeed(b.feedParams(m), b.self(), swarm.NewOrder(f.model, len(m.Digests), members), have, time.Now())
 	b.mu.Unlock()
 	b.log.WithFields(log.Fields{
 		"model": m.Model, "version": int64(m.Version), "from": from, "held": len(have), "pieces": len(m.Digests),
+		"read_ms": time.Since(began).Milliseconds(),
 	}).Info("fill: manifest taken")
 	b.links.begin(f)
 	b.wake()
 }
 
+// feedParams returns the times of a feed: how fast the origin hands out pieces follows from its link.
+func (b *Box) feedParams(m *Manifest) swarm.FeedParams {
+	var params swarm.FeedParams
+	if origin := b.origin(); origin != nil && origin.LinkRate > 0 {
+		params.DrawEvery = time.Duration(float64(m.PieceBytes) / origin.LinkRate * float64(time.Second))
+	}
+	return params
+}
+
 // heldPieces reads back what the server holds and returns the pieces that fit a manifest.
 func (b *Box) heldPieces(ctx context.Context, m *Manifest) []int {
 	ctx, cancel := context.WithTimeout(ctx, originTime)
@@ -252,22 +360,32 @@
 func (b *Box) draw(f *filling, piece int) {
 	ctx, cancel := context.WithTimeout(f.ctx, originTime)
 	defer cancel()
-	data, err := b.cfg.Origin.Piece(ctx, b.origin(), f.model, f.version, piece)
-	if err == nil && b.take(f, piece, "", data) {
+	origin := b.origin()
+	if origin == nil {
+		return
+	}
+	data, err := b.cfg.Origin.Piece(ctx, origin.Origin, f.model, f.version, piece)
+	if err == nil {
+		err = b.take(f, piece, "", data)
+	}
+	if err == nil {
 		piecesDrawn.Inc()
 		return
 	}
 	if f.ctx.Err() != nil {
 		return
 	}
-	b.log.WithField("piece", piece).WithField("cause", errorText(err)).Warn("fill: a piece was not drawn")
+	b.log.WithField("piece", piece).WithField("cause", err.Error()).Warn("fill: a piece was not drawn")
 	time.Sleep(followEvery)
 	b.mu.Lock()
+	defer b.mu.Unlock()
+	if f.feed == nil {
+		return
+	}
 	f.feed.DrawFailed(piece)
-	if err == nil {
+	if errors.As(err, new(*MisfitError)) {
 		b.misfit(f)
 	}
-	b.mu.Unlock()
 	b.wake()
 }
 
@@ -280,28 +398,57 @@
 	b.log.WithField("version", int64(f.version)).Warn("fill: the manifest is in doubt and drawn again")
 }
 
-func errorText(err error) string {
-	if err == nil {
-		return "it does not fit its digest"
+// take verifies a piece, keeps it and hands it to the boxes that wait for it.
+func (b *Box) take(f *filling, piece int, from string, data []byte) error {
+	b.mu.Lock()
+	m := f.manifest
+	b.mu.Unlock()
+	if m == nil || !m.Fits(piece, data) {
+		piecesBad.Inc()
+		return &MisfitError{Piece: piece}
+	}
+	if news, err := b.keep(f, piece, data); err != nil || !news {
+		return err
+	}
+	b.mu.Lock()
+	if f.feed == nil {
+		b.mu.Unlock()
+		return nil
 	}
-	return err.Error()
+	others := f.feed.Got(piece, from, time.Now())
+	complete := f.feed.Complete()
+	f.misfits = 0
+	b.mu.Unlock()
+	b.links.got(f, piece, data, others, complete)
+	if complete {
+		b.log.WithFields(log.Fields{
+			"version": int64(f.version), "ms": time.Since(f.began).Milliseconds(),
+			"site": piecesNear.Get(), "far": piecesFar.Get(), "drawn": piecesDrawn.Get(), "bad": piecesBad.Get(), "twice": piecesTwice.Get(),
+		}).Info("fill: all pieces are held")
+	}
+	b.wake()
+	return nil
 }
 
-// take verifies a piece, stages it at the server and hands it to the boxes that wait for it; false when it does not fit.
-func (b *Box) take(f *filling, piece int, from string, data []byte) bool {
-	if !f.manifestOf().Fits(piece, data) {
-		piecesBad.Inc()
-		return false
-	}
+// keep stages a piece at the server, or holds it in memory while the server's place for pieces is taken; news is false
+// when the piece is held already.
+func (b *Box) keep(f *filling, piece int, data []byte) (news bool, err error) {
 	b.mu.Lock()
 	current := b.fill == f && f.feed != nil
-	held := current && f.feed.Holds(piece)
-	b.mu.Unlock()
-	if held {
+	if current && f.feed.Holds(piece) {
 		piecesTwice.Inc()
+		current = false
 	}
-	if !current || held {
-		return true
+	hold := b.pending != nil
+	if current && hold {
+		if f.memory == nil {
+			f.memory = make(map[int][]byte)
+		}
+		f.memory[piece] = data
+	}
+	b.mu.Unlock()
+	if !current || hold {
+		return current, nil
 	}
 	ctx, cancel := context.WithTimeout(f.ctx, stageTime)
 	defer cancel()
@@ -309,29 +456,20 @@
 		if f.ctx.Err() == nil {
 			b.log.WithField("piece", piece).WithField("cause", err.Error()).Warn("fill: a piece was not staged")
 		}
-		return false
+		return false, err
 	}
+	return true, nil
+}
+
+// staged returns a piece from memory or from the server.
+func (b *Box) staged(ctx context.Context, f *filling, piece int) ([]byte, error) {
 	b.mu.Lock()
-	var others []string
-	complete := false
-	if f.feed != nil {
-		others = f.feed.Got(piece, from, time.Now())
-		complete = f.feed.Complete()
-		f.misfits = 0
-		if complete && f.complete.IsZero() {
-			f.complete = time.Now()
-		}
-	}
+	data := f.memory[piece]
 	b.mu.Unlock()
-	b.links.got(f, piece, data, others, complete)
-	if complete {
-		b.log.WithFields(log.Fields{
-			"version": int64(f.version), "ms": time.Since(f.began).Milliseconds(),
-			"site": piecesNear.Get(), "far": piecesFar.Get(), "drawn": piecesDrawn.Get(), "bad": piecesBad.Get(), "twice": piecesTwice.Get(),
-		}).Info("fill: all pieces are held")
+	if data != nil {
+		return data, nil
 	}
-	b.wake()
-	return true
+	return b.cfg.Engine.Staged(ctx, f.model, piece)
 }
 
 func (f *filling) manifestOf() *Manifest {
@@ -344,7 +482,7 @@
 // load gives the order to run the version once all pieces are held and it is this server's turn.
 func (b *Box) load(ctx context.Context, f *filling, named time.Time) {
 	b.mu.Lock()
-	ready := f.feed != nil && f.feed.Complete() && !b.state.Busy && time.Since(f.ordered) > orderPause
+	ready := f.feed != nil && f.feed.Complete() && len(f.memory) == 0 && !f.given && !b.state.Busy && time.Since(f.ordered) > orderPause
 	old := b.state.Loaded[f.model]
 	b.mu.Unlock()
 	if !ready {
@@ -352,8 +490,11 @@
 	}
 	turn := time.Now()
 	if due, late := b.cfg.View.Due(f.model, old); old != 0 && late {
-		turn = b.turn(f, named, due)
+		turn = b.turn(named, due)
 	}
+	b.mu.Lock()
+	b.closes = turn
+	b.mu.Unlock()
 	left := time.Until(turn)
 	if left > closeTime {
 		return
@@ -368,14 +509,14 @@
 }
 
 // turn returns when this server's turn to load comes.
-func (b *Box) turn(f *filling, named, due time.Time) time.Time {
+func (b *Box) turn(named, due time.Time) time.Time {
 	var ids []string
 	for _, server := range b.cfg.View.Servers() {
 		if server.Service == b.cfg.Machine.Service && !server.Leaving {
 			ids = append(ids, server.Address)
 		}
 	}
-	rank, n := Rank(b.cfg.Machine.UpstreamAt, ids, f.version)
+	rank, n := Rank(b.cfg.Machine.UpstreamAt, ids)
 	return Turn(named, due, rank, n)
 }
 
@@ -447,6 +588,9 @@
 		ordersFailed.Inc()
 		fields["cause"] = err.Error()
 	}
+	b.mu.Lock()
+	f.given = err == nil
+	b.mu.Unlock()
 	b.log.WithFields(fields).Info("fill: order to load")
 	state, err = b.cfg.Engine.State(ctx)
 	b.setState(state, err)
--- a/fill/inlink.go
+++ b/fill/inlink.go
@@ -257,7 +257,7 @@
 	}
 	ctx, cancel := context.WithTimeout(l.conn.Context(), stageTime)
 	defer cancel()
-	data, err := b.cfg.Engine.Staged(ctx, f.model, piece)
+	data, err := b.staged(ctx, f, piece)
 	if err == nil && f.manifest.Fits(piece, data) {
 		return data
 	}
--- a/fill/links.go
+++ b/fill/links.go
@@ -58,7 +58,7 @@
 
 // accept takes a link that another daemon opens.
 func (ls *links) accept(w http.ResponseWriter, r *http.Request) {
-	conn, err := link.Accept(w, r, nil)
+	conn, err := link.Accept(w, r, ls.box.pacer)
 	if err != nil {
 		return
 	}
--- a/fill/reporter.go
+++ b/fill/reporter.go
@@ -13,6 +13,9 @@
 	quietEvery = 500 * time.Millisecond
 	// reportEvery is how often entries hear of changes at most.
 	reportEvery = 100 * time.Millisecond
+	// closesHorizon is how long before its turn to load entries hear of it, closesStep how exactly.
+	closesHorizon = 4 * time.Second
+	closesStep    = 50 * time.Millisecond
 )
 
 // report asks the server for its state and tells entries of changes, until ctx ends.
@@ -60,6 +63,9 @@
 	}
 	b.state, b.stateAt = state, time.Now()
 	b.mu.Unlock()
+	if state.Running+state.Waiting > 0 {
+		b.pacer.Live(1)
+	}
 	if changed {
 		b.wake()
 	}
@@ -77,6 +83,9 @@
 		Server: id, Running: b.state.Running, Waiting: b.state.Waiting, Used: b.state.Used, Slow: b.state.Slow,
 		Closing: b.closing || b.state.Busy, Entries: b.links.entries(),
 	}
+	if left := time.Until(b.closes); !b.closes.IsZero() && left < closesHorizon {
+		report.Closes = max(left, time.Millisecond).Round(closesStep)
+	}
 	for model, version := range b.state.Loaded {
 		report.Model, report.Version = model, int64(version)
 	}
--- a/fill/wave.go
+++ b/fill/wave.go
@@ -4,15 +4,13 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-
-	"github.com/coralstair/coralstair/contract"
 )
 
 const (
 	// fillTime is how long after a version is named its pieces are usually everywhere: no wave begins before.
 	fillTime = 2700 * time.Millisecond
 	// loadMargin is how long before the bound the last server gets its order.
-	loadMargin = 1300 * time.Millisecond
+	loadMargin = 700 * time.Millisecond
 )
 
 // Turn returns when a server that runs an older version gets its order: the servers of a service come one after the
@@ -26,17 +24,14 @@
 	return from.Add(to.Sub(from) * time.Duration(rank) / time.Duration(n-1))
 }
 
-// Rank returns the place of a server among those of its service for a version, and their number.
-func Rank(id string, ids []string, version contract.Version) (rank, n int) {
-	own := rankScore(id, version)
+// Rank returns the place of a server among those of its service, and their number. It is the same for every version, so
+// that versions named in quick succession reach a server at the same distance.
+func Rank(id string, ids []string) (rank, n int) {
+	own := xxhash.Sum64String(id)
 	for _, other := range ids {
-		if other != id && rankScore(other, version) < own {
+		if other != id && xxhash.Sum64String(other) < own {
 			rank++
 		}
 	}
 	return rank, max(len(ids), 1)
 }
-
-func rankScore(id string, version contract.Version) uint64 {
-	return xxhash.Sum64String(id + "/" + string(rune('0'+version%10)))
-}
--- a/forward/call.go
+++ b/forward/call.go
@@ -108,7 +108,7 @@
 // next chooses the next server.
 func (c *call) next() (choice, error) {
 	now := time.Now()
-	want := wanted{service: c.service, model: c.ask.Model, prompt: c.ask.Prompt, not: c.not}
+	want := wanted{service: c.service, model: c.ask.Model, prompt: c.ask.Prompt, answer: c.ask.answer(), not: c.not}
 	if c.service.Engine != nil {
 		want.floor = c.entry.floor(c.model(), now)
 	}
--- a/forward/choose.go
+++ b/forward/choose.go
@@ -27,6 +27,7 @@
 	service *contract.Service
 	model   string
 	prompt  int
+	answer  int
 	// floor is the least version, exact the only one; 0 for any.
 	floor contract.Version
 	exact contract.Version
@@ -88,10 +89,11 @@
 		}
 		c.load = up.load(want.service.Engine, now)
 		c.first = engine.First(want.service.Engine, c.load, want.prompt)
+		c.cost = up.overrun(c.first+engine.Write(want.service.Engine, c.load, want.answer), now)
 	} else {
 		c.first = plainWork*time.Duration(1+up.inFlight/max(server.Slots, 1)) + time.Duration(up.inFlight)*time.Millisecond
 	}
-	c.cost = c.first + e.way(server.Site) + rand.N(spread)
+	c.cost += c.first + e.way(server.Site) + rand.N(spread)
 	if up.missing {
 		c.cost += missingTime
 	}
--- a/forward/upstream.go
+++ b/forward/upstream.go
@@ -133,6 +133,15 @@
 	return u.report.Closing && now.Sub(u.reportAt) < reportLife
 }
 
+// overrun returns by how much a request that takes so long would outlast the time until the server takes nothing new:
+// what still runs then keeps the server from loading.
+func (u *upstream) overrun(takes time.Duration, now time.Time) time.Duration {
+	if u.report.Closes == 0 || now.Sub(u.reportAt) > reportLife {
+		return 0
+	}
+	return max(takes-(u.report.Closes-now.Sub(u.reportAt)), 0)
+}
+
 // failed notes a failure; after several in a row the server is left alone for a time.
 func (u *upstream) failed(now time.Time) {
 	u.mu.Lock()
--- a/forward/wire.go
+++ b/forward/wire.go
@@ -23,6 +23,14 @@
 	LastEvent string
 }
 
+// answer returns the best guess of the tokens of the answer; 0 when there is none.
+func (a Ask) answer() int {
+	if a.Hint > 0 && (a.Answer == 0 || a.Hint < a.Answer) {
+		return a.Hint
+	}
+	return a.Answer
+}
+
 // Send is what one attempt tells the server beside the caller's own request.
 type Send struct {
 	Left   time.Duration
--- a/internal/daemoncmd/daemon.go
+++ b/internal/daemoncmd/daemon.go
@@ -47,7 +47,20 @@
 	Leave(ctx context.Context)
 }
 
-type buildFunc func(m machine.Machine, v *view.View, logger log.Interface) (daemon, error)
+// role is what one kind of daemon is made of; listSettle is how old its list of servers may be, for fewer calls.
+type role struct {
+	name       string
+	listSettle time.Duration
+	build      func(m machine.Machine, v *view.View, logger log.Interface) (daemon, error)
+}
+
+var (
+	entryRole = role{name: "entry", build: newEntry}
+	boxRole   = role{name: "box", build: newBox, listSettle: boxListSettle}
+)
+
+// boxListSettle is longer than an entry's: a box that is new reads the whole list, and the others hear from it.
+const boxListSettle = 1500 * time.Millisecond
 
 func newEntry(m machine.Machine, v *view.View, logger log.Interface) (daemon, error) {
 	callers, err := net.Listen("tcp", m.CallersAt)
@@ -85,7 +98,7 @@
 
 // run runs one daemon until a signal: SIGHUP reads the settings again, SIGTERM asks for a planned stop, a second one ends
 // it at once.
-func run(ctx context.Context, role, path string, logger log.Interface, build buildFunc) error {
+func run(ctx context.Context, of role, path string, logger log.Interface) error {
 	started := time.Now()
 	m, err := platform.LoadMachine(path)
 	if err != nil {
@@ -94,8 +107,10 @@
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	defer signal.Stop(signals)
-	v := view.New(platform.NewStore(m.StoreAt, newClient()), view.Options{Log: logger, VersionBound: m.Bounds.Version})
-	d, err := build(m, v, logger)
+	v := view.New(platform.NewStore(m.StoreAt, newClient()), view.Options{
+		Log: logger, VersionBound: m.Bounds.Version, ServersSettle: of.listSettle,
+	})
+	d, err := of.build(m, v, logger)
 	if err != nil {
 		return err
 	}
@@ -110,9 +125,9 @@
 		{Name: "servers", Run: v.ServeServers},
 		{Name: "metrics", Run: serveMetrics(m.Address)},
 	}, d.Parts()...)
-	logger.WithFields(log.Fields{"role": role, "id": m.ID, "site": m.Site, "pid": os.Getpid()}).Info("daemon: started")
-	err = supervise.Run(ctx, role, logger, parts)
-	logger.WithFields(log.Fields{"role": role, "id": m.ID, "ran_ms": time.Since(started).Milliseconds()}).Info("daemon: stopped")
+	logger.WithFields(log.Fields{"role": of.name, "id": m.ID, "site": m.Site, "pid": os.Getpid()}).Info("daemon: started")
+	err = supervise.Run(ctx, of.name, logger, parts)
+	logger.WithFields(log.Fields{"role": of.name, "id": m.ID, "ran_ms": time.Since(started).Milliseconds()}).Info("daemon: stopped")
 	return err
 }
 
--- a/internal/daemoncmd/main.go
+++ b/internal/daemoncmd/main.go
@@ -39,8 +39,8 @@
 			"Exit codes: 0 done, 1 failed, 2 wrong usage or bad settings.",
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
 		Commands: []*cli.Command{
-			{Name: "entry", Usage: "take callers' requests and call upstreams", Action: daemonAction(newEntry)},
-			{Name: "box", Usage: "bring the server on this machine to the declared version", Action: daemonAction(newBox)},
+			{Name: "entry", Usage: "take callers' requests and call upstreams", Action: daemonAction(entryRole)},
+			{Name: "box", Usage: "bring the server on this machine to the declared version", Action: daemonAction(boxRole)},
 		},
 	}
 	err := root.Run(context.Background(), args)
@@ -55,11 +55,11 @@
 	return exitFailed
 }
 
-func daemonAction(build buildFunc) cli.ActionFunc {
-	return func(ctx context.Context, cmd *cli.Command) error {
+func daemonAction(of role) cli.ActionFunc {
+	return func(ctx context.Context, _ *cli.Command) error {
 		stream := logging.NewStream(os.Stdout)
 		defer stream.Close(logFlush)
 		logger := &log.Logger{Handler: stream, Level: log.InfoLevel}
-		return run(ctx, cmd.Name, os.Getenv(platform.SettingsVariable), logger, build)
+		return run(ctx, of, os.Getenv(platform.SettingsVariable), logger)
 	}
 }
--- a/link/conn.go
+++ b/link/conn.go
@@ -26,6 +26,8 @@
 
 // Pacer lets pieces of chunks pass when live requests leave room for them.
 type Pacer interface {
+	// Turn waits until one more chunk may be on its way out; release ends its turn.
+	Turn(ctx context.Context) (release func(), err error)
 	// Piece returns how many bytes may pass at a time.
 	Piece() int
 	// Wait waits until n bytes may pass.
@@ -137,6 +139,11 @@
 	if !bulk || c.pacer == nil {
 		return c.ws.Write(ctx, websocket.MessageBinary, data)
 	}
+	release, err := c.pacer.Turn(ctx)
+	if err != nil {
+		return err
+	}
+	defer release()
 	w, err := c.ws.Writer(ctx, websocket.MessageBinary)
 	if err != nil {
 		return err
--- a/link/message.go
+++ b/link/message.go
@@ -199,7 +199,8 @@
 	Closing bool    `cbor:"7,keyasint,omitempty"`
 	Slow    float64 `cbor:"8,keyasint,omitempty"`
 	Entries int     `cbor:"9,keyasint,omitempty"`
-	Filled  float64 `cbor:"10,keyasint,omitempty"`
+	// Closes is how soon the server takes nothing new, 0 when it is not known to.
+	Closes time.Duration `cbor:"10,keyasint,omitempty"`
 }
 
 // WantManifest asks a neighbour for the digests of a version's pieces, now or as soon as it has them.
--- a/pace/pacer.go
+++ b/pace/pacer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -12,7 +13,7 @@
 const (
 	// pieceTime is how long a piece of a chunk keeps the link busy, and so a request behind it waiting.
 	pieceTime = 250 * time.Microsecond
-	minPiece  = 1 << 10
+	minPiece  = 4 << 10
 	maxPiece  = 64 << 10
 	// bulkShare is the part of the link, in percent, that chunks and requests together may fill while there are
 	// requests: what is left keeps the queue on the link short.
@@ -25,6 +26,7 @@
 // a rate, lets everything pass.
 type Pacer struct {
 	limiter  *rate.Limiter
+	turns    chan struct{}
 	piece    int
 	lastLive atomic.Int64
 	now      func() time.Time
@@ -53,6 +55,32 @@
 	}
 }
 
+// WithTurns returns the pacer with a bound on the chunks that are on their way out at a time: one after the other, the
+// first is there sooner. It is called before the pacer is used.
+func (p *Pacer) WithTurns(n int) *Pacer {
+	p.turns = make(chan struct{}, n)
+	return p
+}
+
+// turnTime is how long a chunk keeps its turn at most: a peer that does not read must not hold up the others.
+const turnTime = 300 * time.Millisecond
+
+// Turn waits until one more chunk may be on its way out.
+func (p *Pacer) Turn(ctx context.Context) (release func(), err error) {
+	if p == nil || p.turns == nil {
+		return func() {}, ctx.Err()
+	}
+	select {
+	case p.turns <- struct{}{}:
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	var once sync.Once
+	release = func() { once.Do(func() { <-p.turns }) }
+	time.AfterFunc(turnTime, release)
+	return release, nil
+}
+
 // Piece returns how many bytes of a chunk pass at a time.
 func (p *Pacer) Piece() int {
 	if p == nil {
--- a/swarm/feed.go
+++ b/swarm/feed.go
@@ -17,18 +17,21 @@
 	DrawPatience time.Duration
 	// Draws is how many pieces are drawn from the origin at a time.
 	Draws int
+	// DrawEvery is how long the origin's link takes for one piece: pieces are drawn one after the other, over all boxes, so
+	// that the first can be handed on at once.
+	DrawEvery time.Duration
 }
 
 // Defaults of FeedParams.
 const (
-	DefaultGreet          = 120 * time.Millisecond
+	DefaultGreet          = 80 * time.Millisecond
 	DefaultFeedPatience   = 400 * time.Millisecond
 	DefaultHolderPatience = 600 * time.Millisecond
 	DefaultDrawPatience   = 300 * time.Millisecond
 	DefaultFeedDraws      = 2
 
 	// askLimit is how long an ask stands at most, whatever else comes meanwhile.
-	askLimit = 3 * time.Second
+	askLimit = 8 * time.Second
 	// faultRest is how long a box that did not deliver is not asked.
 	faultRest = time.Second
 )
@@ -267,6 +270,9 @@
 		return f.ask(piece, p, true, now), true
 	}
 	if all == 0 {
+		if now.Sub(f.began) < f.params.Greet+time.Duration(piece)*f.params.DrawEvery {
+			return Action{}, false
+		}
 		return f.draw(piece, all, now)
 	}
 	for _, source := range f.order.Sources(group, f.self.Site) {
--- a/view/view.go
+++ b/view/view.go
@@ -20,17 +20,20 @@
 	Wait time.Duration
 	// Retry is the least pause after a call that failed.
 	Retry time.Duration
-	// Settle is the pause after a change, so that changes in quick succession share a call.
-	Settle time.Duration
+	// Settle is the pause after a change of what is declared, ServersSettle that after a change of the list of servers:
+	// changes in quick succession share a call.
+	Settle        time.Duration
+	ServersSettle time.Duration
 	// VersionBound is how soon after a version is named nothing begins on an older one.
 	VersionBound time.Duration
 }
 
 // Defaults of Options.
 const (
-	DefaultWait   = 10 * time.Second
-	DefaultRetry  = 100 * time.Millisecond
-	DefaultSettle = 30 * time.Millisecond
+	DefaultWait          = 10 * time.Second
+	DefaultRetry         = 100 * time.Millisecond
+	DefaultSettle        = 30 * time.Millisecond
+	DefaultServersSettle = 250 * time.Millisecond
 
 	maxRetry = time.Second
 	// lapseGrace is how long a server that is no longer listed counts as missing, not as gone: lists lapse while the
@@ -62,6 +65,7 @@
 	opts.Wait = or(opts.Wait, DefaultWait)
 	opts.Retry = or(opts.Retry, DefaultRetry)
 	opts.Settle = or(opts.Settle, DefaultSettle)
+	opts.ServersSettle = or(opts.ServersSettle, DefaultServersSettle)
 	return &View{
 		source: source, opts: opts, now: time.Now,
 		targets: make(map[string]*history),
@@ -125,11 +129,19 @@
 func (v *View) Target(model string) (contract.Version, time.Time) {
 	v.mu.RLock()
 	defer v.mu.RUnlock()
-	h := v.targets[model]
-	if h == nil {
-		return 0, time.Time{}
+	if h := v.targets[model]; h != nil {
+		return h.newest()
+	}
+	return v.running(model), time.Time{}
+}
+
+// running returns the newest version of a model that a listed server runs, which stands in while none has been named.
+func (v *View) running(model string) contract.Version {
+	var newest contract.Version
+	for _, server := range v.servers {
+		newest = max(newest, server.Loaded[model])
 	}
-	return h.newest()
+	return newest
 }
 
 // Floor returns the least version of a model on which a request may begin at a time.
@@ -159,7 +171,7 @@
 // ServeDeclared follows what operators declare until ctx ends.
 func (v *View) ServeDeclared(ctx context.Context) error {
 	cursor, known := Cursor(0), false
-	return v.follow(ctx, "declared", func(ctx context.Context) (bool, error) {
+	return v.follow(ctx, "declared", v.opts.Settle, func(ctx context.Context) (bool, error) {
 		var declared Declared
 		var err error
 		if known {
@@ -180,7 +192,7 @@
 // ServeServers follows the list of servers until ctx ends.
 func (v *View) ServeServers(ctx context.Context) error {
 	cursor, known := Cursor(0), false
-	return v.follow(ctx, "servers", func(ctx context.Context) (bool, error) {
+	return v.follow(ctx, "servers", v.opts.ServersSettle, func(ctx context.Context) (bool, error) {
 		var servers Servers
 		var err error
 		if known {
@@ -204,7 +216,7 @@
 }
 
 // follow makes one call after another; after a failure it pauses, longer each time.
-func (v *View) follow(ctx context.Context, what string, call func(context.Context) (bool, error)) error {
+func (v *View) follow(ctx context.Context, what string, settle time.Duration, call func(context.Context) (bool, error)) error {
 	pause, lost := v.opts.Retry, false
 	for {
 		changed, err := call(ctx)
@@ -226,7 +238,7 @@
 			}
 			pause, lost = v.opts.Retry, false
 			if changed {
-				wait = v.opts.Settle
+				wait = settle
 			}
 		}
 		if wait == 0 {
