Boxes ask only for what others hold; the bound on versions counts the predicted wait; admission by what waits

Ruled out: resends by net/http (no second line at the entry). Change: asks follow what the link carries, slow boxes are set aside, a busy connection is reset when it is given up, an older version gets nothing that might begin late, requests that would wait beyond 0.8 of their goal are refused with the time to come back.

--- a/fill/filler.go
+++ b/fill/filler.go
@@ -332,11 +332,14 @@
 		b.links.want(f.ctx, members)
 	}
 	for _, action := range actions {
-		if action.Draw {
+		switch {
+		case action.Draw:
 			go b.draw(f, action.Chunk)
-			continue
+		case action.Drop:
+			b.links.drop(f, action.Peer, action.Chunk)
+		default:
+			b.links.ask(f, action.Peer, action.Chunk)
 		}
-		b.links.ask(f, action.Peer, action.Chunk)
 	}
 }
 
@@ -415,11 +418,11 @@
 		b.mu.Unlock()
 		return nil
 	}
-	others := f.feed.Got(piece, from, time.Now())
-	complete := f.feed.Complete()
+	asked := f.feed.Got(piece, from, time.Now())
+	complete, drawer := f.feed.Complete(), f.feed.Drawer(piece)
 	f.misfits = 0
 	b.mu.Unlock()
-	b.links.got(f, piece, data, others, complete)
+	b.links.got(f, piece, asked, complete, drawer || from == "")
 	if complete {
 		b.log.WithFields(log.Fields{
 			"version": int64(f.version), "ms": time.Since(f.began).Milliseconds(),
--- a/fill/inlink.go
+++ b/fill/inlink.go
@@ -18,27 +18,21 @@
 	links *links
 	conn  *link.Conn
 	id    string
+	site  string
 	entry bool
 
 	mu sync.Mutex
-	// key is the version of which the other box asks, wants the pieces that it waits for, queue those to be sent.
+	// key is the version of which the other box asks, queue the pieces to be sent.
 	key      uint64
-	wants    map[int]bool
-	queue    []gift
+	queue    []int
 	manifest *link.WantManifest
 	woken    chan struct{}
 	reports  chan *link.Report
 }
 
-// gift is a piece to be sent; its data is read from the server when it is not at hand.
-type gift struct {
-	piece int
-	data  []byte
-}
-
 func newInLink(ls *links, conn *link.Conn, hello *link.Hello) *inLink {
 	return &inLink{
-		links: ls, conn: conn, id: hello.ID, entry: hello.Role == roleEntry, wants: make(map[int]bool),
+		links: ls, conn: conn, id: hello.ID, site: hello.Site, entry: hello.Role == roleEntry,
 		woken: make(chan struct{}, 1), reports: make(chan *link.Report, 1),
 	}
 }
@@ -103,11 +97,9 @@
 	l.mu.Lock()
 	if l.key != m.Manifest {
 		l.key, l.queue = m.Manifest, nil
-		clear(l.wants)
 	}
 	for _, piece := range m.Chunks {
-		delete(l.wants, int(piece))
-		l.queue = slices.DeleteFunc(l.queue, func(g gift) bool { return g.piece == int(piece) })
+		l.queue = slices.DeleteFunc(l.queue, func(queued int) bool { return queued == int(piece) })
 	}
 	l.mu.Unlock()
 	if f := l.links.box.filling(m.Manifest); f != nil && m.Reset {
@@ -133,19 +125,18 @@
 		held = int(m.Chunk) < len(f.manifest.Digests) && f.feed.Holds(int(m.Chunk))
 		b.mu.Unlock()
 	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.key != m.Manifest {
+	if !held {
+		l.send(&link.Decline{Manifest: m.Manifest, Chunk: m.Chunk})
 		return
 	}
-	if held {
-		l.enqueue(gift{piece: int(m.Chunk)})
-		return
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.key == m.Manifest {
+		l.enqueue(int(m.Chunk))
 	}
-	l.wants[int(m.Chunk)] = true
 }
 
-// begin serves what was asked of a version before this box knew its manifest.
+// begin answers a box that asked of a version before this box knew its manifest.
 func (l *inLink) begin(f *filling) {
 	l.giveManifest(f)
 	l.mu.Lock()
@@ -155,40 +146,25 @@
 		return
 	}
 	l.tellHeld(f)
-	b := l.links.box
-	b.mu.Lock()
-	var held []int
-	l.mu.Lock()
-	for piece := range l.wants {
-		if piece < len(f.manifest.Digests) && f.feed.Holds(piece) {
-			held = append(held, piece)
-		}
-	}
-	for _, piece := range held {
-		delete(l.wants, piece)
-		l.enqueue(gift{piece: piece})
-	}
-	l.mu.Unlock()
-	b.mu.Unlock()
 }
 
-// got gives a new piece to the other box if it waits for it, and tells it once all are held.
-func (l *inLink) got(f *filling, piece int, data []byte, complete bool) {
+// got tells the other box of a new piece, or of all once they are held.
+func (l *inLink) got(f *filling, piece int, complete bool) {
 	l.mu.Lock()
 	asks := l.key == f.key
-	if asks && l.wants[piece] {
-		delete(l.wants, piece)
-		l.enqueue(gift{piece: piece, data: data})
-	}
 	l.mu.Unlock()
-	if asks && complete {
+	switch {
+	case !asks:
+	case complete:
 		l.tellHeld(f)
+	default:
+		l.send(&link.Have{Manifest: f.key, Chunks: []uint32{uint32(piece)}})
 	}
 }
 
 // enqueue adds a piece to be sent; mu is held.
-func (l *inLink) enqueue(g gift) {
-	l.queue = append(l.queue, g)
+func (l *inLink) enqueue(piece int) {
+	l.queue = append(l.queue, piece)
 	select {
 	case l.woken <- struct{}{}:
 	default:
@@ -232,20 +208,17 @@
 		l.mu.Unlock()
 		return false
 	}
-	g, key := l.queue[0], l.key
+	piece, key := l.queue[0], l.key
 	l.queue = l.queue[1:]
 	l.mu.Unlock()
-	data := g.data
-	if data == nil {
-		data = l.read(key, g.piece)
-	}
+	data := l.read(key, piece)
 	ctx, cancel := context.WithTimeout(l.conn.Context(), giveTime)
 	defer cancel()
 	if data == nil {
-		return l.conn.Send(ctx, &link.Decline{Manifest: key, Chunk: uint32(g.piece)}) == nil
+		return l.conn.Send(ctx, &link.Decline{Manifest: key, Chunk: uint32(piece)}) == nil
 	}
 	bytesGiven.Add(len(data))
-	return l.conn.Send(ctx, &link.Chunk{Manifest: key, Chunk: uint32(g.piece), Body: data}) == nil
+	return l.conn.Send(ctx, &link.Chunk{Manifest: key, Chunk: uint32(piece), Body: data}) == nil
 }
 
 // read reads a piece back from the server; nil when it is not held or turned bad, and then it is fetched again.
--- a/fill/links.go
+++ b/fill/links.go
@@ -192,7 +192,7 @@
 	}
 }
 
-// ask asks a box for a piece; it is given as soon as the other has it.
+// ask asks a box for a piece that it holds.
 func (ls *links) ask(f *filling, peer string, piece int) {
 	ls.mu.Lock()
 	l := ls.out[peer]
@@ -202,26 +202,29 @@
 	}
 }
 
-// got hands a new piece to the boxes that wait for it, and tells those that were asked for it in vain.
-func (ls *links) got(f *filling, piece int, data []byte, others []string, complete bool) {
+// drop tells a box that a piece asked of it is no longer wanted.
+func (ls *links) drop(f *filling, peer string, piece int) {
 	ls.mu.Lock()
-	var told []*outLink
-	for _, id := range others {
-		if l := ls.out[id]; l != nil {
-			told = append(told, l)
-		}
+	l := ls.out[peer]
+	ls.mu.Unlock()
+	if l != nil {
+		l.send(&link.Have{Manifest: f.key, Chunks: []uint32{uint32(piece)}})
 	}
+}
+
+// got tells the boxes of the own site of a new piece, those of other sites too when they wait for this box to draw it,
+// and the box that was asked for it in vain that it is no longer wanted.
+func (ls *links) got(f *filling, piece int, asked string, complete, drawer bool) {
+	ls.mu.Lock()
 	var in []*inLink
 	for l := range ls.in {
-		if !l.entry {
+		if !l.entry && (drawer || complete || l.site == ls.box.cfg.Machine.Site) {
 			in = append(in, l)
 		}
 	}
 	ls.mu.Unlock()
-	for _, l := range told {
-		l.send(&link.Have{Manifest: f.key, Chunks: []uint32{uint32(piece)}})
-	}
+	ls.drop(f, asked, piece)
 	for _, l := range in {
-		l.got(f, piece, data, complete)
+		l.got(f, piece, complete)
 	}
 }
--- a/forward/call.go
+++ b/forward/call.go
@@ -9,6 +9,7 @@
 	"github.com/apex/log"
 
 	"github.com/coralstair/coralstair/contract"
+	"github.com/coralstair/coralstair/engine"
 )
 
 const (
@@ -18,6 +19,8 @@
 	notRunTries = 1
 	// comeBack is when a caller is told to come back where nothing better is known.
 	comeBack = 300 * time.Millisecond
+	// admitShare is the part of a request's goal that may pass before it is read.
+	admitShare = 0.8
 )
 
 // call is one caller's request on its way.
@@ -108,22 +111,35 @@
 // next chooses the next server.
 func (c *call) next() (choice, error) {
 	now := time.Now()
-	want := wanted{service: c.service, model: c.ask.Model, prompt: c.ask.Prompt, answer: c.ask.answer(), not: c.not}
-	if c.service.Engine != nil {
-		want.floor = c.entry.floor(c.model(), now)
-	}
+	want := wanted{service: c.service, model: c.model(), prompt: c.ask.Prompt, answer: c.ask.answer(), not: c.not}
 	ch, ok := c.entry.choose(want, now)
 	if !ok {
 		return choice{}, &NoServerError{Service: c.service.Name, Reason: "none can take it now"}
 	}
+	if c.offered == 0 && !c.worthwhile(ch) {
+		return choice{}, &BusyError{Service: c.service.Name, Wait: ch.first, Writing: ch.load.Writing, Reading: ch.load.Reading}
+	}
 	return ch, nil
 }
 
+// worthwhile reports whether a request is let in: what waits before it at the best server must leave it in time. Its own
+// length does not count, so that long requests are not refused more often.
+func (c *call) worthwhile(ch choice) bool {
+	if c.service.Engine == nil || c.route.Goal <= 0 {
+		return true
+	}
+	ahead := engine.First(c.service.Engine, ch.load, 0)
+	return ahead <= time.Duration(admitShare*float64(c.route.Goal))
+}
+
 // model returns the model that the request asks for, or the service's only one.
 func (c *call) model() string {
 	if c.ask.Model != "" {
 		return c.ask.Model
 	}
+	if c.service.Engine == nil {
+		return ""
+	}
 	model, _ := c.service.Engine.Model()
 	return model.Name
 }
--- a/forward/choose.go
+++ b/forward/choose.go
@@ -18,6 +18,10 @@
 	deniedTime = time.Second
 	// plainWork is what a request at a plain service counts as.
 	plainWork = 60 * time.Millisecond
+	// dueMargin, and dueFactor times the predicted wait more, is how long before the bound on its version a server gets no
+	// more requests.
+	dueMargin = 800 * time.Millisecond
+	dueFactor = 2
 	// missingTime is what a server that is no longer listed counts as.
 	missingTime = 10 * time.Second
 )
@@ -28,8 +32,7 @@
 	model   string
 	prompt  int
 	answer  int
-	// floor is the least version, exact the only one; 0 for any.
-	floor contract.Version
+	// exact is the only version that may answer; 0 for any.
 	exact contract.Version
 	not   map[string]bool
 }
@@ -84,22 +87,32 @@
 	c = choice{up: up, server: server}
 	if want.service.Engine != nil {
 		c.version = up.version(want.model, now)
-		if c.version == 0 || c.version < want.floor || want.exact != 0 && c.version != want.exact || up.closing(now) {
+		if c.version == 0 || want.exact != 0 && c.version != want.exact || up.closing(now) {
 			return choice{}, time.Time{}, false
 		}
 		c.load = up.load(want.service.Engine, now)
 		c.first = engine.First(want.service.Engine, c.load, want.prompt)
+		if e.overdue(up, want.model, c, now) {
+			return choice{}, time.Time{}, false
+		}
 		c.cost = up.overrun(c.first+engine.Write(want.service.Engine, c.load, want.answer), now)
 	} else {
 		c.first = plainWork*time.Duration(1+up.inFlight/max(server.Slots, 1)) + time.Duration(up.inFlight)*time.Millisecond
 	}
-	c.cost += c.first + e.way(server.Site) + rand.N(spread)
+	c.cost += c.first + up.silence(now) + e.way(server.Site) + rand.N(spread)
 	if up.missing {
 		c.cost += missingTime
 	}
 	return c, up.until, true
 }
 
+// overdue reports whether a request might begin at a server after the bound on its version: not only the wait that is
+// predicted counts, it may also be held up on the way.
+func (e *Entry) overdue(up *upstream, model string, c choice, now time.Time) bool {
+	due, older := e.cfg.View.Due(model, c.version)
+	return older && now.Add(dueMargin+dueFactor*c.first+up.silence(now)).After(due)
+}
+
 // way returns what the way to a site counts as.
 func (e *Entry) way(site string) time.Duration {
 	switch here := e.cfg.Machine.Site; {
--- a/forward/conn.go
+++ b/forward/conn.go
@@ -44,6 +44,18 @@
 	return n, err
 }
 
+// Close ends the connection. While a request is on it, what has not left yet is dropped: a request that was given up
+// must not reach its server when a cut link heals.
+func (c *conn) Close() error {
+	c.mu.Lock()
+	busy := c.uses > 0
+	c.mu.Unlock()
+	if tcp, ok := c.Conn.(*net.TCPConn); ok && busy {
+		_ = tcp.SetLinger(0)
+	}
+	return c.Conn.Close()
+}
+
 // begin marks the connection as in use by a request and returns how many bytes had left before.
 func (c *conn) begin() int64 {
 	c.mu.Lock()
@@ -75,8 +87,9 @@
 
 func (c *conn) expire() {
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.uses == 0 {
+	idle := c.uses == 0
+	c.mu.Unlock()
+	if idle {
 		_ = c.Close()
 	}
 }
--- a/forward/entry.go
+++ b/forward/entry.go
@@ -28,8 +28,6 @@
 	lameTime = 2500 * time.Millisecond
 	// graceMargin is kept from the time that a planned stop may take.
 	graceMargin = 500 * time.Millisecond
-	// floorMargin is how much earlier than the bound no request is sent to an older version: it may wait there.
-	floorMargin = 1200 * time.Millisecond
 )
 
 // Config is what an entry works with.
@@ -136,11 +134,6 @@
 	}
 }
 
-// floor returns the least version of a model on which a request that is sent now may begin.
-func (e *Entry) floor(model string, now time.Time) contract.Version {
-	return e.cfg.View.Floor(model, now.Add(floorMargin))
-}
-
 // comeBack says when a request of a service is likely to be served, by what is predicted at its servers.
 func (e *Entry) comeBack(service *contract.Service, route *contract.Route, now time.Time) time.Duration {
 	if service.Engine == nil {
--- a/forward/errors.go
+++ b/forward/errors.go
@@ -1,6 +1,9 @@
 package forward
 
-import "fmt"
+import (
+	"fmt"
+	"time"
+)
 
 // BrokenAnswerError says that what a server sent is not the whole answer to the request.
 type BrokenAnswerError struct{ Reason string }
@@ -21,3 +24,16 @@
 func (e *NoServerError) Error() string {
 	return fmt.Sprintf("no server of %s: %s", e.Service, e.Reason)
 }
+
+// BusyError says that a request would not be answered in time at any server; Wait is what is predicted at the best.
+type BusyError struct {
+	Service          string
+	Wait             time.Duration
+	Writing, Reading int
+}
+
+// Error tells the wait and the load at the best server.
+func (e *BusyError) Error() string {
+	return fmt.Sprintf("no server of %s is free in time: %s at the best, writing %d, reading %d",
+		e.Service, e.Wait.Round(time.Millisecond), e.Writing, e.Reading)
+}
--- a/forward/upstream.go
+++ b/forward/upstream.go
@@ -12,6 +12,8 @@
 const (
 	// reportLife is how long a report counts as what a server does.
 	reportLife = 1500 * time.Millisecond
+	// reportUsual is how old the latest report of a box usually is at most.
+	reportUsual = 600 * time.Millisecond
 	// firstPause and maxPause bound how long a server is left alone after failures, longer for each in a row.
 	firstPause = 500 * time.Millisecond
 	maxPause   = 4 * time.Second
@@ -133,6 +135,14 @@
 	return u.report.Closing && now.Sub(u.reportAt) < reportLife
 }
 
+// silence returns what a server counts as more whose reports are late: its link may be jammed.
+func (u *upstream) silence(now time.Time) time.Duration {
+	if u.reportAt.IsZero() {
+		return 0
+	}
+	return max(now.Sub(u.reportAt)-reportUsual, 0)
+}
+
 // overrun returns by how much a request that takes so long would outlast the time until the server takes nothing new:
 // what still runs then keeps the server from loading.
 func (u *upstream) overrun(takes time.Duration, now time.Time) time.Duration {
--- a/swarm/feed.go
+++ b/swarm/feed.go
@@ -5,16 +5,16 @@
 	"time"
 )
 
-// FeedParams are the times of a feed; a zero field takes its default.
+// FeedParams are the times and bounds of a feed; a zero field takes its default.
 type FeedParams struct {
 	// Greet is how long a box waits to hear what others hold before it draws anything.
 	Greet time.Duration
-	// Patience is how long no piece at all may come before more boxes are asked for the same piece.
+	// Patience is how long no piece at all may come before the next rank fetches across sites or draws.
 	Patience time.Duration
-	// HolderPatience is how long a box that holds what was asked may send nothing.
+	// HolderPatience is how long a box that was asked may send nothing.
 	HolderPatience time.Duration
-	// DrawPatience is how long each later rank waits before it draws what the earlier ranks should have drawn.
-	DrawPatience time.Duration
+	// Asks is how many pieces are asked for at a time at most; fewer when they take long to come.
+	Asks int
 	// Draws is how many pieces are drawn from the origin at a time.
 	Draws int
 	// DrawEvery is how long the origin's link takes for one piece: pieces are drawn one after the other, over all boxes, so
@@ -25,30 +25,35 @@
 // Defaults of FeedParams.
 const (
 	DefaultGreet          = 80 * time.Millisecond
-	DefaultFeedPatience   = 400 * time.Millisecond
-	DefaultHolderPatience = 600 * time.Millisecond
-	DefaultDrawPatience   = 300 * time.Millisecond
+	DefaultFeedPatience   = 300 * time.Millisecond
+	DefaultHolderPatience = time.Second
 	DefaultFeedDraws      = 2
+	DefaultAsks           = 8
 
-	// askLimit is how long an ask stands at most, whatever else comes meanwhile.
-	askLimit = 8 * time.Second
 	// faultRest is how long a box that did not deliver is not asked.
 	faultRest = time.Second
+	// slowPiece and quickPiece are how long a piece takes that halves the asks at a time, and that allows one more: what
+	// waits on a narrow link would hold up the requests behind it.
+	slowPiece  = 600 * time.Millisecond
+	quickPiece = 250 * time.Millisecond
+	firstAsks  = 4
+	// slowRest is how long a box that took too long is asked only for what no other holds.
+	slowRest = 4 * time.Second
 )
 
 func (p FeedParams) withDefaults() FeedParams {
 	p.Greet = or(p.Greet, DefaultGreet)
 	p.Patience = or(p.Patience, DefaultFeedPatience)
 	p.HolderPatience = or(p.HolderPatience, DefaultHolderPatience)
-	p.DrawPatience = or(p.DrawPatience, DefaultDrawPatience)
+	p.Asks = or(p.Asks, DefaultAsks)
 	p.Draws = or(p.Draws, DefaultFeedDraws)
 	return p
 }
 
-// Feed is one box's view of one version that spreads by standing asks: a box asks for a piece once, and is given it as
-// soon as the other has it. Each piece has one drawer, and in each site one home that takes it across; both follow from
-// the order, so that in the undisturbed case no box has to tell what it holds. Boxes that do hold pieces go before the
-// order, so that a replaced box takes from its neighbours. It is not safe for concurrent use.
+// Feed is one box's view of one version of few pieces that all boxes take at the same time. Each piece has one drawer and
+// in each site one home that takes it across, both by the order; a box asks those of its site that hold a piece, a home
+// also those elsewhere, and later ranks stand in when nothing comes. Draws follow a schedule by the origin's link, and
+// what is asked for at a time follows what the own link carries. It is not safe for concurrent use.
 type Feed struct {
 	params  FeedParams
 	self    Member
@@ -57,8 +62,9 @@
 	have    []bool
 	missing int
 	peers   map[string]*feedPeer
-	asks    map[int][]feedAsk
-	drawing map[int]time.Time
+	asks    map[int]feedAsk
+	drawing map[int]bool
+	room    int
 	began   time.Time
 	news    time.Time
 	salt    uint64
@@ -68,23 +74,22 @@
 	member Member
 	have   []bool
 	asked  int
-	heard  bool
 	came   time.Time
 	rest   time.Time
+	slow   time.Time
 }
 
 type feedAsk struct {
-	peer   string
-	since  time.Time
-	holder bool
+	peer  string
+	since time.Time
 }
 
 // NewFeed returns a feed of a box that already holds the pieces in have.
 func NewFeed(params FeedParams, self Member, order *Order, have []int, now time.Time) *Feed {
 	f := &Feed{
 		params: params.withDefaults(), self: self, have: make([]bool, order.chunks), missing: order.chunks,
-		peers: make(map[string]*feedPeer), asks: make(map[int][]feedAsk), drawing: make(map[int]time.Time),
-		began: now, news: now, salt: score(self.ID, 0, self.Site),
+		peers: make(map[string]*feedPeer), asks: make(map[int]feedAsk), drawing: make(map[int]bool),
+		room: firstAsks, began: now, news: now, salt: score(self.ID, 0, self.Site),
 	}
 	for _, piece := range have {
 		f.hold(piece)
@@ -96,12 +101,45 @@
 // Complete reports whether all pieces are held.
 func (f *Feed) Complete() bool { return f.missing == 0 }
 
+// DrawFailed says that the origin did not give a piece.
+func (f *Feed) DrawFailed(piece int) { delete(f.drawing, piece) }
+
+// Drawer reports whether this box is the first to draw a piece, so that others wait to hear of it.
+func (f *Feed) Drawer(piece int) bool { return f.places[f.order.Group(piece)][0] == 0 }
+
+// Failed says that a box will not give a piece now, or gave a bad one; it is not asked for a while.
+func (f *Feed) Failed(piece int, from string, now time.Time) {
+	f.release(piece, from)
+	if p := f.peers[from]; p != nil {
+		p.have[piece] = false
+		p.rest = now.Add(faultRest)
+	}
+}
+
+// Got says that a piece came and was verified; from is empty when it was drawn. It returns the box that was asked for it
+// in vain, empty when there is none.
+func (f *Feed) Got(piece int, from string, now time.Time) (asked string) {
+	if a, ok := f.asks[piece]; ok {
+		if a.peer == from {
+			f.adapt(now.Sub(a.since))
+			f.judge(from, now.Sub(a.since), now)
+		} else {
+			asked = a.peer
+		}
+		f.release(piece, a.peer)
+	}
+	delete(f.drawing, piece)
+	f.news = now
+	if p := f.peers[from]; p != nil {
+		p.came = now
+	}
+	f.hold(piece)
+	return asked
+}
+
 // Have returns the number of pieces held.
 func (f *Feed) Have() int { return len(f.have) - f.missing }
 
-// Holds reports whether a piece is held.
-func (f *Feed) Holds(piece int) bool { return f.have[piece] }
-
 // Held returns the pieces held.
 func (f *Feed) Held() []uint32 {
 	var held []uint32
@@ -113,16 +151,27 @@
 	return held
 }
 
-// Reorder takes a new order after boxes came or went.
-func (f *Feed) Reorder(order *Order) {
-	f.order = order
-	f.places = make([][2]int, order.Groups())
-	for group := range f.places {
-		all, site := order.Places(group, f.self)
-		f.places[group] = [2]int{all, site}
+// Holds reports whether a piece is held.
+func (f *Feed) Holds(piece int) bool { return f.have[piece] }
+
+// Lost says that a held piece turned out bad or gone.
+func (f *Feed) Lost(piece int) {
+	if f.have[piece] {
+		f.have[piece] = false
+		f.missing++
 	}
 }
 
+// Next returns what to do now and marks it as being done.
+func (f *Feed) Next(now time.Time) []Action {
+	if f.Complete() {
+		return nil
+	}
+	actions := f.expire(now)
+	actions = append(actions, f.nextDraws(now)...)
+	return append(actions, f.nextAsks(now)...)
+}
+
 // Peer tells that a link to a box is up.
 func (f *Feed) Peer(member Member) {
 	if f.peers[member.ID] == nil {
@@ -132,10 +181,12 @@
 
 // PeerGone tells that the link to a box has ended.
 func (f *Feed) PeerGone(id string) {
-	delete(f.peers, id)
-	for piece, asks := range f.asks {
-		f.setAsks(piece, slices.DeleteFunc(slices.Clone(asks), func(a feedAsk) bool { return a.peer == id }))
+	for piece, a := range f.asks {
+		if a.peer == id {
+			delete(f.asks, piece)
+		}
 	}
+	delete(f.peers, id)
 }
 
 // PeerHas tells which pieces a box holds, all of them when reset.
@@ -144,7 +195,6 @@
 	if p == nil {
 		return
 	}
-	p.heard = true
 	if reset {
 		clear(p.have)
 	}
@@ -155,220 +205,192 @@
 	}
 }
 
-// Lost says that a held piece turned out bad or gone.
-func (f *Feed) Lost(piece int) {
-	if f.have[piece] {
-		f.have[piece] = false
-		f.missing++
+// Reorder takes a new order after boxes came or went.
+func (f *Feed) Reorder(order *Order) {
+	f.order = order
+	f.places = make([][2]int, order.Groups())
+	for group := range f.places {
+		all, site := order.Places(group, f.self)
+		f.places[group] = [2]int{all, site}
 	}
 }
 
-// Got says that a piece came and was verified; from is empty when it was drawn. It returns the other boxes that were
-// asked for it, which should be told.
-func (f *Feed) Got(piece int, from string, now time.Time) []string {
-	var others []string
-	for _, a := range f.asks[piece] {
-		if a.peer != from {
-			others = append(others, a.peer)
-		}
-	}
-	f.setAsks(piece, nil)
-	delete(f.drawing, piece)
-	f.news = now
-	if p := f.peers[from]; p != nil {
-		p.came = now
+// adapt lets as many pieces be asked for at a time as come soon after.
+func (f *Feed) adapt(took time.Duration) {
+	switch {
+	case took > slowPiece:
+		f.room = max(f.room/2, 1)
+	case took < quickPiece:
+		f.room = min(f.room+1, f.params.Asks)
 	}
-	f.hold(piece)
-	return others
 }
 
-// Failed says that a box will not give a piece now, or gave a bad one; it is not asked for a while.
-func (f *Feed) Failed(piece int, from string, now time.Time) {
-	f.setAsks(piece, slices.DeleteFunc(slices.Clone(f.asks[piece]), func(a feedAsk) bool { return a.peer == from }))
-	if p := f.peers[from]; p != nil {
-		p.have[piece] = false
-		p.rest = now.Add(faultRest)
+// judge leaves a box aside that takes much longer for a piece than this box's own link explains.
+func (f *Feed) judge(from string, took time.Duration, now time.Time) {
+	if p := f.peers[from]; p != nil && took > slowPiece && f.room > 1 {
+		p.slow = now.Add(slowRest)
 	}
 }
 
-// DrawFailed says that the origin did not give a piece.
-func (f *Feed) DrawFailed(piece int) { delete(f.drawing, piece) }
-
-// Next returns what to do now and marks it as being done.
-func (f *Feed) Next(now time.Time) []Action {
-	if f.Complete() {
-		return nil
-	}
+// expire gives up asks that a box does not answer, and leaves the box alone for a while.
+func (f *Feed) expire(now time.Time) []Action {
 	var actions []Action
-	first := int(f.salt % uint64(len(f.have)))
-	for i := range f.have {
-		piece := (first + i) % len(f.have)
-		if f.have[piece] || f.isDrawn(piece) || f.pending(piece, now) {
+	for piece, a := range f.asks {
+		p := f.peers[a.peer]
+		if p == nil {
+			delete(f.asks, piece)
 			continue
 		}
-		f.dropOld(piece, now)
-		if action, ok := f.next(piece, now); ok {
-			actions = append(actions, action)
+		if now.Sub(later(a.since, p.came)) > f.params.HolderPatience {
+			f.release(piece, a.peer)
+			p.rest = now.Add(faultRest)
+			p.slow = now.Add(slowRest)
+			f.room = max(f.room/2, 1)
+			actions = append(actions, Action{Chunk: piece, Peer: a.peer, Drop: true})
 		}
 	}
 	return actions
 }
 
-func (f *Feed) isDrawn(piece int) bool {
-	_, drawn := f.drawing[piece]
-	return drawn
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
 }
 
-// pending reports whether a piece is asked for and its coming is not overdue.
-func (f *Feed) pending(piece int, now time.Time) bool {
-	for _, a := range f.asks[piece] {
-		if !f.overdue(a, now) {
-			return true
+// nextDraws chooses pieces to draw: those of this box by the schedule, those of earlier ranks when nothing comes.
+func (f *Feed) nextDraws(now time.Time) []Action {
+	var actions []Action
+	for piece := range f.have {
+		if len(f.drawing) >= f.params.Draws {
+			break
+		}
+		if f.wanted(piece) && f.mayDraw(piece, now) {
+			f.drawing[piece] = true
+			actions = append(actions, Action{Chunk: piece, Draw: true, Rank: f.places[f.order.Group(piece)][0]})
 		}
 	}
-	return false
+	return actions
 }
 
-// dropOld forgets asks that stood for too long, so that their boxes may be asked again.
-func (f *Feed) dropOld(piece int, now time.Time) {
-	f.setAsks(piece, slices.DeleteFunc(slices.Clone(f.asks[piece]), func(a feedAsk) bool { return now.Sub(a.since) > askLimit }))
+func (f *Feed) mayDraw(piece int, now time.Time) bool {
+	rank := f.places[f.order.Group(piece)][0]
+	waited := now.Sub(f.began)
+	switch {
+	case rank < 0 || len(f.order.members) > 1 && waited < f.params.Greet || f.known(piece):
+		return false
+	case rank == 0:
+		return waited >= f.params.Greet+time.Duration(piece)*f.params.DrawEvery
+	default:
+		return f.waited(rank, now)
+	}
 }
 
-func (f *Feed) overdue(a feedAsk, now time.Time) bool {
-	p := f.peers[a.peer]
-	if p == nil || now.Sub(a.since) > askLimit {
-		return true
-	}
-	if a.holder {
-		return now.Sub(later(a.since, p.came)) > f.params.HolderPatience
+// known reports whether any linked box that is not left alone holds a piece.
+func (f *Feed) known(piece int) bool {
+	for _, p := range f.peers {
+		if p.have[piece] && !p.rest.After(f.news) {
+			return true
+		}
 	}
-	return now.Sub(later(a.since, f.news)) > f.params.Patience
+	return false
 }
 
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
+// waited reports whether nothing has come for as long as a rank has to wait.
+func (f *Feed) waited(rank int, now time.Time) bool {
+	return now.Sub(f.news) >= time.Duration(min(rank, maxRankWaits))*f.params.Patience
 }
 
-// next chooses the next source of a piece: a holder of the own site, the homes before this box, a holder elsewhere, the
-// sources of this box's site, at last the origin.
-func (f *Feed) next(piece int, now time.Time) (Action, bool) {
-	group := f.order.Group(piece)
-	all, site := f.places[group][0], f.places[group][1]
-	if p := f.holder(piece, true, now); p != nil {
-		return f.ask(piece, p, true, now), true
-	}
-	if home := f.home(piece, group, site, now); home != nil {
-		return f.ask(piece, home, false, now), true
-	}
-	if f.greeting(now) {
-		return Action{}, false
-	}
-	if p := f.holder(piece, false, now); p != nil {
-		return f.ask(piece, p, true, now), true
+// nextAsks chooses pieces to ask for: those that this box takes across for its site first, then the rarest.
+func (f *Feed) nextAsks(now time.Time) []Action {
+	room := f.room - len(f.asks)
+	if room <= 0 {
+		return nil
 	}
-	if all == 0 {
-		if now.Sub(f.began) < f.params.Greet+time.Duration(piece)*f.params.DrawEvery {
-			return Action{}, false
+	found := f.candidates(now)
+	var actions []Action
+	for _, c := range found {
+		if len(actions) == room {
+			break
 		}
-		return f.draw(piece, all, now)
-	}
-	for _, source := range f.order.Sources(group, f.self.Site) {
-		if p := f.peers[source.ID]; p != nil && f.mayAsk(piece, p, now) {
-			return f.ask(piece, p, false, now), true
+		if p := f.holder(c.chunk, now); p != nil {
+			f.asks[c.chunk] = feedAsk{peer: p.member.ID, since: now}
+			p.asked++
+			actions = append(actions, Action{Chunk: c.chunk, Peer: p.member.ID})
 		}
 	}
-	if all < 0 || now.Sub(f.news) < time.Duration(min(all, maxRankWaits))*f.params.DrawPatience {
-		return Action{}, false
-	}
-	return f.draw(piece, all, now)
-}
-
-// greeting reports whether this box still waits to hear what others hold.
-func (f *Feed) greeting(now time.Time) bool {
-	return len(f.order.members) > 1 && now.Sub(f.began) < f.params.Greet
+	return actions
 }
 
-// home returns the first box before this one in the site's order that may be asked; nil when this box comes first.
-func (f *Feed) home(piece, group, place int, now time.Time) *feedPeer {
-	if place == 0 {
-		return nil
-	}
-	for _, i := range f.order.ranked[group] {
-		member := f.order.members[i]
-		if member.ID == f.self.ID {
-			return nil
-		}
-		if member.Site != f.self.Site {
+func (f *Feed) candidates(now time.Time) []candidate {
+	var found []candidate
+	for piece := range f.have {
+		if !f.wanted(piece) {
 			continue
 		}
-		if p := f.peers[member.ID]; p != nil && f.mayAsk(piece, p, now) {
-			return p
+		copies, near := 0, false
+		for _, p := range f.peers {
+			if p.have[piece] && !now.Before(p.rest) {
+				copies++
+				near = near || p.member.Site == f.self.Site && !now.Before(p.slow)
+			}
+		}
+		if copies > 0 && (near || f.mayCross(piece, now)) {
+			found = append(found, candidate{chunk: piece, copies: copies, planned: near, tie: score(f.self.ID, uint64(piece), "")})
 		}
 	}
-	return nil
+	slices.SortFunc(found, compareCandidates)
+	return found
+}
+
+// mayCross says whether this box's turn to fetch a piece from another site has come.
+func (f *Feed) mayCross(piece int, now time.Time) bool {
+	place := f.places[f.order.Group(piece)][1]
+	return place == 0 || place > 0 && f.waited(place, now)
 }
 
-// holder returns the least asked of the boxes known to hold a piece, of the own site or of the others.
-func (f *Feed) holder(piece int, near bool, now time.Time) *feedPeer {
+// holder returns the least asked box that holds a piece, of the own site if there is one.
+func (f *Feed) holder(piece int, now time.Time) *feedPeer {
 	var best *feedPeer
-	var bestTie uint64
 	for _, p := range f.peers {
-		if (p.member.Site == f.self.Site) != near || !p.have[piece] || !f.mayAsk(piece, p, now) {
+		if !p.have[piece] || now.Before(p.rest) {
 			continue
 		}
-		tie := score(p.member.ID, f.salt+uint64(piece), "")
-		if best == nil || p.asked < best.asked || p.asked == best.asked && tie < bestTie {
-			best, bestTie = p, tie
+		if best == nil || f.before(p, best, piece, now) {
+			best = p
 		}
 	}
 	return best
 }
 
-func (f *Feed) mayAsk(piece int, p *feedPeer, now time.Time) bool {
-	if now.Before(p.rest) {
-		return false
-	}
-	return !slices.ContainsFunc(f.asks[piece], func(a feedAsk) bool { return a.peer == p.member.ID })
-}
-
-func (f *Feed) ask(piece int, p *feedPeer, holder bool, now time.Time) Action {
-	for _, a := range f.asks[piece] {
-		if late := f.peers[a.peer]; late != nil && a.holder {
-			late.rest = now.Add(faultRest)
-		}
+func (f *Feed) before(a, b *feedPeer, piece int, now time.Time) bool {
+	slowA, slowB := now.Before(a.slow), now.Before(b.slow)
+	nearA, nearB := a.member.Site == f.self.Site, b.member.Site == f.self.Site
+	switch {
+	case slowA != slowB:
+		return slowB
+	case nearA != nearB:
+		return nearA
+	case a.asked != b.asked:
+		return a.asked < b.asked
+	default:
+		return score(a.member.ID, f.salt+uint64(piece), "") < score(b.member.ID, f.salt+uint64(piece), "")
 	}
-	f.asks[piece] = append(f.asks[piece], feedAsk{peer: p.member.ID, since: now, holder: holder})
-	p.asked++
-	return Action{Chunk: piece, Peer: p.member.ID}
 }
 
-func (f *Feed) draw(piece, rank int, now time.Time) (Action, bool) {
-	if len(f.drawing) >= f.params.Draws {
-		return Action{}, false
-	}
-	f.drawing[piece] = now
-	return Action{Chunk: piece, Draw: true, Rank: rank}, true
+func (f *Feed) wanted(piece int) bool {
+	_, asked := f.asks[piece]
+	return !f.have[piece] && !asked && !f.drawing[piece]
 }
 
-func (f *Feed) setAsks(piece int, asks []feedAsk) {
-	for _, a := range f.asks[piece] {
-		if p := f.peers[a.peer]; p != nil {
-			p.asked--
-		}
-	}
-	if len(asks) == 0 {
+func (f *Feed) release(piece int, from string) {
+	if a, ok := f.asks[piece]; ok && a.peer == from {
 		delete(f.asks, piece)
-		return
-	}
-	for _, a := range asks {
-		if p := f.peers[a.peer]; p != nil {
-			p.asked++
+		if p := f.peers[from]; p != nil {
+			p.asked--
 		}
 	}
-	f.asks[piece] = asks
 }
 
 func (f *Feed) hold(piece int) {
--- a/swarm/node.go
+++ b/swarm/node.go
@@ -32,12 +32,13 @@
 }
 
 // Action is one thing to do now: ask a box for a chunk or, when Draw is set, draw it from the origin.
-// Rank is this box's place among those that may draw the chunk.
+// Rank is this box's place among those that may draw the chunk. Drop says that a chunk asked of a box is no longer wanted.
 type Action struct {
 	Chunk int
 	Peer  string
 	Draw  bool
 	Rank  int
+	Drop  bool
 }
 
 // Fault says why a chunk did not come.
--- a/view/view.go
+++ b/view/view.go
@@ -144,13 +144,6 @@
 	return newest
 }
 
-// Floor returns the least version of a model on which a request may begin at a time.
-func (v *View) Floor(model string, at time.Time) contract.Version {
-	v.mu.RLock()
-	defer v.mu.RUnlock()
-	return v.targets[model].floor(at.Add(-v.opts.VersionBound))
-}
-
 // Due returns until when a server that runs a version of a model may begin requests on it; ok is false when it may go on.
 func (v *View) Due(model string, runs contract.Version) (due time.Time, ok bool) {
 	v.mu.RLock()
