Pieces may take 93 in 100 of a box's link; servers whose pieces are on their way get nothing late

Change: an entry keeps 2.6 s before the bound from a server that does not hold all pieces; the pieces' share of the link 80 to 93 in 100.

--- a/fill/box.go
+++ b/fill/box.go
@@ -51,7 +51,7 @@
 
 // New returns a box that does not run yet.
 func New(cfg Config) *Box {
-	b := &Box{cfg: cfg, log: cfg.Log, woken: make(chan struct{}, 1), pacer: pace.New(int64(cfg.Machine.LinkRate)).WithTurns(givesAtOnce)}
+	b := &Box{cfg: cfg, log: cfg.Log, woken: make(chan struct{}, 1), pacer: pace.New(int64(cfg.Machine.LinkRate)).WithShare(pieceShare).WithTurns(givesAtOnce)}
 	b.links = newLinks(b)
 	b.server = &http.Server{Handler: http.HandlerFunc(b.links.accept), ReadHeaderTimeout: headerTime}
 	return b
@@ -61,6 +61,9 @@
 	headerTime = 5 * time.Second
 	// givesAtOnce is how many pieces are on their way out at a time.
 	givesAtOnce = 2
+	// pieceShare is the part of the link, in percent, that pieces may take: the events of streams are small, and wait behind
+	// one part of a piece at most.
+	pieceShare = 93
 )
 
 // Parts returns what runs in the box.
--- a/fill/reporter.go
+++ b/fill/reporter.go
@@ -45,7 +45,7 @@
 
 // urgent reports whether entries should hear of a change at once.
 func urgent(report, last link.Report) bool {
-	return report.Closing != last.Closing || report.Version != last.Version || report.Server != last.Server
+	return report.Closing != last.Closing || report.Filled != last.Filled || report.Version != last.Version || report.Server != last.Server
 }
 
 // setState takes what the server told; one that does not answer keeps its last state.
@@ -86,6 +86,7 @@
 	if left := time.Until(b.closes); !b.closes.IsZero() && left < closesHorizon {
 		report.Closes = max(left, time.Millisecond).Round(closesStep)
 	}
+	report.Filled = b.pending != nil || b.fill != nil && b.fill.feed != nil && b.fill.feed.Complete()
 	for model, version := range b.state.Loaded {
 		report.Model, report.Version = model, int64(version)
 	}
--- a/forward/choose.go
+++ b/forward/choose.go
@@ -21,7 +21,9 @@
 	// dueMargin, and dueFactor times the predicted wait more, is how long before the bound on its version a server gets no
 	// more requests.
 	dueMargin = 800 * time.Millisecond
-	dueFactor = 2
+	// unfilledMargin is the same at a server whose pieces are still on their way: what jams its link holds requests up.
+	unfilledMargin = 2600 * time.Millisecond
+	dueFactor      = 2
 	// missingTime is what a server that is no longer listed counts as.
 	missingTime = 10 * time.Second
 )
@@ -110,7 +112,14 @@
 // predicted counts, it may also be held up on the way.
 func (e *Entry) overdue(up *upstream, model string, c choice, now time.Time) bool {
 	due, older := e.cfg.View.Due(model, c.version)
-	return older && now.Add(dueMargin+dueFactor*c.first+up.silence(now)).After(due)
+	if !older {
+		return false
+	}
+	margin := dueMargin
+	if !up.filled(now) {
+		margin = unfilledMargin
+	}
+	return now.Add(margin + dueFactor*c.first + up.silence(now)).After(due)
 }
 
 // way returns what the way to a site counts as.
--- a/forward/upstream.go
+++ b/forward/upstream.go
@@ -135,6 +135,11 @@
 	return u.report.Closing && now.Sub(u.reportAt) < reportLife
 }
 
+// filled reports whether the server's box holds all pieces of the version that should run.
+func (u *upstream) filled(now time.Time) bool {
+	return u.report.Filled && now.Sub(u.reportAt) < reportLife
+}
+
 // silence returns what a server counts as more whose reports are late: its link may be jammed.
 func (u *upstream) silence(now time.Time) time.Duration {
 	if u.reportAt.IsZero() {
--- a/link/message.go
+++ b/link/message.go
@@ -201,6 +201,8 @@
 	Entries int     `cbor:"9,keyasint,omitempty"`
 	// Closes is how soon the server takes nothing new, 0 when it is not known to.
 	Closes time.Duration `cbor:"10,keyasint,omitempty"`
+	// Filled says that all pieces of the version that should run are held.
+	Filled bool `cbor:"11,keyasint,omitempty"`
 }
 
 // WantManifest asks a neighbour for the digests of a version's pieces, now or as soon as it has them.
--- a/pace/pacer.go
+++ b/pace/pacer.go
@@ -28,6 +28,7 @@
 	limiter  *rate.Limiter
 	turns    chan struct{}
 	piece    int
+	rate     int64
 	lastLive atomic.Int64
 	now      func() time.Time
 }
@@ -38,6 +39,7 @@
 	if bytesPerSecond > 0 {
 		p.piece = int(min(max(bytesPerSecond*int64(pieceTime)/int64(time.Second), minPiece), maxPiece))
 		p.limiter = rate.NewLimiter(rate.Limit(bytesPerSecond*bulkShare/100), p.piece)
+		p.rate = bytesPerSecond
 	}
 	return p
 }
@@ -55,6 +57,15 @@
 	}
 }
 
+// WithShare returns the pacer with another part of the link, in percent, for chunks and requests together while there
+// are requests. It is called before the pacer is used.
+func (p *Pacer) WithShare(percent int64) *Pacer {
+	if p.limiter != nil {
+		p.limiter.SetLimit(rate.Limit(p.rate * percent / 100))
+	}
+	return p
+}
+
 // WithTurns returns the pacer with a bound on the chunks that are on their way out at a time: one after the other, the
 // first is there sooner. It is called before the pacer is used.
 func (p *Pacer) WithTurns(n int) *Pacer {
