--- a/fill/box.go
+++ b/fill/box.go
@@ -33,6 +33,7 @@
 	log    log.Interface
 	server *http.Server
 	links  *links
+	giver  *giver
 	pacer  *pace.Pacer
 	woken  chan struct{}
 
@@ -51,16 +52,15 @@
 
 // New returns a box that does not run yet.
 func New(cfg Config) *Box {
-	b := &Box{cfg: cfg, log: cfg.Log, woken: make(chan struct{}, 1), pacer: pace.New(int64(cfg.Machine.LinkRate)).WithShare(pieceShare).WithTurns(givesAtOnce)}
+	b := &Box{cfg: cfg, log: cfg.Log, woken: make(chan struct{}, 1), pacer: pace.New(int64(cfg.Machine.LinkRate)).WithShare(pieceShare)}
 	b.links = newLinks(b)
+	b.giver = newGiver(b)
 	b.server = &http.Server{Handler: http.HandlerFunc(b.links.accept), ReadHeaderTimeout: headerTime}
 	return b
 }
 
 const (
 	headerTime = 5 * time.Second
-	// givesAtOnce is how many pieces are on their way out at a time.
-	givesAtOnce = 2
 	// pieceShare is the part of the link, in percent, that pieces may take: the events of streams are small, and wait behind
 	// one part of a piece at most.
 	pieceShare = 93
@@ -71,7 +71,9 @@
 	return []supervise.Part{
 		{Name: "links", Run: b.serveLinks},
 		{Name: "reporter", Run: b.report},
+		{Name: "giver", Run: b.giver.serve},
 		{Name: "filler", Run: b.follow},
+		{Name: "loader", Run: b.followTurns},
 	}
 }
 
--- a/fill/filler.go
+++ b/fill/filler.go
@@ -17,14 +17,8 @@
 	stateTime   = time.Second
 	originTime  = 2 * time.Second
 	stageTime   = time.Second
-	// closeTime is how long before its order a server is said to take nothing new.
-	closeTime = 120 * time.Millisecond
-	// orderPause is how long after an order that was refused or not answered the next may be given.
-	orderPause = 200 * time.Millisecond
 	// manifestWait is how long a box that is not the first of its site waits for the manifest of a neighbour.
 	manifestWait = 300 * time.Millisecond
-	// freshCheck is how old the reading back of all pieces may be when the order is given.
-	freshCheck = 150 * time.Millisecond
 	// newestPause is how long after asking for the newest version it is asked for again.
 	newestPause = time.Second
 	// badManifest is how many drawn pieces in a row may not fit before the manifest itself is drawn again.
@@ -75,13 +69,12 @@
 	if !ok || !b.known() {
 		return
 	}
-	target, named := b.cfg.View.Target(model)
+	target, _ := b.cfg.View.Target(model)
 	if target == 0 {
 		b.askNewest(ctx, model)
 		return
 	}
 	f := b.aim(ctx, model, target)
-	b.loadPending(ctx)
 	if b.runs(model) >= target {
 		b.settle(f)
 		return
@@ -89,9 +82,7 @@
 	if !b.haveManifest(f) {
 		return
 	}
-	b.stageMemory(f)
 	b.spread(f)
-	b.load(ctx, f, named)
 }
 
 // known reports whether the server on this machine has told its state yet.
@@ -101,44 +92,6 @@
 	return !b.stateAt.IsZero()
 }
 
-// loadPending loads an older version whose pieces were complete when a newer one was named: its turn comes first, and
-// the server is then not as long behind.
-func (b *Box) loadPending(ctx context.Context) {
-	b.mu.Lock()
-	p := b.pending
-	if p != nil && (b.state.Loaded[p.model] >= p.version || p.given) {
-		p.cancel()
-		b.pending, p = nil, nil
-		b.closing = false
-	}
-	b.mu.Unlock()
-	if p != nil {
-		b.load(ctx, p, p.named)
-	}
-}
-
-// stageMemory lays the pieces held in memory at the server once its place is free.
-func (b *Box) stageMemory(f *filling) {
-	b.mu.Lock()
-	if b.pending != nil || len(f.memory) == 0 {
-		b.mu.Unlock()
-		return
-	}
-	pieces := f.memory
-	f.memory = nil
-	b.mu.Unlock()
-	for piece, data := range pieces {
-		ctx, cancel := context.WithTimeout(f.ctx, stageTime)
-		err := b.cfg.Engine.Stage(ctx, f.model, piece, data)
-		cancel()
-		if err != nil {
-			b.mu.Lock()
-			f.feed.Lost(piece)
-			b.mu.Unlock()
-		}
-	}
-}
-
 // askNewest asks the origin which version is the newest, when nobody has named one and the server runs none.
 func (b *Box) askNewest(ctx context.Context, model string) {
 	origin := b.origin()
@@ -481,120 +434,3 @@
 	}
 	return f.manifest
 }
-
-// load gives the order to run the version once all pieces are held and it is this server's turn.
-func (b *Box) load(ctx context.Context, f *filling, named time.Time) {
-	b.mu.Lock()
-	ready := f.feed != nil && f.feed.Complete() && len(f.memory) == 0 && !f.given && !b.state.Busy && time.Since(f.ordered) > orderPause
-	old := b.state.Loaded[f.model]
-	b.mu.Unlock()
-	if !ready {
-		return
-	}
-	turn := time.Now()
-	if due, late := b.cfg.View.Due(f.model, old); old != 0 && late {
-		turn = b.turn(named, due)
-	}
-	b.mu.Lock()
-	b.closes = turn
-	b.mu.Unlock()
-	left := time.Until(turn)
-	if left > closeTime {
-		return
-	}
-	if old != 0 && !b.close() {
-		return
-	}
-	if left > 0 || !b.check(ctx, f) {
-		return
-	}
-	b.order(ctx, f)
-}
-
-// turn returns when this server's turn to load comes.
-func (b *Box) turn(named, due time.Time) time.Time {
-	var ids []string
-	for _, server := range b.cfg.View.Servers() {
-		if server.Service == b.cfg.Machine.Service && !server.Leaving {
-			ids = append(ids, server.Address)
-		}
-	}
-	rank, n := Rank(b.cfg.Machine.UpstreamAt, ids)
-	return Turn(named, due, rank, n)
-}
-
-// close tells entries that the server takes nothing new; true once they have had time to hear it.
-func (b *Box) close() bool {
-	b.mu.Lock()
-	was := b.closing
-	b.closing = true
-	b.mu.Unlock()
-	if !was {
-		b.sendReport()
-	}
-	return was
-}
-
-// check reads all pieces back and makes sure that they still fit; those that do not are fetched again.
-func (b *Box) check(ctx context.Context, f *filling) bool {
-	if time.Since(f.checked) < freshCheck {
-		return true
-	}
-	ctx, cancel := context.WithTimeout(ctx, originTime)
-	defer cancel()
-	m := f.manifestOf()
-	bad := 0
-	for piece := range m.Digests {
-		data, err := b.cfg.Engine.Staged(ctx, f.model, piece)
-		if err == nil && m.Fits(piece, data) {
-			continue
-		}
-		if err != nil && !errors.As(err, new(*NotHeldError)) {
-			return false
-		}
-		bad++
-		b.mu.Lock()
-		if f.feed != nil {
-			f.feed.Lost(piece)
-		}
-		b.closing = false
-		b.mu.Unlock()
-	}
-	if bad > 0 {
-		b.log.WithFields(log.Fields{"version": int64(f.version), "bad": bad}).Warn("fill: pieces turned bad and are fetched again")
-		b.wake()
-		return false
-	}
-	f.checked = time.Now()
-	return true
-}
-
-// order gives the order to load; an order whose answer is lost is settled by the server's next state.
-func (b *Box) order(ctx context.Context, f *filling) {
-	ctx, cancel := context.WithTimeout(ctx, stateTime)
-	defer cancel()
-	state, err := b.cfg.Engine.State(ctx)
-	if err != nil || state.Busy || state.Loaded[f.model] >= f.version {
-		b.setState(state, err)
-		return
-	}
-	b.mu.Lock()
-	f.ordered = time.Now()
-	b.mu.Unlock()
-	err = b.cfg.Engine.Start(ctx, Order{Model: f.model, Version: f.version, Seq: state.Seq})
-	ordersGiven.Inc()
-	fields := log.Fields{
-		"model": f.model, "version": int64(f.version), "seq": state.Seq, "running": state.Running, "waiting": state.Waiting,
-		"ms": time.Since(f.began).Milliseconds(), "cause": "",
-	}
-	if err != nil {
-		ordersFailed.Inc()
-		fields["cause"] = err.Error()
-	}
-	b.mu.Lock()
-	f.given = err == nil
-	b.mu.Unlock()
-	b.log.WithFields(fields).Info("fill: order to load")
-	state, err = b.cfg.Engine.State(ctx)
-	b.setState(state, err)
-}
--- /dev/null
+++ b/fill/giver.go
@@ -0,0 +1,157 @@
+package fill
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/coralstair/coralstair/link"
+)
+
+const (
+	// givesAtOnce is how many pieces are on their way out at a time: one after the other, the first is there sooner; one
+	// peer that does not read must not hold up all.
+	givesAtOnce = 2
+	// giveTime is how long a piece may take to leave before the next one goes out beside it.
+	giveTime = time.Second
+)
+
+// gift is a piece that another box asked for; far says that it goes to another site.
+type gift struct {
+	link  *inLink
+	key   uint64
+	piece int
+	far   bool
+}
+
+// giver hands out pieces: those to other sites first, since a whole site waits for them.
+type giver struct {
+	box   *Box
+	woken chan struct{}
+
+	mu    sync.Mutex
+	queue []gift
+	busy  int
+}
+
+func newGiver(b *Box) *giver {
+	return &giver{box: b, woken: make(chan struct{}, givesAtOnce)}
+}
+
+// serve hands out pieces until ctx ends.
+func (g *giver) serve(ctx context.Context) error {
+	for range givesAtOnce {
+		go func() {
+			for g.giveNext(ctx) {
+				continue
+			}
+		}()
+	}
+	<-ctx.Done()
+	return ctx.Err()
+}
+
+// add queues a piece unless it waits already.
+func (g *giver) add(next gift) {
+	g.mu.Lock()
+	if !slices.Contains(g.queue, next) {
+		g.queue = append(g.queue, next)
+	}
+	g.mu.Unlock()
+	g.wake()
+}
+
+func (g *giver) wake() {
+	select {
+	case g.woken <- struct{}{}:
+	default:
+	}
+}
+
+// drop takes out what a box no longer wants: the pieces named, and all of other versions.
+func (g *giver) drop(l *inLink, key uint64, pieces []uint32) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.queue = slices.DeleteFunc(g.queue, func(queued gift) bool {
+		return queued.link == l && (queued.key != key || slices.Contains(pieces, uint32(queued.piece)))
+	})
+}
+
+// leave takes out all that a link asked for.
+func (g *giver) leave(l *inLink) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.queue = slices.DeleteFunc(g.queue, func(queued gift) bool { return queued.link == l })
+}
+
+// waiting returns how many pieces wait or are on their way out.
+func (g *giver) waiting() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return len(g.queue) + g.busy
+}
+
+// take returns the next piece to give.
+func (g *giver) take() (next gift, ok bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if len(g.queue) == 0 {
+		return gift{}, false
+	}
+	i := max(slices.IndexFunc(g.queue, func(queued gift) bool { return queued.far }), 0)
+	next = g.queue[i]
+	g.queue = slices.Delete(g.queue, i, i+1)
+	g.busy++
+	return next, true
+}
+
+// giveNext gives the next piece, or waits for one; false once ctx has ended.
+func (g *giver) giveNext(ctx context.Context) bool {
+	next, ok := g.take()
+	if !ok {
+		select {
+		case <-ctx.Done():
+			return false
+		case <-g.woken:
+			return true
+		}
+	}
+	defer func() {
+		g.mu.Lock()
+		g.busy--
+		g.mu.Unlock()
+		g.wake()
+	}()
+	data := g.read(ctx, next)
+	if data == nil {
+		next.link.send(&link.Decline{Manifest: next.key, Chunk: uint32(next.piece)})
+		return true
+	}
+	ctx, cancel := context.WithTimeout(ctx, giveTime)
+	defer cancel()
+	if next.link.conn.Deliver(ctx, &link.Chunk{Manifest: next.key, Chunk: uint32(next.piece), Body: data}) == nil {
+		bytesGiven.Add(len(data))
+	}
+	return true
+}
+
+// read reads a piece back; nil when it is not held or turned bad, and then it is fetched again.
+func (g *giver) read(ctx context.Context, next gift) []byte {
+	b := g.box
+	f := b.filling(next.key)
+	if f == nil {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, stageTime)
+	defer cancel()
+	data, err := b.staged(ctx, f, next.piece)
+	if err == nil && f.manifest.Fits(next.piece, data) {
+		return data
+	}
+	b.mu.Lock()
+	f.feed.Lost(next.piece)
+	b.mu.Unlock()
+	b.wake()
+	return nil
+}
--- a/fill/inlink.go
+++ b/fill/inlink.go
@@ -2,17 +2,12 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
-	"time"
 
 	"github.com/coralstair/coralstair/contract"
 	"github.com/coralstair/coralstair/link"
 )
 
-// giveTime is how long a piece may take to leave.
-const giveTime = 10 * time.Second
-
 // inLink is a link that another daemon opened: a box that asks for pieces, or an entry that hears reports.
 type inLink struct {
 	links *links
@@ -22,18 +17,16 @@
 	entry bool
 
 	mu sync.Mutex
-	// key is the version of which the other box asks, queue the pieces to be sent.
+	// key is the version of which the other box asks.
 	key      uint64
-	queue    []int
 	manifest *link.WantManifest
-	woken    chan struct{}
 	reports  chan *link.Report
 }
 
 func newInLink(ls *links, conn *link.Conn, hello *link.Hello) *inLink {
 	return &inLink{
 		links: ls, conn: conn, id: hello.ID, site: hello.Site, entry: hello.Role == roleEntry,
-		woken: make(chan struct{}, 1), reports: make(chan *link.Report, 1),
+		reports: make(chan *link.Report, 1),
 	}
 }
 
@@ -95,13 +88,9 @@
 
 func (l *inLink) handleHave(m *link.Have) {
 	l.mu.Lock()
-	if l.key != m.Manifest {
-		l.key, l.queue = m.Manifest, nil
-	}
-	for _, piece := range m.Chunks {
-		l.queue = slices.DeleteFunc(l.queue, func(queued int) bool { return queued == int(piece) })
-	}
+	l.key = m.Manifest
 	l.mu.Unlock()
+	l.links.box.giver.drop(l, m.Manifest, m.Chunks)
 	if f := l.links.box.filling(m.Manifest); f != nil && m.Reset {
 		l.tellHeld(f)
 	}
@@ -111,7 +100,7 @@
 func (l *inLink) tellHeld(f *filling) {
 	b := l.links.box
 	b.mu.Lock()
-	have := &link.Have{Manifest: f.key, Reset: true, Chunks: f.feed.Held()}
+	have := &link.Have{Manifest: f.key, Reset: true, Chunks: f.feed.Held(), Queue: b.giver.waiting()}
 	b.mu.Unlock()
 	l.send(have)
 }
@@ -129,11 +118,7 @@
 		l.send(&link.Decline{Manifest: m.Manifest, Chunk: m.Chunk})
 		return
 	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.key == m.Manifest {
-		l.enqueue(int(m.Chunk))
-	}
+	b.giver.add(gift{link: l, key: m.Manifest, piece: int(m.Chunk), far: l.site != b.cfg.Machine.Site})
 }
 
 // begin answers a box that asked of a version before this box knew its manifest.
@@ -158,16 +143,7 @@
 	case complete:
 		l.tellHeld(f)
 	default:
-		l.send(&link.Have{Manifest: f.key, Chunks: []uint32{uint32(piece)}})
-	}
-}
-
-// enqueue adds a piece to be sent; mu is held.
-func (l *inLink) enqueue(piece int) {
-	l.queue = append(l.queue, piece)
-	select {
-	case l.woken <- struct{}{}:
-	default:
+		l.send(&link.Have{Manifest: f.key, Chunks: []uint32{uint32(piece)}, Queue: l.links.box.giver.waiting()})
 	}
 }
 
@@ -186,61 +162,17 @@
 	}
 }
 
-// sendNext sends the next report or piece; it reports whether the link still stands.
+// sendNext sends the next report; it reports whether the link still stands.
 func (l *inLink) sendNext() bool {
 	select {
 	case <-l.conn.Context().Done():
 		return false
 	case report := <-l.reports:
 		l.send(report)
-	case <-l.woken:
-		for l.giveNext() {
-			continue
-		}
 	}
 	return true
 }
 
-// giveNext sends the first queued piece, if it still fits; false when none is left.
-func (l *inLink) giveNext() bool {
-	l.mu.Lock()
-	if len(l.queue) == 0 {
-		l.mu.Unlock()
-		return false
-	}
-	piece, key := l.queue[0], l.key
-	l.queue = l.queue[1:]
-	l.mu.Unlock()
-	data := l.read(key, piece)
-	ctx, cancel := context.WithTimeout(l.conn.Context(), giveTime)
-	defer cancel()
-	if data == nil {
-		return l.conn.Send(ctx, &link.Decline{Manifest: key, Chunk: uint32(piece)}) == nil
-	}
-	bytesGiven.Add(len(data))
-	return l.conn.Send(ctx, &link.Chunk{Manifest: key, Chunk: uint32(piece), Body: data}) == nil
-}
-
-// read reads a piece back from the server; nil when it is not held or turned bad, and then it is fetched again.
-func (l *inLink) read(key uint64, piece int) []byte {
-	b := l.links.box
-	f := b.filling(key)
-	if f == nil {
-		return nil
-	}
-	ctx, cancel := context.WithTimeout(l.conn.Context(), stageTime)
-	defer cancel()
-	data, err := b.staged(ctx, f, piece)
-	if err == nil && f.manifest.Fits(piece, data) {
-		return data
-	}
-	b.mu.Lock()
-	f.feed.Lost(piece)
-	b.mu.Unlock()
-	b.wake()
-	return nil
-}
-
 func (l *inLink) send(msg link.Message) {
 	ctx, cancel := context.WithTimeout(l.conn.Context(), askTime)
 	defer cancel()
--- a/fill/links.go
+++ b/fill/links.go
@@ -88,6 +88,7 @@
 }
 
 func (ls *links) remove(l *inLink) {
+	ls.box.giver.leave(l)
 	ls.mu.Lock()
 	defer ls.mu.Unlock()
 	delete(ls.in, l)
--- a/link/conn.go
+++ b/link/conn.go
@@ -26,14 +26,18 @@
 
 // Pacer lets pieces of chunks pass when live requests leave room for them.
 type Pacer interface {
-	// Turn waits until one more chunk may be on its way out; release ends its turn.
-	Turn(ctx context.Context) (release func(), err error)
 	// Piece returns how many bytes may pass at a time.
 	Piece() int
 	// Wait waits until n bytes may pass.
 	Wait(ctx context.Context, n int) error
 }
 
+// bulkMessage is an encoded chunk; written, when there is one, is closed once it was written.
+type bulkMessage struct {
+	data    []byte
+	written chan struct{}
+}
+
 // Conn is one end of a link; Send may be called from several goroutines, Receive from one.
 // Chunks wait in a queue of their own, so that other messages overtake them.
 type Conn struct {
@@ -41,7 +45,7 @@
 	ctx      context.Context
 	cancel   context.CancelFunc
 	urgent   chan []byte
-	bulk     chan []byte
+	bulk     chan bulkMessage
 	pacer    Pacer
 	sent     atomic.Int64
 	received atomic.Int64
@@ -72,7 +76,7 @@
 	c := &Conn{
 		ws: ws, ctx: ctx, cancel: cancel, pacer: pacer,
 		urgent: make(chan []byte, queueSize),
-		bulk:   make(chan []byte, bulkSize),
+		bulk:   make(chan bulkMessage, bulkSize),
 	}
 	go func() {
 		defer c.Close()
@@ -118,12 +122,42 @@
 	if err != nil {
 		return err
 	}
-	queue := c.urgent
 	if msg.Kind() == KindChunk {
-		queue = c.bulk
+		return c.sendBulk(ctx, bulkMessage{data: data})
 	}
 	select {
-	case queue <- data:
+	case c.urgent <- data:
+		return nil
+	case <-ctx.Done():
+		return &ClosedError{Err: ctx.Err()}
+	case <-c.ctx.Done():
+		return &ClosedError{Err: c.ctx.Err()}
+	}
+}
+
+// Deliver sends a chunk and waits until it was written, so that the sender decides what goes out next.
+func (c *Conn) Deliver(ctx context.Context, chunk *Chunk) error {
+	data, err := Encode(chunk)
+	if err != nil {
+		return err
+	}
+	m := bulkMessage{data: data, written: make(chan struct{})}
+	if err := c.sendBulk(ctx, m); err != nil {
+		return err
+	}
+	select {
+	case <-m.written:
+		return nil
+	case <-ctx.Done():
+		return &ClosedError{Err: ctx.Err()}
+	case <-c.ctx.Done():
+		return &ClosedError{Err: c.ctx.Err()}
+	}
+}
+
+func (c *Conn) sendBulk(ctx context.Context, m bulkMessage) error {
+	select {
+	case c.bulk <- m:
 		return nil
 	case <-ctx.Done():
 		return &ClosedError{Err: ctx.Err()}
@@ -139,11 +173,6 @@
 	if !bulk || c.pacer == nil {
 		return c.ws.Write(ctx, websocket.MessageBinary, data)
 	}
-	release, err := c.pacer.Turn(ctx)
-	if err != nil {
-		return err
-	}
-	defer release()
 	w, err := c.ws.Writer(ctx, websocket.MessageBinary)
 	if err != nil {
 		return err
@@ -164,21 +193,24 @@
 // writeNext writes the next message, a chunk only when nothing else waits; it reports whether the link still stands.
 func (c *Conn) writeNext() bool {
 	var data []byte
-	bulk := false
+	var bulk *bulkMessage
 	select {
 	case data = <-c.urgent:
 	default:
 		select {
 		case data = <-c.urgent:
-		case data = <-c.bulk:
-			bulk = true
+		case m := <-c.bulk:
+			data, bulk = m.data, &m
 		case <-c.ctx.Done():
 			return false
 		}
 	}
-	if err := c.write(data, bulk); err != nil {
+	if err := c.write(data, bulk != nil); err != nil {
 		return false
 	}
+	if bulk != nil && bulk.written != nil {
+		close(bulk.written)
+	}
 	c.sent.Add(int64(len(data)))
 	return true
 }
--- a/pace/pacer.go
+++ b/pace/pacer.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -26,7 +25,6 @@
 // a rate, lets everything pass.
 type Pacer struct {
 	limiter  *rate.Limiter
-	turns    chan struct{}
 	piece    int
 	rate     int64
 	lastLive atomic.Int64
@@ -66,32 +64,6 @@
 	return p
 }
 
-// WithTurns returns the pacer with a bound on the chunks that are on their way out at a time: one after the other, the
-// first is there sooner. It is called before the pacer is used.
-func (p *Pacer) WithTurns(n int) *Pacer {
-	p.turns = make(chan struct{}, n)
-	return p
-}
-
-// turnTime is how long a chunk keeps its turn at most: a peer that does not read must not hold up the others.
-const turnTime = 300 * time.Millisecond
-
-// Turn waits until one more chunk may be on its way out.
-func (p *Pacer) Turn(ctx context.Context) (release func(), err error) {
-	if p == nil || p.turns == nil {
-		return func() {}, ctx.Err()
-	}
-	select {
-	case p.turns <- struct{}{}:
-	case <-ctx.Done():
-		return nil, ctx.Err()
-	}
-	var once sync.Once
-	release = func() { once.Do(func() { <-p.turns }) }
-	time.AfterFunc(turnTime, release)
-	return release, nil
-}
-
 // Piece returns how many bytes of a chunk pass at a time.
 func (p *Pacer) Piece() int {
 	if p == nil {
--- a/swarm/feed.go
+++ b/swarm/feed.go
@@ -74,6 +74,7 @@
 	member Member
 	have   []bool
 	asked  int
+	queue  int
 	came   time.Time
 	rest   time.Time
 	slow   time.Time
@@ -189,12 +190,13 @@
 	delete(f.peers, id)
 }
 
-// PeerHas tells which pieces a box holds, all of them when reset.
-func (f *Feed) PeerHas(id string, reset bool, pieces []uint32) {
+// PeerHas tells which pieces a box holds, all of them when reset, and how many it has to give before the next.
+func (f *Feed) PeerHas(id string, reset bool, pieces []uint32, queue int) {
 	p := f.peers[id]
 	if p == nil {
 		return
 	}
+	p.queue = queue
 	if reset {
 		clear(p.have)
 	}
@@ -372,13 +374,16 @@
 		return slowB
 	case nearA != nearB:
 		return nearA
-	case a.asked != b.asked:
-		return a.asked < b.asked
+	case a.load() != b.load():
+		return a.load() < b.load()
 	default:
 		return score(a.member.ID, f.salt+uint64(piece), "") < score(b.member.ID, f.salt+uint64(piece), "")
 	}
 }
 
+// load is what a box has to give before a piece that it is asked for now, as far as is known.
+func (p *feedPeer) load() int { return 2*p.asked + p.queue }
+
 func (f *Feed) wanted(piece int) bool {
 	_, asked := f.asks[piece]
 	return !f.have[piece] && !asked && !f.drawing[piece]
