What a piece waited at its giver is not the link's fault; the less loaded of two holders

Cause: boxes cut down their asks to one because pieces came late, while the givers had up to 28 queued and others none (counts every 0.2 s, not kept in the code). Ruled out: the draws (the origin hands out all in 1.8 s), blocking reads beside them. Change: a chunk tells how long it waited; only its way counts; two choices instead of the least loaded.

--- a/fill/filler.go
+++ b/fill/filler.go
@@ -322,7 +322,7 @@
 	}
 	data, err := b.cfg.Origin.Piece(ctx, origin.Origin, f.model, f.version, piece)
 	if err == nil {
-		err = b.take(f, piece, "", data)
+		err = b.take(f, piece, "", 0, data)
 	}
 	if err == nil {
 		piecesDrawn.Inc()
@@ -354,8 +354,8 @@
 	b.log.WithField("version", int64(f.version)).Warn("fill: the manifest is in doubt and drawn again")
 }
 
-// take verifies a piece, keeps it and hands it to the boxes that wait for it.
-func (b *Box) take(f *filling, piece int, from string, data []byte) error {
+// take verifies a piece, keeps it and tells the boxes that wait for it; waited is how long it waited at its giver.
+func (b *Box) take(f *filling, piece int, from string, waited time.Duration, data []byte) error {
 	b.mu.Lock()
 	m := f.manifest
 	b.mu.Unlock()
@@ -371,7 +371,7 @@
 		b.mu.Unlock()
 		return nil
 	}
-	asked := f.feed.Got(piece, from, time.Now())
+	asked := f.feed.Got(piece, from, waited, time.Now())
 	complete, drawer := f.feed.Complete(), f.feed.Drawer(piece)
 	f.misfits = 0
 	b.mu.Unlock()
--- a/fill/giver.go
+++ b/fill/giver.go
@@ -23,6 +23,7 @@
 	key   uint64
 	piece int
 	far   bool
+	since time.Time
 }
 
 // giver hands out pieces: those to other sites first, since a whole site waits for them.
@@ -55,7 +56,9 @@
 // add queues a piece unless it waits already.
 func (g *giver) add(next gift) {
 	g.mu.Lock()
-	if !slices.Contains(g.queue, next) {
+	known := slices.ContainsFunc(g.queue, func(queued gift) bool { return queued.link == next.link && queued.piece == next.piece })
+	if !known {
+		next.since = time.Now()
 		g.queue = append(g.queue, next)
 	}
 	g.mu.Unlock()
@@ -130,7 +133,8 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, giveTime)
 	defer cancel()
-	if next.link.conn.Deliver(ctx, &link.Chunk{Manifest: next.key, Chunk: uint32(next.piece), Body: data}) == nil {
+	chunk := &link.Chunk{Manifest: next.key, Chunk: uint32(next.piece), Body: data, Waited: time.Since(next.since)}
+	if next.link.conn.Deliver(ctx, chunk) == nil {
 		bytesGiven.Add(len(data))
 	}
 	return true
--- a/fill/outlink.go
+++ b/fill/outlink.go
@@ -99,7 +99,7 @@
 		piecesTwice.Inc()
 		return
 	}
-	if err := b.take(f, int(m.Chunk), l.member.ID, m.Body); err != nil {
+	if err := b.take(f, int(m.Chunk), l.member.ID, m.Waited, m.Body); err != nil {
 		l.failed(m.Manifest, int(m.Chunk))
 		return
 	}
--- a/link/message.go
+++ b/link/message.go
@@ -173,11 +173,12 @@
 	Chunk    uint32 `cbor:"2,keyasint"`
 }
 
-// Chunk carries one chunk.
+// Chunk carries one chunk; Waited is how long it was asked for before its turn to leave came.
 type Chunk struct {
-	Manifest uint64 `cbor:"1,keyasint"`
-	Chunk    uint32 `cbor:"2,keyasint"`
-	Body     []byte `cbor:"3,keyasint"`
+	Manifest uint64        `cbor:"1,keyasint"`
+	Chunk    uint32        `cbor:"2,keyasint"`
+	Body     []byte        `cbor:"3,keyasint"`
+	Waited   time.Duration `cbor:"4,keyasint,omitempty"`
 }
 
 // Decline says that a wanted chunk will not come from here now.
--- a/swarm/feed.go
+++ b/swarm/feed.go
@@ -32,8 +32,8 @@
 
 	// faultRest is how long a box that did not deliver is not asked.
 	faultRest = time.Second
-	// slowPiece and quickPiece are how long a piece takes that halves the asks at a time, and that allows one more: what
-	// waits on a narrow link would hold up the requests behind it.
+	// slowPiece and quickPiece are how long a piece is on its way that takes one from the asks at a time, and that allows one
+	// more: what waits on a narrow link would hold up the requests behind it.
 	slowPiece  = 600 * time.Millisecond
 	quickPiece = 250 * time.Millisecond
 	firstAsks  = 4
@@ -117,13 +117,12 @@
 	}
 }
 
-// Got says that a piece came and was verified; from is empty when it was drawn. It returns the box that was asked for it
-// in vain, empty when there is none.
-func (f *Feed) Got(piece int, from string, now time.Time) (asked string) {
+// Got says that a piece came and was verified; from is empty when it was drawn, waited is how long its giver had others to
+// give first. It returns the box that was asked for it in vain, empty when there is none.
+func (f *Feed) Got(piece int, from string, waited time.Duration, now time.Time) (asked string) {
 	if a, ok := f.asks[piece]; ok {
 		if a.peer == from {
-			f.adapt(now.Sub(a.since))
-			f.judge(from, now.Sub(a.since), now)
+			f.adapt(from, now.Sub(a.since)-waited, now)
 		} else {
 			asked = a.peer
 		}
@@ -217,20 +216,17 @@
 	}
 }
 
-// adapt lets as many pieces be asked for at a time as come soon after.
-func (f *Feed) adapt(took time.Duration) {
+// adapt lets as many pieces be asked for at a time as come soon after they left. The first slow one from a box may be
+// its own link's fault: then the box is set aside.
+func (f *Feed) adapt(from string, way time.Duration, now time.Time) {
 	switch {
-	case took > slowPiece:
-		f.room = max(f.room/2, 1)
-	case took < quickPiece:
+	case way < quickPiece:
 		f.room = min(f.room+1, f.params.Asks)
-	}
-}
-
-// judge leaves a box aside that takes much longer for a piece than this box's own link explains.
-func (f *Feed) judge(from string, took time.Duration, now time.Time) {
-	if p := f.peers[from]; p != nil && took > slowPiece && f.room > 1 {
-		p.slow = now.Add(slowRest)
+	case way > slowPiece:
+		if p := f.peers[from]; p != nil && !now.Before(p.slow) {
+			p.slow = now.Add(slowRest)
+		}
+		f.room = max(f.room-1, 1)
 	}
 }
 
@@ -247,7 +243,9 @@
 			f.release(piece, a.peer)
 			p.rest = now.Add(faultRest)
 			p.slow = now.Add(slowRest)
-			f.room = max(f.room/2, 1)
+			if now.Sub(f.news) > slowPiece {
+				f.room = max(f.room/2, 1)
+			}
 			actions = append(actions, Action{Chunk: piece, Peer: a.peer, Drop: true})
 		}
 	}
@@ -352,33 +350,46 @@
 	return place == 0 || place > 0 && f.waited(place, now)
 }
 
-// holder returns the least asked box that holds a piece, of the own site if there is one.
+// holder returns the box to ask for a piece: of those that are quick, of those of the own site, the less loaded of two.
+// Asking the least loaded of all would send every box that heard the same news to the same giver.
 func (f *Feed) holder(piece int, now time.Time) *feedPeer {
-	var best *feedPeer
+	var first, second *feedPeer
 	for _, p := range f.peers {
 		if !p.have[piece] || now.Before(p.rest) {
 			continue
 		}
-		if best == nil || f.before(p, best, piece, now) {
-			best = p
+		switch {
+		case first == nil || f.before(p, first, piece, now):
+			first, second = p, first
+		case second == nil || f.before(p, second, piece, now):
+			second = p
 		}
 	}
-	return best
+	if second != nil && f.class(first, now) == f.class(second, now) && second.load() < first.load() {
+		return second
+	}
+	return first
 }
 
+// class orders boxes by what asking them costs: slow ones last, then those of other sites.
+func (f *Feed) class(p *feedPeer, now time.Time) int {
+	class := 0
+	if now.Before(p.slow) {
+		class += 2
+	}
+	if p.member.Site != f.self.Site {
+		class++
+	}
+	return class
+}
+
+// before orders boxes by class, and within one in an order that changes with each piece held.
 func (f *Feed) before(a, b *feedPeer, piece int, now time.Time) bool {
-	slowA, slowB := now.Before(a.slow), now.Before(b.slow)
-	nearA, nearB := a.member.Site == f.self.Site, b.member.Site == f.self.Site
-	switch {
-	case slowA != slowB:
-		return slowB
-	case nearA != nearB:
-		return nearA
-	case a.load() != b.load():
-		return a.load() < b.load()
-	default:
-		return score(a.member.ID, f.salt+uint64(piece), "") < score(b.member.ID, f.salt+uint64(piece), "")
+	if classA, classB := f.class(a, now), f.class(b, now); classA != classB {
+		return classA < classB
 	}
+	salt := f.salt + uint64(piece)<<16 + uint64(f.missing)
+	return score(a.member.ID, salt, "") < score(b.member.ID, salt, "")
 }
 
 // load is what a box has to give before a piece that it is asked for now, as far as is known.
