--- /dev/null
+++ b/engine/model_test.go
@@ -0,0 +1,47 @@
+package engine
+
+import (
+	"testing"
+	"time"
+
+	"github.com/coralstair/coralstair/contract"
+)
+
+var testEngine = &contract.Engine{
+	Slots: 16, Stride: 5, Chunk: 2048, Step: 8870 * time.Microsecond, PerSequence: 39 * time.Microsecond,
+	PerContext: 23 * time.Microsecond, ReadRate: 19100, PerPairs: 1470 * time.Microsecond, UsualPrompt: 977, UsualAnswer: 94,
+}
+
+func TestFirst(t *testing.T) {
+	for name, test := range map[string]struct {
+		less, more Load
+		lessPrompt int
+		morePrompt int
+	}{
+		"a longer prompt takes longer":     {Load{}, Load{}, 100, 3000},
+		"what is unread comes before":      {Load{}, Load{Reading: 3, Unread: 3000}, 900, 900},
+		"those that write take their part": {Load{Unread: 2000}, Load{Unread: 2000, Writing: 10}, 900, 900},
+		"without a free slot it waits":     {Load{Writing: 15}, Load{Writing: 16}, 900, 900},
+		"a slow engine takes longer":       {Load{Writing: 4}, Load{Writing: 4, Slow: 3}, 900, 900},
+	} {
+		t.Run(name, func(t *testing.T) {
+			less, more := First(testEngine, test.less, test.lessPrompt), First(testEngine, test.more, test.morePrompt)
+			if less <= 0 || more <= less {
+				t.Errorf("%s is not less than %s", less, more)
+			}
+		})
+	}
+}
+
+func TestFirstOfAnIdleEngine(t *testing.T) {
+	// 977 tokens are read in 51 ms, with their pairs 52 ms, and five steps make the first event.
+	if first := First(testEngine, Load{}, 977); first < 90*time.Millisecond || first > 110*time.Millisecond {
+		t.Errorf("an idle engine takes %s for its first event", first)
+	}
+}
+
+func TestFiguresThatAreMissing(t *testing.T) {
+	if first := First(&contract.Engine{}, Load{Writing: 3, Reading: 2, Unread: 100}, 100); first < 0 {
+		t.Errorf("an engine without figures takes %s", first)
+	}
+}
--- /dev/null
+++ b/forward/fixture_test.go
@@ -0,0 +1,264 @@
+package forward
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+
+	"github.com/coralstair/coralstair/contract"
+	"github.com/coralstair/coralstair/machine"
+	"github.com/coralstair/coralstair/view"
+)
+
+// testWire is a wire with headers of its own.
+type testWire struct{}
+
+func (testWire) Ask(r *http.Request) Ask {
+	wait, _ := strconv.Atoi(r.Header.Get("Wait"))
+	return Ask{
+		ID: r.Header.Get("Id"), Key: r.Header.Get("Key"), Wait: time.Duration(wait) * time.Millisecond,
+		LastEvent: r.Header.Get("Last"),
+	}
+}
+
+func (testWire) Outgoing(h http.Header, send Send) {
+	h.Del("Key")
+	h.Set("Wait", strconv.FormatInt(send.Left.Milliseconds(), 10))
+	h.Set("Expect", send.Server)
+	h.Set("Team", send.Team)
+	if send.LastEvent != "" {
+		h.Set("Last", send.LastEvent)
+	}
+}
+
+func (testWire) Reply(resp *http.Response) Reply {
+	return Reply{
+		ID: resp.Header.Get("Id"), Sealed: resp.Header.Get("Seal") != "",
+		NotRun: resp.Header.Get("Not-Run") != "" || resp.StatusCode == http.StatusMisdirectedRequest,
+	}
+}
+
+func (testWire) Refused(h http.Header, id string, after time.Duration) {
+	h.Set("Id", id)
+	if after > 0 {
+		h.Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
+	}
+}
+
+func (testWire) EventVersion(event []byte) (contract.Version, bool) {
+	value, ok := strings.CutPrefix(string(event), "version:")
+	if !ok {
+		return 0, false
+	}
+	n, _ := strconv.Atoi(strings.TrimSpace(strings.SplitN(value, "\n", 2)[0]))
+	return contract.Version(n), true
+}
+
+// fixedSource tells a view one world and then nothing more.
+type fixedSource struct {
+	declared view.Declared
+	servers  view.Servers
+}
+
+func (s fixedSource) Declared(context.Context) (view.Declared, error) { return s.declared, nil }
+
+func (s fixedSource) DeclaredAfter(ctx context.Context, _ view.Cursor, _ time.Duration) (view.Declared, error) {
+	<-ctx.Done()
+	return view.Declared{}, ctx.Err()
+}
+
+func (s fixedSource) Servers(context.Context) (view.Servers, error) { return s.servers, nil }
+
+func (s fixedSource) ServersAfter(ctx context.Context, _ view.Cursor, _ time.Duration) (view.Servers, error) {
+	<-ctx.Done()
+	return view.Servers{}, ctx.Err()
+}
+
+// world is an entry before servers of the test's own.
+type world struct {
+	t     *testing.T
+	entry *Entry
+	url   string
+}
+
+var testRoutes = []contract.Route{
+	{Name: "safe", Host: "h", Prefix: "/safe/", Kind: contract.KindSafe, TimeLimit: 3 * time.Second, Attempts: 2},
+	{Name: "once", Host: "h", Prefix: "/once/", Kind: contract.KindOnce, TimeLimit: 2 * time.Second, Attempts: 1},
+	{Name: "short", Host: "h", Prefix: "/short/", Kind: contract.KindOnce, TimeLimit: 200 * time.Millisecond, Attempts: 1},
+	{Name: "once2", Host: "h", Prefix: "/once/two/", Kind: contract.KindOnce, TimeLimit: 2 * time.Second, Attempts: 2},
+	{Name: "open", Host: "h", Prefix: "/open/", Kind: contract.KindSafe, TimeLimit: time.Second, Attempts: 1, Public: true},
+	{
+		Name: "stream", Host: "h", Prefix: "/stream/", Kind: contract.KindStream, TimeLimit: 3 * time.Second, Attempts: 2,
+		Resumable: true, PauseGoal: 100 * time.Millisecond,
+	},
+	{Name: "stream once", Host: "h", Prefix: "/stream/once/", Kind: contract.KindStream, TimeLimit: 3 * time.Second, Attempts: 2},
+}
+
+// newWorld returns an entry before servers at addresses; all routes lead to them.
+func newWorld(t *testing.T, keyed bool, addresses ...string) *world {
+	t.Helper()
+	routes := make([]contract.Route, len(testRoutes))
+	for i, route := range testRoutes {
+		route.Split = []contract.Share{{Service: "s", Weight: 1}}
+		routes[i] = route
+	}
+	var teams []contract.Team
+	if keyed {
+		teams = []contract.Team{{Name: "team", Keys: []string{"good"}}}
+	}
+	limits := contract.Limits{HeaderBytes: 4096, BodyBytes: 1 << 20}
+	cfg := contract.NewConfig(1, limits, routes, []contract.Service{{Name: "s", MaxConns: 100}}, teams)
+	source := fixedSource{declared: view.Declared{Config: cfg}}
+	for i, address := range addresses {
+		source.servers.Present = append(source.servers.Present, contract.Server{
+			ID: "server" + strconv.Itoa(i), Service: "s", Address: address, Slots: 4,
+		})
+	}
+	return newWorldOf(t, source)
+}
+
+func newWorldOf(t *testing.T, source view.Source) *world {
+	t.Helper()
+	logger := &log.Logger{Handler: discard.Default, Level: log.InfoLevel}
+	v := view.New(source, view.Options{Log: logger})
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() { _ = v.ServeDeclared(ctx) }()
+	go func() { _ = v.ServeServers(ctx) }()
+	e := New(Config{
+		Machine: machine.Machine{ID: "e", Site: "z", Bounds: machine.Bounds{
+			RetryRatio: 0.2, RetrySlack: 100, RetryWindow: 10 * time.Second, Grace: 3 * time.Second,
+		}},
+		View: v, Wire: testWire{}, Log: logger,
+	})
+	for deadline := time.Now().Add(2 * time.Second); !v.Ready() && time.Now().Before(deadline); {
+		time.Sleep(time.Millisecond)
+	}
+	e.upstreams.update(v.Servers())
+	server := httptest.NewServer(e)
+	t.Cleanup(func() {
+		server.CloseClientConnections()
+		server.Close()
+		cancel()
+		e.transport.CloseIdleConnections()
+	})
+	return &world{t: t, entry: e, url: server.URL}
+}
+
+// result is what a caller gets; err tells of an answer that was cut.
+type result struct {
+	status int
+	header http.Header
+	body   string
+	closes bool
+	err    error
+}
+
+func (w *world) ask(method, path, body string, header map[string]string) result {
+	w.t.Helper()
+	req, err := http.NewRequest(method, w.url+path, strings.NewReader(body))
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	req.Host = "h"
+	req.Header.Set("Id", "r1")
+	for name, value := range header {
+		req.Header.Set(name, value)
+	}
+	transport := &http.Transport{DisableCompression: true}
+	defer transport.CloseIdleConnections()
+	resp, err := transport.RoundTrip(req)
+	if err != nil {
+		return result{err: err}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	got, err := io.ReadAll(resp.Body)
+	return result{status: resp.StatusCode, header: resp.Header, body: string(got), closes: resp.Close, err: err}
+}
+
+// fake is a server of the test's own that answers with raw bytes.
+type fake struct {
+	address string
+	mu      sync.Mutex
+	got     []*http.Request
+	bodies  []string
+}
+
+// newFake starts a server; answer writes what it likes for each request, and false ends the connection.
+func newFake(t *testing.T, answer func(conn net.Conn, n int, r *http.Request) bool) *fake {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	f := &fake{address: listener.Addr().String()}
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go f.serve(conn, answer)
+		}
+	}()
+	return f
+}
+
+func (f *fake) serve(conn net.Conn, answer func(conn net.Conn, n int, r *http.Request) bool) {
+	defer func() { _ = conn.Close() }()
+	reader := bufio.NewReader(conn)
+	for {
+		r, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			return
+		}
+		f.mu.Lock()
+		f.got = append(f.got, r)
+		f.bodies = append(f.bodies, string(body))
+		n := len(f.got)
+		f.mu.Unlock()
+		if !answer(conn, n, r) {
+			return
+		}
+	}
+}
+
+// arrivals returns how many requests have come.
+func (f *fake) arrivals() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.got)
+}
+
+func raw(conn net.Conn, text string) bool {
+	_, err := conn.Write([]byte(strings.ReplaceAll(text, "\n", "\r\n")))
+	return err == nil
+}
+
+// whole is a good answer to request r1.
+const whole = "HTTP/1.1 200 OK\nId: r1\nSeal: s\nContent-Length: 5\n\nhello"
+
+func good(conn net.Conn, _ int, _ *http.Request) bool { return raw(conn, whole) }
+
+// reset ends a connection so that its peer sees that it was broken off.
+func reset(conn net.Conn) bool {
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	return false
+}
--- /dev/null
+++ b/swarm/feed_test.go
@@ -0,0 +1,265 @@
+package swarm
+
+import (
+	"testing"
+	"time"
+)
+
+// pieceTime and drawTime are what a box's link and the origin's link take for a piece in the tests.
+const (
+	pieceTime = 37 * time.Millisecond
+	drawTime  = 26 * time.Millisecond
+	feedTick  = 5 * time.Millisecond
+)
+
+// feedWorld drives feeds in virtual time over links that carry one piece after the other.
+type feedWorld struct {
+	now     time.Time
+	order   *Order
+	feeds   map[string]*Feed
+	dead    map[string]bool
+	spoils  map[string]bool
+	slow    map[string]time.Duration
+	free    map[string]time.Time
+	events  []event
+	draws   int
+	crossed int
+	twice   int
+}
+
+func newFeedWorld(members []Member, pieces int, have func(Member) []int) *feedWorld {
+	w := &feedWorld{
+		now: testStart, order: NewOrder("salt", pieces, members), feeds: make(map[string]*Feed),
+		dead: make(map[string]bool), spoils: make(map[string]bool), slow: make(map[string]time.Duration),
+		free: make(map[string]time.Time),
+	}
+	for _, member := range members {
+		w.feeds[member.ID] = NewFeed(FeedParams{DrawEvery: drawTime}, member, w.order, have(member), w.now)
+	}
+	for _, member := range members {
+		w.meet(member)
+	}
+	return w
+}
+
+// meet links a box with all others and tells each what the other holds.
+func (w *feedWorld) meet(member Member) {
+	for _, other := range w.order.members {
+		if other.ID != member.ID {
+			w.feeds[member.ID].Peer(other)
+			w.feeds[member.ID].PeerHas(other.ID, true, w.feeds[other.ID].Held(), 0)
+		}
+	}
+}
+
+// send plans the arrival of a piece over a link that is busy until the pieces before it have passed.
+func (w *feedWorld) send(from, to string, action Action) {
+	takes := max(pieceTime, w.slow[from], w.slow[to])
+	if action.Draw {
+		takes = drawTime
+	}
+	start := w.now
+	if w.free[from].After(start) {
+		start = w.free[from]
+	}
+	w.free[from] = start.Add(takes)
+	w.events = append(w.events, event{at: w.free[from], to: to, action: action})
+}
+
+func (w *feedWorld) step() {
+	w.now = w.now.Add(feedTick)
+	var later []event
+	for _, e := range w.events {
+		if e.at.After(w.now) {
+			later = append(later, e)
+			continue
+		}
+		w.arrive(e)
+	}
+	w.events = later
+	for _, member := range w.order.members {
+		if w.dead[member.ID] {
+			continue
+		}
+		for _, action := range w.feeds[member.ID].Next(w.now) {
+			w.act(member, action)
+		}
+	}
+}
+
+func (w *feedWorld) act(member Member, action Action) {
+	switch {
+	case action.Drop:
+	case action.Draw:
+		w.draws++
+		w.send("origin", member.ID, action)
+	case w.dead[action.Peer]:
+	default:
+		w.send(action.Peer, member.ID, action)
+	}
+}
+
+func (w *feedWorld) arrive(e event) {
+	f := w.feeds[e.to]
+	if w.dead[e.to] {
+		return
+	}
+	if !e.action.Draw && w.spoils[e.action.Peer] {
+		f.Failed(e.action.Chunk, e.action.Peer, w.now)
+		return
+	}
+	if f.Holds(e.action.Chunk) {
+		w.twice++
+		return
+	}
+	if !e.action.Draw && w.site(e.action.Peer) != f.self.Site {
+		w.crossed++
+	}
+	f.Got(e.action.Chunk, e.action.Peer, 0, w.now)
+	for _, other := range w.order.members {
+		if other.ID != e.to && (other.Site == f.self.Site || f.Drawer(e.action.Chunk) || e.action.Draw || f.Complete()) {
+			w.feeds[other.ID].PeerHas(e.to, false, f.Held(), 0)
+		}
+	}
+}
+
+func (w *feedWorld) site(id string) string {
+	for _, member := range w.order.members {
+		if member.ID == id {
+			return member.Site
+		}
+	}
+	return ""
+}
+
+// run steps until all boxes that live hold all pieces, and returns how long that took.
+func (w *feedWorld) run(t *testing.T, limit time.Duration) time.Duration {
+	t.Helper()
+	for w.now.Sub(testStart) < limit {
+		w.step()
+		done := true
+		for id, f := range w.feeds {
+			done = done && (w.dead[id] || f.Complete())
+		}
+		if done {
+			return w.now.Sub(testStart)
+		}
+	}
+	for id, f := range w.feeds {
+		t.Logf("%s holds %d", id, f.Have())
+	}
+	t.Fatalf("not all boxes hold all pieces after %s", limit)
+	return 0
+}
+
+const feedPieces = 64
+
+func nothing(Member) []int { return nil }
+
+func TestFeedSpreads(t *testing.T) {
+	everything := make([]int, feedPieces)
+	for i := range everything {
+		everything[i] = i
+	}
+	for name, test := range map[string]struct {
+		boxes, sites int
+		have         func(Member) []int
+		harm         func(w *feedWorld)
+		limit        time.Duration
+		draws        int
+		crossed      int
+	}{
+		"all empty, undisturbed": {
+			boxes: 20, sites: 3, have: nothing, limit: 4500 * time.Millisecond, draws: feedPieces, crossed: 2*feedPieces + 16,
+		},
+		"one site": {boxes: 5, sites: 1, have: nothing, limit: 4 * time.Second, draws: feedPieces},
+		"one box alone": {
+			boxes: 1, sites: 1, have: nothing, limit: 3 * time.Second, draws: feedPieces,
+		},
+		"eight new among twelve that hold all draw nothing": {
+			boxes: 20, sites: 3, limit: 4 * time.Second,
+			have: func(m Member) []int {
+				if m.ID < "b012" {
+					return everything
+				}
+				return nil
+			},
+		},
+		"two boxes die unseen": {
+			boxes: 20, sites: 3, have: nothing, limit: 9 * time.Second, draws: 2 * feedPieces, crossed: 4 * feedPieces,
+			harm: func(w *feedWorld) { w.dead["b003"], w.dead["b007"] = true, true },
+		},
+		"a giver of spoilt pieces": {
+			boxes: 12, sites: 3, have: nothing, limit: 9 * time.Second, draws: 2 * feedPieces, crossed: 5 * feedPieces,
+			harm: func(w *feedWorld) { w.spoils["b002"] = true },
+		},
+		"two boxes on squeezed links": {
+			boxes: 12, sites: 3, have: nothing, limit: 40 * time.Second, draws: 2 * feedPieces, crossed: 5 * feedPieces,
+			harm: func(w *feedWorld) {
+				w.slow["b001"], w.slow["b005"] = 270*time.Millisecond, 270*time.Millisecond
+			},
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newFeedWorld(testMembers(test.boxes, test.sites), feedPieces, test.have)
+			if test.harm != nil {
+				test.harm(w)
+			}
+			took := w.run(t, test.limit)
+			t.Logf("%s, %d drawn, %d crossed, %d twice", took, w.draws, w.crossed, w.twice)
+			if w.draws > test.draws {
+				t.Errorf("%d pieces drawn, want at most %d", w.draws, test.draws)
+			}
+			if w.crossed > test.crossed {
+				t.Errorf("%d pieces crossed between sites, want at most %d", w.crossed, test.crossed)
+			}
+		})
+	}
+}
+
+func TestFeedFetchesLostPiecesAgain(t *testing.T) {
+	w := newFeedWorld(testMembers(6, 2), feedPieces, nothing)
+	w.run(t, 6*time.Second)
+	drawn := w.draws
+	w.feeds["b002"].Lost(7)
+	if w.feeds["b002"].Complete() {
+		t.Fatal("a lost piece is still held")
+	}
+	w.run(t, 12*time.Second)
+	if w.draws != drawn {
+		t.Errorf("%d pieces drawn again though others hold them", w.draws-drawn)
+	}
+}
+
+func TestFeedAsksLittleOnAJammedLink(t *testing.T) {
+	members := testMembers(6, 1)
+	everything := make([]int, feedPieces)
+	for i := range everything {
+		everything[i] = i
+	}
+	f := NewFeed(FeedParams{}, members[0], NewOrder("salt", feedPieces, members), nil, testStart)
+	for _, member := range members[1:] {
+		f.Peer(member)
+		f.PeerHas(member.ID, true, toPieces(everything), 0)
+	}
+	now, asked := testStart, 0
+	for range 40 {
+		now = now.Add(100 * time.Millisecond)
+		for _, action := range f.Next(now) {
+			if !action.Drop && !action.Draw {
+				asked++
+			}
+		}
+	}
+	if asked > 8 {
+		t.Errorf("%d pieces asked for in 4 s in which none came, want at most 8", asked)
+	}
+}
+
+func toPieces(of []int) []uint32 {
+	pieces := make([]uint32, len(of))
+	for i, piece := range of {
+		pieces[i] = uint32(piece)
+	}
+	return pieces
+}
--- /dev/null
+++ b/view/view_test.go
@@ -0,0 +1,189 @@
+package view
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+
+	"github.com/coralstair/coralstair/contract"
+)
+
+// fakeSource hands out what tests put into it; a call waits until there is something or its wait is over.
+type fakeSource struct {
+	declared chan answer[Declared]
+	servers  chan answer[Servers]
+	whole    int
+}
+
+type answer[T any] struct {
+	value T
+	err   error
+}
+
+func newFakeSource() *fakeSource {
+	return &fakeSource{declared: make(chan answer[Declared]), servers: make(chan answer[Servers])}
+}
+
+func take[T any](ctx context.Context, from chan answer[T], wait time.Duration) (T, error) {
+	var none T
+	select {
+	case a := <-from:
+		return a.value, a.err
+	case <-time.After(wait):
+		return none, nil
+	case <-ctx.Done():
+		return none, ctx.Err()
+	}
+}
+
+func (s *fakeSource) Declared(ctx context.Context) (Declared, error) {
+	s.whole++
+	return take(ctx, s.declared, time.Hour)
+}
+
+func (s *fakeSource) DeclaredAfter(ctx context.Context, _ Cursor, wait time.Duration) (Declared, error) {
+	return take(ctx, s.declared, wait)
+}
+
+func (s *fakeSource) Servers(ctx context.Context) (Servers, error) {
+	return take(ctx, s.servers, time.Hour)
+}
+
+func (s *fakeSource) ServersAfter(ctx context.Context, _ Cursor, wait time.Duration) (Servers, error) {
+	return take(ctx, s.servers, wait)
+}
+
+func config(revision contract.Revision) *contract.Config {
+	return contract.NewConfig(revision, contract.Limits{}, nil, nil, nil)
+}
+
+// following runs a view in a bubble of virtual time.
+func following(t *testing.T, test func(t *testing.T, v *View, s *fakeSource)) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newFakeSource()
+		v := New(s, Options{Log: &log.Logger{Handler: discard.Default, Level: log.InfoLevel}, VersionBound: 8 * time.Second})
+		ctx, cancel := context.WithCancel(t.Context())
+		go func() { _ = v.ServeDeclared(ctx) }()
+		go func() { _ = v.ServeServers(ctx) }()
+		test(t, v, s)
+		cancel()
+		synctest.Wait()
+	})
+}
+
+func TestConfigNeverGoesBack(t *testing.T) {
+	for name, test := range map[string]struct {
+		answers []answer[Declared]
+		want    contract.Revision
+	}{
+		"a newer one is taken": {[]answer[Declared]{{value: Declared{Config: config(4)}}, {value: Declared{Config: config(9)}}}, 9},
+		"an older one is not":  {[]answer[Declared]{{value: Declared{Config: config(9)}}, {value: Declared{Config: config(4)}}}, 9},
+		"a row that cannot be read leaves the last": {
+			[]answer[Declared]{{value: Declared{Config: config(4)}}, {value: Declared{Faults: []error{errors.New("no JSON")}}}}, 4,
+		},
+		"the last stays while the store is away": {
+			[]answer[Declared]{{value: Declared{Config: config(4)}}, {err: errors.New("away")}, {err: errors.New("away")}}, 4,
+		},
+		"an older whole after the history is gone is not taken": {
+			[]answer[Declared]{{value: Declared{Config: config(9)}}, {err: &HistoryGoneError{}}, {value: Declared{Config: config(4)}}}, 9,
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			following(t, func(t *testing.T, v *View, s *fakeSource) {
+				for _, a := range test.answers {
+					s.declared <- a
+				}
+				synctest.Wait()
+				if got := v.Config().Revision; got != test.want {
+					t.Errorf("revision %d is in force, want %d", got, test.want)
+				}
+			})
+		})
+	}
+}
+
+func TestHistoryGoneReadsTheWhole(t *testing.T) {
+	following(t, func(t *testing.T, _ *View, s *fakeSource) {
+		s.declared <- answer[Declared]{value: Declared{Config: config(1)}}
+		s.declared <- answer[Declared]{err: &HistoryGoneError{}}
+		s.declared <- answer[Declared]{value: Declared{Config: config(2)}}
+		synctest.Wait()
+		if s.whole != 2 {
+			t.Errorf("the whole was read %d times, want 2", s.whole)
+		}
+	})
+}
+
+func TestServersThatAreNoLongerListed(t *testing.T) {
+	server := contract.Server{ID: "a", Service: "s", Address: "h:1"}
+	for name, test := range map[string]struct {
+		changes []Servers
+		after   time.Duration
+		listed  bool
+		missing bool
+	}{
+		"present":                         {[]Servers{{Present: []contract.Server{server}}}, 0, true, false},
+		"gone counts as missing at first": {[]Servers{{Present: []contract.Server{server}}, {Gone: []string{"a"}}}, time.Second, true, true},
+		"gone is gone after the grace":    {[]Servers{{Present: []contract.Server{server}}, {Gone: []string{"a"}}}, 2 * time.Second, false, false},
+		"one that is back is present": {
+			[]Servers{{Present: []contract.Server{server}}, {Gone: []string{"a"}}, {Present: []contract.Server{server}}}, time.Second, true, false,
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			following(t, func(t *testing.T, v *View, s *fakeSource) {
+				for _, change := range test.changes {
+					s.servers <- answer[Servers]{value: change}
+				}
+				time.Sleep(test.after)
+				servers := v.Servers()
+				if (len(servers) == 1) != test.listed {
+					t.Fatalf("%d servers, want listed %t", len(servers), test.listed)
+				}
+				if test.listed && servers[0].Missing.IsZero() == test.missing {
+					t.Errorf("missing since %s, want missing %t", servers[0].Missing, test.missing)
+				}
+			})
+		})
+	}
+}
+
+func TestDue(t *testing.T) {
+	following(t, func(t *testing.T, v *View, s *fakeSource) {
+		s.declared <- answer[Declared]{value: Declared{Config: config(1), Targets: []contract.Target{{Model: "m", Version: 1}}}}
+		time.Sleep(time.Minute)
+		start := time.Now()
+		s.declared <- answer[Declared]{value: Declared{Targets: []contract.Target{{Model: "m", Version: 2}}}}
+		time.Sleep(3 * time.Second)
+		s.declared <- answer[Declared]{value: Declared{Targets: []contract.Target{{Model: "m", Version: 3}}}}
+		synctest.Wait()
+		for version, want := range map[contract.Version]time.Duration{1: 8 * time.Second, 2: 11 * time.Second} {
+			due, ok := v.Due("m", version)
+			if !ok || due.Sub(start).Round(time.Millisecond) != want {
+				t.Errorf("version %d is due after %s, want %s", version, due.Sub(start), want)
+			}
+		}
+		if _, ok := v.Due("m", 3); ok {
+			t.Error("the newest version is due")
+		}
+		if version, _ := v.Target("m"); version != 3 {
+			t.Errorf("version %d is aimed at, want 3", version)
+		}
+	})
+}
+
+func TestTargetWhileNoneIsNamed(t *testing.T) {
+	following(t, func(t *testing.T, v *View, s *fakeSource) {
+		s.servers <- answer[Servers]{value: Servers{Present: []contract.Server{
+			{ID: "a", Loaded: map[string]contract.Version{"m": 1}}, {ID: "b"},
+		}}}
+		synctest.Wait()
+		if version, _ := v.Target("m"); version != 1 {
+			t.Errorf("version %d is aimed at, want that which another server runs", version)
+		}
+	})
+}
