coralstair explain: a request's story from the daemons' logs; refusals say when to come back by what is predicted

Change: each line names its node, servers left alone are logged, the command prints a request's lines with the beliefs and their age; refusals name the predicted wait and 0.4 to 1.3 s more.

--- /dev/null
+++ b/explain/explain_test.go
@@ -0,0 +1,55 @@
+package explain
+
+import (
+	"errors"
+	"strings"
+	"testing"
+)
+
+const logs = `  1.0 front-1 {"at":"2026-01-01T00:00:01.000Z","msg":"view: configuration taken","node":"e1","revision":4}
+{"at":"2026-01-01T00:00:01.500Z","msg":"view: configuration taken","node":"e2","revision":4}
+{"at":"2026-01-01T00:00:02.000Z","msg":"view: server listed","node":"e1","server":"s1","address":"h:1","leaving":false}
+{"at":"2026-01-01T00:00:02.100Z","msg":"view: server listed","node":"e1","server":"s2","address":"h:2","leaving":false}
+no line
+{"at":"2026-01-01T00:00:03.000Z","msg":"fill: order to load","node":"b1","upstream":"h:1","version":2}
+{"at":"2026-01-01T00:00:04.000Z","msg":"request","node":"e1","id":"r1","server":"s1","outcome":"not-run"}
+{"at":"2026-01-01T00:00:05.000Z","msg":"view: configuration taken","node":"e1","revision":9}
+`
+
+func TestStory(t *testing.T) {
+	for name, test := range map[string]struct {
+		id       string
+		tells    []string
+		tellsNot []string
+	}{
+		"own line, beliefs of its entry and server": {
+			"r1", []string{"not-run", "revision: 4", "server listed", "order to load", "believed for 1s"}, []string{"revision: 9", "h:2", "e2"},
+		},
+		"unknown request": {"r9", nil, nil},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var l Log
+			if err := l.Read(strings.NewReader(logs)); err != nil {
+				t.Fatal(err)
+			}
+			var story strings.Builder
+			err := l.Story(&story, test.id)
+			if test.tells == nil {
+				if !errors.As(err, new(*NotFoundError)) {
+					t.Errorf("error %v, want that no line names it", err)
+				}
+				return
+			}
+			for _, want := range test.tells {
+				if !strings.Contains(story.String(), want) {
+					t.Errorf("the story lacks %q:\n%s", want, story.String())
+				}
+			}
+			for _, not := range test.tellsNot {
+				if strings.Contains(story.String(), not) {
+					t.Errorf("the story tells %q:\n%s", not, story.String())
+				}
+			}
+		})
+	}
+}
--- a/forward/call.go
+++ b/forward/call.go
@@ -17,8 +17,12 @@
 	answerMargin = 20 * time.Millisecond
 	// notRunTries is how many more servers than its attempts a request may be offered when each says that it did not run.
 	notRunTries = 1
-	// comeBack is when a caller is told to come back where nothing better is known.
-	comeBack = 300 * time.Millisecond
+	// comeBack is when a caller is told to come back at the earliest, comeBackSpread how much later at most, loadComeBack how
+	// much later where no server takes requests, plainComeBack the time where nothing is predicted.
+	comeBack       = 400 * time.Millisecond
+	comeBackSpread = 900 * time.Millisecond
+	loadComeBack   = 600 * time.Millisecond
+	plainComeBack  = 300 * time.Millisecond
 	// admitShare is the part of a request's goal that may pass before it is read.
 	admitShare = 0.8
 )
@@ -188,22 +192,22 @@
 // note keeps what became of an attempt for the request's line in the log, and what it says of the server.
 func (c *call) note(ch choice, result step, err error) {
 	now := time.Now()
-	reason := "done"
+	reason, pause := "done", time.Duration(0)
 	switch result {
 	case stepNotRun:
 		reason = "not-run"
 	case stepLost:
 		reason = "lost"
 		if errors.As(err, new(*SilentError)) {
-			ch.up.silent(now)
+			pause = ch.up.silent(now)
 		} else {
-			ch.up.failed(now)
+			pause = ch.up.failed(now)
 		}
 	case stepFailed:
 		reason = "failed"
 	case stepDone:
 		if err != nil {
-			ch.up.failed(now)
+			pause = ch.up.failed(now)
 		} else {
 			ch.up.succeeded()
 		}
@@ -212,6 +216,10 @@
 		reason += ": " + err.Error()
 	}
 	c.story = append(c.story, ch.server.ID+" "+reason)
+	if pause > 0 {
+		c.entry.log.WithFields(log.Fields{"server": ch.server.ID, "for_ms": pause.Milliseconds(), "cause": reason}).
+			Info("forward: server left alone")
+	}
 }
 
 // refuse answers with a problem of the entry's own.
--- a/forward/entry.go
+++ b/forward/entry.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -134,24 +135,30 @@
 	}
 }
 
-// comeBack says when a request of a service is likely to be served, by what is predicted at its servers.
-func (e *Entry) comeBack(service *contract.Service, route *contract.Route, now time.Time) time.Duration {
-	if service.Engine == nil {
-		return comeBack
-	}
-	soonest := time.Duration(0)
+// soonest returns the least wait that is predicted at the servers of a service; ok is false when none takes requests.
+func (e *Entry) soonest(service *contract.Service, now time.Time) (wait time.Duration, ok bool) {
 	for _, up := range e.upstreams.of(service.Name) {
 		up.mu.Lock()
-		if up.version("", now) != 0 && !up.server.Leaving {
+		if up.version("", now) != 0 && !up.server.Leaving && !up.closing(now) {
 			first := engine.First(service.Engine, up.load(service.Engine, now), service.Engine.UsualPrompt)
-			if soonest == 0 || first < soonest {
-				soonest = first
+			if !ok || first < wait {
+				wait, ok = first, true
 			}
 		}
 		up.mu.Unlock()
 	}
-	if soonest == 0 {
-		return 2 * comeBack
+	return wait, ok
+}
+
+// comeBack says when a request is likely to be served in time: when what waits at the best server has been read, or when
+// the servers that load now are back. Callers are spread over some time more, since they would all meet again.
+func (e *Entry) comeBack(service *contract.Service, route *contract.Route, now time.Time) time.Duration {
+	if service.Engine == nil {
+		return plainComeBack
+	}
+	after := loadComeBack
+	if wait, ok := e.soonest(service, now); ok {
+		after = max(wait-route.Goal, 0)
 	}
-	return max(soonest-route.Goal, comeBack)
+	return after + comeBack + rand.N(comeBackSpread)
 }
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -23,7 +23,7 @@
 	}
 	cfg := e.cfg.View.Config()
 	if cfg == nil {
-		e.deny(w, r, ask, http.StatusServiceUnavailable, "no-configuration", "no configuration is known yet", comeBack)
+		e.deny(w, r, ask, http.StatusServiceUnavailable, "no-configuration", "no configuration is known yet", loadComeBack)
 		return
 	}
 	route := cfg.Route(r.Host, r.URL.Path)
@@ -52,7 +52,7 @@
 	}
 	c.service = cfg.Service(route.Service(rand.Float64()))
 	if c.service == nil {
-		c.refuse(http.StatusServiceUnavailable, "no-service", "the route's service is not known", comeBack, nil)
+		c.refuse(http.StatusServiceUnavailable, "no-service", "the route's service is not known", plainComeBack, nil)
 		return
 	}
 	c.run(r.Context())
--- a/forward/upstream.go
+++ b/forward/upstream.go
@@ -204,25 +204,26 @@
 	return max(takes-(u.report.Closes-now.Sub(u.reportAt)), 0)
 }
 
-// failed notes a failure; after several in a row the server is left alone for a time.
-func (u *upstream) failed(now time.Time) {
+// failed notes a failure; after several in a row the server is left alone for the time returned.
+func (u *upstream) failed(now time.Time) time.Duration {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.failures++
 	if u.failures < failuresBeforePause {
-		return
+		return 0
 	}
 	u.pause = min(max(2*u.pause, firstPause), maxPause)
 	u.until = now.Add(u.pause)
+	return u.pause
 }
 
 // silent notes that nothing came from the server for too long, which counts as all failures at once.
-func (u *upstream) silent(now time.Time) {
+func (u *upstream) silent(now time.Time) time.Duration {
 	u.mu.Lock()
 	u.failures = max(u.failures, failuresBeforePause)
 	u.learn(minSilence, now)
 	u.mu.Unlock()
-	u.failed(now)
+	return u.failed(now)
 }
 
 // unreachable notes that no connection came about, which counts as all failures at once.
--- a/internal/daemoncmd/daemon.go
+++ b/internal/daemoncmd/daemon.go
@@ -104,6 +104,10 @@
 	if err != nil {
 		return err
 	}
+	logger = logger.WithField("node", m.ID)
+	if m.UpstreamAt != "" {
+		logger = logger.WithField("upstream", m.UpstreamAt)
+	}
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	defer signal.Stop(signals)
