No connection to the origin is kept; boxes link first to the sources of what they take across

Cause: at 76 boxes a version took over 9 s: idle connections of 48 boxes filled the origin, which reset the others (757 draws lost), and of 48 links opened at random a third of the homes had none to their drawers. Ruled out: asks (7 of 8 in use), givers' queues (36 at most). Change: connections to the origin end with each call; swarm.Order.Partners; the manifest's first box is linked by its site.

--- a/fill/filler.go
+++ b/fill/filler.go
@@ -18,7 +18,7 @@
 	originTime  = 2 * time.Second
 	stageTime   = time.Second
 	// manifestWait is how long a box that is not the first of its site waits for the manifest of a neighbour.
-	manifestWait = 300 * time.Millisecond
+	manifestWait = 500 * time.Millisecond
 	// newestPause is how long after asking for the newest version it is asked for again.
 	newestPause = time.Second
 	// mostlyFilled is how long after it was named most of a version is there, finishTime how long it may take to the end
@@ -39,6 +39,7 @@
 	key      uint64
 	feed     *swarm.Feed
 	members  []swarm.Member
+	partners []swarm.Member
 	asking   bool
 	misfits  int
 	// memory holds pieces that came while the server's own place for pieces still held an older version to be loaded.
@@ -96,6 +97,11 @@
 	return !b.stateAt.IsZero()
 }
 
+// mates returns the boxes of this site among some.
+func (b *Box) mates(of []swarm.Member) []swarm.Member {
+	return slices.DeleteFunc(slices.Clone(of), func(m swarm.Member) bool { return m.Site != b.cfg.Machine.Site })
+}
+
 // askNewest asks the origin which version is the newest, when nobody has named one and the server runs none.
 func (b *Box) askNewest(ctx context.Context, model string) {
 	origin := b.origin()
@@ -193,9 +199,10 @@
 		return true
 	}
 	members := b.siblings()
-	b.links.want(f.ctx, swarm.Neighbours(b.self(), members))
+	homes := swarm.NewOrder(f.model, 1, members).Homes(0)
+	b.links.want(f.ctx, append(b.mates(homes), swarm.Neighbours(b.self(), members)...))
 	wait := manifestWait
-	if slices.Contains(swarm.NewOrder(f.model, 1, members).Homes(0), b.self()) {
+	if slices.Contains(homes, b.self()) {
 		wait = 0
 	}
 	origin := b.origin()
@@ -242,8 +249,9 @@
 	have := b.heldPieces(f.ctx, m)
 	members := b.siblings()
 	b.mu.Lock()
-	f.members = members
-	f.feed = swarm.NewFeed(b.feedParams(m), b.self(), swarm.NewOrder(f.model, len(m.Digests), members), have, time.Now())
+	order := swarm.NewOrder(f.model, len(m.Digests), members)
+	f.members, f.partners = members, order.Partners(b.self())
+	f.feed = swarm.NewFeed(b.feedParams(m), b.self(), order, have, time.Now())
 	b.mu.Unlock()
 	b.log.WithFields(log.Fields{
 		"model": m.Model, "version": int64(m.Version), "from": from, "held": len(have), "pieces": len(m.Digests),
@@ -289,14 +297,16 @@
 		return
 	}
 	if !equalMembers(members, f.members) {
-		f.members = members
-		f.feed.Reorder(swarm.NewOrder(f.model, len(f.manifest.Digests), members))
+		order := swarm.NewOrder(f.model, len(f.manifest.Digests), members)
+		f.members, f.partners = members, order.Partners(b.self())
+		f.feed.Reorder(order)
 	}
+	partners := f.partners
 	actions := f.feed.Next(time.Now())
 	complete := f.feed.Complete()
 	b.mu.Unlock()
 	if !complete {
-		b.links.want(f.ctx, members)
+		b.links.want(f.ctx, partners)
 	}
 	for _, action := range actions {
 		switch {
--- a/fill/links.go
+++ b/fill/links.go
@@ -20,8 +20,6 @@
 	linkBuffer = 2 << 10
 	// restTime is how long after its last use a link to another box stays.
 	restTime = 6 * time.Second
-	// maxLinks bounds the links that a box opens to others.
-	maxLinks = 48
 
 	roleBox   = "box"
 	roleEntry = "entry"
@@ -126,7 +124,7 @@
 		case member.ID == ls.box.cfg.Machine.Address:
 		case ls.out[member.ID] != nil:
 			ls.out[member.ID].used = now
-		case ls.dialing[member.ID] || now.Before(ls.after[member.ID]) || len(ls.out)+len(ls.dialing) >= maxLinks:
+		case ls.dialing[member.ID] || now.Before(ls.after[member.ID]):
 		default:
 			ls.dialing[member.ID] = true
 			go ls.dial(ctx, member)
--- a/internal/daemoncmd/daemon.go
+++ b/internal/daemoncmd/daemon.go
@@ -81,10 +81,19 @@
 	}
 	return fill.New(fill.Config{
 		Machine: m, View: v, Log: logger, Listener: listener,
-		Engine: platform.NewEngine(m.UpstreamAt, newClient()), Origin: platform.NewOrigin(newClient()),
+		Engine: platform.NewEngine(m.UpstreamAt, newClient()), Origin: platform.NewOrigin(newOriginClient()),
 	}), nil
 }
 
+// newOriginClient returns a client that keeps no connection: the origin takes fewer than there are boxes.
+func newOriginClient() *http.Client {
+	client := newClient()
+	if transport, ok := client.Transport.(*http.Transport); ok {
+		transport.DisableKeepAlives = true
+	}
+	return client
+}
+
 func newClient() *http.Client {
 	dialer := &net.Dialer{
 		Timeout:         storeDialTime,
