--- a/dynamo/table.go
+++ b/dynamo/table.go
@@ -90,7 +90,7 @@
 	return rowOf(out.Item), true, nil
 }
 
-// store.Put writes one row; a store.ConditionError says that the condition did not hold.
+// Put writes one row; a store.ConditionError says that the condition did not hold.
 func (t *Table) Put(ctx context.Context, put store.Put) error {
 	ctx, cancel := context.WithTimeout(ctx, tableTimeout)
 	defer cancel()
