--- a/forward/stream.go
+++ b/forward/stream.go
@@ -110,7 +110,8 @@
 		var err error
 		if event, err = readEvent(events, event[:0]); err != nil {
 			if errors.Is(err, io.EOF) && len(event) == 0 {
-				return p.finish(a)
+				p.finish(a)
+				return nil
 			}
 			a.spoil()
 			if cause := context.Cause(a.ctx); cause != nil {
@@ -125,12 +126,11 @@
 	}
 }
 
-// finish ends a stream whose last event has come.
-func (p *passage) finish(a *attempt) error {
+// finish ends a stream whose last event has come; one without events still has its head.
+func (p *passage) finish(a *attempt) {
 	if !p.begun {
 		p.begin(a)
 	}
-	return nil
 }
 
 // passEvent passes one event on; one that the caller already has is dropped.
--- a/tracing/tracing.go
+++ b/tracing/tracing.go
@@ -41,15 +41,6 @@
 	return propagator.Extract(ctx, propagation.HeaderCarrier(header))
 }
 
-// ID returns the trace id of ctx, empty when there is none.
-func ID(ctx context.Context) string {
-	span := trace.SpanContextFromContext(ctx)
-	if !span.HasTraceID() {
-		return ""
-	}
-	return span.TraceID().String()
-}
-
 // Inject writes the trace of ctx into a header; a header that carries the caller's trace keeps it when tracing is off.
 func Inject(ctx context.Context, header http.Header) {
 	propagator.Inject(ctx, propagation.HeaderCarrier(header))
--- a/view/history.go
+++ b/view/history.go
@@ -38,20 +38,7 @@
 	return time.Time{}, false
 }
 
-// floor returns the newest version that was named by a time.
-func (h *history) floor(by time.Time) contract.Version {
-	if h == nil {
-		return 0
-	}
-	var floor contract.Version
-	for _, n := range h.named {
-		if !n.at.After(by) {
-			floor = n.version
-		}
-	}
-	return floor
-}
-
+// newest returns the newest version and when it was named; 0 while none was.
 func (h *history) newest() (contract.Version, time.Time) {
 	n := len(h.named)
 	if n == 0 {
