--- a/contract/service.go
+++ b/contract/service.go
@@ -4,8 +4,7 @@
 
 // Service is a group of servers that answer alike.
 type Service struct {
-	Name       string
-	HealthPath string
+	Name string
 	// MaxConns is how many connections a server takes from all callers together.
 	MaxConns int
 	// Engine describes the model engines of the service; nil for a plain service.
@@ -20,8 +19,6 @@
 type Engine struct {
 	Slots  int
 	Models []Model
-	// Memory is how many tokens the engine holds for requests.
-	Memory int
 	// Stride is how many steps a pass with writers plays.
 	Stride int
 	// Chunk is how many prompt tokens a step reads at most.
@@ -36,9 +33,6 @@
 	// UsualPrompt and UsualAnswer are the mean tokens of a request.
 	UsualPrompt int
 	UsualAnswer int
-	// Pieces is the number of pieces of a model's weights, PieceBytes the length of one.
-	Pieces     int
-	PieceBytes int
 }
 
 // Model is a model that an engine may hold.
--- a/machine/machine.go
+++ b/machine/machine.go
@@ -13,38 +13,27 @@
 	Site    string
 	// Regions holds the region of each site.
 	Regions map[string]string
-	// CallersAt, ReadyAt and ControlAt are the addresses to listen at; empty where the machine does not serve that.
+	// CallersAt and ReadyAt are the addresses to listen at; empty where the machine does not serve that.
 	CallersAt string
 	ReadyAt   string
-	ControlAt string
 	// LinkPort is the port at which boxes take links, alike on all machines.
 	LinkPort int
-	// Seeds are control addresses of other machines, which may be stale.
-	Seeds []string
 	// StoreAt is the address of the platform's store.
 	StoreAt string
 	// UpstreamAt and Service are the server on this machine; empty where there is none.
 	UpstreamAt string
 	Service    string
-	// LinkRate is the machine's link in bytes a second, Memory its memory in bytes.
+	// LinkRate is the machine's link in bytes a second.
 	LinkRate float64
-	Memory   int64
 	Bounds   Bounds
 }
 
 // Bounds are the times and shares that operators have set for the system.
 type Bounds struct {
-	// Drain is how soon a leaving server gets no more requests, Grace how long a planned stop may take.
-	Drain time.Duration
+	// Grace is how long a planned stop may take.
 	Grace time.Duration
-	// Contact is how long a machine has to be undisturbed before it is held to the bounds.
-	Contact time.Duration
 	// Version is how soon after a new version is named no request begins on an older one.
 	Version time.Duration
-	// Recovery is how soon after a loss of all machines requests are served again.
-	Recovery time.Duration
-	// Pass is how soon an event of a stream has to be passed on.
-	Pass time.Duration
 	// RetryRatio of the requests, and RetrySlack more, may be sent a second time within RetryWindow, by all entries together.
 	RetryRatio  float64
 	RetrySlack  int
