--- a/link/conn.go
+++ b/link/conn.go
@@ -123,16 +123,9 @@
 		return err
 	}
 	if msg.Kind() == KindChunk {
-		return c.sendBulk(ctx, bulkMessage{data: data})
-	}
-	select {
-	case c.urgent <- data:
-		return nil
-	case <-ctx.Done():
-		return &ClosedError{Err: ctx.Err()}
-	case <-c.ctx.Done():
-		return &ClosedError{Err: c.ctx.Err()}
+		return queue(ctx, c, c.bulk, bulkMessage{data: data})
 	}
+	return queue(ctx, c, c.urgent, data)
 }
 
 // Deliver sends a chunk and waits until it was written, so that the sender decides what goes out next.
@@ -142,7 +135,7 @@
 		return err
 	}
 	m := bulkMessage{data: data, written: make(chan struct{})}
-	if err := c.sendBulk(ctx, m); err != nil {
+	if err := queue(ctx, c, c.bulk, m); err != nil {
 		return err
 	}
 	select {
@@ -155,9 +148,10 @@
 	}
 }
 
-func (c *Conn) sendBulk(ctx context.Context, m bulkMessage) error {
+// queue puts a message in one of a link's queues and waits while that is full.
+func queue[T any](ctx context.Context, c *Conn, to chan<- T, message T) error {
 	select {
-	case c.bulk <- m:
+	case to <- message:
 		return nil
 	case <-ctx.Done():
 		return &ClosedError{Err: ctx.Err()}
