--- /dev/null
+++ b/view/take.go
@@ -0,0 +1,123 @@
+package view
+
+import (
+	"maps"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/coralstair/coralstair/contract"
+)
+
+// setAway notes that the store does not answer.
+func (v *View) setAway() {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.away = v.now()
+}
+
+// takeDeclared takes what is newer; whole says that it is no change but all there is.
+func (v *View) takeDeclared(declared Declared, whole bool) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for _, fault := range declared.Faults {
+		configFaults.Inc()
+		v.opts.Log.WithField("cause", fault.Error()).Error("view: what was declared cannot be read; the last known stays")
+	}
+	changed := v.takeConfig(declared.Config)
+	for _, target := range declared.Targets {
+		at := v.now()
+		if whole && v.config != nil && v.targets[target.Model] == nil {
+			// It is not known when the version was named; the middle of the bound leaves the least error.
+			at = at.Add(-v.opts.VersionBound / 2)
+		}
+		changed = v.name(target, at) || changed
+	}
+	if changed {
+		v.wake()
+	}
+	return changed
+}
+
+// takeConfig takes a configuration that is newer than the one known; mu is held.
+func (v *View) takeConfig(cfg *contract.Config) bool {
+	if cfg == nil || v.config != nil && cfg.Revision <= v.config.Revision {
+		return false
+	}
+	v.config = cfg
+	configRevision.Set(float64(cfg.Revision))
+	v.opts.Log.WithFields(log.Fields{"revision": int64(cfg.Revision), "routes": cfg.Routes()}).Info("view: configuration taken")
+	return true
+}
+
+// name notes that a version was named; mu is held.
+func (v *View) name(target contract.Target, at time.Time) bool {
+	h := v.targets[target.Model]
+	if h == nil {
+		h = &history{}
+		v.targets[target.Model] = h
+	}
+	if !h.add(target.Version, at) {
+		return false
+	}
+	v.opts.Log.WithFields(log.Fields{"model": target.Model, "version": int64(target.Version)}).Info("view: version named")
+	return true
+}
+
+// takeServers takes entries that changed; whole says that they are all there are.
+func (v *View) takeServers(servers Servers, whole bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	now := v.now()
+	for _, fault := range servers.Faults {
+		v.opts.Log.WithField("cause", fault.Error()).Error("view: a server's entry cannot be read; the last known stays")
+	}
+	present := make(map[string]bool, len(servers.Present))
+	for _, server := range servers.Present {
+		present[server.ID] = true
+		delete(v.missing, server.ID)
+		v.noteServer(server)
+		v.servers[server.ID] = server
+	}
+	for _, id := range servers.Gone {
+		v.miss(id, now)
+	}
+	if whole {
+		for id := range maps.Clone(v.servers) {
+			if !present[id] {
+				v.miss(id, now)
+			}
+		}
+	}
+	for id, since := range v.missing {
+		if now.Sub(since) > lapseGrace {
+			delete(v.missing, id)
+			delete(v.servers, id)
+		}
+	}
+	v.listed = true
+	v.wake()
+}
+
+// noteServer logs a server whose entry is new or tells something new; mu is held.
+func (v *View) noteServer(server contract.Server) {
+	old, known := v.servers[server.ID]
+	if known && old.Leaving == server.Leaving && old.Address == server.Address {
+		return
+	}
+	v.opts.Log.WithFields(log.Fields{
+		"server": server.ID, "address": server.Address, "service": server.Service, "leaving": server.Leaving,
+	}).Info("view: server listed")
+}
+
+// miss notes since when a server is no longer listed; mu is held.
+func (v *View) miss(id string, now time.Time) {
+	if _, known := v.servers[id]; !known {
+		return
+	}
+	if _, already := v.missing[id]; already {
+		return
+	}
+	v.missing[id] = now
+	v.opts.Log.WithField("server", id).WithField("store_away_ms", now.Sub(v.away).Milliseconds()).Info("view: server no longer listed")
+}
