--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -1,14 +1,10 @@
 package forward
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"io"
 	"net/http"
-	"net/http/httptrace"
-	"net/textproto"
-	"net/url"
 	"strings"
 	"time"
 
@@ -27,12 +23,6 @@
 
 const contentEvents = "text/event-stream"
 
-// hopHeaders concern one connection only.
-var hopHeaders = []string{
-	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection", "Te", "Trailer",
-	"Transfer-Encoding", "Upgrade",
-}
-
 // attempt is one send of a call to a server.
 type attempt struct {
 	call   *call
@@ -66,16 +56,31 @@
 	a := &attempt{call: c, choice: ch, ticket: ch.up.take(c.ask.Prompt, ch.first, time.Now())}
 	a.ctx, a.cancel = context.WithCancelCause(ctx)
 	if silence > 0 {
-		a.quiet = time.AfterFunc(silence, func() { a.cancel(&SilentError{Server: ch.server.ID}) })
+		a.giveUpAfter(silence)
 	}
 	return a
 }
 
+// giveUpAfter ends the attempt unless the server is heard within a silence; the first such time starts the clock, a
+// later one sets it anew.
+func (a *attempt) giveUpAfter(silence time.Duration) {
+	if a.quiet == nil {
+		a.quiet = time.AfterFunc(silence, func() { a.cancel(&SilentError{Server: a.choice.server.ID}) })
+		return
+	}
+	a.quiet.Reset(silence)
+}
+
 // silence returns how long a server may be silent before another is tried; 0 when none may be.
 func (c *call) silence(ch choice) time.Duration {
 	if !c.route.Repeatable() || c.offered >= c.route.Attempts {
 		return 0
 	}
+	return ch.silence()
+}
+
+// silence returns how long the server may be silent, by what was predicted of its first event.
+func (ch choice) silence() time.Duration {
 	return max(silenceFactor*ch.first+silenceRest, minSilence)
 }
 
@@ -196,65 +201,3 @@
 	a.call.outcome("answered", got.status, nil)
 	return got, stepDone, nil
 }
-
-// request builds the request to the server: the caller's own, with what the platform has the entry set.
-func (a *attempt) request(extra Send) *http.Request {
-	c := a.call
-	extra.Left = time.Until(c.ends) - answerMargin
-	extra.Server = a.choice.server.ID
-	extra.Team = c.teamName()
-	extra.Priority = c.priority()
-	header := c.r.Header.Clone()
-	dropHopHeaders(header)
-	if _, told := header["User-Agent"]; !told {
-		header["User-Agent"] = []string{""}
-	}
-	c.entry.cfg.Wire.Outgoing(header, extra)
-	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
-		if conn, ok := info.Conn.(*conn); ok {
-			a.conn = conn
-			a.before = conn.begin()
-		}
-	}}
-	req := &http.Request{
-		Method: c.r.Method, URL: target(c.r, a.choice.server.Address), Host: c.r.Host,
-		Header: header, Body: io.NopCloser(bytes.NewReader(c.body)), ContentLength: int64(len(c.body)),
-		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
-	}
-	if len(c.body) == 0 {
-		// A body of unknown length that turns out empty is not sent, and keeps net/http from sending the request again.
-		req.ContentLength = -1
-		if c.r.ContentLength == 0 && methodHasBody(c.r.Method) {
-			req.Body, req.ContentLength = http.NoBody, 0
-		}
-	}
-	return req.WithContext(httptrace.WithClientTrace(a.ctx, trace))
-}
-
-// methodHasBody reports whether net/http sends a length of 0 for the method; it does not repeat these by itself.
-func methodHasBody(method string) bool {
-	return method == http.MethodPost || method == http.MethodPut || method == http.MethodPatch
-}
-
-// target returns the address of a request at a server; path and query stay as the caller wrote them.
-func target(r *http.Request, address string) *url.URL {
-	if strings.HasPrefix(r.RequestURI, "/") && !strings.HasPrefix(r.RequestURI, "//") {
-		return &url.URL{Scheme: "http", Host: address, Opaque: r.RequestURI}
-	}
-	u := *r.URL
-	u.Scheme, u.Host = "http", address
-	return &u
-}
-
-func dropHopHeaders(header http.Header) {
-	for _, value := range header["Connection"] {
-		for name := range strings.SplitSeq(value, ",") {
-			if name = textproto.TrimString(name); name != "" {
-				header.Del(name)
-			}
-		}
-	}
-	for _, name := range hopHeaders {
-		header.Del(name)
-	}
-}
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -14,6 +14,12 @@
 // defaultWait is how long a caller that does not say is taken to wait.
 const defaultWait = 30 * time.Second
 
+// Outcomes as problems tell them.
+const (
+	outcomeNotRun  = "not-run"
+	outcomeUnknown = "unknown"
+)
+
 // ServeHTTP takes one request of a caller.
 func (e *Entry) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	started := time.Now()
@@ -31,14 +37,12 @@
 		e.deny(w, r, ask, http.StatusNotFound, "no-route", "no route leads there", 0)
 		return
 	}
-	var team *contract.Team
-	if cfg.Keyed && !route.Public {
-		if team = cfg.Team(ask.Key); team == nil {
-			e.deny(w, r, ask, http.StatusUnauthorized, "no-team", "the key is not known", 0)
-			return
-		}
+	team, known := teamOf(cfg, route, ask)
+	if !known {
+		e.deny(w, r, ask, http.StatusUnauthorized, "no-team", "the key is not known", 0)
+		return
 	}
-	if headerBytes(r) > cfg.Limits.HeaderBytes && cfg.Limits.HeaderBytes > 0 {
+	if limit := cfg.Limits.HeaderBytes; limit > 0 && headerBytes(r) > limit {
 		e.deny(w, r, ask, http.StatusRequestHeaderFieldsTooLarge, "long-header", "the header is too long", 0)
 		return
 	}
@@ -58,6 +62,15 @@
 	c.run(r.Context())
 }
 
+// teamOf returns the team of a request, nil where the route asks for no key; known is false when the key is not.
+func teamOf(cfg *contract.Config, route *contract.Route, ask Ask) (team *contract.Team, known bool) {
+	if !cfg.Keyed || route.Public {
+		return nil, true
+	}
+	team = cfg.Team(ask.Key)
+	return team, team != nil
+}
+
 // wait returns how long a request is held at most.
 func wait(ask Ask, route *contract.Route) time.Duration {
 	held := ask.Wait
@@ -122,12 +135,7 @@
 	p.Write(w)
 }
 
-// Outcomes as problems tell them.
-const (
-	outcomeNotRun  = "not-run"
-	outcomeUnknown = "unknown"
-)
-
+// headerBytes returns the length of a request's head without its first line's protocol.
 func headerBytes(r *http.Request) int {
 	n := len(r.Method) + len(r.RequestURI) + len(r.Host)
 	for name, values := range r.Header {
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -25,6 +25,7 @@
 	eventID      = []byte("id:")
 	errLongEvent = &BrokenAnswerError{Reason: "an event is too long"}
 	errTornEvent = &BrokenAnswerError{Reason: "it ends within an event"}
+	errNoResume  = errors.New("the stream can not go on elsewhere")
 )
 
 // passage is a stream on its way to the caller, from one server after another.
@@ -89,7 +90,7 @@
 	c.last = ch
 	c.not[ch.server.ID] = true
 	resumes.Inc()
-	a := c.attempt(ctx, ch, max(silenceFactor*ch.first+silenceRest, minSilence))
+	a := c.attempt(ctx, ch, ch.silence())
 	defer a.finish()
 	if _, err := a.send(Send{LastEvent: p.last, Version: p.version}); err != nil {
 		return err
@@ -100,8 +101,6 @@
 	return p.pass(a)
 }
 
-var errNoResume = errors.New("the stream can not go on elsewhere")
-
 // pass passes the events of one server on, whole ones only.
 func (p *passage) pass(a *attempt) error {
 	events := bufio.NewReaderSize(a.resp.Body, connBuffer)
@@ -187,12 +186,7 @@
 		return
 	}
 	if a.call.route.Resumable {
-		pause := max(pauseFactor*a.call.route.PauseGoal, minPause)
-		if a.quiet == nil {
-			a.quiet = time.AfterFunc(pause, func() { a.cancel(&SilentError{Server: a.choice.server.ID}) })
-			return
-		}
-		a.quiet.Reset(pause)
+		a.giveUpAfter(max(pauseFactor*a.call.route.PauseGoal, minPause))
 	}
 }
 
@@ -220,6 +214,7 @@
 	}
 }
 
+// endsEvent reports whether an event ends with its blank line; one of a blank line alone does.
 func endsEvent(event []byte) bool {
 	return bytes.HasSuffix(event, []byte("\n\n")) || bytes.HasSuffix(event, []byte("\r\n\r\n")) || len(event) <= 2
 }
