--- /dev/null
+++ b/internal/daemoncmd/role.go
@@ -0,0 +1,79 @@
+package daemoncmd
+
+import (
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/coralstair/coralstair/fill"
+	"github.com/coralstair/coralstair/forward"
+	"github.com/coralstair/coralstair/machine"
+	"github.com/coralstair/coralstair/platform"
+	"github.com/coralstair/coralstair/supervise"
+	"github.com/coralstair/coralstair/view"
+)
+
+const (
+	dialTime     = time.Second
+	idleTime     = 30 * time.Second
+	clientBuffer = 2 << 10
+	keepProbe    = time.Second
+	keepProbes   = 2
+)
+
+// daemon is what an entry and a box have in common as processes.
+type daemon interface {
+	Parts() []supervise.Part
+}
+
+// role is what one kind of daemon is made of; listSettle is how old its list of servers may be, for fewer calls.
+type role struct {
+	name       string
+	listSettle time.Duration
+	build      func(m machine.Machine, v *view.View, logger log.Interface) (daemon, error)
+}
+
+var (
+	entryRole = role{name: "entry", build: newEntry}
+	boxRole   = role{name: "box", build: newBox, listSettle: boxListSettle}
+)
+
+// boxListSettle is longer than an entry's: a box that is new reads the whole list, and the others hear from it.
+const boxListSettle = 1500 * time.Millisecond
+
+func newEntry(m machine.Machine, v *view.View, logger log.Interface) (daemon, error) {
+	callers, err := net.Listen("tcp", m.CallersAt)
+	if err != nil {
+		return nil, err
+	}
+	ready, err := net.Listen("tcp", m.ReadyAt)
+	if err != nil {
+		return nil, err
+	}
+	return forward.New(forward.Config{Machine: m, View: v, Wire: platform.Wire{}, Log: logger, Callers: callers, Ready: ready}), nil
+}
+
+func newBox(m machine.Machine, v *view.View, logger log.Interface) (daemon, error) {
+	listener, err := net.Listen("tcp", m.LinkAt(m.Address))
+	if err != nil {
+		return nil, err
+	}
+	return fill.New(fill.Config{
+		Machine: m, View: v, Log: logger, Listener: listener,
+		Engine: platform.NewEngine(m.UpstreamAt, newClient()), Origin: platform.NewOrigin(newClient()),
+	}), nil
+}
+
+// newClient returns a client for the store, the server on this machine or the origin.
+func newClient() *http.Client {
+	dialer := &net.Dialer{
+		Timeout:         dialTime,
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepProbe, Interval: keepProbe, Count: keepProbes},
+	}
+	return &http.Client{Transport: &http.Transport{
+		DialContext: dialer.DialContext, DisableCompression: true, IdleConnTimeout: idleTime,
+		ReadBufferSize: clientBuffer, WriteBufferSize: clientBuffer,
+	}}
+}
--- a/supervise/daemon.go
+++ b/supervise/daemon.go
@@ -46,20 +46,13 @@
 
 // Run runs the server and all parts until ctx ends, then ends the server at once.
 func (d *Daemon) Run(ctx context.Context) error {
-	tree := suture.New(d.Name, suture.Spec{EventHook: d.logEvent})
-	for _, part := range d.Parts {
-		tree.Add(part)
-	}
 	go func() {
 		<-ctx.Done()
 		_ = d.Server.Close()
 	}()
 	served := make(chan error, 1)
 	go func() { served <- d.Server.Serve(d.Listener) }()
-	err := tree.Serve(ctx)
-	if errors.Is(err, context.Canceled) {
-		err = nil
-	}
+	err := Run(ctx, d.Name, d.Log, d.Parts)
 	if serveErr := <-served; !errors.Is(serveErr, http.ErrServerClosed) {
 		err = errors.Join(err, serveErr)
 	}
