--- a/swarm/choose.go
+++ b/swarm/choose.go
@@ -103,6 +103,7 @@
 	return rank == 0
 }
 
+// candidates returns the missing chunks that a linked box holds, in the order in which to ask for them.
 func (n *Node) candidates(now time.Time) []candidate {
 	var found []candidate
 	for chunk := range n.have {
@@ -125,6 +126,7 @@
 	return found
 }
 
+// compareCandidates orders those planned to be drawn last, then the rarest first.
 func compareCandidates(a, b candidate) int {
 	if a.planned != b.planned {
 		if a.planned {
@@ -180,6 +182,9 @@
 	return links
 }
 
+// maxRankWaits bounds how many times RankWait a late rank waits.
+const maxRankWaits = 8
+
 // waited reports whether nothing new has been seen for as long as a rank has to wait. While chunks still come,
 // those in front are at work and a later rank must not draw or fetch the same again.
 func (n *Node) waited(rank int, now time.Time) bool {
@@ -187,9 +192,7 @@
 	return now.Sub(n.news) >= time.Duration(min(rank, maxRankWaits))*wait
 }
 
-// maxRankWaits bounds how many times RankWait a late rank waits.
-const maxRankWaits = 8
-
+// groupHeld reports whether all chunks of a group are held.
 func (n *Node) groupHeld(group int) bool {
 	for chunk := group * n.order.chunks / n.order.Groups(); chunk < len(n.have) && n.order.Group(chunk) <= group; chunk++ {
 		if n.order.Group(chunk) == group && !n.have[chunk] {
--- a/swarm/node.go
+++ b/swarm/node.go
@@ -1,8 +1,6 @@
 package swarm
 
 import (
-	"cmp"
-	"slices"
 	"time"
 
 	"github.com/coralstair/coralstair/fleet"
@@ -54,23 +52,12 @@
 	FaultCorrupt
 )
 
+// ask is a chunk asked of a box.
 type ask struct {
 	peer  string
 	since time.Time
 }
 
-type peer struct {
-	member Member
-	have   []bool
-	queue  int
-	given  int
-	asked  int
-	faults int
-	// pause is until when the box is left alone, retry until when even for chunks that no other box holds.
-	pause time.Time
-	retry time.Time
-}
-
 // NewNode returns a node that already holds the chunks in have.
 func NewNode(params Params, order *Order, have []int, now time.Time) *Node {
 	n := &Node{
@@ -108,6 +95,9 @@
 	n.CloseGroup(n.order.Group(chunk), now.Add(n.params.RankWait))
 }
 
+// minPause is the least time for which a box that did not give a chunk is left alone.
+const minPause = 20 * time.Millisecond
+
 // Failed says that an asked chunk did not come from a box, and why.
 func (n *Node) Failed(chunk int, from string, fault Fault, now time.Time) {
 	n.release(chunk, from)
@@ -131,8 +121,6 @@
 	}
 }
 
-const minPause = 20 * time.Millisecond
-
 // Got says that a chunk came and was verified; from is empty when it was drawn. It reports whether the chunk was new.
 func (n *Node) Got(chunk int, from string, now time.Time) bool {
 	if a, ok := n.asked[chunk]; ok && a.peer == from {
@@ -174,60 +162,6 @@
 	return append(actions, n.nextAsks(now)...)
 }
 
-// Peer tells of a box to which a link is up.
-func (n *Node) Peer(member Member) {
-	if n.peers[member.ID] == nil {
-		n.peers[member.ID] = &peer{member: member, have: make([]bool, len(n.have))}
-	}
-}
-
-// PeerGone tells that the link to a box has ended.
-func (n *Node) PeerGone(id string) {
-	for chunk, a := range n.asked {
-		if a.peer == id {
-			delete(n.asked, chunk)
-		}
-	}
-	if p := n.peers[id]; p != nil {
-		n.forget(p)
-	}
-	delete(n.peers, id)
-}
-
-// PeerLoad tells how many asks a box has waiting and how many chunks it has given so far.
-func (n *Node) PeerLoad(id string, queue, given int) {
-	if p := n.peers[id]; p != nil {
-		p.queue, p.given = queue, given
-	}
-}
-
-// PeerHas tells which chunks a box holds, all of them when reset.
-func (n *Node) PeerHas(id string, reset bool, chunks []uint32, now time.Time) {
-	p := n.peers[id]
-	if p == nil {
-		return
-	}
-	n.heard = true
-	if reset {
-		n.forget(p)
-	}
-	for _, chunk := range chunks {
-		if int(chunk) < len(p.have) && !p.have[chunk] {
-			p.have[chunk] = true
-			n.count(p, int(chunk), 1)
-		}
-	}
-	if len(chunks) > 0 {
-		n.news = now
-	}
-}
-
-// PeerHolds reports whether a box is known to hold a chunk.
-func (n *Node) PeerHolds(id string, chunk int) bool {
-	p := n.peers[id]
-	return p != nil && p.have[chunk]
-}
-
 // Reorder takes a new order after boxes came or went.
 func (n *Node) Reorder(order *Order) {
 	n.order = order
@@ -247,14 +181,6 @@
 	}
 }
 
-// count adds to the number of linked boxes that hold a chunk.
-func (n *Node) count(p *peer, chunk, by int) {
-	n.copies[chunk] += by
-	if p.member.Site == n.params.Self.Site {
-		n.near[chunk] += by
-	}
-}
-
 // expire gives up asks that have taken much longer than usual, so that the chunk is asked for elsewhere.
 func (n *Node) expire(now time.Time) {
 	patience := max(n.params.Patience, patienceFactor*n.usual)
@@ -265,16 +191,7 @@
 	}
 }
 
-// forget takes back what a box was known to hold.
-func (n *Node) forget(p *peer) {
-	for chunk, held := range p.have {
-		if held {
-			p.have[chunk] = false
-			n.count(p, chunk, -1)
-		}
-	}
-}
-
+// hold notes that a chunk is held; false when it was before.
 func (n *Node) hold(chunk int) bool {
 	if n.have[chunk] {
 		return false
@@ -284,6 +201,7 @@
 	return true
 }
 
+// observe takes how long a chunk took into the usual time.
 func (n *Node) observe(took time.Duration) {
 	if n.usual == 0 {
 		n.usual = took
@@ -292,6 +210,7 @@
 	n.usual += time.Duration(smoothing * float64(took-n.usual))
 }
 
+// release ends an ask of a box.
 func (n *Node) release(chunk int, from string) {
 	a, ok := n.asked[chunk]
 	if !ok || a.peer != from {
@@ -303,56 +222,8 @@
 	}
 }
 
+// wanted reports whether a chunk is neither held nor on its way.
 func (n *Node) wanted(chunk int) bool {
 	_, asked := n.asked[chunk]
 	return !n.have[chunk] && !asked && !n.drawing[chunk]
 }
-
-// holders returns the boxes that can be asked for a chunk now, in an order of this box's own. Boxes left alone come
-// in only, one ask at a time, when no other holds the chunk: it may be theirs alone.
-func (n *Node) holders(chunk int, now time.Time) []*peer {
-	var holders, paused []*peer
-	others := false
-	for _, p := range n.peers {
-		switch {
-		case !p.have[chunk]:
-		case now.Before(p.pause):
-			paused = append(paused, p)
-		default:
-			others = true
-			if p.asked < n.params.PullsPerPeer {
-				holders = append(holders, p)
-			}
-		}
-	}
-	if !others {
-		holders = slices.DeleteFunc(paused, func(p *peer) bool { return p.asked > 0 || now.Before(p.retry) })
-	}
-	slices.SortFunc(holders, func(a, b *peer) int { return cmp.Compare(n.tie(a.member.ID), n.tie(b.member.ID)) })
-	return holders
-}
-
-// lighter returns the less loaded of the first two holders. Asking the least loaded of all would send every box that
-// heard the same news to the same giver at once.
-func lighter(holders []*peer) *peer {
-	switch {
-	case len(holders) == 0:
-		return nil
-	case len(holders) == 1 || holders[0].load() <= holders[1].load():
-		return holders[0]
-	default:
-		return holders[1]
-	}
-}
-
-// load is the chunks that a box has given and those it has been asked for.
-func (p *peer) load() int {
-	return p.given + queueWeight*(p.queue+p.asked)
-}
-
-// queueWeight is how many chunks given count as much as one that waits.
-const queueWeight = 2
-
-func (n *Node) tie(id string) uint64 {
-	return score(id, n.salt+uint64(n.missing), "")
-}
