Package fill: one way to send on a link, a box's versions beside the box

Cause: links of both directions had the same send, the version on its way was read under the lock in three places, and a method of Box stood in outlink.go. Change: sendInTime, Box.current, inLink.asksOf; Box.filling moved to box.go. Behaviour is unchanged.

--- a/fill/box.go
+++ b/fill/box.go
@@ -17,6 +17,13 @@
 	"github.com/coralstair/coralstair/view"
 )
 
+const (
+	headerTime = 5 * time.Second
+	// pieceShare is the part of the link, in percent, that pieces may take: the events of streams are small, and wait behind
+	// one part of a piece at most.
+	pieceShare = 93
+)
+
 // Config is what a box works with.
 type Config struct {
 	Machine  machine.Machine
@@ -59,13 +66,6 @@
 	return b
 }
 
-const (
-	headerTime = 5 * time.Second
-	// pieceShare is the part of the link, in percent, that pieces may take: the events of streams are small, and wait behind
-	// one part of a piece at most.
-	pieceShare = 93
-)
-
 // Parts returns what runs in the box.
 func (b *Box) Parts() []supervise.Part {
 	return []supervise.Part{
@@ -77,6 +77,7 @@
 	}
 }
 
+// serveLinks takes links until ctx ends.
 func (b *Box) serveLinks(ctx context.Context) error {
 	stop := context.AfterFunc(ctx, func() { _ = b.server.Close() })
 	defer stop()
@@ -87,6 +88,7 @@
 	return err
 }
 
+// wake has the box look for what to do next.
 func (b *Box) wake() {
 	select {
 	case b.woken <- struct{}{}:
@@ -146,3 +148,23 @@
 	}
 	return members
 }
+
+// current returns the version on its way; nil when there is none.
+func (b *Box) current() *filling {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.fill
+}
+
+// filling returns the version whose manifest has a key: the one on its way, or an older one that waits for its turn and is
+// still given to others; nil when it is neither.
+func (b *Box) filling(key uint64) *filling {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, f := range []*filling{b.fill, b.pending} {
+		if f != nil && f.feed != nil && f.key == key {
+			return f
+		}
+	}
+	return nil
+}
--- a/fill/inlink.go
+++ b/fill/inlink.go
@@ -46,21 +46,14 @@
 	}
 }
 
+// handle takes one message.
 func (l *inLink) handle(msg link.Message) {
 	b := l.links.box
 	switch m := msg.(type) {
 	case *link.Target:
 		b.cfg.View.OfferTarget(contract.Target{Model: m.Model, Version: contract.Version(m.Version)}, m.Ago)
 	case *link.WantManifest:
-		l.mu.Lock()
-		l.manifest = m
-		l.mu.Unlock()
-		b.mu.Lock()
-		f := b.fill
-		b.mu.Unlock()
-		if f != nil {
-			l.giveManifest(f)
-		}
+		l.handleWantManifest(m)
 	case *link.Have:
 		l.handleHave(m)
 	case *link.Want:
@@ -68,6 +61,16 @@
 	}
 }
 
+// handleWantManifest notes which manifest the other box waits for, and sends it when it is known.
+func (l *inLink) handleWantManifest(m *link.WantManifest) {
+	l.mu.Lock()
+	l.manifest = m
+	l.mu.Unlock()
+	if f := l.links.box.current(); f != nil {
+		l.giveManifest(f)
+	}
+}
+
 // giveManifest sends the manifest that the other box waits for, if this is it.
 func (l *inLink) giveManifest(f *filling) {
 	b := l.links.box
@@ -86,6 +89,7 @@
 	}
 }
 
+// handleHave takes what the other box holds: it asks for nothing of that, nor of another version.
 func (l *inLink) handleHave(m *link.Have) {
 	l.mu.Lock()
 	l.key = m.Manifest
@@ -105,6 +109,7 @@
 	l.send(have)
 }
 
+// handleWant takes an ask for a piece, and declines one that is not held.
 func (l *inLink) handleWant(m *link.Want) {
 	b := l.links.box
 	f := b.filling(m.Manifest)
@@ -124,22 +129,22 @@
 // begin answers a box that asked of a version before this box knew its manifest.
 func (l *inLink) begin(f *filling) {
 	l.giveManifest(f)
-	l.mu.Lock()
-	asks := l.key == f.key
-	l.mu.Unlock()
-	if !asks {
-		return
+	if l.asksOf(f) {
+		l.tellHeld(f)
 	}
-	l.tellHeld(f)
+}
+
+// asksOf reports whether a version is the one of which the other box asks.
+func (l *inLink) asksOf(f *filling) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.key == f.key
 }
 
 // got tells the other box of a new piece, or of all once they are held.
 func (l *inLink) got(f *filling, piece int, complete bool) {
-	l.mu.Lock()
-	asks := l.key == f.key
-	l.mu.Unlock()
 	switch {
-	case !asks:
+	case !l.asksOf(f):
 	case complete:
 		l.tellHeld(f)
 	default:
@@ -173,10 +178,13 @@
 	return true
 }
 
-func (l *inLink) send(msg link.Message) {
-	ctx, cancel := context.WithTimeout(l.conn.Context(), askTime)
+func (l *inLink) send(msg link.Message) { sendInTime(l.conn, msg) }
+
+// sendInTime sends a message; a link that does not take it in time is ended.
+func sendInTime(conn *link.Conn, msg link.Message) {
+	ctx, cancel := context.WithTimeout(conn.Context(), askTime)
 	defer cancel()
-	if err := l.conn.Send(ctx, msg); err != nil {
-		l.conn.Close()
+	if err := conn.Send(ctx, msg); err != nil {
+		conn.Close()
 	}
 }
--- a/fill/outlink.go
+++ b/fill/outlink.go
@@ -1,7 +1,6 @@
 package fill
 
 import (
-	"context"
 	"time"
 
 	"github.com/coralstair/coralstair/contract"
@@ -41,9 +40,7 @@
 // greet tells the other box what is aimed at, and asks for its manifest when this one has none.
 func (l *outLink) greet() {
 	b := l.links.box
-	b.mu.Lock()
-	f := b.fill
-	b.mu.Unlock()
+	f := b.current()
 	if f == nil {
 		return
 	}
@@ -69,6 +66,7 @@
 	b.wake()
 }
 
+// handle takes one message.
 func (l *outLink) handle(msg link.Message) {
 	b := l.links.box
 	switch m := msg.(type) {
@@ -92,6 +90,7 @@
 	}
 }
 
+// handleChunk takes a piece that was asked for.
 func (l *outLink) handleChunk(m *link.Chunk) {
 	b := l.links.box
 	f := b.filling(m.Manifest)
@@ -110,6 +109,7 @@
 	}
 }
 
+// failed notes that a piece does not come from the other box now.
 func (l *outLink) failed(key uint64, piece int) {
 	b := l.links.box
 	if f := b.filling(key); f != nil {
@@ -122,24 +122,4 @@
 	}
 }
 
-// send sends a message; a link that does not take it in time is ended.
-func (l *outLink) send(msg link.Message) {
-	ctx, cancel := context.WithTimeout(l.conn.Context(), askTime)
-	defer cancel()
-	if err := l.conn.Send(ctx, msg); err != nil {
-		l.conn.Close()
-	}
-}
-
-// filling returns the version whose manifest has a key: the one on its way, or an older one that waits for its turn and is
-// still given to others; nil when it is neither.
-func (b *Box) filling(key uint64) *filling {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	for _, f := range []*filling{b.fill, b.pending} {
-		if f != nil && f.feed != nil && f.key == key {
-			return f
-		}
-	}
-	return nil
-}
+func (l *outLink) send(msg link.Message) { sendInTime(l.conn, msg) }
--- a/fill/reporter.go
+++ b/fill/reporter.go
@@ -93,6 +93,7 @@
 	return report, true
 }
 
+// sendReport tells entries at once what they should hear now.
 func (b *Box) sendReport() {
 	if report, ok := b.newReport(); ok {
 		b.links.tell(&report)
