Log stream and pacer: small functions for what was written within others

Cause: HandleLog did the second's bookkeeping in line, the pacer worked out a share of the link twice and its Dialer had a signature of 140 columns. Change: Stream.turn, share, DialFunc and a named constant. Behaviour is unchanged.

--- a/logging/stream.go
+++ b/logging/stream.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"io"
+	"maps"
 	"slices"
 	"strconv"
 	"sync"
@@ -20,6 +21,9 @@
 	longestValue   = 400
 )
 
+// usualLine is the room that a line is given before its length is known.
+const usualLine = 256
+
 var linesDropped = metrics.NewCounter("coralstair_log_lines_dropped_total")
 
 // Stream writes one JSON line an entry, in the order in which they came, and never makes a caller wait: a reader that
@@ -68,14 +72,7 @@
 	now := s.now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if second := now.Unix(); second != s.second {
-		if s.dropped > 0 {
-			s.offer(encode(&log.Entry{
-				Level: log.WarnLevel, Timestamp: now, Message: "log: lines dropped", Fields: log.Fields{"lines": s.dropped},
-			}))
-		}
-		s.second, s.count, s.bytes, s.dropped = second, 0, 0, 0
-	}
+	s.turn(now)
 	s.count++
 	s.bytes += len(line)
 	if s.count > LinesPerSecond || s.bytes > BytesPerSecond || !s.offer(line) {
@@ -85,6 +82,21 @@
 	return nil
 }
 
+// turn begins to count anew with each second, and says what the last one dropped; mu is held.
+func (s *Stream) turn(now time.Time) {
+	second := now.Unix()
+	if second == s.second {
+		return
+	}
+	if s.dropped > 0 {
+		s.offer(encode(&log.Entry{
+			Level: log.WarnLevel, Timestamp: now, Message: "log: lines dropped", Fields: log.Fields{"lines": s.dropped},
+		}))
+	}
+	s.second, s.count, s.bytes, s.dropped = second, 0, 0, 0
+}
+
+// offer hands a line to the writer; false when too many wait.
 func (s *Stream) offer(line []byte) bool {
 	select {
 	case s.lines <- line:
@@ -96,19 +108,14 @@
 
 // encode writes an entry as a line of JSON, its fields by name.
 func encode(e *log.Entry) []byte {
-	line := make([]byte, 0, 256)
+	line := make([]byte, 0, usualLine)
 	line = append(line, `{"at":"`...)
 	line = e.Timestamp.UTC().AppendFormat(line, "2006-01-02T15:04:05.000Z")
 	line = append(line, `","level":"`...)
 	line = append(line, e.Level.String()...)
 	line = append(line, `","msg":`...)
 	line = appendText(line, e.Message)
-	names := make([]string, 0, len(e.Fields))
-	for name := range e.Fields {
-		names = append(names, name)
-	}
-	slices.Sort(names)
-	for _, name := range names {
+	for _, name := range slices.Sorted(maps.Keys(e.Fields)) {
 		line = append(line, ',')
 		line = appendText(line, name)
 		line = append(line, ':')
@@ -117,6 +124,7 @@
 	return append(line, '}', '\n')
 }
 
+// appendValue writes a field's value; one that cannot be encoded is null.
 func appendValue(line []byte, value any) []byte {
 	switch v := value.(type) {
 	case string:
@@ -138,6 +146,7 @@
 	}
 }
 
+// appendText writes a text in quotes, cut where it is too long; plain ones need no encoder.
 func appendText(line []byte, text string) []byte {
 	text = text[:min(len(text), longestValue)]
 	for i := range len(text) {
--- a/pace/pacer.go
+++ b/pace/pacer.go
@@ -36,12 +36,26 @@
 	p := &Pacer{now: time.Now, piece: maxPiece}
 	if bytesPerSecond > 0 {
 		p.piece = int(min(max(bytesPerSecond*int64(pieceTime)/int64(time.Second), minPiece), maxPiece))
-		p.limiter = rate.NewLimiter(rate.Limit(bytesPerSecond*bulkShare/100), p.piece)
+		p.limiter = rate.NewLimiter(share(bytesPerSecond, bulkShare), p.piece)
 		p.rate = bytesPerSecond
 	}
 	return p
 }
 
+// WithShare returns the pacer with another part of the link, in percent, for chunks and requests together while there
+// are requests. It is called before the pacer is used.
+func (p *Pacer) WithShare(percent int64) *Pacer {
+	if p.limiter != nil {
+		p.limiter.SetLimit(share(p.rate, percent))
+	}
+	return p
+}
+
+// share returns a part, in percent, of a link's bytes a second.
+func share(bytesPerSecond, percent int64) rate.Limit {
+	return rate.Limit(bytesPerSecond * percent / 100)
+}
+
 // Live notes bytes of a request or an answer: they pass at once, and chunks wait the longer.
 func (p *Pacer) Live(n int) {
 	if p == nil || p.limiter == nil {
@@ -55,15 +69,6 @@
 	}
 }
 
-// WithShare returns the pacer with another part of the link, in percent, for chunks and requests together while there
-// are requests. It is called before the pacer is used.
-func (p *Pacer) WithShare(percent int64) *Pacer {
-	if p.limiter != nil {
-		p.limiter.SetLimit(rate.Limit(p.rate * percent / 100))
-	}
-	return p
-}
-
 // Piece returns how many bytes of a chunk pass at a time.
 func (p *Pacer) Piece() int {
 	if p == nil {
@@ -80,8 +85,11 @@
 	return p.limiter.WaitN(ctx, n)
 }
 
+// DialFunc opens a connection to an address.
+type DialFunc = func(ctx context.Context, network, address string) (net.Conn, error)
+
 // Dialer wraps a dial function, so that what the connections read is paced as chunks are.
-func (p *Pacer) Dialer(dial func(ctx context.Context, network, address string) (net.Conn, error)) func(context.Context, string, string) (net.Conn, error) {
+func (p *Pacer) Dialer(dial DialFunc) DialFunc {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		conn, err := dial(ctx, network, address)
 		if err != nil {
