Unused and needlessly exported names go; lines of a screen's width

Behaviour is unchanged. Passed: go build, go vet, gofumpt -l, revive, go test ./contract ./machine ./store ./view ./platform ./engine ./forward ./explain ./logging ./internal/daemoncmd ./link ./pace ./fill ./swarm ./supervise

--- a/contract/config.go
+++ b/contract/config.go
@@ -81,20 +81,5 @@
 // Service returns a service by its name, or nil.
 func (c *Config) Service(name string) *Service { return c.services[name] }
 
-// ServiceOf returns the service whose engines hold a model, or nil.
-func (c *Config) ServiceOf(model string) *Service {
-	for _, service := range c.services {
-		if service.Engine == nil {
-			continue
-		}
-		for _, of := range service.Engine.Models {
-			if of.Name == model {
-				return service
-			}
-		}
-	}
-	return nil
-}
-
 // Team returns the team that holds a key, or nil.
 func (c *Config) Team(key string) *Team { return c.teams[key] }
--- a/engine/model.go
+++ b/engine/model.go
@@ -18,6 +18,7 @@
 	Slow float64
 }
 
+// The units in which the figures of an engine count context and pairs of tokens.
 const (
 	thousand = 1000
 	million  = 1e6
@@ -60,11 +61,11 @@
 	if over <= 0 || e.Slots == 0 {
 		return 0
 	}
-	return time.Duration(over) * Hold(e, load) / time.Duration(e.Slots)
+	return time.Duration(over) * hold(e, load) / time.Duration(e.Slots)
 }
 
-// Hold returns how long a usual request holds its slot.
-func Hold(e *contract.Engine, load Load) time.Duration {
+// hold returns how long a usual request holds its slot.
+func hold(e *contract.Engine, load Load) time.Duration {
 	writing := min(load.Writing+load.Reading, e.Slots)
 	step := Step(e, writing)
 	// Each slot is read for once in the time in which its answer is written.
--- a/fill/box.go
+++ b/fill/box.go
@@ -59,7 +59,10 @@
 
 // New returns a box that does not run yet.
 func New(cfg Config) *Box {
-	b := &Box{cfg: cfg, log: cfg.Log, woken: make(chan struct{}, 1), pacer: pace.New(int64(cfg.Machine.LinkRate)).WithShare(pieceShare)}
+	b := &Box{
+		cfg: cfg, log: cfg.Log, woken: make(chan struct{}, 1),
+		pacer: pace.New(int64(cfg.Machine.LinkRate)).WithShare(pieceShare),
+	}
 	b.links = newLinks(b)
 	b.giver = newGiver(b)
 	b.server = &http.Server{Handler: http.HandlerFunc(b.links.accept), ReadHeaderTimeout: headerTime}
--- a/fill/reporter.go
+++ b/fill/reporter.go
@@ -45,7 +45,8 @@
 
 // urgent reports whether entries should hear of a change at once.
 func urgent(report, last link.Report) bool {
-	return report.Closing != last.Closing || report.Filled != last.Filled || report.Version != last.Version || report.Server != last.Server
+	return report.Closing != last.Closing || report.Filled != last.Filled ||
+		report.Version != last.Version || report.Server != last.Server
 }
 
 // setState takes what the server told; one that does not answer keeps its last state.
--- a/forward/reports.go
+++ b/forward/reports.go
@@ -7,18 +7,18 @@
 	"sync"
 	"time"
 
+	"github.com/coralstair/coralstair/contract"
 	"github.com/coralstair/coralstair/link"
 )
 
 const (
-	reportDialTime  = time.Second
-	reportSilence   = 3 * time.Second
-	reportRedial    = 500 * time.Millisecond
-	reportDialEvery = 250 * time.Millisecond
+	reportDialTime = time.Second
+	reportSilence  = 3 * time.Second
+	reportRedial   = 500 * time.Millisecond
 )
 
-// RoleEntry is how an entry names itself on a link.
-const RoleEntry = "entry"
+// roleEntry is how an entry names itself on a link.
+const roleEntry = "entry"
 
 // reports keeps a link to the box of each engine, on which the box tells what its engine does.
 type reports struct {
@@ -38,13 +38,16 @@
 		Control:         setUserTimeout,
 	}
 	return &reports{
-		entry:  e,
-		client: &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, ReadBufferSize: connBuffer, WriteBufferSize: connBuffer}},
+		entry: e,
+		client: &http.Client{Transport: &http.Transport{
+			DialContext: dialer.DialContext, ReadBufferSize: connBuffer, WriteBufferSize: connBuffer,
+		}},
 		woken:  make(chan struct{}, 1),
 		linked: make(map[string]context.CancelFunc), entries: make(map[string]int),
 	}
 }
 
+// wake has the links follow the list of servers.
 func (rs *reports) wake() {
 	select {
 	case rs.woken <- struct{}{}:
@@ -64,21 +67,13 @@
 	}
 }
 
+// follow opens and ends links as the list of servers has them; without a configuration all stay as they are.
 func (rs *reports) follow(ctx context.Context) {
-	wanted := make(map[string]bool)
 	cfg := rs.entry.cfg.View.Config()
 	if cfg == nil {
 		return
 	}
-	for _, server := range rs.entry.cfg.View.Servers() {
-		service := cfg.Service(server.Service)
-		if service == nil || service.Engine == nil {
-			continue
-		}
-		if host, _, err := net.SplitHostPort(server.Address); err == nil {
-			wanted[rs.entry.cfg.Machine.LinkAt(host)] = true
-		}
-	}
+	wanted := rs.wanted(cfg)
 	rs.mu.Lock()
 	defer rs.mu.Unlock()
 	for address, cancel := range rs.linked {
@@ -97,6 +92,21 @@
 	}
 }
 
+// wanted returns the addresses of the boxes of all engines.
+func (rs *reports) wanted(cfg *contract.Config) map[string]bool {
+	wanted := make(map[string]bool)
+	for _, server := range rs.entry.cfg.View.Servers() {
+		service := cfg.Service(server.Service)
+		if service == nil || service.Engine == nil {
+			continue
+		}
+		if host, _, err := net.SplitHostPort(server.Address); err == nil {
+			wanted[rs.entry.cfg.Machine.LinkAt(host)] = true
+		}
+	}
+	return wanted
+}
+
 // keep holds a link to one box until ctx ends.
 func (rs *reports) keep(ctx context.Context, address string) {
 	for ctx.Err() == nil {
@@ -119,7 +129,7 @@
 	defer conn.Close()
 	stop := context.AfterFunc(ctx, conn.Close)
 	defer stop()
-	hello := &link.Hello{ID: rs.entry.cfg.Machine.ID, Role: RoleEntry, Site: rs.entry.cfg.Machine.Site}
+	hello := &link.Hello{ID: rs.entry.cfg.Machine.ID, Role: roleEntry, Site: rs.entry.cfg.Machine.Site}
 	if err := conn.Send(ctx, hello); err != nil {
 		return
 	}
--- a/view/take.go
+++ b/view/take.go
@@ -119,5 +119,6 @@
 		return
 	}
 	v.missing[id] = now
-	v.opts.Log.WithField("server", id).WithField("store_away_ms", now.Sub(v.away).Milliseconds()).Info("view: server no longer listed")
+	v.opts.Log.WithFields(log.Fields{"server": id, "store_away_ms": now.Sub(v.away).Milliseconds()}).
+		Info("view: server no longer listed")
 }
