--- a/forward/fixture_test.go
+++ b/forward/fixture_test.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -195,7 +196,7 @@
 }
 
 // newFake starts a server; answer writes what it likes for each request, and false ends the connection.
-func newFake(t *testing.T, answer func(conn net.Conn, n int, r *http.Request) bool) *fake {
+func newFake(t *testing.T, answer answering) *fake {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -215,7 +216,7 @@
 	return f
 }
 
-func (f *fake) serve(conn net.Conn, answer func(conn net.Conn, n int, r *http.Request) bool) {
+func (f *fake) serve(conn net.Conn, answer answering) {
 	defer func() { _ = conn.Close() }()
 	reader := bufio.NewReader(conn)
 	for {
@@ -255,6 +256,23 @@
 
 func good(conn net.Conn, _ int, _ *http.Request) bool { return raw(conn, whole) }
 
+type answering func(conn net.Conn, n int, r *http.Request) bool
+
+func saying(text string) answering {
+	return func(conn net.Conn, _ int, _ *http.Request) bool { return raw(conn, text) }
+}
+
+// firstThen answers the first request of all servers that share it in one way and the later ones in another.
+func firstThen(first, then answering) answering {
+	var seen atomic.Int64
+	return func(conn net.Conn, n int, r *http.Request) bool {
+		if seen.Add(1) == 1 {
+			return first(conn, n, r)
+		}
+		return then(conn, n, r)
+	}
+}
+
 // reset ends a connection so that its peer sees that it was broken off.
 func reset(conn net.Conn) bool {
 	if tcp, ok := conn.(*net.TCPConn); ok {
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -5,7 +5,6 @@
 	"net"
 	"net/http"
 	"strings"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -13,63 +12,59 @@
 	"github.com/coralstair/coralstair/view"
 )
 
-type answering func(conn net.Conn, n int, r *http.Request) bool
+// torn ends within the answer.
+func torn(conn net.Conn, _ int, _ *http.Request) bool {
+	raw(conn, "HTTP/1.1 200 OK\nId: r1\nSeal: s\nContent-Length: 50\n\nhel")
+	return reset(conn)
+}
+
+// answerTest is a request, how the first server asked answers it, and what must come of that.
+type answerTest struct {
+	path     string
+	method   string
+	first    answering
+	status   int
+	body     string
+	arrivals int
+}
 
-func saying(text string) answering {
-	return func(conn net.Conn, _ int, _ *http.Request) bool { return raw(conn, text) }
+// answerTests are the answers that servers may give.
+var answerTests = map[string]answerTest{
+	"whole":                          {"/once/a", "POST", good, 200, "hello", 1},
+	"a failure of the server, once":  {"/once/a", "POST", saying("HTTP/1.1 500 No\nId: r1\nSeal: s\nContent-Length: 2\n\nno"), 500, "no", 1},
+	"a failure of the server, safe":  {"/safe/a", "GET", saying("HTTP/1.1 500 No\nId: r1\nSeal: s\nContent-Length: 2\n\nno"), 200, "hello", 2},
+	"without a seal, once":           {"/once/a", "POST", saying("HTTP/1.1 200 OK\nId: r1\nContent-Length: 5\n\nhello"), 502, "", 1},
+	"without a seal, safe":           {"/safe/a", "GET", saying("HTTP/1.1 200 OK\nId: r1\nContent-Length: 5\n\nhello"), 200, "hello", 2},
+	"to another request, once":       {"/once/a", "POST", saying("HTTP/1.1 200 OK\nId: r9\nSeal: s\nContent-Length: 5\n\nother"), 502, "", 1},
+	"to another request, safe":       {"/safe/a", "GET", saying("HTTP/1.1 200 OK\nId: r9\nSeal: s\nContent-Length: 5\n\nother"), 200, "hello", 2},
+	"torn, once":                     {"/once/a", "POST", torn, 502, "", 1},
+	"torn, safe":                     {"/safe/a", "GET", torn, 200, "hello", 2},
+	"no answer in the protocol":      {"/once/a", "POST", saying("garbage\n\n"), 502, "", 1},
+	"encoded":                        {"/once/a", "POST", saying("HTTP/1.1 200 OK\nId: r1\nSeal: s\nContent-Encoding: gzip\nContent-Length: 5\n\nhello"), 502, "", 1},
+	"not run, once":                  {"/once/a", "POST", saying("HTTP/1.1 503 Full\nNot-Run: 1\nContent-Length: 0\n\n"), 200, "hello", 2},
+	"misdirected, once":              {"/once/a", "POST", saying("HTTP/1.1 421 No\nContent-Length: 0\n\n"), 200, "hello", 2},
+	"a connection that closes, once": {"/once/two/a", "POST", func(net.Conn, int, *http.Request) bool { return false }, 502, "", 1},
+	"a connection that closes, safe": {"/safe/a", "GET", func(net.Conn, int, *http.Request) bool { return false }, 200, "hello", 2},
+	"unframed and ended": {"/once/a", "POST", func(conn net.Conn, _ int, _ *http.Request) bool {
+		raw(conn, "HTTP/1.1 200 OK\nId: r1\nSeal: s\n\nhello")
+		return false
+	}, 200, "hello", 1},
+	"unframed and broken off": {"/once/a", "POST", func(conn net.Conn, _ int, _ *http.Request) bool {
+		raw(conn, "HTTP/1.1 200 OK\nId: r1\nSeal: s\n\nhel")
+		time.Sleep(50 * time.Millisecond)
+		return reset(conn)
+	}, 502, "", 1},
+	"silent beyond the route's time":         {"/short/a", "POST", func(net.Conn, int, *http.Request) bool { time.Sleep(time.Second); return false }, 504, "", 1},
+	"silent, safe":                           {"/safe/a", "GET", func(net.Conn, int, *http.Request) bool { time.Sleep(5 * time.Second); return false }, 200, "hello", 2},
+	"a failure that is not run is no answer": {"/safe/a", "GET", saying("HTTP/1.1 429 No\nNot-Run: 1\nContent-Length: 0\n\n"), 200, "hello", 2},
 }
 
 // TestAnswers proves what callers get of each kind of answer of the first server asked, and how many servers saw it.
 func TestAnswers(t *testing.T) {
-	torn := func(conn net.Conn, _ int, _ *http.Request) bool {
-		raw(conn, "HTTP/1.1 200 OK\nId: r1\nSeal: s\nContent-Length: 50\n\nhel")
-		return reset(conn)
-	}
-	for name, test := range map[string]struct {
-		path     string
-		method   string
-		first    answering
-		status   int
-		body     string
-		arrivals int
-	}{
-		"whole":                          {"/once/a", "POST", good, 200, "hello", 1},
-		"a failure of the server, once":  {"/once/a", "POST", saying("HTTP/1.1 500 No\nId: r1\nSeal: s\nContent-Length: 2\n\nno"), 500, "no", 1},
-		"a failure of the server, safe":  {"/safe/a", "GET", saying("HTTP/1.1 500 No\nId: r1\nSeal: s\nContent-Length: 2\n\nno"), 200, "hello", 2},
-		"without a seal, once":           {"/once/a", "POST", saying("HTTP/1.1 200 OK\nId: r1\nContent-Length: 5\n\nhello"), 502, "", 1},
-		"without a seal, safe":           {"/safe/a", "GET", saying("HTTP/1.1 200 OK\nId: r1\nContent-Length: 5\n\nhello"), 200, "hello", 2},
-		"to another request, once":       {"/once/a", "POST", saying("HTTP/1.1 200 OK\nId: r9\nSeal: s\nContent-Length: 5\n\nother"), 502, "", 1},
-		"to another request, safe":       {"/safe/a", "GET", saying("HTTP/1.1 200 OK\nId: r9\nSeal: s\nContent-Length: 5\n\nother"), 200, "hello", 2},
-		"torn, once":                     {"/once/a", "POST", torn, 502, "", 1},
-		"torn, safe":                     {"/safe/a", "GET", torn, 200, "hello", 2},
-		"no answer in the protocol":      {"/once/a", "POST", saying("garbage\n\n"), 502, "", 1},
-		"encoded":                        {"/once/a", "POST", saying("HTTP/1.1 200 OK\nId: r1\nSeal: s\nContent-Encoding: gzip\nContent-Length: 5\n\nhello"), 502, "", 1},
-		"not run, once":                  {"/once/a", "POST", saying("HTTP/1.1 503 Full\nNot-Run: 1\nContent-Length: 0\n\n"), 200, "hello", 2},
-		"misdirected, once":              {"/once/a", "POST", saying("HTTP/1.1 421 No\nContent-Length: 0\n\n"), 200, "hello", 2},
-		"a connection that closes, once": {"/once/two/a", "POST", func(net.Conn, int, *http.Request) bool { return false }, 502, "", 1},
-		"a connection that closes, safe": {"/safe/a", "GET", func(net.Conn, int, *http.Request) bool { return false }, 200, "hello", 2},
-		"unframed and ended": {"/once/a", "POST", func(conn net.Conn, _ int, _ *http.Request) bool {
-			raw(conn, "HTTP/1.1 200 OK\nId: r1\nSeal: s\n\nhello")
-			return false
-		}, 200, "hello", 1},
-		"unframed and broken off": {"/once/a", "POST", func(conn net.Conn, _ int, _ *http.Request) bool {
-			raw(conn, "HTTP/1.1 200 OK\nId: r1\nSeal: s\n\nhel")
-			time.Sleep(50 * time.Millisecond)
-			return reset(conn)
-		}, 502, "", 1},
-		"silent beyond the route's time":         {"/short/a", "POST", func(net.Conn, int, *http.Request) bool { time.Sleep(time.Second); return false }, 504, "", 1},
-		"silent, safe":                           {"/safe/a", "GET", func(net.Conn, int, *http.Request) bool { time.Sleep(5 * time.Second); return false }, 200, "hello", 2},
-		"a failure that is not run is no answer": {"/safe/a", "GET", saying("HTTP/1.1 429 No\nNot-Run: 1\nContent-Length: 0\n\n"), 200, "hello", 2},
-	} {
+	for name, test := range answerTests {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			var seen atomic.Int64
-			answer := func(conn net.Conn, n int, r *http.Request) bool {
-				if seen.Add(1) == 1 {
-					return test.first(conn, n, r)
-				}
-				return good(conn, n, r)
-			}
+			answer := firstThen(test.first, good)
 			a, b := newFake(t, answer), newFake(t, answer)
 			w := newWorld(t, false, a.address, b.address)
 			got := w.ask(test.method, test.path, "", nil)
--- a/forward/stream_test.go
+++ b/forward/stream_test.go
@@ -6,7 +6,6 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"sync/atomic"
 	"testing"
 	"time"
 )
@@ -36,6 +35,12 @@
 
 func finish(conn net.Conn) { _, _ = conn.Write([]byte("0\r\n\r\n")) }
 
+// breaks breaks a stream off once what was sent before has arrived.
+func breaks(conn net.Conn) {
+	time.Sleep(30 * time.Millisecond)
+	reset(conn)
+}
+
 func all(to int) string {
 	var b strings.Builder
 	for i := 1; i <= to; i++ {
@@ -44,62 +49,61 @@
 	return b.String()
 }
 
+// streamTest is a stream of the first server asked, that of the second, and what the caller must get.
+type streamTest struct {
+	path   string
+	first  answering
+	second answering
+	body   string
+	cut    bool
+	seal   string
+}
+
+// streamTests are the ways in which streams may end.
+var streamTests = map[string]streamTest{
+	"whole": {"/stream/a", streaming("a", 5, finish), nil, all(5), false, "a"},
+	"broken off and resumed": {
+		"/stream/a", streaming("a", 3, breaks), streaming("b", 6, finish), all(6), false, "a",
+	},
+	"torn within an event": {
+		"/stream/a", streaming("a", 3, func(conn net.Conn) { chunk(conn, "id: 4\nda"); breaks(conn) }),
+		streaming("b", 6, finish), all(6), false, "a",
+	},
+	"ended within an event": {
+		"/stream/a", streaming("a", 3, func(conn net.Conn) { chunk(conn, "id: 4\nda"); finish(conn) }),
+		streaming("b", 6, finish), all(6), false, "a",
+	},
+	"silent between events": {
+		"/stream/a", streaming("a", 3, func(net.Conn) { time.Sleep(5 * time.Second) }),
+		streaming("b", 6, finish), all(6), false, "a",
+	},
+	"silent before the first event": {
+		"/stream/a", func(net.Conn, int, *http.Request) bool { time.Sleep(5 * time.Second); return false },
+		streaming("b", 6, finish), all(6), false, "b",
+	},
+	"the second begins with events that the caller has": {
+		"/stream/a", streaming("a", 3, breaks), func(conn net.Conn, _ int, _ *http.Request) bool {
+			raw(conn, fmt.Sprintf(streamHead, "b"))
+			events(conn, 2, 6)
+			finish(conn)
+			return false
+		}, all(6), false, "a",
+	},
+	"the version changes": {
+		"/stream/a", streaming("a", 2, func(conn net.Conn) { chunk(conn, "version: 9\nid: 3\ndata: x\n\n"); time.Sleep(time.Second) }),
+		streaming("b", 4, finish), all(4), false, "a",
+	},
+	"broken off and not to be resumed": {"/stream/once/a", streaming("a", 3, breaks), streaming("b", 6, finish), all(3), true, "a"},
+	"the second refuses the rest": {
+		"/stream/a", streaming("a", 3, breaks), saying("HTTP/1.1 503 No\nNot-Run: 1\nContent-Length: 0\n\n"), all(3), true, "a",
+	},
+}
+
 func TestStreams(t *testing.T) {
-	breaks := func(conn net.Conn) { time.Sleep(30 * time.Millisecond); reset(conn) }
-	for name, test := range map[string]struct {
-		path   string
-		first  answering
-		second answering
-		body   string
-		cut    bool
-		seal   string
-	}{
-		"whole": {"/stream/a", streaming("a", 5, finish), nil, all(5), false, "a"},
-		"broken off and resumed": {
-			"/stream/a", streaming("a", 3, breaks), streaming("b", 6, finish), all(6), false, "a",
-		},
-		"torn within an event": {
-			"/stream/a", streaming("a", 3, func(conn net.Conn) { chunk(conn, "id: 4\nda"); breaks(conn) }),
-			streaming("b", 6, finish), all(6), false, "a",
-		},
-		"ended within an event": {
-			"/stream/a", streaming("a", 3, func(conn net.Conn) { chunk(conn, "id: 4\nda"); finish(conn) }),
-			streaming("b", 6, finish), all(6), false, "a",
-		},
-		"silent between events": {
-			"/stream/a", streaming("a", 3, func(net.Conn) { time.Sleep(5 * time.Second) }),
-			streaming("b", 6, finish), all(6), false, "a",
-		},
-		"silent before the first event": {
-			"/stream/a", func(net.Conn, int, *http.Request) bool { time.Sleep(5 * time.Second); return false },
-			streaming("b", 6, finish), all(6), false, "b",
-		},
-		"the second begins with events that the caller has": {
-			"/stream/a", streaming("a", 3, breaks), func(conn net.Conn, _ int, _ *http.Request) bool {
-				raw(conn, fmt.Sprintf(streamHead, "b"))
-				events(conn, 2, 6)
-				finish(conn)
-				return false
-			}, all(6), false, "a",
-		},
-		"the version changes": {
-			"/stream/a", streaming("a", 2, func(conn net.Conn) { chunk(conn, "version: 9\nid: 3\ndata: x\n\n"); time.Sleep(time.Second) }),
-			streaming("b", 4, finish), all(4), false, "a",
-		},
-		"broken off and not to be resumed": {"/stream/once/a", streaming("a", 3, breaks), streaming("b", 6, finish), all(3), true, "a"},
-		"the second refuses the rest": {
-			"/stream/a", streaming("a", 3, breaks), saying("HTTP/1.1 503 No\nNot-Run: 1\nContent-Length: 0\n\n"), all(3), true, "a",
-		},
-	} {
+	for name, test := range streamTests {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			var seen atomic.Int64
-			answer := func(conn net.Conn, n int, r *http.Request) bool {
-				if seen.Add(1) == 1 {
-					return test.first(conn, n, r)
-				}
-				return test.second(conn, n, r)
-			}
+			answer := firstThen(test.first, test.second)
 			a, b := newFake(t, answer), newFake(t, answer)
 			w := newWorld(t, false, a.address, b.address)
 			got := w.ask("POST", "/"+strings.TrimPrefix(test.path, "/"), "", nil)
--- a/swarm/feed_test.go
+++ b/swarm/feed_test.go
@@ -156,50 +156,61 @@
 
 func nothing(Member) []int { return nil }
 
-func TestFeedSpreads(t *testing.T) {
-	everything := make([]int, feedPieces)
-	for i := range everything {
-		everything[i] = i
+// everything is all pieces.
+func everything() []int {
+	pieces := make([]int, feedPieces)
+	for i := range pieces {
+		pieces[i] = i
 	}
-	for name, test := range map[string]struct {
-		boxes, sites int
-		have         func(Member) []int
-		harm         func(w *feedWorld)
-		limit        time.Duration
-		draws        int
-		crossed      int
-	}{
-		"all empty, undisturbed": {
-			boxes: 20, sites: 3, have: nothing, limit: 4500 * time.Millisecond, draws: feedPieces, crossed: 2*feedPieces + 16,
-		},
-		"one site": {boxes: 5, sites: 1, have: nothing, limit: 4 * time.Second, draws: feedPieces},
-		"one box alone": {
-			boxes: 1, sites: 1, have: nothing, limit: 3 * time.Second, draws: feedPieces,
-		},
-		"eight new among twelve that hold all draw nothing": {
-			boxes: 20, sites: 3, limit: 4 * time.Second,
-			have: func(m Member) []int {
-				if m.ID < "b012" {
-					return everything
-				}
-				return nil
-			},
-		},
-		"two boxes die unseen": {
-			boxes: 20, sites: 3, have: nothing, limit: 9 * time.Second, draws: 2 * feedPieces, crossed: 4 * feedPieces,
-			harm: func(w *feedWorld) { w.dead["b003"], w.dead["b007"] = true, true },
-		},
-		"a giver of spoilt pieces": {
-			boxes: 12, sites: 3, have: nothing, limit: 9 * time.Second, draws: 2 * feedPieces, crossed: 5 * feedPieces,
-			harm: func(w *feedWorld) { w.spoils["b002"] = true },
+	return pieces
+}
+
+// feedTest is boxes at the start, what disturbs them, and the most that the spreading may cost.
+type feedTest struct {
+	boxes, sites int
+	have         func(Member) []int
+	harm         func(w *feedWorld)
+	limit        time.Duration
+	draws        int
+	crossed      int
+}
+
+// feedTests are the ways in which boxes may start and be disturbed.
+var feedTests = map[string]feedTest{
+	"all empty, undisturbed": {
+		boxes: 20, sites: 3, have: nothing, limit: 4500 * time.Millisecond, draws: feedPieces, crossed: 2*feedPieces + 16,
+	},
+	"one site": {boxes: 5, sites: 1, have: nothing, limit: 4 * time.Second, draws: feedPieces},
+	"one box alone": {
+		boxes: 1, sites: 1, have: nothing, limit: 3 * time.Second, draws: feedPieces,
+	},
+	"eight new among twelve that hold all draw nothing": {
+		boxes: 20, sites: 3, limit: 4 * time.Second,
+		have: func(m Member) []int {
+			if m.ID < "b012" {
+				return everything()
+			}
+			return nil
 		},
-		"two boxes on squeezed links": {
-			boxes: 12, sites: 3, have: nothing, limit: 40 * time.Second, draws: 2 * feedPieces, crossed: 5 * feedPieces,
-			harm: func(w *feedWorld) {
-				w.slow["b001"], w.slow["b005"] = 270*time.Millisecond, 270*time.Millisecond
-			},
+	},
+	"two boxes die unseen": {
+		boxes: 20, sites: 3, have: nothing, limit: 9 * time.Second, draws: 2 * feedPieces, crossed: 4 * feedPieces,
+		harm: func(w *feedWorld) { w.dead["b003"], w.dead["b007"] = true, true },
+	},
+	"a giver of spoilt pieces": {
+		boxes: 12, sites: 3, have: nothing, limit: 9 * time.Second, draws: 2 * feedPieces, crossed: 5 * feedPieces,
+		harm: func(w *feedWorld) { w.spoils["b002"] = true },
+	},
+	"two boxes on squeezed links": {
+		boxes: 12, sites: 3, have: nothing, limit: 40 * time.Second, draws: 2 * feedPieces, crossed: 5 * feedPieces,
+		harm: func(w *feedWorld) {
+			w.slow["b001"], w.slow["b005"] = 270*time.Millisecond, 270*time.Millisecond
 		},
-	} {
+	},
+}
+
+func TestFeedSpreads(t *testing.T) {
+	for name, test := range feedTests {
 		t.Run(name, func(t *testing.T) {
 			w := newFeedWorld(testMembers(test.boxes, test.sites), feedPieces, test.have)
 			if test.harm != nil {
@@ -233,14 +244,10 @@
 
 func TestFeedAsksLittleOnAJammedLink(t *testing.T) {
 	members := testMembers(6, 1)
-	everything := make([]int, feedPieces)
-	for i := range everything {
-		everything[i] = i
-	}
 	f := NewFeed(FeedParams{}, members[0], NewOrder("salt", feedPieces, members), nil, testStart)
 	for _, member := range members[1:] {
 		f.Peer(member)
-		f.PeerHas(member.ID, true, toPieces(everything), 0)
+		f.PeerHas(member.ID, true, toPieces(everything()), 0)
 	}
 	now, asked := testStart, 0
 	for range 40 {
