One function serves HTTP until a part ends; a piece asked for is an ask

Cause: a box's links and a daemon's metrics were served by two copies of the same code, and the giver's queue held 'gifts'. Change: supervise.ServeHTTP, and the field's plain word. Only a listener that fails in the very moment of the end is now reported alike by both. Behaviour is unchanged.

--- a/fill/box.go
+++ b/fill/box.go
@@ -82,13 +82,7 @@
 
 // serveLinks takes links until ctx ends.
 func (b *Box) serveLinks(ctx context.Context) error {
-	stop := context.AfterFunc(ctx, func() { _ = b.server.Close() })
-	defer stop()
-	err := b.server.Serve(b.cfg.Listener)
-	if ctx.Err() != nil {
-		return ctx.Err()
-	}
-	return err
+	return supervise.ServeHTTP(ctx, b.server, b.cfg.Listener)
 }
 
 // wake has the box look for what to do next.
--- a/fill/giver.go
+++ b/fill/giver.go
@@ -17,8 +17,8 @@
 	giveTime = time.Second
 )
 
-// gift is a piece that another box asked for; far says that it goes to another site.
-type gift struct {
+// ask is a piece that another box asked for; far says that the box is in another site.
+type ask struct {
 	link  *inLink
 	key   uint64
 	piece int
@@ -32,7 +32,7 @@
 	woken chan struct{}
 
 	mu    sync.Mutex
-	queue []gift
+	queue []ask
 	busy  int
 }
 
@@ -54,9 +54,9 @@
 }
 
 // add queues a piece unless it waits already.
-func (g *giver) add(next gift) {
+func (g *giver) add(next ask) {
 	g.mu.Lock()
-	known := slices.ContainsFunc(g.queue, func(queued gift) bool { return queued.link == next.link && queued.piece == next.piece })
+	known := slices.ContainsFunc(g.queue, func(queued ask) bool { return queued.link == next.link && queued.piece == next.piece })
 	if !known {
 		next.since = time.Now()
 		g.queue = append(g.queue, next)
@@ -76,7 +76,7 @@
 func (g *giver) drop(l *inLink, key uint64, pieces []uint32) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.queue = slices.DeleteFunc(g.queue, func(queued gift) bool {
+	g.queue = slices.DeleteFunc(g.queue, func(queued ask) bool {
 		return queued.link == l && (queued.key != key || slices.Contains(pieces, uint32(queued.piece)))
 	})
 }
@@ -85,7 +85,7 @@
 func (g *giver) leave(l *inLink) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.queue = slices.DeleteFunc(g.queue, func(queued gift) bool { return queued.link == l })
+	g.queue = slices.DeleteFunc(g.queue, func(queued ask) bool { return queued.link == l })
 }
 
 // waiting returns how many pieces wait or are on their way out.
@@ -96,13 +96,13 @@
 }
 
 // take returns the next piece to give.
-func (g *giver) take() (next gift, ok bool) {
+func (g *giver) take() (next ask, ok bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if len(g.queue) == 0 {
-		return gift{}, false
+		return ask{}, false
 	}
-	i := max(slices.IndexFunc(g.queue, func(queued gift) bool { return queued.far }), 0)
+	i := max(slices.IndexFunc(g.queue, func(queued ask) bool { return queued.far }), 0)
 	next = g.queue[i]
 	g.queue = slices.Delete(g.queue, i, i+1)
 	g.busy++
@@ -141,7 +141,7 @@
 }
 
 // read reads a piece back; nil when it is not held or turned bad, and then it is fetched again.
-func (g *giver) read(ctx context.Context, next gift) []byte {
+func (g *giver) read(ctx context.Context, next ask) []byte {
 	b := g.box
 	f := b.filling(next.key)
 	if f == nil {
--- a/internal/daemoncmd/metrics.go
+++ b/internal/daemoncmd/metrics.go
@@ -2,13 +2,14 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"net/http"
 	"strconv"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/coralstair/coralstair/supervise"
 )
 
 // metricsPort and metricsPath are where a daemon tells its counters, at the machine's address.
@@ -29,11 +30,6 @@
 		mux := http.NewServeMux()
 		mux.HandleFunc(metricsPath, func(w http.ResponseWriter, _ *http.Request) { metrics.WritePrometheus(w, true) })
 		server := &http.Server{Handler: mux, ReadHeaderTimeout: headerTime}
-		stop := context.AfterFunc(ctx, func() { _ = server.Close() })
-		defer stop()
-		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-			return err
-		}
-		return ctx.Err()
+		return supervise.ServeHTTP(ctx, server, listener)
 	}
 }
