Streams: one condition for going on elsewhere; explain finds addresses by a function of its own

Cause: the loop that resumes a stream left it in four places and spelled out whose fault it was, deny chained five calls, Log.beliefs did two things and compareCandidates had a comment that was true of one caller only. Change: ofServer, addressesOf, one call with all fields, a comment true of both. Behaviour is unchanged.

--- a/explain/explain.go
+++ b/explain/explain.go
@@ -21,6 +21,7 @@
 	fields map[string]any
 }
 
+// text returns a field that is a text; empty when there is none.
 func (l line) text(name string) string {
 	value, _ := l.fields[name].(string)
 	return value
@@ -88,12 +89,7 @@
 // beliefs returns the latest lines before the end that say what the entry, and the boxes of the request's servers, believed.
 func (l *Log) beliefs(own []line, end line) []line {
 	servers := serversOf(own)
-	addresses := make(map[string]bool)
-	for _, candidate := range l.lines {
-		if servers[candidate.text("server")] && candidate.text("address") != "" {
-			addresses[candidate.text("address")] = true
-		}
-	}
+	addresses := l.addressesOf(servers)
 	latest := make(map[string]line)
 	for _, candidate := range l.lines {
 		if candidate.at.After(end.at) || candidate.text("id") != "" {
@@ -116,6 +112,17 @@
 	return slices.Collect(maps.Values(latest))
 }
 
+// addressesOf returns the addresses that the logs tell of servers.
+func (l *Log) addressesOf(servers map[string]bool) map[string]bool {
+	addresses := make(map[string]bool)
+	for _, of := range l.lines {
+		if servers[of.text("server")] && of.text("address") != "" {
+			addresses[of.text("address")] = true
+		}
+	}
+	return addresses
+}
+
 // serversOf returns the servers that a request's lines name.
 func serversOf(own []line) map[string]bool {
 	servers := make(map[string]bool)
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"time"
 
+	"github.com/apex/log"
+
 	"github.com/coralstair/coralstair/contract"
 	"github.com/coralstair/coralstair/problem"
 )
@@ -114,8 +116,9 @@
 // deny answers a request that is not let in, and logs it.
 func (e *Entry) deny(w http.ResponseWriter, r *http.Request, ask Ask, status int, slug, detail string, after time.Duration) {
 	countOutcome("", slug)
-	e.log.WithField("id", ask.ID).WithField("host", r.Host).WithField("path", r.URL.Path).
-		WithField("status", status).WithField("outcome", slug).Info("request")
+	e.log.WithFields(log.Fields{
+		"id": ask.ID, "host": r.Host, "path": r.URL.Path, "status": status, "outcome": slug,
+	}).Info("request")
 	e.refuse(w, ask.ID, status, slug, detail, after)
 }
 
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -52,12 +52,8 @@
 		if ctx.Err() != nil {
 			break
 		}
-		var resumed error
-		if resumed = p.resume(ctx); resumed == nil {
-			err = nil
-			break
-		}
-		if !errors.As(resumed, new(*BrokenAnswerError)) && !errors.As(resumed, new(*SilentError)) {
+		resumed := p.resume(ctx)
+		if resumed != nil && !ofServer(resumed) {
 			break
 		}
 		err = resumed
@@ -73,6 +69,11 @@
 	return stepDone, nil
 }
 
+// ofServer reports whether a stream ended by a fault of its server, so that another may go on with it.
+func ofServer(err error) bool {
+	return errors.As(err, new(*BrokenAnswerError)) || errors.As(err, new(*SilentError))
+}
+
 // resume takes the rest of the stream from another server of the same version.
 func (p *passage) resume(ctx context.Context) error {
 	c := p.call
--- a/swarm/choose.go
+++ b/swarm/choose.go
@@ -126,7 +126,7 @@
 	return found
 }
 
-// compareCandidates orders those planned to be drawn last, then the rarest first.
+// compareCandidates puts planned ones last, and of the others and of these the rarest first.
 func compareCandidates(a, b candidate) int {
 	if a.planned != b.planned {
 		if a.planned {
