--- a/fill/filler.go
+++ b/fill/filler.go
@@ -342,6 +342,9 @@
 	defer cancel()
 	origin := b.origin()
 	if origin == nil {
+		b.mu.Lock()
+		f.feed.DrawFailed(piece)
+		b.mu.Unlock()
 		return
 	}
 	data, err := b.cfg.Origin.Piece(ctx, origin.Origin, f.model, f.version, piece)
@@ -374,7 +377,10 @@
 	if f.misfits++; f.misfits < badManifest {
 		return
 	}
-	f.misfits, f.manifest, f.feed = 0, nil, nil
+	f.cancel()
+	if b.fill == f {
+		b.fill = nil
+	}
 	b.log.WithField("version", int64(f.version)).Warn("fill: the manifest is in doubt and drawn again")
 }
 
--- a/forward/call.go
+++ b/forward/call.go
@@ -42,9 +42,8 @@
 	ends    time.Time
 	config  contract.Revision
 
-	// offered counts the servers the request was sent to, ran those that may have run it.
+	// offered counts the servers the request was sent to.
 	offered int
-	ran     int
 	not     map[string]bool
 	// unknown says that it may have run without an answer.
 	unknown bool
@@ -87,7 +86,7 @@
 		c.last = ch
 		c.not[ch.server.ID] = true
 		got, result, err := c.try(ctx, ch)
-		c.note(ch, result, err)
+		c.note(c.last, result, err)
 		switch result {
 		case stepDone:
 			return
@@ -193,6 +192,10 @@
 func (c *call) note(ch choice, result step, err error) {
 	now := time.Now()
 	reason, pause := "done", time.Duration(0)
+	if c.r.Context().Err() != nil {
+		// The caller has gone; that says nothing of the server.
+		return
+	}
 	switch result {
 	case stepNotRun:
 		reason = "not-run"
--- a/forward/reports.go
+++ b/forward/reports.go
@@ -2,23 +2,28 @@
 
 import (
 	"context"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
+	"github.com/coralstair/coralstair/contract"
 	"github.com/coralstair/coralstair/link"
+	"github.com/coralstair/coralstair/view"
 )
 
 const (
-	reportDialTime  = time.Second
-	reportSilence   = 3 * time.Second
-	reportRedial    = 500 * time.Millisecond
-	reportDialEvery = 250 * time.Millisecond
+	// tellTime is how long a full link may hold up the telling of a target.
+	tellTime       = 20 * time.Millisecond
+	reportDialTime = time.Second
+	reportSilence  = 3 * time.Second
+	reportRedial   = 500 * time.Millisecond
 )
 
-// RoleEntry is how an entry names itself on a link.
-const RoleEntry = "entry"
+// roleEntry is how an entry names itself on a link.
+const roleEntry = "entry"
 
 // reports keeps a link to the box of each engine, on which the box tells what its engine does.
 type reports struct {
@@ -29,6 +34,8 @@
 	mu      sync.Mutex
 	linked  map[string]context.CancelFunc
 	entries map[string]int
+	conns   map[string]*link.Conn
+	told    []view.Named
 }
 
 func newReports(e *Entry) *reports {
@@ -38,13 +45,16 @@
 		Control:         setUserTimeout,
 	}
 	return &reports{
-		entry:  e,
-		client: &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, ReadBufferSize: connBuffer, WriteBufferSize: connBuffer}},
+		entry: e,
+		client: &http.Client{Transport: &http.Transport{
+			DialContext: dialer.DialContext, ReadBufferSize: connBuffer, WriteBufferSize: connBuffer,
+		}},
 		woken:  make(chan struct{}, 1),
-		linked: make(map[string]context.CancelFunc), entries: make(map[string]int),
+		linked: make(map[string]context.CancelFunc), entries: make(map[string]int), conns: make(map[string]*link.Conn),
 	}
 }
 
+// wake has the links follow the list of servers.
 func (rs *reports) wake() {
 	select {
 	case rs.woken <- struct{}{}:
@@ -56,6 +66,7 @@
 func (rs *reports) serve(ctx context.Context) error {
 	for {
 		rs.follow(ctx)
+		rs.tellTargets()
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
@@ -64,21 +75,13 @@
 	}
 }
 
+// follow opens and ends links as the list of servers has them; without a configuration all stay as they are.
 func (rs *reports) follow(ctx context.Context) {
-	wanted := make(map[string]bool)
 	cfg := rs.entry.cfg.View.Config()
 	if cfg == nil {
 		return
 	}
-	for _, server := range rs.entry.cfg.View.Servers() {
-		service := cfg.Service(server.Service)
-		if service == nil || service.Engine == nil {
-			continue
-		}
-		if host, _, err := net.SplitHostPort(server.Address); err == nil {
-			wanted[rs.entry.cfg.Machine.LinkAt(host)] = true
-		}
-	}
+	wanted := rs.wanted(cfg)
 	rs.mu.Lock()
 	defer rs.mu.Unlock()
 	for address, cancel := range rs.linked {
@@ -97,6 +100,21 @@
 	}
 }
 
+// wanted returns the addresses of the boxes of all engines.
+func (rs *reports) wanted(cfg *contract.Config) map[string]bool {
+	wanted := make(map[string]bool)
+	for _, server := range rs.entry.cfg.View.Servers() {
+		service := cfg.Service(server.Service)
+		if service == nil || service.Engine == nil {
+			continue
+		}
+		if host, _, err := net.SplitHostPort(server.Address); err == nil {
+			wanted[rs.entry.cfg.Machine.LinkAt(host)] = true
+		}
+	}
+	return wanted
+}
+
 // keep holds a link to one box until ctx ends.
 func (rs *reports) keep(ctx context.Context, address string) {
 	for ctx.Err() == nil {
@@ -119,10 +137,12 @@
 	defer conn.Close()
 	stop := context.AfterFunc(ctx, conn.Close)
 	defer stop()
-	hello := &link.Hello{ID: rs.entry.cfg.Machine.ID, Role: RoleEntry, Site: rs.entry.cfg.Machine.Site}
+	hello := &link.Hello{ID: rs.entry.cfg.Machine.ID, Role: roleEntry, Site: rs.entry.cfg.Machine.Site}
 	if err := conn.Send(ctx, hello); err != nil {
 		return
 	}
+	rs.join(address, conn)
+	defer rs.leave(address, conn)
 	silence := time.AfterFunc(reportSilence, conn.Close)
 	defer silence.Stop()
 	for {
@@ -138,6 +158,49 @@
 	}
 }
 
+// join tells a box that is newly linked the versions that should run, and those named from now on.
+func (rs *reports) join(address string, conn *link.Conn) {
+	rs.mu.Lock()
+	rs.conns[address] = conn
+	rs.mu.Unlock()
+	for _, target := range rs.entry.cfg.View.Targets() {
+		tell(conn, target)
+	}
+}
+
+func (rs *reports) leave(address string, conn *link.Conn) {
+	rs.mu.Lock()
+	defer rs.mu.Unlock()
+	if rs.conns[address] == conn {
+		delete(rs.conns, address)
+	}
+}
+
+// tellTargets tells all boxes of versions that were named since the last time: boxes follow what is declared more slowly.
+func (rs *reports) tellTargets() {
+	targets := rs.entry.cfg.View.Targets()
+	rs.mu.Lock()
+	if slices.Equal(targets, rs.told) {
+		rs.mu.Unlock()
+		return
+	}
+	rs.told = targets
+	conns := slices.Collect(maps.Values(rs.conns))
+	rs.mu.Unlock()
+	for _, conn := range conns {
+		for _, target := range targets {
+			tell(conn, target)
+		}
+	}
+}
+
+// tell sends a target; a box whose link is full hears of it from others.
+func tell(conn *link.Conn, target view.Named) {
+	ctx, cancel := context.WithTimeout(conn.Context(), tellTime)
+	defer cancel()
+	_ = conn.Send(ctx, &link.Target{Model: target.Model, Version: int64(target.Version), Ago: time.Since(target.At)})
+}
+
 // count takes how many entries a box hears; the most that any tells share the budget.
 func (rs *reports) count(address string, entries int) {
 	rs.mu.Lock()
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -25,6 +25,7 @@
 	eventID      = []byte("id:")
 	errLongEvent = &BrokenAnswerError{Reason: "an event is too long"}
 	errTornEvent = &BrokenAnswerError{Reason: "it ends within an event"}
+	errNoResume  = errors.New("the stream can not go on elsewhere")
 )
 
 // passage is a stream on its way to the caller, from one server after another.
@@ -47,20 +48,11 @@
 		return stepLost, err
 	}
 	for err != nil {
-		c.note(a.choice, stepLost, err)
+		c.note(c.last, stepLost, err)
 		if ctx.Err() != nil {
 			break
 		}
-		var resumed error
-		if resumed = p.resume(ctx); resumed == nil {
-			err = nil
-			break
-		}
-		if !errors.As(resumed, new(*BrokenAnswerError)) && !errors.As(resumed, new(*SilentError)) {
-			break
-		}
-		err = resumed
-		if c.offered >= c.route.Attempts {
+		if err = p.resume(ctx); errors.Is(err, errNoResume) {
 			break
 		}
 	}
@@ -89,7 +81,7 @@
 	c.last = ch
 	c.not[ch.server.ID] = true
 	resumes.Inc()
-	a := c.attempt(ctx, ch, max(silenceFactor*ch.first+silenceRest, minSilence))
+	a := c.attempt(ctx, ch, ch.silence())
 	defer a.finish()
 	if _, err := a.send(Send{LastEvent: p.last, Version: p.version}); err != nil {
 		return err
@@ -100,8 +92,6 @@
 	return p.pass(a)
 }
 
-var errNoResume = errors.New("the stream can not go on elsewhere")
-
 // pass passes the events of one server on, whole ones only.
 func (p *passage) pass(a *attempt) error {
 	events := bufio.NewReaderSize(a.resp.Body, connBuffer)
@@ -110,7 +100,8 @@
 		var err error
 		if event, err = readEvent(events, event[:0]); err != nil {
 			if errors.Is(err, io.EOF) && len(event) == 0 {
-				return p.finish(a)
+				p.finish(a)
+				return nil
 			}
 			a.spoil()
 			if cause := context.Cause(a.ctx); cause != nil {
@@ -125,12 +116,11 @@
 	}
 }
 
-// finish ends a stream whose last event has come.
-func (p *passage) finish(a *attempt) error {
+// finish ends a stream whose last event has come; one without events still has its head.
+func (p *passage) finish(a *attempt) {
 	if !p.begun {
 		p.begin(a)
 	}
-	return nil
 }
 
 // passEvent passes one event on; one that the caller already has is dropped.
@@ -187,12 +177,7 @@
 		return
 	}
 	if a.call.route.Resumable {
-		pause := max(pauseFactor*a.call.route.PauseGoal, minPause)
-		if a.quiet == nil {
-			a.quiet = time.AfterFunc(pause, func() { a.cancel(&SilentError{Server: a.choice.server.ID}) })
-			return
-		}
-		a.quiet.Reset(pause)
+		a.giveUpAfter(max(pauseFactor*a.call.route.PauseGoal, minPause))
 	}
 }
 
@@ -220,6 +205,7 @@
 	}
 }
 
+// endsEvent reports whether an event ends with its blank line; one of a blank line alone does.
 func endsEvent(event []byte) bool {
 	return bytes.HasSuffix(event, []byte("\n\n")) || bytes.HasSuffix(event, []byte("\r\n\r\n")) || len(event) <= 2
 }
--- a/link/frame_test.go
+++ b/link/frame_test.go
@@ -23,6 +23,14 @@
 		"want":      &Want{Manifest: 7, Chunk: 3},
 		"chunk":     &Chunk{Manifest: 7, Chunk: 3, Body: []byte("z")},
 		"decline":   &Decline{Manifest: 7, Chunk: 3},
+		"report": &Report{
+			Server: "s", Model: "m", Version: 2, Running: 3, Waiting: 1, Used: 9, Closing: true, Slow: 1.5, Entries: 5,
+			Closes: time.Second, Filled: true,
+		},
+		"chunk that waited": &Chunk{Manifest: 7, Chunk: 3, Body: []byte("z"), Waited: time.Second},
+		"want manifest":     &WantManifest{Model: "m", Version: 2},
+		"manifest":          &Manifest{Model: "m", Version: 2, Size: 8, Digests: []byte("d")},
+		"target":            &Target{Model: "m", Version: 2, Ago: time.Second},
 	}
 }
 
--- a/view/source.go
+++ b/view/source.go
@@ -24,7 +24,9 @@
 type Servers struct {
 	Present []contract.Server
 	// Gone holds the ids of servers that are no longer listed.
-	Gone   []string
+	Gone []string
+	// Unread holds the ids of servers whose entries could not be read: what was known of them stays.
+	Unread []string
 	Faults []error
 	Cursor Cursor
 }
--- a/view/view_test.go
+++ b/view/view_test.go
@@ -130,6 +130,9 @@
 		"present":                         {[]Servers{{Present: []contract.Server{server}}}, 0, true, false},
 		"gone counts as missing at first": {[]Servers{{Present: []contract.Server{server}}, {Gone: []string{"a"}}}, time.Second, true, true},
 		"gone is gone after the grace":    {[]Servers{{Present: []contract.Server{server}}, {Gone: []string{"a"}}}, 2 * time.Second, false, false},
+		"one whose entry cannot be read stays": {
+			[]Servers{{Present: []contract.Server{server}}, {Unread: []string{"a"}, Faults: []error{errors.New("no JSON")}}}, 3 * time.Second, true, false,
+		},
 		"one that is back is present": {
 			[]Servers{{Present: []contract.Server{server}}, {Gone: []string{"a"}}, {Present: []contract.Server{server}}}, time.Second, true, false,
 		},
@@ -187,3 +190,15 @@
 		}
 	})
 }
+
+func TestUnreadEntryOfTheWholeStays(t *testing.T) {
+	following(t, func(t *testing.T, v *View, s *fakeSource) {
+		s.servers <- answer[Servers]{value: Servers{Present: []contract.Server{{ID: "a"}, {ID: "b"}}}}
+		s.servers <- answer[Servers]{err: &HistoryGoneError{}}
+		s.servers <- answer[Servers]{value: Servers{Present: []contract.Server{{ID: "b"}}, Unread: []string{"a"}}}
+		time.Sleep(3 * time.Second)
+		if n := len(v.Servers()); n != 2 {
+			t.Errorf("%d servers are listed, want also that whose entry could not be read", n)
+		}
+	})
+}
