A fault soak: the daemons as processes before stand-ins of the users' platform, harmed from outside

Cause: nothing in the repository ran the real programs under kills, pauses, stops, cut ways and misbehaving servers at once. Change: platform/standin speaks the platform's calls as far as coralstair does; package soak starts entries and boxes as separate processes, draws faults from a seed, and judges what callers and servers saw. Conclusion: a start; links between boxes are harmed only by pausing and killing their ends.

--- /dev/null
+++ b/soak/soak.go
@@ -0,0 +1,165 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"path/filepath"
+	"slices"
+	"sync"
+	"time"
+)
+
+// Options are those of one run; a zero field takes its default.
+type Options struct {
+	Seed uint64
+	// Daemon is the program, Dir where settings and logs go.
+	Daemon string
+	Dir    string
+	// Entries, Boxes and Plain are how many there are of each; each box stands beside a model server.
+	Entries int
+	Boxes   int
+	Plain   int
+	Callers int
+	// Trouble is for how long faults begin.
+	Trouble time.Duration
+}
+
+// Defaults of Options.
+const (
+	DefaultEntries = 3
+	DefaultBoxes   = 6
+	DefaultPlain   = 3
+	DefaultCallers = 16
+	DefaultTrouble = 6 * time.Second
+
+	startTime = 4 * time.Second
+)
+
+func (o Options) withDefaults() Options {
+	o.Entries = or(o.Entries, DefaultEntries)
+	o.Boxes = or(o.Boxes, DefaultBoxes)
+	o.Plain = or(o.Plain, DefaultPlain)
+	o.Callers = or(o.Callers, DefaultCallers)
+	if o.Trouble == 0 {
+		o.Trouble = DefaultTrouble
+	}
+	return o
+}
+
+func or(value, fallback int) int {
+	if value == 0 {
+		return fallback
+	}
+	return value
+}
+
+// Result is what a run showed.
+type Result struct {
+	Seed     uint64
+	Requests int
+	Served   int
+	Refused  int
+	Cut      int
+	Faults   []string
+	Broken   []string
+}
+
+// String tells the result in a line.
+func (r *Result) String() string {
+	return fmt.Sprintf("seed %d: %d requests, %d served, %d refused, %d cut, %d faults, %d broken",
+		r.Seed, r.Requests, r.Served, r.Refused, r.Cut, len(r.Faults), len(r.Broken))
+}
+
+// Run runs the system through the faults of a seed.
+func Run(ctx context.Context, opts Options) (*Result, error) {
+	opts = opts.withDefaults()
+	var err error
+	if opts.Daemon, err = filepath.Abs(opts.Daemon); err != nil {
+		return nil, err
+	}
+	r, err := newRig(opts)
+	if err != nil {
+		return nil, err
+	}
+	defer r.close()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var out outcomes
+	wait := r.startCallers(ctx, &out)
+	if !tick(ctx, startTime) {
+		return nil, ctx.Err()
+	}
+	var on spans
+	on.run(r.plan())
+	c := r.beCalm(ctx)
+	cancel()
+	wait()
+	j := &judge{
+		rig: r, outcomes: out.list(), runs: r.runs.All(), arrivals: r.runs.Arrivals(), spans: on.list(), calm: c,
+	}
+	return j.result(opts.Seed), nil
+}
+
+// startCallers starts callers, probes and the balancer; the function returned waits for their end.
+func (r *rig) startCallers(ctx context.Context, out *outcomes) (wait func()) {
+	var wg sync.WaitGroup
+	b := newBalancer(r)
+	wg.Go(func() { b.serve(ctx) })
+	for n := range r.opts.Callers {
+		c := newCaller(r, n, b, out)
+		wg.Go(func() { c.serve(ctx) })
+	}
+	for entry := range r.entries {
+		wg.Go(func() { probe(ctx, r, entry, out) })
+	}
+	return wg.Wait
+}
+
+// beCalm ends all harm, and once all daemons are in touch has operators change the configuration, name a version and take
+// a server away.
+func (r *rig) beCalm(ctx context.Context) calm {
+	for _, ways := range [][]*hop{r.toStore, r.toServer, r.toBox, {r.toOrigin}} {
+		for _, h := range ways {
+			h.heal()
+		}
+	}
+	for _, p := range r.daemons() {
+		_ = p.start()
+	}
+	r.beatAll()
+	tick(ctx, bounds.Contact+bounds.Version)
+	c := calm{from: time.Now()}
+	c.config = r.declare()
+	c.version = r.nameVersion()
+	leaving := r.plain[0]
+	leaving.Drain()
+	c.drained, c.drainAt = leaving.ID(), time.Now()
+	tick(ctx, bounds.Version+3*time.Second)
+	c.to = time.Now()
+	return c
+}
+
+// result counts what callers saw and has it judged.
+func (j *judge) result(seed uint64) *Result {
+	result := &Result{Seed: seed}
+	for _, o := range j.outcomes {
+		if o.kind == kindProbe || o.left {
+			continue
+		}
+		result.Requests++
+		switch {
+		case o.answer.Whole():
+			result.Served++
+		case o.answer.Cut != nil:
+			result.Cut++
+		case o.answer.Refused():
+			result.Refused++
+		}
+	}
+	slices.SortFunc(j.spans, func(a, b span) int { return a.from.Compare(b.from) })
+	for _, s := range j.spans {
+		result.Faults = append(result.Faults, fmt.Sprintf("%s  %s for %s", s.from.Format("15:04:05.000"), s.name, s.to.Sub(s.from).Round(time.Millisecond)))
+	}
+	result.Broken = j.judge()
+	return result
+}
--- /dev/null
+++ b/soak/soak_test.go
@@ -0,0 +1,78 @@
+package soak
+
+import (
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+)
+
+// seeds run in CI; each that ever failed stays here, with its cause.
+var seeds = map[string]uint64{
+	"first": 1,
+}
+
+// seedsVariable holds more seeds, FROM-TO, for runs by hand.
+const seedsVariable = "CORALSTAIR_SOAK_SEEDS"
+
+func TestSoak(t *testing.T) {
+	daemon := filepath.Join(t.TempDir(), "coralstaird")
+	if out, err := exec.Command("go", "build", "-o", daemon, "../cmd/coralstaird").CombinedOutput(); err != nil {
+		t.Fatalf("%v\n%s", err, out)
+	}
+	for name, seed := range seeds {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			soakSeed(t, daemon, seed)
+		})
+	}
+	for seed := range moreSeeds(t) {
+		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) { t.Parallel(); soakSeed(t, daemon, seed) })
+	}
+}
+
+func soakSeed(t *testing.T, daemon string, seed uint64) {
+	dir := t.TempDir()
+	if keep := os.Getenv("CORALSTAIR_SOAK_LOGS"); keep != "" {
+		dir = filepath.Join(keep, strconv.FormatUint(seed, 10))
+		if err := os.MkdirAll(dir, 0o700); err != nil {
+			t.Fatal(err)
+		}
+	}
+	result, err := Run(t.Context(), Options{Seed: seed, Daemon: daemon, Dir: dir})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Log(result)
+	if len(result.Broken) == 0 {
+		return
+	}
+	t.Logf("faults:\n%s", strings.Join(result.Faults, "\n"))
+	for i, broken := range result.Broken {
+		if i == 20 {
+			t.Errorf("and %d more", len(result.Broken)-i)
+			break
+		}
+		t.Error(broken)
+	}
+}
+
+// moreSeeds returns the seeds that the environment asks for.
+func moreSeeds(t *testing.T) map[uint64]bool {
+	from, to, ok := strings.Cut(os.Getenv(seedsVariable), "-")
+	if !ok {
+		return nil
+	}
+	first, err1 := strconv.ParseUint(from, 10, 64)
+	last, err2 := strconv.ParseUint(to, 10, 64)
+	if err1 != nil || err2 != nil {
+		t.Fatalf("%s is FROM-TO", seedsVariable)
+	}
+	seeds := make(map[uint64]bool)
+	for seed := first; seed <= last; seed++ {
+		seeds[seed] = true
+	}
+	return seeds
+}
