--- a/fill/box.go
+++ b/fill/box.go
@@ -32,6 +32,8 @@
 	Origin   Origin
 	Log      log.Interface
 	Listener net.Listener
+	// Told is the view's source where entries tell what the store holds; nil where they do not.
+	Told *Told
 }
 
 // Box brings the server on its machine to the version that should run.
--- a/fill/inlink.go
+++ b/fill/inlink.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"github.com/coralstair/coralstair/contract"
 	"github.com/coralstair/coralstair/link"
@@ -15,6 +16,8 @@
 	id    string
 	site  string
 	entry bool
+	// awayAt is when the entry said that it has lost the store; guarded by the mutex of the links.
+	awayAt time.Time
 
 	mu sync.Mutex
 	// key is the version of which the other box asks.
@@ -58,6 +61,10 @@
 		l.handleHave(m)
 	case *link.Want:
 		l.handleWant(m)
+	case *link.Declared:
+		l.handleDeclared(m)
+	case *link.Servers:
+		l.handleServers(m)
 	}
 }
 
--- a/fill/links.go
+++ b/fill/links.go
@@ -37,6 +37,8 @@
 	after   map[string]time.Time
 	in      map[*inLink]bool
 	hearing int
+	// teller is the entry that tells what the store holds; nil while none does.
+	teller *inLink
 }
 
 func newLinks(b *Box) *links {
@@ -82,17 +84,19 @@
 	ls.mu.Unlock()
 	if l.entry {
 		ls.box.sendReport()
+		ls.chooseTeller()
 	}
 }
 
 func (ls *links) remove(l *inLink) {
 	ls.box.giver.leave(l)
 	ls.mu.Lock()
-	defer ls.mu.Unlock()
 	delete(ls.in, l)
 	if l.entry {
 		ls.hearing--
 	}
+	ls.mu.Unlock()
+	ls.chooseTeller()
 }
 
 // entries returns how many entries hear this box.
--- /dev/null
+++ b/fill/told.go
@@ -0,0 +1,285 @@
+package fill
+
+import (
+	"context"
+	"maps"
+	"math/rand/v2"
+	"reflect"
+	"sync"
+	"time"
+
+	"github.com/coralstair/coralstair/contract"
+	"github.com/coralstair/coralstair/link"
+	"github.com/coralstair/coralstair/view"
+)
+
+const (
+	// toldPatience is how long a box waits for an entry to tell it what the store holds before it reads that itself, and
+	// toldSpread how much longer at most: many boxes that start together would fill the links to the store.
+	toldPatience = 1200 * time.Millisecond
+	toldSpread   = 800 * time.Millisecond
+	// listPause and declaredPause are how long after it read the store itself a box does so again: the list grows old sooner.
+	listPause     = 1500 * time.Millisecond
+	declaredPause = 5 * time.Second
+	// toldCursor is the place in the store's history of what entries told: none.
+	toldCursor view.Cursor = -1
+)
+
+// Told is the source of a box's view: what an entry tells, and the store while none does.
+type Told struct {
+	store    view.Source
+	patience time.Duration
+
+	mu      sync.Mutex
+	changed chan struct{}
+	// silentSince is when the last entry that told fell silent; zero while one tells.
+	silentSince time.Time
+	declared    *contract.Config
+	servers     map[string]contract.Server
+	// listRead and declaredRead are when the store was read last.
+	listRead     time.Time
+	declaredRead time.Time
+	// passedDeclared and passed are what the view was given last.
+	passedDeclared *contract.Config
+	passed         map[string]contract.Server
+}
+
+// NewTold returns a source that reads the store itself as long as no entry tells.
+func NewTold(store view.Source) *Told {
+	return &Told{
+		store: store, patience: toldPatience + rand.N(toldSpread), changed: make(chan struct{}), silentSince: time.Now(),
+	}
+}
+
+var _ view.Source = (*Told)(nil)
+
+// Declared returns what an entry told, or what the store holds when none tells in time.
+func (t *Told) Declared(ctx context.Context) (view.Declared, error) {
+	return t.DeclaredAfter(ctx, toldCursor, view.DefaultWait)
+}
+
+// DeclaredAfter returns what is new of what is declared.
+func (t *Told) DeclaredAfter(ctx context.Context, cursor view.Cursor, wait time.Duration) (view.Declared, error) {
+	declared := view.Declared{Cursor: toldCursor}
+	err := t.await(ctx, wait, &t.declaredRead, declaredPause, func() bool {
+		if t.declared == nil || t.declared == t.passedDeclared {
+			return false
+		}
+		declared.Config, t.passedDeclared = t.declared, t.declared
+		return true
+	}, func(ctx context.Context) (err error) {
+		if cursor == toldCursor {
+			declared, err = t.store.Declared(ctx)
+		} else {
+			declared, err = t.store.DeclaredAfter(ctx, cursor, wait)
+		}
+		return err
+	})
+	return declared, err
+}
+
+// Servers returns the listed servers.
+func (t *Told) Servers(ctx context.Context) (view.Servers, error) {
+	t.mu.Lock()
+	t.passed = nil
+	t.mu.Unlock()
+	return t.ServersAfter(ctx, toldCursor, view.DefaultWait)
+}
+
+// ServersAfter returns what is new of the list of servers.
+func (t *Told) ServersAfter(ctx context.Context, cursor view.Cursor, wait time.Duration) (view.Servers, error) {
+	servers := view.Servers{Cursor: toldCursor}
+	err := t.await(ctx, wait, &t.listRead, listPause, func() bool {
+		if t.servers == nil {
+			return false
+		}
+		news := changesOf(t.passed, t.servers)
+		if t.passed != nil && len(news.Present)+len(news.Gone) == 0 {
+			return false
+		}
+		servers, t.passed = news, maps.Clone(t.servers)
+		return true
+	}, func(ctx context.Context) error {
+		var err error
+		if servers, err = t.listed(ctx, cursor, wait); err != nil {
+			return err
+		}
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		if t.passed == nil {
+			t.passed = make(map[string]contract.Server)
+		}
+		for _, server := range servers.Present {
+			t.passed[server.ID] = server
+		}
+		for _, id := range servers.Gone {
+			delete(t.passed, id)
+		}
+		return nil
+	})
+	return servers, err
+}
+
+// listed reads the list from the store: the whole, as what is new, after entries told.
+func (t *Told) listed(ctx context.Context, cursor view.Cursor, wait time.Duration) (view.Servers, error) {
+	if cursor != toldCursor {
+		return t.store.ServersAfter(ctx, cursor, wait)
+	}
+	servers, err := t.store.Servers(ctx)
+	if err != nil {
+		return servers, err
+	}
+	there := make(map[string]bool, len(servers.Present))
+	for _, server := range servers.Present {
+		there[server.ID] = true
+	}
+	for _, id := range servers.Unread {
+		there[id] = true
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for id := range t.passed {
+		if !there[id] {
+			servers.Gone = append(servers.Gone, id)
+		}
+	}
+	return servers, nil
+}
+
+// changesOf returns what is new in a list after another.
+func changesOf(old, list map[string]contract.Server) view.Servers {
+	changes := view.Servers{Cursor: toldCursor}
+	for id, server := range list {
+		if known, ok := old[id]; !ok || !reflect.DeepEqual(known, server) {
+			changes.Present = append(changes.Present, server)
+		}
+	}
+	for id := range old {
+		if _, stays := list[id]; !stays {
+			changes.Gone = append(changes.Gone, id)
+		}
+	}
+	return changes
+}
+
+// await takes what is told as soon as there is news, and reads the store when no entry tells for too long, at the earliest a
+// pause after the last time. News is called with mu held. A call to the store ends when an entry begins to tell; await
+// returns without news after wait.
+func (t *Told) await(
+	ctx context.Context, wait time.Duration, last *time.Time, pause time.Duration, news func() bool, read func(context.Context) error,
+) error {
+	deadline := time.Now().Add(wait)
+	for {
+		t.mu.Lock()
+		if news() {
+			t.mu.Unlock()
+			return nil
+		}
+		changed, until, alone := t.changed, deadline, !t.silentSince.IsZero()
+		if alone {
+			until = later(t.silentSince.Add(t.patience), last.Add(pause))
+		}
+		t.mu.Unlock()
+		if alone && !time.Now().Before(until) {
+			if err := t.readAlone(ctx, last, read); ctx.Err() != nil || !t.tells() {
+				return err
+			}
+			continue
+		}
+		timer := time.NewTimer(time.Until(until))
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return ctx.Err()
+		case <-changed:
+		case <-timer.C:
+		}
+		timer.Stop()
+		if t.tells() && !time.Now().Before(deadline) {
+			return nil
+		}
+	}
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// readAlone reads the store until an entry tells, and notes when.
+func (t *Told) readAlone(ctx context.Context, last *time.Time, read func(context.Context) error) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer func() {
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		*last = time.Now()
+	}()
+	go func() {
+		for ctx.Err() == nil && !t.tells() {
+			t.mu.Lock()
+			changed := t.changed
+			t.mu.Unlock()
+			select {
+			case <-ctx.Done():
+			case <-changed:
+			}
+		}
+		cancel()
+	}()
+	return read(ctx)
+}
+
+// tells reports whether an entry tells.
+func (t *Told) tells() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.silentSince.IsZero()
+}
+
+// silent notes that no entry tells any more.
+func (t *Told) silent() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.silentSince.IsZero() {
+		t.silentSince = time.Now()
+	}
+	t.declared, t.servers = nil, nil
+	t.wake()
+}
+
+// takeDeclared takes the services that an entry told.
+func (t *Told) takeDeclared(msg *link.Declared) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.declared = contract.NewConfig(msg.Revision, contract.Limits{}, nil, msg.Services, nil)
+	t.wake()
+}
+
+// takeServers takes the servers that an entry told; with the first, which are all, it has begun to tell.
+func (t *Told) takeServers(msg *link.Servers) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	switch {
+	case msg.Reset:
+		t.servers = make(map[string]contract.Server, len(msg.Present))
+		t.silentSince = time.Time{}
+	case t.servers == nil:
+		return
+	}
+	for _, server := range msg.Present {
+		t.servers[server.ID] = server
+	}
+	for _, id := range msg.Gone {
+		delete(t.servers, id)
+	}
+	t.wake()
+}
+
+// wake tells of news; mu is held.
+func (t *Told) wake() {
+	close(t.changed)
+	t.changed = make(chan struct{})
+}
--- /dev/null
+++ b/fill/told_test.go
@@ -0,0 +1,151 @@
+package fill
+
+import (
+	"context"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/coralstair/coralstair/contract"
+	"github.com/coralstair/coralstair/link"
+	"github.com/coralstair/coralstair/view"
+)
+
+// countingStore is a store with one list of servers; a call on the feed waits.
+type countingStore struct {
+	servers view.Servers
+	reads   int
+	waits   int
+	ended   int
+}
+
+func (s *countingStore) Declared(context.Context) (view.Declared, error) {
+	return view.Declared{}, nil
+}
+
+func (s *countingStore) DeclaredAfter(context.Context, view.Cursor, time.Duration) (view.Declared, error) {
+	return view.Declared{}, nil
+}
+
+func (s *countingStore) Servers(context.Context) (view.Servers, error) {
+	s.reads++
+	return s.servers, nil
+}
+
+func (s *countingStore) ServersAfter(ctx context.Context, cursor view.Cursor, wait time.Duration) (view.Servers, error) {
+	s.waits++
+	select {
+	case <-ctx.Done():
+		s.ended++
+		return view.Servers{}, ctx.Err()
+	case <-time.After(wait):
+		return view.Servers{Cursor: cursor}, nil
+	}
+}
+
+func serversNamed(ids ...string) []contract.Server {
+	var servers []contract.Server
+	for _, id := range ids {
+		servers = append(servers, contract.Server{ID: id, Service: "s"})
+	}
+	return servers
+}
+
+func ids(servers []contract.Server) []string {
+	var named []string
+	for _, server := range servers {
+		named = append(named, server.ID)
+	}
+	slices.Sort(named)
+	return named
+}
+
+func TestTold(t *testing.T) {
+	for name, test := range map[string]func(t *testing.T, store *countingStore, told *Told){
+		"an entry that tells spares the store": func(t *testing.T, store *countingStore, told *Told) {
+			told.takeServers(&link.Servers{Reset: true, Present: serversNamed("a", "b")})
+			whole, err := told.Servers(t.Context())
+			if err != nil || !slices.Equal(ids(whole.Present), []string{"a", "b"}) {
+				t.Fatalf("%v, %v", ids(whole.Present), err)
+			}
+			time.AfterFunc(time.Second, func() {
+				told.takeServers(&link.Servers{Present: serversNamed("c"), Gone: []string{"a"}})
+			})
+			news, err := told.ServersAfter(t.Context(), whole.Cursor, 10*time.Second)
+			if err != nil || !slices.Equal(ids(news.Present), []string{"c"}) || !slices.Equal(news.Gone, []string{"a"}) {
+				t.Errorf("%v, gone %v, %v", ids(news.Present), news.Gone, err)
+			}
+			if store.reads+store.waits != 0 {
+				t.Errorf("the store was asked %d times", store.reads+store.waits)
+			}
+		},
+		"without an entry the store is read, after some time": func(t *testing.T, store *countingStore, told *Told) {
+			began := time.Now()
+			whole, err := told.Servers(t.Context())
+			if err != nil || !slices.Equal(ids(whole.Present), []string{"a"}) || store.reads != 1 {
+				t.Fatalf("%v, %v", ids(whole.Present), err)
+			}
+			if took := time.Since(began); took < toldPatience || took > toldPatience+toldSpread {
+				t.Errorf("the store is read after %s", took)
+			}
+		},
+		"a call to the store ends when an entry tells": func(t *testing.T, store *countingStore, told *Told) {
+			whole, err := told.Servers(t.Context())
+			if err != nil {
+				t.Fatal(err)
+			}
+			time.AfterFunc(3*time.Second, func() {
+				told.takeServers(&link.Servers{Reset: true, Present: serversNamed("b")})
+			})
+			news, err := told.ServersAfter(t.Context(), whole.Cursor, 10*time.Second)
+			if err != nil || !slices.Equal(ids(news.Present), []string{"b"}) || !slices.Equal(news.Gone, []string{"a"}) {
+				t.Errorf("%v, gone %v, %v", ids(news.Present), news.Gone, err)
+			}
+			if store.ended != 1 {
+				t.Error("the call to the store goes on")
+			}
+		},
+		"when the entry falls silent the whole list is read": func(t *testing.T, _ *countingStore, told *Told) {
+			told.takeServers(&link.Servers{Reset: true, Present: serversNamed("b")})
+			whole, err := told.Servers(t.Context())
+			if err != nil {
+				t.Fatal(err)
+			}
+			time.AfterFunc(time.Second, told.silent)
+			news, err := told.ServersAfter(t.Context(), whole.Cursor, 10*time.Second)
+			if err != nil || !slices.Equal(ids(news.Present), []string{"a"}) || !slices.Equal(news.Gone, []string{"b"}) {
+				t.Errorf("%v, gone %v, %v", ids(news.Present), news.Gone, err)
+			}
+		},
+		"news without the whole before is passed over": func(t *testing.T, _ *countingStore, told *Told) {
+			told.takeServers(&link.Servers{Present: serversNamed("c")})
+			if told.tells() {
+				t.Error("an entry counts as telling")
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store := &countingStore{servers: view.Servers{Present: serversNamed("a"), Cursor: 7}}
+				test(t, store, NewTold(store))
+			})
+		})
+	}
+}
+
+func TestToldConfiguration(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		told := NewTold(&countingStore{})
+		told.takeServers(&link.Servers{Reset: true})
+		told.takeDeclared(&link.Declared{Revision: 3, Services: []contract.Service{{Name: "o", Origin: "h:1"}}})
+		declared, err := told.Declared(t.Context())
+		if err != nil || declared.Config.Revision != 3 || len(declared.Config.Origins()) != 1 {
+			t.Fatalf("%+v, %v", declared, err)
+		}
+		declared, err = told.DeclaredAfter(t.Context(), declared.Cursor, time.Second)
+		if err != nil || declared.Config != nil {
+			t.Errorf("%+v, %v, want no news", declared, err)
+		}
+	})
+}
--- a/forward/reports.go
+++ b/forward/reports.go
@@ -36,6 +36,8 @@
 	entries map[string]int
 	conns   map[string]*link.Conn
 	told    []view.Named
+	// followers are the boxes that this entry tells what the store holds, by their links.
+	followers map[*link.Conn]*follower
 }
 
 func newReports(e *Entry) *reports {
@@ -51,6 +53,7 @@
 		}},
 		woken:  make(chan struct{}, 1),
 		linked: make(map[string]context.CancelFunc), entries: make(map[string]int), conns: make(map[string]*link.Conn),
+		followers: make(map[*link.Conn]*follower),
 	}
 }
 
@@ -65,8 +68,9 @@
 // serve opens a link to each box that is new, and ends those whose box is gone, until ctx ends.
 func (rs *reports) serve(ctx context.Context) error {
 	for {
-		rs.follow(ctx)
+		rs.link(ctx)
 		rs.tellTargets()
+		rs.tellFollowers()
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
@@ -75,8 +79,8 @@
 	}
 }
 
-// follow opens and ends links as the list of servers has them; without a configuration all stay as they are.
-func (rs *reports) follow(ctx context.Context) {
+// link opens and ends links as the list of servers has them; without a configuration all stay as they are.
+func (rs *reports) link(ctx context.Context) {
 	cfg := rs.entry.cfg.View.Config()
 	if cfg == nil {
 		return
@@ -151,9 +155,12 @@
 			return
 		}
 		silence.Reset(reportSilence)
-		if report, ok := msg.(*link.Report); ok {
-			rs.entry.upstreams.heard(*report, time.Now())
-			rs.count(address, report.Entries)
+		switch msg := msg.(type) {
+		case *link.Report:
+			rs.entry.upstreams.heard(*msg, time.Now())
+			rs.count(address, msg.Entries)
+		case *link.Follow:
+			rs.follow(conn, msg.Service)
 		}
 	}
 }
@@ -171,6 +178,7 @@
 func (rs *reports) leave(address string, conn *link.Conn) {
 	rs.mu.Lock()
 	defer rs.mu.Unlock()
+	delete(rs.followers, conn)
 	if rs.conns[address] == conn {
 		delete(rs.conns, address)
 	}
--- a/internal/daemoncmd/daemon.go
+++ b/internal/daemoncmd/daemon.go
@@ -9,11 +9,15 @@
 
 	"github.com/apex/log"
 
+	"github.com/coralstair/coralstair/fill"
 	"github.com/coralstair/coralstair/platform"
 	"github.com/coralstair/coralstair/supervise"
 	"github.com/coralstair/coralstair/view"
 )
 
+// toldSettle is how old what entries tell may be.
+const toldSettle = 50 * time.Millisecond
+
 // run runs one daemon until a signal: SIGHUP reads the settings again, SIGTERM asks for a planned stop, a second one ends
 // it at once.
 func run(ctx context.Context, of role, path string, logger log.Interface) error {
@@ -29,10 +33,15 @@
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	defer signal.Stop(signals)
-	v := view.New(platform.NewStore(m.StoreAt, newClient()), view.Options{
-		Log: logger, VersionBound: m.Bounds.Version, ServersSettle: of.listSettle, Settle: of.settle, Reread: of.reread,
-	})
-	d, err := of.build(m, v, logger)
+	opts := view.Options{Log: logger, VersionBound: m.Bounds.Version}
+	source := view.Source(platform.NewStore(m.StoreAt, newClient()))
+	var told *fill.Told
+	if of.told {
+		told = fill.NewTold(source)
+		source, opts.Reread, opts.Settle, opts.ServersSettle = told, true, toldSettle, toldSettle
+	}
+	v := view.New(source, opts)
+	d, err := of.build(m, v, told, logger)
 	if err != nil {
 		return err
 	}
--- a/internal/daemoncmd/role.go
+++ b/internal/daemoncmd/role.go
@@ -28,29 +28,20 @@
 	Parts() []supervise.Part
 }
 
-// role is what one kind of daemon is made of; listSettle is how old its list of servers may be, for fewer calls.
+// role is what one kind of daemon is made of.
 type role struct {
-	name       string
-	listSettle time.Duration
-	// settle is the same for what is declared, of which a box needs little and hears of new versions from entries too; reread
-	// says that only the newest is read after that, not all that changed meanwhile.
-	settle time.Duration
-	reread bool
-	build  func(m machine.Machine, v *view.View, logger log.Interface) (daemon, error)
+	name string
+	// told says that entries tell what the store holds, and that it is read only while none does.
+	told  bool
+	build func(m machine.Machine, v *view.View, told *fill.Told, logger log.Interface) (daemon, error)
 }
 
 var (
 	entryRole = role{name: "entry", build: newEntry}
-	boxRole   = role{name: "box", build: newBox, listSettle: boxListSettle, settle: boxSettle, reread: true}
+	boxRole   = role{name: "box", build: newBox, told: true}
 )
 
-// boxListSettle is longer than an entry's: a box that is new reads the whole list, and the others hear from it.
-const (
-	boxListSettle = 1500 * time.Millisecond
-	boxSettle     = 5 * time.Second
-)
-
-func newEntry(m machine.Machine, v *view.View, logger log.Interface) (daemon, error) {
+func newEntry(m machine.Machine, v *view.View, _ *fill.Told, logger log.Interface) (daemon, error) {
 	callers, err := net.Listen("tcp", m.CallersAt)
 	if err != nil {
 		return nil, err
@@ -62,13 +53,13 @@
 	return forward.New(forward.Config{Machine: m, View: v, Wire: platform.Wire{}, Log: logger, Callers: callers, Ready: ready}), nil
 }
 
-func newBox(m machine.Machine, v *view.View, logger log.Interface) (daemon, error) {
+func newBox(m machine.Machine, v *view.View, told *fill.Told, logger log.Interface) (daemon, error) {
 	listener, err := net.Listen("tcp", m.LinkAt(m.Address))
 	if err != nil {
 		return nil, err
 	}
 	return fill.New(fill.Config{
-		Machine: m, View: v, Log: logger, Listener: listener,
+		Machine: m, View: v, Log: logger, Listener: listener, Told: told,
 		Engine: platform.NewEngine(m.UpstreamAt, newClient()), Origin: platform.NewOrigin(newOriginClient()),
 	}), nil
 }
--- /dev/null
+++ b/link/follow.go
@@ -0,0 +1,33 @@
+package link
+
+import "github.com/coralstair/coralstair/contract"
+
+// Follow asks an entry to tell, from now on, what a box of a service needs of what the store holds, so that boxes need not
+// read it themselves; an empty service ends that.
+type Follow struct {
+	Service string `cbor:"1,keyasint,omitempty"`
+}
+
+// Declared tells a box the services that it needs of a configuration: its own and the origins. Away says that the entry
+// has lost the store and tells nothing more: another entry is to be followed.
+type Declared struct {
+	Revision contract.Revision  `cbor:"1,keyasint,omitempty"`
+	Services []contract.Service `cbor:"2,keyasint,omitempty"`
+	Away     bool               `cbor:"3,keyasint,omitempty"`
+}
+
+// Servers tells a box the listed servers of its service: all of them when Reset, else those that changed or are gone.
+type Servers struct {
+	Reset   bool              `cbor:"1,keyasint,omitempty"`
+	Present []contract.Server `cbor:"2,keyasint,omitempty"`
+	Gone    []string          `cbor:"3,keyasint,omitempty"`
+}
+
+// Kind returns KindFollow.
+func (*Follow) Kind() Kind { return KindFollow }
+
+// Kind returns KindDeclared.
+func (*Declared) Kind() Kind { return KindDeclared }
+
+// Kind returns KindServers.
+func (*Servers) Kind() Kind { return KindServers }
--- a/link/message.go
+++ b/link/message.go
@@ -22,6 +22,9 @@
 	KindWantManifest
 	KindManifest
 	KindTarget
+	KindFollow
+	KindDeclared
+	KindServers
 )
 
 // Message is one typed message.
@@ -46,6 +49,9 @@
 	KindWantManifest: func() Message { return new(WantManifest) },
 	KindManifest:     func() Message { return new(Manifest) },
 	KindTarget:       func() Message { return new(Target) },
+	KindFollow:       func() Message { return new(Follow) },
+	KindDeclared:     func() Message { return new(Declared) },
+	KindServers:      func() Message { return new(Servers) },
 }
 
 // newMessage returns an empty message of a kind; nil when the kind is not known.
--- a/soak/fault.go
+++ b/soak/fault.go
@@ -149,8 +149,12 @@
 		func() fault {
 			return fault{name: "origin spoils", do: func() { r.origin.Spoil(3) }, undo: func() { r.origin.Spoil(0) }}
 		},
-		func() fault { return fault{name: "configuration", planned: true, do: func() { r.declare() }, undo: func() {}} },
-		func() fault { return fault{name: "version", planned: true, do: func() { r.nameVersion() }, undo: func() {}} },
+		func() fault {
+			return fault{name: "configuration", planned: true, do: func() { r.declare() }, undo: func() {}}
+		},
+		func() fault {
+			return fault{name: "version", planned: true, do: func() { r.nameVersion() }, undo: func() {}}
+		},
 		harm("hang", standin.Harm{Hang: true}), harm("lose", standin.Harm{Lose: 4}), harm("tear", standin.Harm{Tear: 4}),
 		harm("surplus", standin.Harm{Surplus: 3}), harm("fail", standin.Harm{Fail: 3}), harm("shed", standin.Harm{Shed: 2}),
 		func() fault {
--- a/view/follow.go
+++ b/view/follow.go
@@ -70,13 +70,14 @@
 			if !lost {
 				v.opts.Log.WithField("feed", what).WithField("cause", err.Error()).Warn("view: the store is lost")
 			}
+			v.setAway(!lost)
 			lost = true
-			v.setAway()
 			wait = pause/2 + rand.N(pause)
 			pause = min(2*pause, maxRetry)
 		default:
 			if lost {
 				v.opts.Log.WithField("feed", what).Info("view: the store is back")
+				v.setBack()
 			}
 			pause, lost = v.opts.Retry, false
 			if changed {
--- a/view/take.go
+++ b/view/take.go
@@ -9,11 +9,23 @@
 	"github.com/coralstair/coralstair/contract"
 )
 
-// setAway notes that the store does not answer.
-func (v *View) setAway() {
+// setAway notes that the store does not answer; news says that it did the last time this feed asked.
+func (v *View) setAway(news bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.away = v.now()
+	if news {
+		v.lost++
+		v.wake()
+	}
+}
+
+// setBack notes that the store answers on a feed again.
+func (v *View) setBack() {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.lost--
+	v.wake()
 }
 
 // takeDeclared takes what is newer; first says that it is the first that is read.
--- a/view/view.go
+++ b/view/view.go
@@ -54,6 +54,8 @@
 	listed  bool
 	changed chan struct{}
 	away    time.Time
+	// lost counts the feeds on which the store does not answer.
+	lost int
 }
 
 // New returns a view that knows nothing yet.
@@ -102,6 +104,13 @@
 	return v.config != nil && v.listed && len(v.servers) > 0
 }
 
+// InTouch reports whether the store answers.
+func (v *View) InTouch() bool {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	return v.lost == 0
+}
+
 // Listed is a server on the list; Missing says since when its entry is gone.
 type Listed struct {
 	contract.Server
