Pieces are asked of the least loaded holder first; later ranks draw only what is overdue

In virtual time with links that carry one piece each way at a time: all boxes of a site ask the one holder of the newest piece, since it is the rarest, and their asks stand in its queue while others are idle; and at 76 boxes ranks after the first draw, since early on nothing comes to most (110 draws where 64 are wanted). Change: of the pieces that may be asked for, those of the least loaded holder come first, then the rarest; a later rank draws a piece only when it is overdue by the origin's schedule. The test's world now has links both ways, queues, and news that takes time. Test: TestFeedSpreads/many boxes (did not end in 4 s before).

--- a/swarm/choose.go
+++ b/swarm/choose.go
@@ -11,6 +11,7 @@
 // candidate is a missing chunk that could be asked for now.
 type candidate struct {
 	chunk   int
+	load    int
 	copies  int
 	planned bool
 	tie     uint64
@@ -134,6 +135,9 @@
 		}
 		return -1
 	}
+	if a.load != b.load {
+		return cmp.Compare(a.load, b.load)
+	}
 	if a.copies != b.copies {
 		return cmp.Compare(a.copies, b.copies)
 	}
--- a/swarm/feed.go
+++ b/swarm/feed.go
@@ -1,6 +1,7 @@
 package swarm
 
 import (
+	"math"
 	"slices"
 	"time"
 )
@@ -308,7 +309,9 @@
 	case rank == 0:
 		return waited >= f.params.Greet+time.Duration(piece)*f.params.DrawEvery
 	default:
-		return f.waited(rank, now)
+		// Others draw it only once it is overdue: early on, nothing comes to most boxes because little has been drawn.
+		due := f.params.Greet + time.Duration(piece)*f.params.DrawEvery
+		return waited >= due+time.Duration(min(rank, maxRankWaits))*f.params.Patience && f.waited(rank, now)
 	}
 }
 
@@ -327,7 +330,8 @@
 	return now.Sub(f.news) >= time.Duration(min(rank, maxRankWaits))*f.params.Patience
 }
 
-// nextAsks chooses pieces to ask for: those that this box takes across for its site first, then the rarest.
+// nextAsks chooses pieces to ask for: those that this box takes across for its site first, then those of the least loaded
+// holders, of these the rarest. By rarity alone all boxes of a site would ask the one holder of the newest piece.
 func (f *Feed) nextAsks(now time.Time) []Action {
 	room := f.room - len(f.asks) - len(f.drawing)
 	if len(f.asks) == 0 && room <= 0 {
@@ -357,15 +361,18 @@
 		if !f.wanted(piece) {
 			continue
 		}
-		copies, near := 0, false
+		copies, near, load := 0, false, math.MaxInt
 		for _, p := range f.peers {
 			if p.have[piece] && !now.Before(p.rest) {
 				copies++
+				load = min(load, p.load())
 				near = near || p.member.Site == f.self.Site && !now.Before(p.slow)
 			}
 		}
 		if copies > 0 && (near || f.mayCross(piece, now)) {
-			found = append(found, candidate{chunk: piece, copies: copies, planned: near, tie: score(f.self.ID, uint64(piece), "")})
+			found = append(found, candidate{
+				chunk: piece, load: load, copies: copies, planned: near, tie: score(f.self.ID, uint64(piece), ""),
+			})
 		}
 	}
 	slices.SortFunc(found, compareCandidates)
--- a/swarm/feed_test.go
+++ b/swarm/feed_test.go
@@ -1,18 +1,21 @@
 package swarm
 
 import (
+	"slices"
 	"testing"
 	"time"
 )
 
-// pieceTime and drawTime are what a box's link and the origin's link take for a piece in the tests.
+// The links of the tests: what a box's link and the origin's link take for a piece, and a message on its way.
 const (
 	pieceTime = 37 * time.Millisecond
 	drawTime  = 26 * time.Millisecond
-	feedTick  = 5 * time.Millisecond
+	newsTime  = 8 * time.Millisecond
+	feedTick  = 2 * time.Millisecond
 )
 
-// feedWorld drives feeds in virtual time over links that carry one piece after the other.
+// feedWorld drives feeds in virtual time. Each box gives one piece after the other, those to other sites first, and takes
+// one after the other; news of pieces, with how many asks wait at their sender, comes a little later.
 type feedWorld struct {
 	now     time.Time
 	order   *Order
@@ -20,18 +23,32 @@
 	dead    map[string]bool
 	spoils  map[string]bool
 	slow    map[string]time.Duration
-	free    map[string]time.Time
-	events  []event
+	asks    map[string][]feedWant
+	out, in map[string]time.Time
+	events  []feedEvent
 	draws   int
 	crossed int
 	twice   int
 }
 
+// feedWant is a piece that a box asked for.
+type feedWant struct {
+	to    string
+	piece int
+	far   bool
+	since time.Time
+}
+
+type feedEvent struct {
+	at time.Time
+	do func()
+}
+
 func newFeedWorld(members []Member, pieces int, have func(Member) []int) *feedWorld {
 	w := &feedWorld{
 		now: testStart, order: NewOrder("salt", pieces, members), feeds: make(map[string]*Feed),
 		dead: make(map[string]bool), spoils: make(map[string]bool), slow: make(map[string]time.Duration),
-		free: make(map[string]time.Time),
+		asks: make(map[string][]feedWant), out: make(map[string]time.Time), in: make(map[string]time.Time),
 	}
 	for _, member := range members {
 		w.feeds[member.ID] = NewFeed(FeedParams{DrawEvery: drawTime}, member, w.order, have(member), w.now)
@@ -42,41 +59,29 @@
 	return w
 }
 
-// meet links a box with all others and tells each what the other holds.
+// meet links a box with its partners and tells it what they hold.
 func (w *feedWorld) meet(member Member) {
-	for _, other := range w.order.members {
-		if other.ID != member.ID {
-			w.feeds[member.ID].Peer(other)
-			w.feeds[member.ID].PeerHas(other.ID, true, w.feeds[other.ID].Held(), 0)
-		}
+	for _, other := range w.order.Partners(member) {
+		w.feeds[member.ID].Peer(other)
+		w.feeds[member.ID].PeerHas(other.ID, true, w.feeds[other.ID].Held(), 0)
 	}
 }
 
-// send plans the arrival of a piece over a link that is busy until the pieces before it have passed.
-func (w *feedWorld) send(from, to string, action Action) {
-	takes := max(pieceTime, w.slow[from], w.slow[to])
-	if action.Draw {
-		takes = drawTime
-	}
-	start := w.now
-	if w.free[from].After(start) {
-		start = w.free[from]
-	}
-	w.free[from] = start.Add(takes)
-	w.events = append(w.events, event{at: w.free[from], to: to, action: action})
+func (w *feedWorld) after(d time.Duration, do func()) {
+	w.events = append(w.events, feedEvent{w.now.Add(d), do})
 }
 
 func (w *feedWorld) step() {
 	w.now = w.now.Add(feedTick)
-	var later []event
-	for _, e := range w.events {
+	events := w.events
+	w.events = nil
+	for _, e := range events {
 		if e.at.After(w.now) {
-			later = append(later, e)
+			w.events = append(w.events, e)
 			continue
 		}
-		w.arrive(e)
+		e.do()
 	}
-	w.events = later
 	for _, member := range w.order.members {
 		if w.dead[member.ID] {
 			continue
@@ -90,35 +95,62 @@
 func (w *feedWorld) act(member Member, action Action) {
 	switch {
 	case action.Drop:
+		w.asks[action.Peer] = slices.DeleteFunc(w.asks[action.Peer], func(a feedWant) bool {
+			return a.to == member.ID && a.piece == action.Chunk
+		})
 	case action.Draw:
 		w.draws++
-		w.send("origin", member.ID, action)
-	case w.dead[action.Peer]:
-	default:
-		w.send(action.Peer, member.ID, action)
+		w.out["origin"] = later(w.now, w.out["origin"]).Add(drawTime)
+		w.after(w.out["origin"].Sub(w.now), func() { w.arrive(member.ID, action.Chunk, "", 0) })
+	case !w.dead[action.Peer]:
+		want := feedWant{to: member.ID, piece: action.Chunk, far: w.site(action.Peer) != member.Site}
+		w.after(newsTime, func() {
+			want.since = w.now
+			w.asks[action.Peer] = append(w.asks[action.Peer], want)
+			w.give(action.Peer)
+		})
 	}
 }
 
-func (w *feedWorld) arrive(e event) {
-	f := w.feeds[e.to]
-	if w.dead[e.to] {
+// give sends the next piece that was asked of a box, unless one is on its way out.
+func (w *feedWorld) give(from string) {
+	if w.out[from].After(w.now) || len(w.asks[from]) == 0 || w.dead[from] {
 		return
 	}
-	if !e.action.Draw && w.spoils[e.action.Peer] {
-		f.Failed(e.action.Chunk, e.action.Peer, w.now)
+	i := max(slices.IndexFunc(w.asks[from], func(a feedWant) bool { return a.far }), 0)
+	a := w.asks[from][i]
+	w.asks[from] = slices.Delete(w.asks[from], i, i+1)
+	takes := max(pieceTime, w.slow[from], w.slow[a.to])
+	w.out[from] = w.now.Add(max(pieceTime, w.slow[from]))
+	w.in[a.to] = later(w.now, w.in[a.to]).Add(takes)
+	waited := w.now.Sub(a.since)
+	w.after(w.out[from].Sub(w.now), func() { w.give(from) })
+	w.after(w.in[a.to].Sub(w.now), func() { w.arrive(a.to, a.piece, from, waited) })
+}
+
+func (w *feedWorld) arrive(to string, piece int, from string, waited time.Duration) {
+	f := w.feeds[to]
+	switch {
+	case w.dead[to]:
 		return
-	}
-	if f.Holds(e.action.Chunk) {
+	case w.spoils[from]:
+		f.Failed(piece, from, w.now)
+		return
+	case f.Holds(piece):
 		w.twice++
 		return
-	}
-	if !e.action.Draw && w.site(e.action.Peer) != f.self.Site {
+	case from != "" && w.site(from) != f.self.Site:
 		w.crossed++
 	}
-	f.Got(e.action.Chunk, e.action.Peer, 0, w.now)
+	f.Got(piece, from, waited, w.now)
+	pieces := []uint32{uint32(piece)}
+	if f.Complete() {
+		pieces = f.Held()
+	}
+	queue := len(w.asks[to])
 	for _, other := range w.order.members {
-		if other.ID != e.to && (other.Site == f.self.Site || f.Drawer(e.action.Chunk) || e.action.Draw || f.Complete()) {
-			w.feeds[other.ID].PeerHas(e.to, false, f.Held(), 0)
+		if other.ID != to && (other.Site == f.self.Site || f.Drawer(piece) || from == "" || f.Complete()) {
+			w.after(newsTime, func() { w.feeds[other.ID].PeerHas(to, false, pieces, queue) })
 		}
 	}
 }
@@ -178,7 +210,10 @@
 // feedTests are the ways in which boxes may start and be disturbed.
 var feedTests = map[string]feedTest{
 	"all empty, undisturbed": {
-		boxes: 20, sites: 3, have: nothing, limit: 4500 * time.Millisecond, draws: feedPieces, crossed: 2*feedPieces + 16,
+		boxes: 20, sites: 3, have: nothing, limit: 3600 * time.Millisecond, draws: feedPieces, crossed: 2*feedPieces + 16,
+	},
+	"many boxes, undisturbed": {
+		boxes: 76, sites: 3, have: nothing, limit: 4 * time.Second, draws: feedPieces + 2, crossed: 2*feedPieces + 16,
 	},
 	"one site": {boxes: 5, sites: 1, have: nothing, limit: 4 * time.Second, draws: feedPieces},
 	"one box alone": {
