Givers serve first those whose servers load first; entries spread what reports do not show yet

Cause: late answers while servers load. (1) All boxes are filled at the same time, a second after the first turns to load have come, so that a fifth of all servers load at once. Ruled out: late pauses within streams (the first event was late); refusals (none). Change: a giver's queue is ordered by the turns of the askers' servers. An entry takes a server as often as it would get one of the requests that all entries send within a report's age, if these went one after the other to where they cost least; what others are likely to have sent there is added to the prediction.

--- a/fill/giver.go
+++ b/fill/giver.go
@@ -23,10 +23,21 @@
 	key   uint64
 	piece int
 	far   bool
+	// turn is the place of the box's server among those of its service when they load.
+	turn  uint64
 	since time.Time
 }
 
-// giver hands out pieces: those to other sites first, since a whole site waits for them.
+// before reports whether an ask goes before another that came earlier.
+func (a ask) before(b ask) bool {
+	if a.far != b.far {
+		return a.far
+	}
+	return a.turn < b.turn
+}
+
+// giver hands out pieces: those to other sites first, since a whole site waits for them, then those to boxes whose servers
+// load first: if all were filled at the same time, many would load at once.
 type giver struct {
 	box   *Box
 	woken chan struct{}
@@ -102,7 +113,12 @@
 	if len(g.queue) == 0 {
 		return ask{}, false
 	}
-	i := max(slices.IndexFunc(g.queue, func(queued ask) bool { return queued.far }), 0)
+	i := 0
+	for k, queued := range g.queue {
+		if queued.before(g.queue[i]) {
+			i = k
+		}
+	}
 	next = g.queue[i]
 	g.queue = slices.Delete(g.queue, i, i+1)
 	g.busy++
--- a/fill/inlink.go
+++ b/fill/inlink.go
@@ -130,7 +130,7 @@
 		l.send(&link.Decline{Manifest: m.Manifest, Chunk: m.Chunk})
 		return
 	}
-	b.giver.add(ask{link: l, key: m.Manifest, piece: int(m.Chunk), far: l.site != b.cfg.Machine.Site})
+	b.giver.add(ask{link: l, key: m.Manifest, piece: int(m.Chunk), far: l.site != b.cfg.Machine.Site, turn: place(l.id)})
 }
 
 // begin answers a box that asked of a version before this box knew its manifest.
--- a/fill/loader.go
+++ b/fill/loader.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"time"
 
 	"github.com/apex/log"
@@ -107,13 +108,13 @@
 
 // turn returns when this server's turn to load comes.
 func (b *Box) turn(named, due time.Time) time.Time {
-	var ids []string
+	var hosts []string
 	for _, server := range b.cfg.View.Servers() {
-		if server.Service == b.cfg.Machine.Service && !server.Leaving {
-			ids = append(ids, server.Address)
+		if host, _, err := net.SplitHostPort(server.Address); err == nil && server.Service == b.cfg.Machine.Service && !server.Leaving {
+			hosts = append(hosts, host)
 		}
 	}
-	rank, n := Rank(b.cfg.Machine.UpstreamAt, ids)
+	rank, n := Rank(b.cfg.Machine.Address, hosts)
 	return Turn(named, due, rank, n)
 }
 
--- a/fill/wave.go
+++ b/fill/wave.go
@@ -24,14 +24,17 @@
 	return from.Add(to.Sub(from) * time.Duration(rank) / time.Duration(n-1))
 }
 
-// Rank returns the place of a server among those of its service, and their number. It is the same for every version, so
-// that versions named in quick succession reach a server at the same distance.
-func Rank(id string, ids []string) (rank, n int) {
-	own := xxhash.Sum64String(id)
-	for _, other := range ids {
-		if other != id && xxhash.Sum64String(other) < own {
+// Rank returns the place of the server beside a box among those of its service, by the hosts of the boxes, and their number.
+// It is the same for every version, so that versions named in quick succession reach a server at the same distance.
+func Rank(host string, hosts []string) (rank, n int) {
+	own := place(host)
+	for _, other := range hosts {
+		if other != host && place(other) < own {
 			rank++
 		}
 	}
-	return rank, max(len(ids), 1)
+	return rank, max(len(hosts), 1)
 }
+
+// place orders the hosts of boxes by when their servers load.
+func place(host string) uint64 { return xxhash.Sum64String(host) }
--- a/forward/call.go
+++ b/forward/call.go
@@ -71,6 +71,7 @@
 	ctx, cancel := context.WithDeadline(ctx, c.ends)
 	defer cancel()
 	c.entry.budget.First(c.service.Name, c.started)
+	c.entry.rate.add(c.service.Name, c.started)
 	var kept *answer
 	for {
 		ch, err := c.next()
--- a/forward/choose.go
+++ b/forward/choose.go
@@ -1,7 +1,9 @@
 package forward
 
 import (
+	"cmp"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/coralstair/coralstair/contract"
@@ -50,33 +52,31 @@
 	load  engine.Load
 }
 
-// choose returns the server at which a request is done soonest; ok is false when none may take it. Servers that failed
-// lately come in only when they are the most of a service.
+// choose returns a server at which a request is done soonest; ok is false when none may take it. Servers that failed lately
+// come in only when they are the most of a service.
 func (e *Entry) choose(want wanted, now time.Time) (best choice, ok bool) {
-	var paused choice
-	usable, resting := 0, 0
-	hasPaused := false
-	for _, up := range e.upstreams.of(want.service.Name) {
+	ups := e.upstreams.of(want.service.Name)
+	usable, resting := make([]choice, 0, len(ups)), []choice(nil)
+	for _, up := range ups {
 		c, until, fits := e.consider(up, want, now)
-		if !fits {
-			continue
-		}
-		if now.Before(until) {
-			resting++
-			if !hasPaused || c.cost < paused.cost {
-				paused, hasPaused = c, true
-			}
-			continue
-		}
-		usable++
-		if !ok || c.cost < best.cost {
-			best, ok = c, true
+		switch {
+		case !fits:
+		case now.Before(until):
+			resting = append(resting, c)
+		default:
+			usable = append(usable, c)
 		}
 	}
-	if !ok || resting > usable && hasPaused && paused.cost < best.cost {
-		return paused, hasPaused || ok
+	if len(resting) > len(usable) {
+		usable = append(usable, resting...)
+	}
+	if len(usable) == 0 {
+		return choice{}, false
+	}
+	if want.service.Engine == nil || want.service.Engine.ReadRate <= 0 {
+		return slices.MinFunc(usable, func(a, b choice) int { return cmp.Compare(a.cost, b.cost) }), true
 	}
-	return best, ok
+	return pick(usable, e.unseen(want.service.Name, now), added(want.service.Engine)), true
 }
 
 func (e *Entry) consider(up *upstream, want wanted, now time.Time) (c choice, until time.Time, fits bool) {
--- a/forward/entry.go
+++ b/forward/entry.go
@@ -49,6 +49,7 @@
 	transport *http.Transport
 	upstreams upstreams
 	budget    *Budget
+	rate      rate
 	reports   *reports
 	callers   *http.Server
 	ready     *http.Server
