Manifests are asked for over links that stand; small changes of what is declared are read at once; ways are measured; refusals follow progress

(1) A change of the configuration 0.1 s before kept entries from reading the version for 0.44 s. (3) The origin sent 1.65 copies: stand-ins count from their own beginning, up to 0.5 s before that of a drawer.

--- a/fill/fill_test.go
+++ b/fill/fill_test.go
@@ -155,3 +155,16 @@
 		})
 	}
 }
+
+func TestManifestsComeFromNeighbours(t *testing.T) {
+	t.Parallel()
+	s := newSite(t, 8, 4*time.Second)
+	s.startRunning()
+	s.name(2)
+	s.wait(2, fillLimit)
+	s.origin.mu.Lock()
+	defer s.origin.mu.Unlock()
+	if asked := s.origin.asked[2]; asked > 2 {
+		t.Errorf("%d boxes in two sites asked the origin for a manifest, want 2", asked)
+	}
+}
--- a/fill/filler.go
+++ b/fill/filler.go
@@ -25,7 +25,7 @@
 	// mostlyFilled is how long after it was named all of a version is drawn where the origin's rate is not known, finishTime
 	// how long it may take to the end once a newer one was named.
 	mostlyFilled = 2200 * time.Millisecond
-	finishTime   = 2500 * time.Millisecond
+	finishTime   = 4 * time.Second
 	// opDial is how package net names the opening of a connection.
 	opDial = "dial"
 	// badManifest is how many drawn pieces in a row may not fit before the manifest itself is drawn again.
@@ -195,6 +195,7 @@
 	if !done {
 		b.haveManifest(f)
 	}
+	b.links.rest()
 }
 
 // haveManifest makes sure of the version's manifest: from a neighbour, or from the origin when this box is the first of
@@ -209,6 +210,7 @@
 	members := b.siblings()
 	homes := swarm.NewOrder(f.model, 1, members).Homes(0)
 	b.links.want(f.ctx, append(b.mates(homes), swarm.Neighbours(b.self(), members)...))
+	b.links.rejoin(f)
 	wait := manifestWait
 	if slices.Contains(homes, b.self()) {
 		wait = 0
--- a/fill/fixture_test.go
+++ b/fill/fixture_test.go
@@ -42,6 +42,7 @@
 type fakeOrigin struct {
 	mu     sync.Mutex
 	draws  map[contract.Version]int
+	asked  map[contract.Version]int
 	spoil  func(draw int) bool
 	newest contract.Version
 }
@@ -50,6 +51,12 @@
 	if version == 0 {
 		version = o.newest
 	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.asked == nil {
+		o.asked = make(map[contract.Version]int)
+	}
+	o.asked[version]++
 	return manifestFor(version), nil
 }
 
--- a/fill/links.go
+++ b/fill/links.go
@@ -134,8 +134,29 @@
 			go ls.dial(ctx, member)
 		}
 	}
+}
+
+// rejoin asks for the manifest of a version over the links that stood before it was aimed at.
+func (ls *links) rejoin(f *filling) {
+	ls.mu.Lock()
+	var out []*outLink
+	for _, l := range ls.out {
+		if l.joined != f.version {
+			out = append(out, l)
+		}
+	}
+	ls.mu.Unlock()
+	for _, l := range out {
+		l.join(f)
+	}
+}
+
+// rest ends links that have not been used for some time.
+func (ls *links) rest() {
+	ls.mu.Lock()
+	defer ls.mu.Unlock()
 	for _, l := range ls.out {
-		if now.Sub(l.used) > restTime {
+		if time.Since(l.used) > restTime {
 			l.conn.Close()
 		}
 	}
--- a/fill/outlink.go
+++ b/fill/outlink.go
@@ -14,6 +14,8 @@
 	conn   *link.Conn
 	member swarm.Member
 	used   time.Time
+	// joined is the version of which the other box was told last; guarded by the mutex of the links.
+	joined contract.Version
 }
 
 // run takes what the other box sends until the link ends.
@@ -53,6 +55,9 @@
 // join tells the other box what this one holds of a version; the other answers with what it holds.
 func (l *outLink) join(f *filling) {
 	b := l.links.box
+	l.links.mu.Lock()
+	l.joined = f.version
+	l.links.mu.Unlock()
 	b.mu.Lock()
 	if f.feed == nil {
 		b.mu.Unlock()
--- a/fill/reporter.go
+++ b/fill/reporter.go
@@ -16,6 +16,8 @@
 	// closesHorizon is how long before its turn to load entries hear of it, closesStep how exactly.
 	closesHorizon = 4 * time.Second
 	closesStep    = 50 * time.Millisecond
+	// readyStep is how exactly entries hear how soon a server runs what it should.
+	readyStep = 250 * time.Millisecond
 )
 
 // report asks the server for its state and tells entries of changes, until ctx ends.
@@ -87,6 +89,7 @@
 	if left := time.Until(b.closes); !b.closes.IsZero() && left < closesHorizon {
 		report.Closes = max(left, time.Millisecond).Round(closesStep)
 	}
+	report.Ready = b.readyIn(time.Now()).Round(readyStep)
 	report.Filled = b.pending != nil || b.fill != nil && b.fill.feed != nil && b.fill.feed.Complete()
 	for model, version := range b.state.Loaded {
 		report.Model, report.Version = model, int64(version)
@@ -94,6 +97,20 @@
 	return report, true
 }
 
+// readyIn returns how soon the server is likely to run the version that should run; 0 when it does or that is not known.
+// mu is held.
+func (b *Box) readyIn(now time.Time) time.Duration {
+	f := b.fill
+	if f == nil || f.feed == nil || b.state.Loaded[f.model] >= f.version {
+		return 0
+	}
+	fills, known := f.feed.Left(now)
+	if !known {
+		return 0
+	}
+	return max(fills, b.closes.Sub(now)) + loadTime
+}
+
 // sendReport tells entries at once what they should hear now.
 func (b *Box) sendReport() {
 	if report, ok := b.newReport(); ok {
--- a/fill/wave.go
+++ b/fill/wave.go
@@ -9,6 +9,8 @@
 const (
 	// fillTime is how long after a version is named its pieces are usually everywhere: no wave begins before.
 	fillTime = 2700 * time.Millisecond
+	// loadTime is what loading usually takes.
+	loadTime = 500 * time.Millisecond
 	// loadMargin is how long before the bound the last server gets its order.
 	loadMargin = 700 * time.Millisecond
 )
--- a/forward/entry.go
+++ b/forward/entry.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -27,6 +28,8 @@
 	// lameTime is how long a leaving entry still takes requests: the balancer asks once a second and believes the
 	// second miss.
 	lameTime = 2500 * time.Millisecond
+	// enoughShare is the part of a service's servers, one in so many, that has to be back before callers are.
+	enoughShare = 4
 	// graceMargin is kept from the time that a planned stop may take.
 	graceMargin = 500 * time.Millisecond
 )
@@ -79,6 +82,7 @@
 		{Name: "ready", Run: func(ctx context.Context) error { return serve(ctx, e.ready, e.cfg.Ready) }},
 		{Name: "upstreams", Run: e.followServers},
 		{Name: "reports", Run: e.reports.serve},
+		{Name: "ways", Run: e.reports.measureWays},
 	}
 }
 
@@ -157,9 +161,29 @@
 	if service.Engine == nil {
 		return plainComeBack
 	}
-	after := loadComeBack
+	after, known := e.readyIn(service.Name, now)
 	if wait, ok := e.soonest(service, now); ok {
 		after = max(wait-route.Goal, 0)
+	} else if !known {
+		after = loadComeBack
 	}
 	return after + comeBack + rand.N(comeBackSpread)
 }
+
+// readyIn returns how soon enough servers of a service are likely to run what they should, by what their boxes report; known
+// is false when none tells.
+func (e *Entry) readyIn(service string, now time.Time) (in time.Duration, known bool) {
+	var times []time.Duration
+	for _, up := range e.upstreams.of(service) {
+		up.mu.Lock()
+		if age := now.Sub(up.reportAt); age < reportLife && up.report.Ready > 0 {
+			times = append(times, max(up.report.Ready-age, 0))
+		}
+		up.mu.Unlock()
+	}
+	if len(times) == 0 {
+		return 0, false
+	}
+	slices.Sort(times)
+	return times[len(times)/enoughShare], true
+}
--- a/forward/reports.go
+++ b/forward/reports.go
@@ -34,12 +34,19 @@
 	mu      sync.Mutex
 	linked  map[string]context.CancelFunc
 	entries map[string]int
-	conns   map[string]*link.Conn
+	conns   map[string]*reportLink
 	told    []view.Named
 	// followers are the boxes that this entry tells what the store holds, by their links.
 	followers map[*link.Conn]*follower
 }
 
+// reportLink is a link to a box, and the server beside it by the latest report.
+type reportLink struct {
+	conn   *link.Conn
+	server string
+	asking bool
+}
+
 func newReports(e *Entry) *reports {
 	dialer := &net.Dialer{
 		Timeout:         reportDialTime,
@@ -52,7 +59,7 @@
 			DialContext: dialer.DialContext, ReadBufferSize: connBuffer, WriteBufferSize: connBuffer,
 		}},
 		woken:  make(chan struct{}, 1),
-		linked: make(map[string]context.CancelFunc), entries: make(map[string]int), conns: make(map[string]*link.Conn),
+		linked: make(map[string]context.CancelFunc), entries: make(map[string]int), conns: make(map[string]*reportLink),
 		followers: make(map[*link.Conn]*follower),
 	}
 }
@@ -158,7 +165,7 @@
 		switch msg := msg.(type) {
 		case *link.Report:
 			rs.entry.upstreams.heard(*msg, time.Now())
-			rs.count(address, msg.Entries)
+			rs.count(address, msg.Server, msg.Entries)
 		case *link.Follow:
 			rs.follow(conn, msg.Service)
 		}
@@ -168,7 +175,7 @@
 // join tells a box that is newly linked the versions that should run, and those named from now on.
 func (rs *reports) join(address string, conn *link.Conn) {
 	rs.mu.Lock()
-	rs.conns[address] = conn
+	rs.conns[address] = &reportLink{conn: conn}
 	rs.mu.Unlock()
 	for _, target := range rs.entry.cfg.View.Targets() {
 		tell(conn, target)
@@ -179,7 +186,7 @@
 	rs.mu.Lock()
 	defer rs.mu.Unlock()
 	delete(rs.followers, conn)
-	if rs.conns[address] == conn {
+	if l := rs.conns[address]; l != nil && l.conn == conn {
 		delete(rs.conns, address)
 	}
 }
@@ -195,9 +202,9 @@
 	rs.told = targets
 	conns := slices.Collect(maps.Values(rs.conns))
 	rs.mu.Unlock()
-	for _, conn := range conns {
+	for _, l := range conns {
 		for _, target := range targets {
-			tell(conn, target)
+			tell(l.conn, target)
 		}
 	}
 }
@@ -210,9 +217,12 @@
 }
 
 // count takes how many entries a box hears; the most that any tells share the budget.
-func (rs *reports) count(address string, entries int) {
+func (rs *reports) count(address, server string, entries int) {
 	rs.mu.Lock()
 	defer rs.mu.Unlock()
+	if l := rs.conns[address]; l != nil {
+		l.server = server
+	}
 	if rs.entries[address] == entries {
 		return
 	}
--- a/forward/upstream.go
+++ b/forward/upstream.go
@@ -50,6 +50,7 @@
 
 	report   link.Report
 	reportAt time.Time
+	way      way
 	// othersWriting and othersReading are what the latest report counted beyond this entry's own.
 	othersWriting int
 	othersReading int
--- a/forward/upstreams.go
+++ b/forward/upstreams.go
@@ -41,11 +41,15 @@
 
 // heard takes a report of a server's box.
 func (us *upstreams) heard(report link.Report, now time.Time) {
-	us.mu.RLock()
-	up := us.byID[report.Server]
-	us.mu.RUnlock()
-	if up != nil {
+	if up := us.byServer(report.Server); up != nil {
 		up.heard(report, now)
 		reportsTaken.Inc()
 	}
 }
+
+// byServer returns a server by its id; nil when it is not known.
+func (us *upstreams) byServer(id string) *upstream {
+	us.mu.RLock()
+	defer us.mu.RUnlock()
+	return us.byID[id]
+}
--- /dev/null
+++ b/forward/way.go
@@ -0,0 +1,96 @@
+package forward
+
+import (
+	"context"
+	"time"
+)
+
+const (
+	// wayEvery is how often the way to a server is measured whose box still takes pieces of a version that is soon due;
+	// wayLife is how long a measurement counts, wayFactor times it is kept before the bound.
+	wayEvery  = 300 * time.Millisecond
+	wayLife   = 1200 * time.Millisecond
+	wayLimit  = 4 * time.Second
+	wayFactor = 2
+)
+
+// way is how long the way to a server and back takes, of late.
+type way struct {
+	took time.Duration
+	at   time.Time
+	// asked is when the measurement that has not come back yet began; zero when there is none.
+	asked time.Time
+}
+
+// time returns how long the way takes at least; known is false when that was not measured lately.
+func (w way) time(now time.Time) (took time.Duration, known bool) {
+	if !w.asked.IsZero() {
+		took = now.Sub(w.asked)
+	}
+	return max(took, w.took), !w.at.IsZero() && now.Sub(w.at) < wayLife
+}
+
+// measureWays measures the ways to servers whose boxes take pieces of a version that is due, until ctx ends: what jams such
+// a link holds requests up, so that they might begin after the bound.
+func (rs *reports) measureWays(ctx context.Context) error {
+	ticker := time.NewTicker(wayEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		}
+		for l, up := range rs.filling(time.Now()) {
+			go rs.measure(ctx, l, up)
+		}
+	}
+}
+
+// filling returns the links to boxes whose way is to be measured, with their servers, and marks them as being measured.
+func (rs *reports) filling(now time.Time) map[*reportLink]*upstream {
+	rs.mu.Lock()
+	defer rs.mu.Unlock()
+	links := make(map[*reportLink]*upstream)
+	for _, l := range rs.conns {
+		if up := rs.entry.upstreams.byServer(l.server); up != nil && !l.asking && rs.entry.behind(up, now) {
+			l.asking = true
+			links[l] = up
+		}
+	}
+	return links
+}
+
+// behind reports whether a server runs an older version while its box takes the pieces of a newer one.
+func (e *Entry) behind(up *upstream, now time.Time) bool {
+	up.mu.Lock()
+	model, version, filled := up.report.Model, up.version("", now), up.filled(now)
+	up.mu.Unlock()
+	if filled || version == 0 {
+		return false
+	}
+	_, older := e.cfg.View.Due(model, version)
+	return older
+}
+
+func (rs *reports) measure(ctx context.Context, l *reportLink, up *upstream) {
+	began := time.Now()
+	up.setWay(func(w *way) { w.asked = began })
+	ctx, cancel := context.WithTimeout(ctx, wayLimit)
+	defer cancel()
+	took, err := l.conn.RoundTrip(ctx)
+	if err != nil {
+		took = time.Since(began)
+	}
+	up.setWay(func(w *way) { *w = way{took: took, at: time.Now()} })
+	rs.mu.Lock()
+	defer rs.mu.Unlock()
+	l.asking = false
+}
+
+// setWay changes what is known of the way to the server.
+func (u *upstream) setWay(change func(w *way)) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	change(&u.way)
+}
--- a/link/conn.go
+++ b/link/conn.go
@@ -101,6 +101,16 @@
 // Context ends with the link.
 func (c *Conn) Context() context.Context { return c.ctx }
 
+// RoundTrip returns how long a few bytes take to the peer and back, behind all else on the way. Both ends have to be in
+// Receive.
+func (c *Conn) RoundTrip(ctx context.Context) (time.Duration, error) {
+	began := time.Now()
+	if err := c.ws.Ping(ctx); err != nil {
+		return 0, &ClosedError{Err: err}
+	}
+	return time.Since(began), nil
+}
+
 // Receive returns the next message.
 func (c *Conn) Receive() (Message, error) {
 	_, r, err := c.ws.Reader(c.ctx)
--- a/link/daemon.go
+++ b/link/daemon.go
@@ -74,6 +74,9 @@
 	Closes time.Duration `cbor:"10,keyasint,omitempty"`
 	// Filled says that all pieces of the version that should run are held.
 	Filled bool `cbor:"11,keyasint,omitempty"`
+	// Ready is how soon a server that has yet to load the version that should run is likely to run it; 0 when it does, or
+	// when that is not known.
+	Ready time.Duration `cbor:"12,keyasint,omitempty"`
 }
 
 // Target tells which version of a model should run, and how long ago that was named.
--- a/swarm/feed.go
+++ b/swarm/feed.go
@@ -41,6 +41,9 @@
 	shrinkPause = 200 * time.Millisecond
 	// maxStalls bounds by how many times an ask may take longer while nothing comes.
 	maxStalls = 3
+	// standInFactor times the patience is how much later each rank draws a piece than the one before: boxes begin at times of
+	// their own.
+	standInFactor = 2
 	// slowRest is how long a box that took too long is asked only for what no other holds.
 	slowRest = 4 * time.Second
 )
@@ -71,15 +74,18 @@
 	// retries are when pieces are drawn again that the origin could not be asked for.
 	retries map[int]time.Time
 	// away says that the origin could not be reached and nothing has come since, back is when something came then.
-	away   bool
-	back   time.Time
-	room   int
-	stalls int
-	way    time.Duration
-	shrunk time.Time
-	began  time.Time
-	news   time.Time
-	salt   uint64
+	away bool
+	back time.Time
+	// came counts the pieces that came, the first of them at firstCame.
+	came      int
+	firstCame time.Time
+	room      int
+	stalls    int
+	way       time.Duration
+	shrunk    time.Time
+	began     time.Time
+	news      time.Time
+	salt      uint64
 }
 
 type feedPeer struct {
@@ -137,7 +143,7 @@
 
 // due returns when one that stands in draws a piece.
 func (f *Feed) due(piece, rank int) time.Time {
-	return f.slot(piece, f.back).Add(time.Duration(rank+1) * f.params.Patience)
+	return f.slot(piece, f.back).Add(time.Duration(rank+1) * standInFactor * f.params.Patience)
 }
 
 // DrawnAfter returns how long after a version is begun all of so many pieces are drawn; 0 when the origin's rate is not known.
@@ -178,6 +184,10 @@
 	if f.away {
 		f.away, f.back = false, now
 	}
+	if f.came == 0 {
+		f.firstCame = now
+	}
+	f.came++
 	if p := f.peers[from]; p != nil {
 		p.came = now
 	}
@@ -202,6 +212,18 @@
 // Holds reports whether a piece is held.
 func (f *Feed) Holds(piece int) bool { return f.have[piece] }
 
+// Left returns how long the missing pieces are likely to take, by how long the others took; known is false as long as none
+// has come.
+func (f *Feed) Left(now time.Time) (left time.Duration, known bool) {
+	switch {
+	case f.Complete():
+		return 0, true
+	case f.came == 0 || f.away:
+		return 0, false
+	}
+	return now.Sub(f.firstCame) * time.Duration(f.missing) / time.Duration(f.came), true
+}
+
 // Lost says that a held piece turned out bad or gone.
 func (f *Feed) Lost(piece int) {
 	if f.have[piece] {
--- a/view/follow.go
+++ b/view/follow.go
@@ -7,13 +7,17 @@
 	"time"
 )
 
-// maxRetry bounds the pause after calls that fail one after the other.
-const maxRetry = time.Second
+const (
+	// maxRetry bounds the pause after calls that fail one after the other.
+	maxRetry = time.Second
+	// settleRate is how many bytes a second of changes a daemon reads.
+	settleRate = 1 << 20
+)
 
 // ServeDeclared follows what operators declare until ctx ends.
 func (v *View) ServeDeclared(ctx context.Context) error {
 	cursor, known, first := Cursor(0), false, true
-	return v.follow(ctx, "declared", v.opts.Settle, func(ctx context.Context) (bool, error) {
+	return v.follow(ctx, "declared", func(ctx context.Context) (time.Duration, error) {
 		var declared Declared
 		var err error
 		if known {
@@ -23,18 +27,21 @@
 		}
 		if err != nil {
 			known = known && !gone(err)
-			return false, err
+			return 0, err
 		}
 		changed := v.takeDeclared(declared, first)
 		cursor, known, first = declared.Cursor, !changed || first || !v.opts.Reread, false
-		return changed, nil
+		if !changed {
+			return 0, nil
+		}
+		return settleOf(declared.Size, v.opts.Settle), nil
 	})
 }
 
 // ServeServers follows the list of servers until ctx ends.
 func (v *View) ServeServers(ctx context.Context) error {
 	cursor, known := Cursor(0), false
-	return v.follow(ctx, "servers", v.opts.ServersSettle, func(ctx context.Context) (bool, error) {
+	return v.follow(ctx, "servers", func(ctx context.Context) (time.Duration, error) {
 		var servers Servers
 		var err error
 		if known {
@@ -44,11 +51,14 @@
 		}
 		if err != nil {
 			known = known && !gone(err)
-			return false, err
+			return 0, err
 		}
 		v.takeServers(servers, !known)
 		cursor, known = servers.Cursor, true
-		return len(servers.Present)+len(servers.Gone) > 0, nil
+		if len(servers.Present)+len(servers.Gone) == 0 {
+			return 0, nil
+		}
+		return v.opts.ServersSettle, nil
 	})
 }
 
@@ -57,12 +67,20 @@
 	return errors.As(err, &history)
 }
 
-// follow makes one call after another; after a failure it pauses, longer each time.
-func (v *View) follow(ctx context.Context, what string, settle time.Duration, call func(context.Context) (bool, error)) error {
+// settleOf returns the pause after an answer that told a change: as long as its bytes take at the rate at which a daemon may
+// read, so that small changes are in force soon and large ones in quick succession do not fill the links.
+func settleOf(size int, most time.Duration) time.Duration {
+	if size == 0 {
+		return most
+	}
+	return min(time.Duration(size)*time.Second/settleRate, most)
+}
+
+// follow makes one call after another; a call returns the pause after it. After a failure it pauses longer each time.
+func (v *View) follow(ctx context.Context, what string, call func(context.Context) (time.Duration, error)) error {
 	pause, lost := v.opts.Retry, false
 	for {
-		changed, err := call(ctx)
-		wait := time.Duration(0)
+		wait, err := call(ctx)
 		switch {
 		case ctx.Err() != nil:
 			return ctx.Err()
@@ -80,9 +98,6 @@
 				v.setBack()
 			}
 			pause, lost = v.opts.Retry, false
-			if changed {
-				wait = settle
-			}
 		}
 		if wait == 0 {
 			continue
--- a/view/source.go
+++ b/view/source.go
@@ -18,6 +18,8 @@
 	// Faults tell of rows that could not be read.
 	Faults []error
 	Cursor Cursor
+	// Size is the length of the store's answer, in bytes; 0 where that is not known.
+	Size int
 }
 
 // Servers is the list of servers, whole or as far as it changed.
--- a/view/view_test.go
+++ b/view/view_test.go
@@ -202,3 +202,21 @@
 		}
 	})
 }
+
+func TestSettleFollowsTheSize(t *testing.T) {
+	for name, test := range map[string]struct {
+		size int
+		want time.Duration
+	}{
+		"not known":          {0, DefaultSettle},
+		"a small change":     {settleRate / 100, 10 * time.Millisecond},
+		"a large one":        {settleRate / 4, 250 * time.Millisecond},
+		"not longer than so": {settleRate * 9, DefaultSettle},
+	} {
+		t.Run(name, func(t *testing.T) {
+			if got := settleOf(test.size, DefaultSettle); got != test.want {
+				t.Errorf("a pause of %s, want %s", got, test.want)
+			}
+		})
+	}
+}
