--- a/view/view_test.go
+++ b/view/view_test.go
@@ -209,7 +209,7 @@
 		want time.Duration
 	}{
 		"not known":          {0, DefaultSettle},
-		"a small change":     {settleRate / 100, 10 * time.Millisecond},
+		"a small change":     {settleRate / 128, time.Second / 128},
 		"a large one":        {settleRate / 4, 250 * time.Millisecond},
 		"not longer than so": {settleRate * 9, DefaultSettle},
 	} {
