What runs at a server about to load is moved; turns to load end when entries send nothing more

Its last turns came 0.3 s after entries had stopped sending there, and together with the first turns of a version named 4 s later. Change: 0.15 s after a server closes, an entry lets its own requests there go on at another server of the same version (a stream from its last event, one without an event from its begin), if that one is predicted in time, the route's attempts and the budget allow it. The last turn is 1.1 s before the bound (was 0.7).

--- a/fill/wave.go
+++ b/fill/wave.go
@@ -11,8 +11,8 @@
 	fillTime = 2700 * time.Millisecond
 	// loadTime is what loading usually takes.
 	loadTime = 500 * time.Millisecond
-	// loadMargin is how long before the bound the last server gets its order.
-	loadMargin = 700 * time.Millisecond
+	// loadMargin is how long before the bound the last server gets its order: entries send it nothing more from then on.
+	loadMargin = 1100 * time.Millisecond
 )
 
 // Turn returns when a server that runs an older version gets its order: the servers of a service come one after the
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -58,6 +58,7 @@
 	if silence > 0 {
 		a.giveUpAfter(silence)
 	}
+	c.enter(a)
 	return a
 }
 
@@ -86,6 +87,7 @@
 
 // finish ends the attempt; an answer that was not read to its end closes the connection.
 func (a *attempt) finish() {
+	a.call.exit(a)
 	if a.quiet != nil {
 		a.quiet.Stop()
 	}
--- a/forward/call.go
+++ b/forward/call.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/apex/log"
@@ -42,6 +43,14 @@
 	ends    time.Time
 	config  contract.Revision
 
+	// mu guards what a move looks at while an attempt is in progress; between attempts only the call's own goroutine is there.
+	mu sync.Mutex
+	// current is the attempt that may be moved, streaming the version whose events the caller has, granted says that the
+	// next send is taken from the budget already.
+	current   *attempt
+	streaming contract.Version
+	granted   bool
+
 	// offered counts the servers the request was sent to.
 	offered int
 	not     map[string]bool
@@ -79,7 +88,7 @@
 			c.giveUp(ctx, kept, err)
 			return
 		}
-		if c.offered > 0 && !c.entry.budget.Again(c.service.Name, time.Now()) {
+		if c.offered > 0 && !c.mayRepeat() {
 			c.giveUp(ctx, kept, errNoBudget)
 			return
 		}
@@ -202,6 +211,10 @@
 		reason = "not-run"
 	case stepLost:
 		reason = "lost"
+		if errors.As(err, new(*MovedError)) {
+			reason = "moved"
+			break
+		}
 		if errors.As(err, new(*SilentError)) {
 			pause = ch.up.silent(now)
 		} else {
--- a/forward/errors.go
+++ b/forward/errors.go
@@ -17,6 +17,12 @@
 // Error names the server.
 func (e *SilentError) Error() string { return fmt.Sprintf("server %s is silent", e.Server) }
 
+// MovedError says that a request goes on elsewhere because its server is about to load.
+type MovedError struct{ Server string }
+
+// Error names the server.
+func (e *MovedError) Error() string { return fmt.Sprintf("server %s is closing", e.Server) }
+
 // NoServerError says that no server can take a request now.
 type NoServerError struct{ Service, Reason string }
 
--- a/forward/metrics.go
+++ b/forward/metrics.go
@@ -5,6 +5,7 @@
 var (
 	connections  = metrics.NewCounter("coralstair_upstream_connections_total")
 	resumes      = metrics.NewCounter("coralstair_streams_resumed_total")
+	moves        = metrics.NewCounter("coralstair_moved_total")
 	repeats      = metrics.NewCounter("coralstair_repeats_total")
 	noBudget     = metrics.NewCounter("coralstair_repeats_without_budget_total")
 	firstEvent   = metrics.NewHistogram("coralstair_first_event_seconds")
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -47,6 +47,8 @@
 	if err != nil && !p.begun {
 		return stepLost, err
 	}
+	c.exit(a)
+	a.ticket.end()
 	for err != nil {
 		c.note(c.last, stepLost, err)
 		if ctx.Err() != nil {
@@ -74,7 +76,7 @@
 	ch, ok := c.entry.choose(wanted{
 		service: c.service, model: c.ask.Model, prompt: c.ask.Prompt, exact: p.version, not: c.not,
 	}, now)
-	if !ok || !c.entry.budget.Again(c.service.Name, now) {
+	if !ok || !c.mayRepeat() {
 		return errNoResume
 	}
 	c.offered++
@@ -151,6 +153,7 @@
 // begin sends the head, that of the first server whose events are passed on.
 func (p *passage) begin(a *attempt) {
 	p.begun = true
+	p.call.streamsFrom(p.version)
 	p.call.first = time.Since(p.call.started)
 	firstEvent.Update(p.call.first.Seconds())
 	copyHead(p.call.w.Header(), a.resp.Header, p.call.entry.leaving.Load())
--- a/forward/upstream.go
+++ b/forward/upstream.go
@@ -42,8 +42,9 @@
 	inFlight int
 	reading  int
 	unread   int
-	// pending are those without a first event, the oldest first.
+	// pending are those without a first event, the oldest first; movable those that may go on elsewhere, with what has them do so.
 	pending []*ticket
+	movable map[*ticket]func()
 	// lag is by how much first events came later than predicted, at lagAt; it fades.
 	lag   time.Duration
 	lagAt time.Time
@@ -112,6 +113,7 @@
 		return
 	}
 	t.done = true
+	delete(t.up.movable, t)
 	t.begunLocked()
 	t.up.inFlight--
 }
@@ -120,6 +122,9 @@
 func (u *upstream) heard(report link.Report, now time.Time) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
+	if report.Closing && !u.report.Closing {
+		time.AfterFunc(moveAfter, u.moveOn)
+	}
 	u.report, u.reportAt = report, now
 	u.othersReading = max(0, report.Waiting-u.reading)
 	u.othersWriting = max(0, report.Running-(u.inFlight-u.reading))
