--- a/forward/choose.go
+++ b/forward/choose.go
@@ -1,9 +1,7 @@
 package forward
 
 import (
-	"cmp"
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"github.com/coralstair/coralstair/contract"
@@ -75,7 +73,7 @@
 		return choice{}, false
 	}
 	if want.service.Engine == nil || want.service.Engine.ReadRate <= 0 {
-		return slices.MinFunc(usable, func(a, b choice) int { return cmp.Compare(a.cost, b.cost) }), true
+		return usable[cheapest(usable)], true
 	}
 	return pick(usable, e.unseen(want.service.Name, now), added(want.service.Engine)), true
 }
--- a/forward/spread.go
+++ b/forward/spread.go
@@ -67,15 +67,12 @@
 // requests if these went one after the other to where they cost least, each adding so much there. What others are likely to
 // have sent to the chosen server is added to its wait.
 func pick(offers []choice, unseen float64, adds time.Duration) choice {
+	chosen := cheapest(offers)
+	if unseen <= 1 {
+		return offers[chosen]
+	}
 	filled := level(offers, unseen, adds)
 	turn := rand.Float64() * unseen
-	best := 0
-	for i, offer := range offers {
-		if offer.cost < offers[best].cost {
-			best = i
-		}
-	}
-	chosen := best
 	for i, offer := range offers {
 		if share := shareOf(offer, filled, adds); share > 0 {
 			chosen = i
@@ -90,6 +87,17 @@
 	return c
 }
 
+// cheapest returns the place of the offer that costs least.
+func cheapest(offers []choice) int {
+	best := 0
+	for i := range offers {
+		if offers[i].cost < offers[best].cost {
+			best = i
+		}
+	}
+	return best
+}
+
 // shareOf returns how many requests fill a server up to a cost.
 func shareOf(offer choice, filled, adds time.Duration) float64 {
 	return max(0, float64(filled-offer.cost)/float64(adds))
