A server that lapsed while the store was away has 2.5 s to come back

Cause: servers that live are back on the list within about two seconds of the store's return; an entry took them for gone after 1.5 s. Change: 2.5 s for those that go missing within 3 s of a failed call; 1.5 s else. Test: TestServersThatAreNoLongerListed/one that lapsed while the store was away has longer.

--- a/view/take.go
+++ b/view/take.go
@@ -104,8 +104,8 @@
 			}
 		}
 	}
-	for id, since := range v.missing {
-		if now.Sub(since) > lapseGrace {
+	for id, gap := range v.missing {
+		if now.After(gap.until) {
 			delete(v.missing, id)
 			delete(v.servers, id)
 		}
@@ -133,7 +133,11 @@
 	if _, already := v.missing[id]; already {
 		return
 	}
-	v.missing[id] = now
+	grace := lapseGrace
+	if now.Sub(v.away) < awayLately {
+		grace = awayGrace
+	}
+	v.missing[id] = lapse{since: now, until: now.Add(grace)}
 	v.opts.Log.WithFields(log.Fields{"server": id, "store_away_ms": now.Sub(v.away).Milliseconds()}).
 		Info("view: server no longer listed")
 }
--- a/view/view.go
+++ b/view/view.go
@@ -35,9 +35,11 @@
 	DefaultSettle        = 500 * time.Millisecond
 	DefaultServersSettle = 250 * time.Millisecond
 
-	// lapseGrace is how long a server that is no longer listed counts as missing, not as gone: lists lapse while the
-	// store is away.
+	// lapseGrace is how long a server that is no longer listed counts as missing, not as gone; awayGrace is the same when the
+	// store was away less than awayLately before: lists lapse meanwhile, and servers that live are back within about two seconds.
 	lapseGrace = 1500 * time.Millisecond
+	awayGrace  = 2500 * time.Millisecond
+	awayLately = 3 * time.Second
 )
 
 // View is what one daemon believes; it is safe for concurrent use.
@@ -50,7 +52,7 @@
 	config  *contract.Config
 	targets map[string]*history
 	servers map[string]contract.Server
-	missing map[string]time.Time
+	missing map[string]lapse
 	listed  bool
 	changed chan struct{}
 	away    time.Time
@@ -71,7 +73,7 @@
 		source: source, opts: opts, now: time.Now,
 		targets: make(map[string]*history),
 		servers: make(map[string]contract.Server),
-		missing: make(map[string]time.Time),
+		missing: make(map[string]lapse),
 		changed: make(chan struct{}),
 	}
 }
@@ -111,6 +113,9 @@
 	return v.lost == 0
 }
 
+// lapse is since when a server is no longer listed, and until when that may be the list's fault.
+type lapse struct{ since, until time.Time }
+
 // Listed is a server on the list; Missing says since when its entry is gone.
 type Listed struct {
 	contract.Server
@@ -124,11 +129,11 @@
 	servers := make([]Listed, 0, len(v.servers))
 	now := v.now()
 	for id, server := range v.servers {
-		since, missing := v.missing[id]
-		if missing && now.Sub(since) > lapseGrace {
+		gap, missing := v.missing[id]
+		if missing && now.After(gap.until) {
 			continue
 		}
-		servers = append(servers, Listed{Server: server, Missing: since})
+		servers = append(servers, Listed{Server: server, Missing: gap.since})
 	}
 	return servers
 }
--- a/view/view_test.go
+++ b/view/view_test.go
@@ -123,23 +123,41 @@
 	server := contract.Server{ID: "a", Service: "s", Address: "h:1"}
 	for name, test := range map[string]struct {
 		changes []Servers
+		// away says that the store fails a call before the last change.
+		away    bool
 		after   time.Duration
 		listed  bool
 		missing bool
 	}{
-		"present":                         {[]Servers{{Present: []contract.Server{server}}}, 0, true, false},
-		"gone counts as missing at first": {[]Servers{{Present: []contract.Server{server}}, {Gone: []string{"a"}}}, time.Second, true, true},
-		"gone is gone after the grace":    {[]Servers{{Present: []contract.Server{server}}, {Gone: []string{"a"}}}, 2 * time.Second, false, false},
+		"present": {changes: []Servers{{Present: []contract.Server{server}}}, listed: true},
+		"gone counts as missing at first": {
+			changes: []Servers{{Present: []contract.Server{server}}, {Gone: []string{"a"}}}, after: time.Second, listed: true, missing: true,
+		},
+		"gone is gone after the grace": {
+			changes: []Servers{{Present: []contract.Server{server}}, {Gone: []string{"a"}}}, after: 2 * time.Second,
+		},
+		"one that lapsed while the store was away has longer": {
+			changes: []Servers{{Present: []contract.Server{server}}, {Gone: []string{"a"}}}, away: true, after: 2 * time.Second,
+			listed: true, missing: true,
+		},
+		"but is gone then": {
+			changes: []Servers{{Present: []contract.Server{server}}, {Gone: []string{"a"}}}, away: true, after: 3 * time.Second,
+		},
 		"one whose entry cannot be read stays": {
-			[]Servers{{Present: []contract.Server{server}}, {Unread: []string{"a"}, Faults: []error{errors.New("no JSON")}}}, 3 * time.Second, true, false,
+			changes: []Servers{{Present: []contract.Server{server}}, {Unread: []string{"a"}, Faults: []error{errors.New("no JSON")}}},
+			after:   3 * time.Second, listed: true,
 		},
 		"one that is back is present": {
-			[]Servers{{Present: []contract.Server{server}}, {Gone: []string{"a"}}, {Present: []contract.Server{server}}}, time.Second, true, false,
+			changes: []Servers{{Present: []contract.Server{server}}, {Gone: []string{"a"}}, {Present: []contract.Server{server}}},
+			after:   time.Second, listed: true,
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			following(t, func(t *testing.T, v *View, s *fakeSource) {
-				for _, change := range test.changes {
+				for i, change := range test.changes {
+					if test.away && i == len(test.changes)-1 {
+						s.servers <- answer[Servers]{err: errors.New("away")}
+					}
 					s.servers <- answer[Servers]{value: change}
 				}
 				time.Sleep(test.after)
