The way's worst of two seconds decides the margin; a test of squeezed links

Change: the margin before the bound is the short one only where each way of the last two seconds took under 0.1 s.

--- a/forward/choose.go
+++ b/forward/choose.go
@@ -21,8 +21,8 @@
 	// dueMargin, and dueFactor times the predicted wait more, is how long before the bound on its version a server gets no
 	// more requests.
 	dueMargin = 800 * time.Millisecond
-	// unfilledMargin is the same at a server whose pieces are still on their way, where the way there was not measured: what
-	// jams its link holds requests up.
+	// unfilledMargin is the same at a server whose pieces are still on their way, unless the way there is known to be quick:
+	// what jams its link holds requests up.
 	unfilledMargin = 2600 * time.Millisecond
 	dueFactor      = 2
 	// missingTime is what a server that is no longer listed counts as.
@@ -115,11 +115,8 @@
 		return false
 	}
 	margin := dueMargin
-	if !up.filled(now) {
+	if !up.filled(now) && !up.way.quick(now) {
 		margin = unfilledMargin
-		if took, known := up.way.time(now); known {
-			margin = dueMargin + wayFactor*took
-		}
 	}
 	return now.Add(margin + dueFactor*c.first + up.silence(now)).After(due)
 }
--- a/forward/way.go
+++ b/forward/way.go
@@ -2,32 +2,45 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 )
 
 const (
 	// wayEvery is how often the way to a server is measured whose box still takes pieces of a version that is soon due;
-	// wayLife is how long a measurement counts, wayFactor times it is kept before the bound.
+	// wayLife is how long the latest measurement counts, wayRecent how many count together.
 	wayEvery  = 300 * time.Millisecond
 	wayLife   = 1200 * time.Millisecond
 	wayLimit  = 4 * time.Second
-	wayFactor = 2
+	wayRecent = 7
+	// wayQuick is the longest way of a link that carries pieces as it should; on one that is slower the next pieces may hold
+	// a request up by seconds.
+	wayQuick = 100 * time.Millisecond
 )
 
-// way is how long the way to a server and back takes, of late.
+// way is how long the way to a server and back took, the latest few times.
 type way struct {
-	took time.Duration
+	took [wayRecent]time.Duration
+	n    int
 	at   time.Time
 	// asked is when the measurement that has not come back yet began; zero when there is none.
 	asked time.Time
 }
 
-// time returns how long the way takes at least; known is false when that was not measured lately.
-func (w way) time(now time.Time) (took time.Duration, known bool) {
-	if !w.asked.IsZero() {
-		took = now.Sub(w.asked)
+// quick reports whether the way was quick each time of late, and is not being waited for now.
+func (w way) quick(now time.Time) bool {
+	if w.n == 0 || now.Sub(w.at) > wayLife || !w.asked.IsZero() && now.Sub(w.asked) > wayQuick {
+		return false
 	}
-	return max(took, w.took), !w.at.IsZero() && now.Sub(w.at) < wayLife
+	return slices.Max(w.took[:]) < wayQuick
+}
+
+// with returns the way with one more measurement.
+func (w way) with(took time.Duration, at time.Time) way {
+	w.took[w.n%wayRecent] = took
+	w.n++
+	w.at, w.asked = at, time.Time{}
+	return w
 }
 
 // measureWays measures the ways to servers whose boxes take pieces of a version that is due, until ctx ends: what jams such
@@ -82,7 +95,7 @@
 	if err != nil {
 		took = time.Since(began)
 	}
-	up.setWay(func(w *way) { *w = way{took: took, at: time.Now()} })
+	up.setWay(func(w *way) { *w = w.with(took, time.Now()) })
 	rs.mu.Lock()
 	defer rs.mu.Unlock()
 	l.asking = false
--- a/swarm/feed_test.go
+++ b/swarm/feed_test.go
@@ -350,3 +350,24 @@
 		t.Errorf("%s of pieces asked of the origin at a time", w.crowd)
 	}
 }
+
+// TestFeedLeavesASqueezedLinkRoom proves that what a box asks for does not stand on its link for seconds before requests, once
+// what was on its way when the link narrowed has come.
+func TestFeedLeavesASqueezedLinkRoom(t *testing.T) {
+	const squeezed, settled = time.Second, 4 * time.Second
+	w := newFeedWorld(testMembers(20, 3), feedPieces, nothing)
+	jam := time.Duration(0)
+	for w.now.Sub(testStart) < 12*time.Second {
+		if w.now.Sub(testStart) >= squeezed {
+			w.slow["b003"] = 276 * time.Millisecond
+		}
+		w.step()
+		if w.now.Sub(testStart) > settled {
+			jam = max(jam, w.in["b003"].Sub(w.now))
+		}
+	}
+	t.Logf("%s before a request at most, %d twice, %d held", jam, w.twice, w.feeds["b003"].Have())
+	if jam > 900*time.Millisecond {
+		t.Errorf("%s of pieces stand before a request", jam)
+	}
+}
--- a/view/view.go
+++ b/view/view.go
@@ -33,7 +33,7 @@
 	DefaultWait          = 10 * time.Second
 	DefaultRetry         = 100 * time.Millisecond
 	DefaultSettle        = 500 * time.Millisecond
-	DefaultServersSettle = 250 * time.Millisecond
+	DefaultServersSettle = 400 * time.Millisecond
 
 	// lapseGrace is how long a server that is no longer listed counts as missing, not as gone; awayGrace is the same when the
 	// store was away less than awayLately before: lists lapse meanwhile, and servers that live are back within about two seconds.
