How long a piece waited no longer counts the asker's own jam; six asks at a time at most

Counts of a box squeezed to 0.95 Mbit/s, each 0.2 s: room 5 to 6, 3 to 5 asks and 1 to 2 draws on their way for five seconds, ways of 220 ms told where one piece came each 240 ms. What stands on such a link holds a request up until it widens. A giver told as waiting, which is not held against the link, also the time in which earlier pieces to the same box stood in its jam.

--- a/fill/giver.go
+++ b/fill/giver.go
@@ -26,6 +26,34 @@
 	// turn is the place of the box's server among those of its service when they load.
 	turn  uint64
 	since time.Time
+	// given is how long pieces had been on their way to the box when it asked.
+	given time.Duration
+}
+
+// giving is for how long pieces have been on their way to one box; guarded by the giver's mutex.
+type giving struct {
+	pieces int
+	since  time.Time
+	sum    time.Duration
+}
+
+func (g *giving) begin(now time.Time) {
+	if g.pieces++; g.pieces == 1 {
+		g.since = now
+	}
+}
+
+func (g *giving) end(now time.Time) {
+	if g.pieces--; g.pieces == 0 {
+		g.sum += now.Sub(g.since)
+	}
+}
+
+func (g *giving) total(now time.Time) time.Duration {
+	if g.pieces > 0 {
+		return g.sum + now.Sub(g.since)
+	}
+	return g.sum
 }
 
 // before reports whether an ask goes before another that came earlier.
@@ -70,6 +98,7 @@
 	known := slices.ContainsFunc(g.queue, func(queued ask) bool { return queued.link == next.link && queued.piece == next.piece })
 	if !known {
 		next.since = time.Now()
+		next.given = next.link.giving.total(next.since)
 		g.queue = append(g.queue, next)
 	}
 	g.mu.Unlock()
@@ -125,6 +154,24 @@
 	return next, true
 }
 
+// begin notes that a piece leaves, and returns how long it waited for pieces to others: while others of its own were on their
+// way, what held it up is the box's link.
+func (g *giver) begin(next ask) time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := time.Now()
+	waited := now.Sub(next.since) - (next.link.giving.total(now) - next.given)
+	next.link.giving.begin(now)
+	return max(waited, 0)
+}
+
+// end notes that a piece has left, or will not.
+func (g *giver) end(next ask) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	next.link.giving.end(time.Now())
+}
+
 // giveNext gives the next piece, or waits for one; false once ctx has ended.
 func (g *giver) giveNext(ctx context.Context) bool {
 	next, ok := g.take()
@@ -149,7 +196,9 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, giveTime)
 	defer cancel()
-	chunk := &link.Chunk{Manifest: next.key, Chunk: uint32(next.piece), Body: data, Waited: time.Since(next.since)}
+	waited := g.begin(next)
+	defer g.end(next)
+	chunk := &link.Chunk{Manifest: next.key, Chunk: uint32(next.piece), Body: data, Waited: waited}
 	if next.link.conn.Deliver(ctx, chunk) == nil {
 		bytesGiven.Add(len(data))
 	}
--- a/fill/inlink.go
+++ b/fill/inlink.go
@@ -11,11 +11,12 @@
 
 // inLink is a link that another daemon opened: a box that asks for pieces, or an entry that hears reports.
 type inLink struct {
-	links *links
-	conn  *link.Conn
-	id    string
-	site  string
-	entry bool
+	links  *links
+	conn   *link.Conn
+	id     string
+	site   string
+	entry  bool
+	giving giving
 	// awayAt is when the entry said that it has lost the store; guarded by the mutex of the links.
 	awayAt time.Time
 
--- a/swarm/feed.go
+++ b/swarm/feed.go
@@ -29,7 +29,7 @@
 	DefaultFeedPatience   = 300 * time.Millisecond
 	DefaultHolderPatience = time.Second
 	DefaultFeedDraws      = 2
-	DefaultAsks           = 8
+	DefaultAsks           = 6
 
 	// faultRest is how long a box that did not deliver is not asked.
 	faultRest = time.Second
