--- a/forward/move.go
+++ b/forward/move.go
@@ -11,7 +11,7 @@
 	// once the last has ended, and until then does little.
 	moveAfter = 150 * time.Millisecond
 	// moveShare is the part of the pause that is in time which a move may take.
-	moveShare = 0.85
+	moveShare = 0.6
 )
 
 // moveOn has requests go on elsewhere that hold a server up which is closing.
