--- a/forward/choose.go
+++ b/forward/choose.go
@@ -9,9 +9,10 @@
 )
 
 const (
-	// otherSite and otherRegion are what the bytes to another site or region count as, in time.
-	otherSite   = 5 * time.Millisecond
-	otherRegion = 15 * time.Millisecond
+	// otherSite and otherRegion are what the bytes to another site or region count as, in time; measured rounds stand in
+	// docs/design/platform.md.
+	otherSite   = 12 * time.Millisecond
+	otherRegion = 40 * time.Millisecond
 	// spread keeps entries from all choosing the same server.
 	spread = 10 * time.Millisecond
 	// deniedTime is how long a server that denied what the list says is passed over without newer news.
