An older version that waits for its turn gives way when one of its pieces turns bad

The check before the order found the piece and noted it as lost, but pieces are fetched for the newest version only: version 2 never became complete again, and all newer ones waited for it in memory. Ruled out: the order lost (none was given), the stand-in (the pieces it holds are version 2's, one spoilt). Change: an older version that is not complete any more is given up.

--- a/fill/fill_test.go
+++ b/fill/fill_test.go
@@ -168,3 +168,15 @@
 		t.Errorf("%d boxes in two sites asked the origin for a manifest, want 2", asked)
 	}
 }
+
+func TestOlderVersionWithABadPieceGivesWay(t *testing.T) {
+	t.Parallel()
+	s := newSite(t, 3, 8*time.Second)
+	s.startRunning()
+	s.name(2)
+	time.Sleep(2400 * time.Millisecond)
+	s.name(3)
+	time.Sleep(50 * time.Millisecond)
+	s.engines[1].rot(4)
+	s.wait(3, fillLimit)
+}
--- a/fill/fixture_test.go
+++ b/fill/fixture_test.go
@@ -301,3 +301,10 @@
 	s.startAll(1)
 	time.Sleep(300 * time.Millisecond)
 }
+
+// rot turns a piece that lies at the server bad.
+func (e *fakeEngine) rot(piece int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.pieces[piece] = []byte("bad")
+}
--- a/fill/loader.go
+++ b/fill/loader.go
@@ -44,7 +44,8 @@
 func (b *Box) loadPending(ctx context.Context) {
 	b.mu.Lock()
 	p := b.pending
-	if p != nil && (b.state.Loaded[p.model] >= p.version || p.given) {
+	// Pieces are fetched for the newest version only: one with a piece that turned bad would stand in its way for good.
+	if p != nil && (b.state.Loaded[p.model] >= p.version || p.given || !p.feed.Complete()) {
 		p.cancel()
 		b.pending, p = nil, nil
 		b.closing = false
