A way that holds requests up counts in the prediction, and so in the margin before the bound

Change: how long the way holds requests up now, as measured or as long as the latest measurement is out, is added to the predicted first event. Tests: TestHeldByTheWay, TestAJammedServerGetsNothingNearTheBound (fails without the change).

--- a/forward/choose.go
+++ b/forward/choose.go
@@ -93,7 +93,8 @@
 			return choice{}, time.Time{}, false
 		}
 		c.load = up.load(want.service.Engine, now)
-		c.first = engine.First(want.service.Engine, c.load, want.prompt) + up.faded(now) + stuckFactor*up.stuck(now)
+		c.first = engine.First(want.service.Engine, c.load, want.prompt) + up.faded(now) + stuckFactor*up.stuck(now) +
+			up.way.held(now)
 		if e.overdue(up, want.model, c, now) {
 			return choice{}, time.Time{}, false
 		}
--- a/forward/way.go
+++ b/forward/way.go
@@ -35,6 +35,21 @@
 	return slices.Max(w.took[:]) < wayQuick
 }
 
+// held returns how long the way holds a request up now, as far as it is measured; a quick way does not.
+func (w way) held(now time.Time) time.Duration {
+	var took time.Duration
+	if w.n > 0 && now.Sub(w.at) < wayLife {
+		took = w.took[(w.n-1)%wayRecent]
+	}
+	if !w.asked.IsZero() {
+		took = max(took, now.Sub(w.asked))
+	}
+	if took < wayQuick {
+		return 0
+	}
+	return took
+}
+
 // with returns the way with one more measurement.
 func (w way) with(took time.Duration, at time.Time) way {
 	w.took[w.n%wayRecent] = took
