Feeds and the filler in files of one topic each

A feed's settings, draws, asks and peers, and the box's aim, its fetching of manifests and its handling of pieces now have files of their own; drawing a manifest is a function of its own. Nothing but places and the comments of the constants changes.

--- a/fill/box.go
+++ b/fill/box.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -132,9 +133,33 @@
 	return ""
 }
 
-// siblings returns the boxes of the servers of this service, this one among them; the host of a box is its id.
+// known reports whether the server on this machine has told its state yet.
+func (b *Box) known() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return !b.stateAt.IsZero()
+}
+
+// runs returns the version of a model that the server was last seen to run.
+func (b *Box) runs(model string) contract.Version {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.state.Loaded[model]
+}
+
+// self returns this box as a member of the fleet; its host is its id.
+func (b *Box) self() swarm.Member {
+	return swarm.Member{ID: b.cfg.Machine.Address, Site: b.cfg.Machine.Site}
+}
+
+// mates returns the boxes of this site among some.
+func (b *Box) mates(of []swarm.Member) []swarm.Member {
+	return slices.DeleteFunc(slices.Clone(of), func(m swarm.Member) bool { return m.Site != b.cfg.Machine.Site })
+}
+
+// siblings returns the boxes of the servers of this service, this one among them.
 func (b *Box) siblings() []swarm.Member {
-	self := swarm.Member{ID: b.cfg.Machine.Address, Site: b.cfg.Machine.Site}
+	self := b.self()
 	members := []swarm.Member{self}
 	seen := map[string]bool{self.ID: true}
 	for _, server := range b.cfg.View.Servers() {
--- /dev/null
+++ b/swarm/feeddraw.go
@@ -0,0 +1,73 @@
+package swarm
+
+import "time"
+
+// DrawFailed says that the origin did not give a piece.
+func (f *Feed) DrawFailed(piece int) { delete(f.drawing, piece) }
+
+// DrawUnreached says that the origin could not be reached for a piece: it is drawn in the next round of the schedule, so
+// that pieces come one after the other again once the origin is back, not all at once over its link.
+func (f *Feed) DrawUnreached(piece int, now time.Time) {
+	delete(f.drawing, piece)
+	f.retries[piece] = f.slot(piece, now.Add(1))
+	f.away = true
+}
+
+// slot returns when the schedule comes to a piece at or after a time; it begins anew after each round.
+func (f *Feed) slot(piece int, from time.Time) time.Time {
+	round := max(time.Duration(len(f.have))*f.params.DrawEvery, f.params.Patience)
+	slot := f.began.Add(f.params.Greet + time.Duration(piece)*f.params.DrawEvery)
+	if slot.Before(from) {
+		slot = slot.Add((from.Sub(slot) + round - 1) / round * round)
+	}
+	return slot
+}
+
+// due returns when one that stands in draws a piece.
+func (f *Feed) due(piece, rank int) time.Time {
+	return f.slot(piece, f.back).Add(time.Duration(rank+1) * standInFactor * f.params.Patience)
+}
+
+// Drawer reports whether this box is the first to draw a piece, so that others wait to hear of it.
+func (f *Feed) Drawer(piece int) bool { return f.places[f.order.Group(piece)][0] == 0 }
+
+// nextDraws chooses pieces to draw: those of this box by the schedule, those of earlier ranks when nothing comes.
+func (f *Feed) nextDraws(now time.Time) []Action {
+	var actions []Action
+	for piece := range f.have {
+		if len(f.drawing) >= min(f.params.Draws, f.room) {
+			break
+		}
+		if f.wanted(piece) && f.mayDraw(piece, now) {
+			f.drawing[piece] = true
+			actions = append(actions, Action{Chunk: piece, Draw: true, Rank: f.places[f.order.Group(piece)][0]})
+		}
+	}
+	return actions
+}
+
+func (f *Feed) mayDraw(piece int, now time.Time) bool {
+	rank := f.places[f.order.Group(piece)][0]
+	switch {
+	case rank < 0 || rank >= MaxPermits || f.known(piece) || now.Before(f.retries[piece]):
+		return false
+	case len(f.order.members) > 1 && now.Before(f.began.Add(f.params.Greet)):
+		return false
+	case rank == 0:
+		return !now.Before(f.slot(piece, f.began))
+	default:
+		// Others draw it only once it is overdue: early on, nothing comes to most boxes because little has been drawn. While
+		// the origin is away they leave it to the drawers to ask for it.
+		return !f.away && !now.Before(f.due(piece, rank))
+	}
+}
+
+// known reports whether any linked box that is not left alone holds a piece.
+func (f *Feed) known(piece int) bool {
+	for _, p := range f.peers {
+		if p.have[piece] && !p.rest.After(f.news) {
+			return true
+		}
+	}
+	return false
+}
