Fill: one place for a box's order, its links to boxes and its sends

Gone are the engine that no caller of model took, the second form of the time a version was named, a manifest of nothing that could not occur, and the second function later. Defaults come from cmp.Or instead of a function of each package.

--- a/fill/aim.go
+++ b/fill/aim.go
@@ -96,17 +96,7 @@
 	b.closing = false
 	b.closes = time.Time{}
 	f.given = false
-	done := f.manifest != nil
 	b.mu.Unlock()
-	if !done {
-		b.haveManifest(f)
-	}
+	b.haveManifest(f)
 	b.links.rest()
 }
-
-func (f *filling) manifestOf() *Manifest {
-	if f.manifest == nil {
-		return &Manifest{}
-	}
-	return f.manifest
-}
--- a/fill/box.go
+++ b/fill/box.go
@@ -96,19 +96,18 @@
 	}
 }
 
-// model returns the model that the server on this machine should run, with its engine's figures; ok is false while that
-// is not known.
-func (b *Box) model() (name string, engine *contract.Engine, ok bool) {
+// model returns the model that the server on this machine should run; ok is false while that is not known.
+func (b *Box) model() (name string, ok bool) {
 	cfg := b.cfg.View.Config()
 	if cfg == nil {
-		return "", nil, false
+		return "", false
 	}
 	service := cfg.Service(b.cfg.Machine.Service)
 	if service == nil || service.Engine == nil {
-		return "", nil, false
+		return "", false
 	}
 	model, ok := service.Engine.Model()
-	return model.Name, service.Engine, ok
+	return model.Name, ok
 }
 
 // origin returns the service that hands out weights; nil while none is known.
--- a/fill/fetch.go
+++ b/fill/fetch.go
@@ -100,9 +100,7 @@
 	have := b.heldPieces(f.ctx, m)
 	members := b.siblings()
 	b.mu.Lock()
-	order := swarm.NewOrder(f.model, len(m.Digests), members)
-	f.members, f.partners = members, order.Partners(b.self())
-	f.feed = swarm.NewFeed(b.feedParams(m), b.self(), order, have, time.Now())
+	f.feed = swarm.NewFeed(b.feedParams(m), b.self(), b.orderOf(f, members), have, time.Now())
 	b.mu.Unlock()
 	b.log.WithFields(log.Fields{
 		"model": m.Model, "version": int64(m.Version), "from": from, "held": len(have), "pieces": len(m.Digests),
--- a/fill/filler.go
+++ b/fill/filler.go
@@ -34,8 +34,9 @@
 	}
 }
 
+// step does what can be done now towards the version that should run.
 func (b *Box) step(ctx context.Context) {
-	model, _, ok := b.model()
+	model, ok := b.model()
 	if !ok || !b.known() {
 		return
 	}
@@ -49,10 +50,9 @@
 		b.settle(f)
 		return
 	}
-	if !b.haveManifest(f) {
-		return
+	if b.haveManifest(f) {
+		b.spread(f)
 	}
-	b.spread(f)
 }
 
 // spread asks other boxes and the origin for what is missing.
@@ -64,9 +64,7 @@
 		return
 	}
 	if !equalMembers(members, f.members) {
-		order := swarm.NewOrder(f.model, len(f.manifest.Digests), members)
-		f.members, f.partners = members, order.Partners(b.self())
-		f.feed.Reorder(order)
+		f.feed.Reorder(b.orderOf(f, members))
 	}
 	partners := f.partners
 	actions := f.feed.Next(time.Now())
@@ -87,6 +85,14 @@
 	}
 }
 
+// orderOf returns the order of the boxes for a version's pieces, and notes them as those that take part; mu is held.
+func (b *Box) orderOf(f *filling, members []swarm.Member) *swarm.Order {
+	order := swarm.NewOrder(f.model, len(f.manifest.Digests), members)
+	f.members, f.partners = members, order.Partners(b.self())
+	return order
+}
+
+// equalMembers reports whether two lists hold the same members, in any order; neither holds one twice.
 func equalMembers(a, b []swarm.Member) bool {
 	if len(a) != len(b) {
 		return false
--- a/fill/links.go
+++ b/fill/links.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -197,17 +199,9 @@
 // begin tells all links that the pieces of a version can be asked for and given.
 func (ls *links) begin(f *filling) {
 	ls.mu.Lock()
-	var out []*outLink
-	var in []*inLink
-	for _, l := range ls.out {
-		out = append(out, l)
-	}
-	for l := range ls.in {
-		if !l.entry {
-			in = append(in, l)
-		}
-	}
+	out := slices.Collect(maps.Values(ls.out))
 	ls.mu.Unlock()
+	in := ls.boxes()
 	for _, l := range out {
 		l.join(f)
 	}
@@ -216,39 +210,47 @@
 	}
 }
 
-// ask asks a box for a piece that it holds.
-func (ls *links) ask(f *filling, peer string, piece int) {
+// boxes returns the links that other boxes opened.
+func (ls *links) boxes() []*inLink {
 	ls.mu.Lock()
-	l := ls.out[peer]
-	ls.mu.Unlock()
-	if l != nil {
-		l.send(&link.Want{Manifest: f.key, Chunk: uint32(piece)})
+	defer ls.mu.Unlock()
+	var in []*inLink
+	for l := range ls.in {
+		if !l.entry {
+			in = append(in, l)
+		}
 	}
+	return in
+}
+
+// ask asks a box for a piece that it holds.
+func (ls *links) ask(f *filling, peer string, piece int) {
+	ls.sendTo(peer, &link.Want{Manifest: f.key, Chunk: uint32(piece)})
 }
 
 // drop tells a box that a piece asked of it is no longer wanted.
 func (ls *links) drop(f *filling, peer string, piece int) {
+	ls.sendTo(peer, &link.Have{Manifest: f.key, Chunks: []uint32{uint32(piece)}})
+}
+
+// sendTo sends a message on the link that this box opened to another, if there is one.
+func (ls *links) sendTo(peer string, msg link.Message) {
 	ls.mu.Lock()
 	l := ls.out[peer]
 	ls.mu.Unlock()
 	if l != nil {
-		l.send(&link.Have{Manifest: f.key, Chunks: []uint32{uint32(piece)}})
+		l.send(msg)
 	}
 }
 
 // got tells the boxes of the own site of a new piece, those of other sites too when they wait for this box to draw it,
 // and the box that was asked for it in vain that it is no longer wanted.
 func (ls *links) got(f *filling, piece int, asked string, complete, drawer bool) {
-	ls.mu.Lock()
-	var in []*inLink
-	for l := range ls.in {
-		if !l.entry && (drawer || complete || l.site == ls.box.cfg.Machine.Site) {
-			in = append(in, l)
-		}
-	}
-	ls.mu.Unlock()
+	in := ls.boxes()
 	ls.drop(f, asked, piece)
 	for _, l := range in {
-		l.got(f, piece, complete)
+		if drawer || complete || l.site == ls.box.cfg.Machine.Site {
+			l.got(f, piece, complete)
+		}
 	}
 }
--- a/fill/loader.go
+++ b/fill/loader.go
@@ -29,7 +29,7 @@
 		b.mu.Unlock()
 		if f != nil && b.runs(f.model) < f.version {
 			b.stageMemory(f)
-			b.load(ctx, f, f.named)
+			b.load(ctx, f)
 		}
 		select {
 		case <-ctx.Done():
@@ -51,7 +51,7 @@
 	}
 	b.mu.Unlock()
 	if p != nil {
-		b.load(ctx, p, p.named)
+		b.load(ctx, p)
 	}
 }
 
@@ -78,7 +78,7 @@
 }
 
 // load gives the order to run the version once all pieces are held and it is this server's turn.
-func (b *Box) load(ctx context.Context, f *filling, named time.Time) {
+func (b *Box) load(ctx context.Context, f *filling) {
 	b.mu.Lock()
 	ready := f.feed != nil && f.feed.Complete() && len(f.memory) == 0 && !f.given && !b.state.Busy && time.Since(f.ordered) > orderPause
 	old := b.state.Loaded[f.model]
@@ -88,7 +88,7 @@
 	}
 	turn := time.Now()
 	if due, late := b.cfg.View.Due(f.model, old); old != 0 && late {
-		turn = b.turn(named, due)
+		turn = b.turn(f.named, due)
 	}
 	b.mu.Lock()
 	b.closes = turn
@@ -137,7 +137,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, originTime)
 	defer cancel()
-	m := f.manifestOf()
+	m := f.manifest
 	bad := 0
 	for piece := range m.Digests {
 		data, err := b.cfg.Engine.Staged(ctx, f.model, piece)
--- a/fill/told.go
+++ b/fill/told.go
@@ -177,7 +177,10 @@
 		}
 		changed, until, alone := t.changed, deadline, !t.silentSince.IsZero()
 		if alone {
-			until = later(t.silentSince.Add(t.patience), last.Add(pause))
+			until = t.silentSince.Add(t.patience)
+			if next := last.Add(pause); next.After(until) {
+				until = next
+			}
 		}
 		t.mu.Unlock()
 		if alone && !time.Now().Before(until) {
@@ -201,13 +204,6 @@
 	}
 }
 
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
-
 // readAlone reads the store until an entry tells, and notes when.
 func (t *Told) readAlone(ctx context.Context, last *time.Time, read func(context.Context) error) error {
 	ctx, cancel := context.WithCancel(ctx)
--- a/swarm/feedparams.go
+++ b/swarm/feedparams.go
@@ -1,6 +1,9 @@
 package swarm
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // FeedParams are the times and bounds of a feed; a zero field takes its default.
 type FeedParams struct {
@@ -45,11 +48,11 @@
 )
 
 func (p FeedParams) withDefaults() FeedParams {
-	p.Greet = or(p.Greet, DefaultGreet)
-	p.Patience = or(p.Patience, DefaultFeedPatience)
-	p.HolderPatience = or(p.HolderPatience, DefaultHolderPatience)
-	p.Asks = or(p.Asks, DefaultAsks)
-	p.Draws = or(p.Draws, DefaultFeedDraws)
+	p.Greet = cmp.Or(p.Greet, DefaultGreet)
+	p.Patience = cmp.Or(p.Patience, DefaultFeedPatience)
+	p.HolderPatience = cmp.Or(p.HolderPatience, DefaultHolderPatience)
+	p.Asks = cmp.Or(p.Asks, DefaultAsks)
+	p.Draws = cmp.Or(p.Draws, DefaultFeedDraws)
 	return p
 }
 
--- a/swarm/params.go
+++ b/swarm/params.go
@@ -1,6 +1,7 @@
 package swarm
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/coralstair/coralstair/fleet"
@@ -45,19 +46,11 @@
 )
 
 func (p Params) withDefaults() Params {
-	p.Pulls = or(p.Pulls, DefaultPulls)
-	p.PullsPerPeer = or(p.PullsPerPeer, DefaultPullsPerPeer)
-	p.Draws = or(p.Draws, DefaultDraws)
-	p.Patience = or(p.Patience, DefaultPatience)
-	p.RankWait = or(p.RankWait, DefaultRankWait)
-	p.FaultPause = or(p.FaultPause, DefaultFaultPause)
+	p.Pulls = cmp.Or(p.Pulls, DefaultPulls)
+	p.PullsPerPeer = cmp.Or(p.PullsPerPeer, DefaultPullsPerPeer)
+	p.Draws = cmp.Or(p.Draws, DefaultDraws)
+	p.Patience = cmp.Or(p.Patience, DefaultPatience)
+	p.RankWait = cmp.Or(p.RankWait, DefaultRankWait)
+	p.FaultPause = cmp.Or(p.FaultPause, DefaultFaultPause)
 	return p
 }
-
-func or[T comparable](value, fallback T) T {
-	var zero T
-	if value == zero {
-		return fallback
-	}
-	return value
-}
--- a/view/view.go
+++ b/view/view.go
@@ -1,6 +1,7 @@
 package view
 
 import (
+	"cmp"
 	"slices"
 	"strings"
 	"sync"
@@ -65,10 +66,10 @@
 	if opts.Log == nil {
 		opts.Log = log.Log
 	}
-	opts.Wait = or(opts.Wait, DefaultWait)
-	opts.Retry = or(opts.Retry, DefaultRetry)
-	opts.Settle = or(opts.Settle, DefaultSettle)
-	opts.ServersSettle = or(opts.ServersSettle, DefaultServersSettle)
+	opts.Wait = cmp.Or(opts.Wait, DefaultWait)
+	opts.Retry = cmp.Or(opts.Retry, DefaultRetry)
+	opts.Settle = cmp.Or(opts.Settle, DefaultSettle)
+	opts.ServersSettle = cmp.Or(opts.ServersSettle, DefaultServersSettle)
 	return &View{
 		source: source, opts: opts, now: time.Now,
 		targets: make(map[string]*history),
@@ -78,13 +79,6 @@
 	}
 }
 
-func or(value, fallback time.Duration) time.Duration {
-	if value == 0 {
-		return fallback
-	}
-	return value
-}
-
 // Changed returns a channel that is closed at the next change of any belief.
 func (v *View) Changed() <-chan struct{} {
 	v.mu.RLock()
