Changes of a list of servers, and what a request wants, written once

Entries and boxes each compared two lists of servers in the same way; that is now contract.Changes. A call builds what it wants of a server in one function, for the first send and for a move, and an entry queues a message on a link in one. Grouping listed servers by service and noting what a view was given are functions of their own, so that those around them read as one thought.

--- a/contract/server.go
+++ b/contract/server.go
@@ -1,5 +1,7 @@
 package contract
 
+import "reflect"
+
 // Version numbers the weights of a model; 0 means none.
 type Version int64
 
@@ -33,3 +35,19 @@
 	}
 	return 0
 }
+
+// Changes returns what a list of servers by id tells that an older one did not: those that are new or differ, and the ids
+// of those that are gone, both in no order.
+func Changes(old, list map[string]Server) (present []Server, gone []string) {
+	for id, server := range list {
+		if known, ok := old[id]; !ok || !reflect.DeepEqual(known, server) {
+			present = append(present, server)
+		}
+	}
+	for id := range old {
+		if _, stays := list[id]; !stays {
+			gone = append(gone, id)
+		}
+	}
+	return present, gone
+}
--- a/fill/told.go
+++ b/fill/told.go
@@ -4,7 +4,6 @@
 	"context"
 	"maps"
 	"math/rand/v2"
-	"reflect"
 	"sync"
 	"time"
 
@@ -99,27 +98,30 @@
 		}
 		servers, t.passed = news, maps.Clone(t.servers)
 		return true
-	}, func(ctx context.Context) error {
-		var err error
-		if servers, err = t.listed(ctx, cursor, wait); err != nil {
-			return err
-		}
-		t.mu.Lock()
-		defer t.mu.Unlock()
-		if t.passed == nil {
-			t.passed = make(map[string]contract.Server)
-		}
-		for _, server := range servers.Present {
-			t.passed[server.ID] = server
-		}
-		for _, id := range servers.Gone {
-			delete(t.passed, id)
+	}, func(ctx context.Context) (err error) {
+		if servers, err = t.listed(ctx, cursor, wait); err == nil {
+			t.pass(servers)
 		}
-		return nil
+		return err
 	})
 	return servers, err
 }
 
+// pass notes what the view is given of what the store itself holds.
+func (t *Told) pass(servers view.Servers) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.passed == nil {
+		t.passed = make(map[string]contract.Server)
+	}
+	for _, server := range servers.Present {
+		t.passed[server.ID] = server
+	}
+	for _, id := range servers.Gone {
+		delete(t.passed, id)
+	}
+}
+
 // listed reads the list from the store: the whole, as what is new, after entries told.
 func (t *Told) listed(ctx context.Context, cursor view.Cursor, wait time.Duration) (view.Servers, error) {
 	if cursor != toldCursor {
@@ -148,18 +150,8 @@
 
 // changesOf returns what is new in a list after another.
 func changesOf(old, list map[string]contract.Server) view.Servers {
-	changes := view.Servers{Cursor: toldCursor}
-	for id, server := range list {
-		if known, ok := old[id]; !ok || !reflect.DeepEqual(known, server) {
-			changes.Present = append(changes.Present, server)
-		}
-	}
-	for id := range old {
-		if _, stays := list[id]; !stays {
-			changes.Gone = append(changes.Gone, id)
-		}
-	}
-	return changes
+	present, gone := contract.Changes(old, list)
+	return view.Servers{Present: present, Gone: gone, Cursor: toldCursor}
 }
 
 // await takes what is told as soon as there is news, and reads the store when no entry tells for too long, at the earliest a
--- a/forward/call.go
+++ b/forward/call.go
@@ -123,9 +123,7 @@
 
 // next chooses the next server.
 func (c *call) next() (choice, error) {
-	now := time.Now()
-	want := wanted{service: c.service, model: c.model(), prompt: c.ask.Prompt, answer: c.ask.answer(), not: c.not}
-	ch, ok := c.entry.choose(want, now)
+	ch, ok := c.entry.choose(c.wanted(), time.Now())
 	if !ok {
 		return choice{}, &NoServerError{Service: c.service.Name, Reason: "none can take it now"}
 	}
@@ -135,6 +133,11 @@
 	return ch, nil
 }
 
+// wanted returns what a server has to be to take the request.
+func (c *call) wanted() wanted {
+	return wanted{service: c.service, model: c.model(), prompt: c.ask.Prompt, answer: c.ask.answer(), not: c.not}
+}
+
 // worthwhile reports whether a request is let in: what waits before it at the best server must leave it in time. Its own
 // length does not count, so that long requests are not refused more often.
 func (c *call) worthwhile(ch choice) bool {
--- a/forward/followers.go
+++ b/forward/followers.go
@@ -1,11 +1,11 @@
 package forward
 
 import (
-	"context"
 	"reflect"
 
 	"github.com/coralstair/coralstair/contract"
 	"github.com/coralstair/coralstair/link"
+	"github.com/coralstair/coralstair/view"
 )
 
 // follower is a box that this entry tells what it needs of what the store holds.
@@ -37,16 +37,7 @@
 	if cfg == nil || !v.Ready() {
 		return
 	}
-	listed := make(map[string]map[string]contract.Server)
-	for _, server := range v.Servers() {
-		if !server.Missing.IsZero() {
-			continue
-		}
-		if listed[server.Service] == nil {
-			listed[server.Service] = make(map[string]contract.Server)
-		}
-		listed[server.Service][server.ID] = server.Server
-	}
+	listed := byService(v.Servers())
 	rs.mu.Lock()
 	defer rs.mu.Unlock()
 	for conn, f := range rs.followers {
@@ -60,11 +51,19 @@
 	}
 }
 
-// tellNow queues a message; it reports whether there was room.
-func tellNow(conn *link.Conn, msg link.Message) bool {
-	ctx, cancel := context.WithTimeout(conn.Context(), tellTime)
-	defer cancel()
-	return conn.Send(ctx, msg) == nil
+// byService returns the servers that are listed now, by service and id.
+func byService(servers []view.Listed) map[string]map[string]contract.Server {
+	listed := make(map[string]map[string]contract.Server)
+	for _, server := range servers {
+		if !server.Missing.IsZero() {
+			continue
+		}
+		if listed[server.Service] == nil {
+			listed[server.Service] = make(map[string]contract.Server)
+		}
+		listed[server.Service][server.ID] = server.Server
+	}
+	return listed
 }
 
 // news returns what a follower has not been told yet, and notes that it is.
@@ -83,16 +82,7 @@
 		msgs = append(msgs, &link.Declared{Revision: cfg.Revision, Services: services})
 	}
 	msg := &link.Servers{Reset: f.servers == nil}
-	for id, server := range servers {
-		if old, known := f.servers[id]; !known || !reflect.DeepEqual(old, server) {
-			msg.Present = append(msg.Present, server)
-		}
-	}
-	for id := range f.servers {
-		if _, stays := servers[id]; !stays {
-			msg.Gone = append(msg.Gone, id)
-		}
-	}
+	msg.Present, msg.Gone = contract.Changes(f.servers, servers)
 	if msg.Reset || len(msg.Present)+len(msg.Gone) > 0 {
 		msgs = append(msgs, msg)
 	}
--- a/forward/move.go
+++ b/forward/move.go
@@ -79,7 +79,8 @@
 		limit = time.Duration(moveShare * float64(c.route.PauseGoal))
 	}
 	now := time.Now()
-	want := wanted{service: c.service, model: c.model(), prompt: c.ask.Prompt, answer: c.ask.answer(), exact: c.streaming, not: c.not}
+	want := c.wanted()
+	want.exact = c.streaming
 	ch, ok := c.entry.choose(want, now)
 	if !ok || ch.first > limit || !c.entry.budget.Again(c.service.Name, now) {
 		return
--- a/forward/reports.go
+++ b/forward/reports.go
@@ -15,11 +15,12 @@
 )
 
 const (
-	// tellTime is how long a full link may hold up the telling of a target.
+	// tellTime is how long a full link may hold up the telling of one message.
 	tellTime       = 20 * time.Millisecond
 	reportDialTime = time.Second
-	reportSilence  = 3 * time.Second
-	reportRedial   = 500 * time.Millisecond
+	// reportSilence is how long a box may send nothing before its link is ended, reportRedial the pause before the next one.
+	reportSilence = 3 * time.Second
+	reportRedial  = 500 * time.Millisecond
 )
 
 // roleEntry is how an entry names itself on a link.
@@ -209,11 +210,16 @@
 	}
 }
 
-// tell sends a target; a box whose link is full hears of it from others.
+// tell tells of a target; a box whose link is full hears of it from others.
 func tell(conn *link.Conn, target view.Named) {
+	_ = tellNow(conn, &link.Target{Model: target.Model, Version: int64(target.Version), Ago: time.Since(target.At)})
+}
+
+// tellNow queues a message; it reports whether there was room.
+func tellNow(conn *link.Conn, msg link.Message) bool {
 	ctx, cancel := context.WithTimeout(conn.Context(), tellTime)
 	defer cancel()
-	_ = conn.Send(ctx, &link.Target{Model: target.Model, Version: int64(target.Version), Ago: time.Since(target.At)})
+	return conn.Send(ctx, msg) == nil
 }
 
 // count takes how many entries a box hears; the most that any tells share the budget.
