--- a/forward/call.go
+++ b/forward/call.go
@@ -18,12 +18,6 @@
 	answerMargin = 20 * time.Millisecond
 	// notRunTries is how many more servers than its attempts a request may be offered when each says that it did not run.
 	notRunTries = 1
-	// comeBack is when a caller is told to come back at the earliest, comeBackSpread how much later at most, loadComeBack how
-	// much later where no server takes requests, plainComeBack the time where nothing is predicted.
-	comeBack       = 400 * time.Millisecond
-	comeBackSpread = 900 * time.Millisecond
-	loadComeBack   = 600 * time.Millisecond
-	plainComeBack  = 300 * time.Millisecond
 	// admitShare is the part of a request's goal that may pass before it is read.
 	admitShare = 0.8
 )
--- a/forward/choose.go
+++ b/forward/choose.go
@@ -12,8 +12,8 @@
 	// otherSite and otherRegion are what the bytes to another site or region count as, in time.
 	otherSite   = 5 * time.Millisecond
 	otherRegion = 15 * time.Millisecond
-	// spread keeps entries from all choosing the same server.
-	spread = 10 * time.Millisecond
+	// jitter keeps entries from all choosing the same server.
+	jitter = 10 * time.Millisecond
 	// deniedTime is how long a server that denied what the list says is passed over without newer news.
 	deniedTime = time.Second
 	// plainWork is what a request at a plain service counts as.
@@ -75,9 +75,11 @@
 	if want.service.Engine == nil || want.service.Engine.ReadRate <= 0 {
 		return usable[cheapest(usable)], true
 	}
-	return pick(usable, e.unseen(want.service.Name, now), added(want.service.Engine)), true
+	return pick(usable, e.unseen(want.service.Name, now), addedWait(want.service.Engine)), true
 }
 
+// consider predicts what a request costs at a server; fits is false when it may not take it, until is when it is no longer
+// left alone after failures.
 func (e *Entry) consider(up *upstream, want wanted, now time.Time) (c choice, until time.Time, fits bool) {
 	up.mu.Lock()
 	defer up.mu.Unlock()
@@ -86,27 +88,35 @@
 		return choice{}, time.Time{}, false
 	}
 	c = choice{up: up, server: server}
-	if want.service.Engine != nil {
-		c.version = up.version(want.model, now)
-		if c.version == 0 || want.exact != 0 && c.version != want.exact || up.closing(now) {
-			return choice{}, time.Time{}, false
-		}
-		c.load = up.load(want.service.Engine, now)
-		c.first = engine.First(want.service.Engine, c.load, want.prompt) + up.faded(now) + stuckFactor*up.stuck(now)
-		if e.overdue(up, want.model, c, now) {
-			return choice{}, time.Time{}, false
-		}
-		c.cost = up.overrun(c.first+engine.Write(want.service.Engine, c.load, want.answer), now)
-	} else {
+	if want.service.Engine == nil {
 		c.first = plainWork*time.Duration(1+up.inFlight/max(server.Slots, 1)) + time.Duration(up.inFlight)*time.Millisecond
+	} else if !e.predict(&c, want, now) {
+		return choice{}, time.Time{}, false
 	}
-	c.cost += c.first + up.silence(now) + e.way(server.Site) + rand.N(spread)
+	c.cost += c.first + up.silence(now) + e.siteCost(server.Site) + rand.N(jitter)
 	if up.missing {
 		c.cost += missingTime
 	}
 	return c, up.until, true
 }
 
+// predict fills in a choice of an engine's server; it reports whether the server may take the request. The server's mutex
+// is held.
+func (e *Entry) predict(c *choice, want wanted, now time.Time) bool {
+	up := c.up
+	c.version = up.version(want.model, now)
+	if c.version == 0 || want.exact != 0 && c.version != want.exact || up.closing(now) {
+		return false
+	}
+	c.load = up.load(want.service.Engine, now)
+	c.first = engine.First(want.service.Engine, c.load, want.prompt) + up.faded(now) + stuckFactor*up.stuck(now)
+	if e.overdue(up, want.model, *c, now) {
+		return false
+	}
+	c.cost = up.overrun(c.first+engine.Write(want.service.Engine, c.load, want.answer), now)
+	return true
+}
+
 // overdue reports whether a request might begin at a server after the bound on its version: not only the wait that is
 // predicted counts, it may also be held up on the way.
 func (e *Entry) overdue(up *upstream, model string, c choice, now time.Time) bool {
@@ -121,8 +131,8 @@
 	return now.Add(margin + dueFactor*c.first + up.silence(now)).After(due)
 }
 
-// way returns what the way to a site counts as.
-func (e *Entry) way(site string) time.Duration {
+// siteCost returns what the way to a site counts as.
+func (e *Entry) siteCost(site string) time.Duration {
 	switch here := e.cfg.Machine.Site; {
 	case site == here:
 		return 0
--- a/forward/entry.go
+++ b/forward/entry.go
@@ -3,17 +3,13 @@
 import (
 	"context"
 	"errors"
-	"math/rand/v2"
 	"net"
 	"net/http"
-	"slices"
 	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
 
-	"github.com/coralstair/coralstair/contract"
-	"github.com/coralstair/coralstair/engine"
 	"github.com/coralstair/coralstair/machine"
 	"github.com/coralstair/coralstair/supervise"
 	"github.com/coralstair/coralstair/view"
@@ -28,8 +24,6 @@
 	// lameTime is how long a leaving entry still takes requests: the balancer asks once a second and believes the
 	// second miss.
 	lameTime = 2500 * time.Millisecond
-	// enoughShare is the part of a service's servers, one in so many, that has to be back before callers are.
-	enoughShare = 4
 	// graceMargin is kept from the time that a planned stop may take.
 	graceMargin = 500 * time.Millisecond
 )
@@ -139,51 +133,3 @@
 		}
 	}
 }
-
-// soonest returns the least wait that is predicted at the servers of a service; ok is false when none takes requests.
-func (e *Entry) soonest(service *contract.Service, now time.Time) (wait time.Duration, ok bool) {
-	for _, up := range e.upstreams.of(service.Name) {
-		up.mu.Lock()
-		if up.version("", now) != 0 && !up.server.Leaving && !up.closing(now) {
-			first := engine.First(service.Engine, up.load(service.Engine, now), service.Engine.UsualPrompt)
-			if !ok || first < wait {
-				wait, ok = first, true
-			}
-		}
-		up.mu.Unlock()
-	}
-	return wait, ok
-}
-
-// comeBack says when a request is likely to be served in time: when what waits at the best server has been read, or when
-// the servers that load now are back. Callers are spread over some time more, since they would all meet again.
-func (e *Entry) comeBack(service *contract.Service, route *contract.Route, now time.Time) time.Duration {
-	if service.Engine == nil {
-		return plainComeBack
-	}
-	after, known := e.readyIn(service.Name, now)
-	if wait, ok := e.soonest(service, now); ok {
-		after = max(wait-route.Goal, 0)
-	} else if !known {
-		after = loadComeBack
-	}
-	return after + comeBack + rand.N(comeBackSpread)
-}
-
-// readyIn returns how soon enough servers of a service are likely to run what they should, by what their boxes report; known
-// is false when none tells.
-func (e *Entry) readyIn(service string, now time.Time) (in time.Duration, known bool) {
-	var times []time.Duration
-	for _, up := range e.upstreams.of(service) {
-		up.mu.Lock()
-		if age := now.Sub(up.reportAt); age < reportLife && up.report.Ready > 0 {
-			times = append(times, max(up.report.Ready-age, 0))
-		}
-		up.mu.Unlock()
-	}
-	if len(times) == 0 {
-		return 0, false
-	}
-	slices.Sort(times)
-	return times[len(times)/enoughShare], true
-}
--- a/forward/spread.go
+++ b/forward/pick.go
@@ -57,8 +57,8 @@
 	return 1 + others*e.rate.of(service, now)*reportLag.Seconds()
 }
 
-// added returns what one more request adds to the wait at an engine.
-func added(e *contract.Engine) time.Duration {
+// addedWait returns what one more request adds to the wait at an engine.
+func addedWait(e *contract.Engine) time.Duration {
 	return engine.Read(e, e.UsualPrompt, 1) + engine.Step(e, usualWriting)
 }
 
