--- a/fill/giver_test.go
+++ b/fill/giver_test.go
@@ -27,3 +27,22 @@
 		}
 	})
 }
+
+func TestGiverServesThoseThatLoadFirst(t *testing.T) {
+	near := func(turn uint64) ask { return ask{piece: int(turn), turn: turn} }
+	for name, test := range map[string]struct {
+		queue []ask
+		want  int
+	}{
+		"the earliest turn":         {[]ask{near(7), near(2), near(5)}, 2},
+		"another site before turns": {[]ask{near(2), {piece: 9, turn: 9, far: true}, near(1)}, 9},
+		"of one box the first":      {[]ask{{piece: 4, turn: 3}, {piece: 6, turn: 3}}, 4},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := &giver{queue: test.queue}
+			if next, ok := g.take(); !ok || next.piece != test.want {
+				t.Errorf("gives piece %d, want %d", next.piece, test.want)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/forward/enginefixture_test.go
@@ -0,0 +1,64 @@
+package forward
+
+import (
+	"net"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/coralstair/coralstair/contract"
+	"github.com/coralstair/coralstair/link"
+	"github.com/coralstair/coralstair/view"
+)
+
+const engineModel = "m"
+
+// newEngineWorld returns an entry before model servers that run version 1.
+func newEngineWorld(t *testing.T, addresses ...string) *world {
+	t.Helper()
+	service := contract.Service{Name: "s", MaxConns: 100, Engine: &contract.Engine{
+		Slots: 8, Stride: 1, Chunk: 1000, Step: time.Millisecond, ReadRate: 1e5, UsualPrompt: 100, UsualAnswer: 50,
+		Models: []contract.Model{{Name: engineModel}},
+	}}
+	routes := []contract.Route{
+		{
+			Name: "stream", Host: "h", Prefix: "/stream/", Kind: contract.KindStream, TimeLimit: 3 * time.Second, Attempts: 2,
+			Goal: 500 * time.Millisecond, PauseGoal: 400 * time.Millisecond, Resumable: true,
+		},
+		{
+			Name: "stream once", Host: "h", Prefix: "/stream/once/", Kind: contract.KindStream, TimeLimit: 3 * time.Second, Attempts: 2,
+			Goal: 500 * time.Millisecond,
+		},
+	}
+	for i := range routes {
+		routes[i].Split = []contract.Share{{Service: "s", Weight: 1}}
+	}
+	source := fixedSource{declared: view.Declared{Config: contract.NewConfig(1, contract.Limits{}, routes, []contract.Service{service}, nil)}}
+	for i, address := range addresses {
+		source.servers.Present = append(source.servers.Present, contract.Server{
+			ID: serverName(i), Service: "s", Address: address, Slots: 8, Loaded: map[string]contract.Version{engineModel: 1},
+		})
+	}
+	w := newWorldOf(t, source)
+	for i := range addresses {
+		w.report(i, false)
+	}
+	return w
+}
+
+// serverName is the id of a test's server.
+func serverName(i int) string { return "server" + strconv.Itoa(i) }
+
+// report has the box of a server say whether it closes.
+func (w *world) report(i int, closing bool) {
+	w.entry.upstreams.heard(link.Report{Server: serverName(i), Model: engineModel, Version: 1, Closing: closing}, time.Now())
+}
+
+// pausing streams as much as it says, and the rest after a pause.
+func pausing(seal string, first, to int, pause time.Duration) answering {
+	return streaming(seal, first, func(conn net.Conn) {
+		time.Sleep(pause)
+		events(conn, first+1, to)
+		finish(conn)
+	})
+}
--- /dev/null
+++ b/forward/pick_test.go
@@ -0,0 +1,43 @@
+package forward
+
+import (
+	"testing"
+	"time"
+
+	"github.com/coralstair/coralstair/contract"
+)
+
+func TestPick(t *testing.T) {
+	const adds = 50 * time.Millisecond
+	offers := func(costs ...time.Duration) []choice {
+		var of []choice
+		for i, cost := range costs {
+			of = append(of, choice{server: contract.Server{ID: serverName(i)}, cost: cost * time.Millisecond})
+		}
+		return of
+	}
+	for name, test := range map[string]struct {
+		offers []choice
+		unseen float64
+		// least and most are the shares of 1,000 requests that the first server may get.
+		least, most int
+	}{
+		"alone, the best":                          {offers(100, 101, 300), 1, 990, 1000},
+		"alike, evenly":                            {offers(100, 100, 100, 100), 8, 200, 300},
+		"one that is idle gets what fills it":      {offers(0, 200, 200, 200), 4, 990, 1000},
+		"and the others what is more than that":    {offers(0, 100, 100, 100), 10, 350, 450},
+		"one that is far more costly gets nothing": {offers(900, 100, 100), 4, 0, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			taken := 0
+			for range 1000 {
+				if pick(test.offers, test.unseen, adds).server.ID == serverName(0) {
+					taken++
+				}
+			}
+			if taken < test.least || taken > test.most {
+				t.Errorf("taken %d times of 1000, want %d to %d", taken, test.least, test.most)
+			}
+		})
+	}
+}
