--- a/forward/upstream.go
+++ b/forward/upstream.go
@@ -95,6 +95,7 @@
 	t.begunLocked()
 }
 
+// begunLocked is begun with the server's mutex held.
 func (t *ticket) begunLocked() {
 	if t.first {
 		return
@@ -139,7 +140,7 @@
 	u.denied = time.Time{}
 }
 
-// load returns what is believed to be at the server now.
+// load returns what is believed to be at the server now; mu is held.
 func (u *upstream) load(e *contract.Engine, now time.Time) engine.Load {
 	load := engine.Load{Writing: u.inFlight - u.reading, Reading: u.reading, Unread: u.unread}
 	if now.Sub(u.reportAt) < reportLife {
@@ -151,7 +152,7 @@
 	return load
 }
 
-// version returns the version of a model that the server is believed to run.
+// version returns the version of a model that the server is believed to run; mu is held.
 func (u *upstream) version(model string, now time.Time) contract.Version {
 	if now.Sub(u.reportAt) < reportLife && u.report.Server == u.server.ID && (model == "" || u.report.Model == model) {
 		return contract.Version(u.report.Version)
@@ -159,17 +160,17 @@
 	return u.server.Runs(model)
 }
 
-// closing reports whether the server's box has said that it takes nothing new.
+// closing reports whether the server's box has said that it takes nothing new; mu is held.
 func (u *upstream) closing(now time.Time) bool {
 	return u.report.Closing && now.Sub(u.reportAt) < reportLife
 }
 
-// filled reports whether the server's box holds all pieces of the version that should run.
+// filled reports whether the server's box holds all pieces of the version that should run; mu is held.
 func (u *upstream) filled(now time.Time) bool {
 	return u.report.Filled && now.Sub(u.reportAt) < reportLife
 }
 
-// silence returns what a server counts as more whose reports are late: its link may be jammed.
+// silence returns what a server counts as more whose reports are late: its link may be jammed. mu is held.
 func (u *upstream) silence(now time.Time) time.Duration {
 	if u.reportAt.IsZero() {
 		return 0
@@ -202,7 +203,7 @@
 }
 
 // overrun returns by how much a request that takes so long would outlast the time until the server takes nothing new:
-// what still runs then keeps the server from loading.
+// what still runs then keeps the server from loading. mu is held.
 func (u *upstream) overrun(takes time.Duration, now time.Time) time.Duration {
 	if u.report.Closes == 0 || now.Sub(u.reportAt) > reportLife {
 		return 0
@@ -247,6 +248,7 @@
 	u.denied = now
 }
 
+// succeeded notes a request that went well: failures before it no longer count.
 func (u *upstream) succeeded() {
 	u.mu.Lock()
 	defer u.mu.Unlock()
--- a/internal/daemoncmd/daemon.go
+++ b/internal/daemoncmd/daemon.go
@@ -10,6 +10,7 @@
 	"github.com/apex/log"
 
 	"github.com/coralstair/coralstair/fill"
+	"github.com/coralstair/coralstair/machine"
 	"github.com/coralstair/coralstair/platform"
 	"github.com/coralstair/coralstair/supervise"
 	"github.com/coralstair/coralstair/view"
@@ -33,14 +34,7 @@
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	defer signal.Stop(signals)
-	opts := view.Options{Log: logger, VersionBound: m.Bounds.Version}
-	source := view.Source(platform.NewStore(m.StoreAt, newClient()))
-	var told *fill.Told
-	if of.told {
-		told = fill.NewTold(source)
-		source, opts.Reread, opts.Settle, opts.ServersSettle = told, true, toldSettle, toldSettle
-	}
-	v := view.New(source, opts)
+	v, told := newView(of, m, logger)
 	d, err := of.build(m, v, told, logger)
 	if err != nil {
 		return err
@@ -61,3 +55,15 @@
 	logger.WithFields(log.Fields{"role": of.name, "id": m.ID, "ran_ms": time.Since(started).Milliseconds()}).Info("daemon: stopped")
 	return err
 }
+
+// newView returns what a daemon believes, by the store; where entries tell what that holds, also the source that they tell.
+func newView(of role, m machine.Machine, logger log.Interface) (*view.View, *fill.Told) {
+	opts := view.Options{Log: logger, VersionBound: m.Bounds.Version}
+	store := platform.NewStore(m.StoreAt, newClient())
+	if !of.told {
+		return view.New(store, opts), nil
+	}
+	told := fill.NewTold(store)
+	opts.Reread, opts.Settle, opts.ServersSettle = true, toldSettle, toldSettle
+	return view.New(told, opts), told
+}
--- a/swarm/choose.go
+++ b/swarm/choose.go
@@ -10,11 +10,14 @@
 
 // candidate is a missing chunk that could be asked for now.
 type candidate struct {
-	chunk   int
-	load    int
-	copies  int
-	planned bool
-	tie     uint64
+	chunk int
+	// last says that it comes after those that are not: chunks of a node that are planned to be drawn, pieces of a feed
+	// that a box of the own site holds.
+	last bool
+	// load is what the least loaded holder has to give before; a node does not tell it.
+	load   int
+	copies int
+	tie    uint64
 }
 
 // nextAsks chooses chunks to ask of other boxes: the rarest first, those planned to be drawn last.
@@ -119,29 +122,23 @@
 		rank := n.ranks[group]
 		found = append(found, candidate{
 			chunk: chunk, copies: copies,
-			planned: rank >= 0 && n.planned(rank) && !now.Before(n.closed[group]),
-			tie:     score(n.params.Self.ID, uint64(chunk), ""),
+			last: rank >= 0 && n.planned(rank) && !now.Before(n.closed[group]),
+			tie:  score(n.params.Self.ID, uint64(chunk), ""),
 		})
 	}
 	slices.SortFunc(found, compareCandidates)
 	return found
 }
 
-// compareCandidates puts planned ones last, and of the others and of these the rarest first.
+// compareCandidates puts the last ones last, and of the others and of these the least loaded and then the rarest first.
 func compareCandidates(a, b candidate) int {
-	if a.planned != b.planned {
-		if a.planned {
+	if a.last != b.last {
+		if a.last {
 			return 1
 		}
 		return -1
 	}
-	if a.load != b.load {
-		return cmp.Compare(a.load, b.load)
-	}
-	if a.copies != b.copies {
-		return cmp.Compare(a.copies, b.copies)
-	}
-	return cmp.Compare(a.tie, b.tie)
+	return cmp.Or(cmp.Compare(a.load, b.load), cmp.Compare(a.copies, b.copies), cmp.Compare(a.tie, b.tie))
 }
 
 // holder returns the box to ask for a chunk: one of the own site first; another site only when it is this
--- a/swarm/feedask.go
+++ b/swarm/feedask.go
@@ -126,7 +126,7 @@
 		}
 		if copies > 0 && (near || f.mayCross(piece, now)) {
 			found = append(found, candidate{
-				chunk: piece, load: load, copies: copies, planned: near, tie: score(f.self.ID, uint64(piece), ""),
+				chunk: piece, load: load, copies: copies, last: near, tie: score(f.self.ID, uint64(piece), ""),
 			})
 		}
 	}
--- a/view/view.go
+++ b/view/view.go
@@ -19,11 +19,11 @@
 	Wait time.Duration
 	// Retry is the least pause after a call that failed.
 	Retry time.Duration
-	// Settle is the pause after a change of what is declared, ServersSettle that after a change of the list of servers:
-	// changes in quick succession share a call.
+	// Settle is the longest pause after a change of what is declared, shorter when the answer was small; ServersSettle is that
+	// after a change of the list of servers: changes in quick succession share a call.
 	Settle        time.Duration
 	ServersSettle time.Duration
-	// Reread has the whole read after a change, instead of every change since.
+	// Reread has the whole of what is declared read after a change, instead of every change since.
 	Reread bool
 	// VersionBound is how soon after a version is named nothing begins on an older one.
 	VersionBound time.Duration
