--- a/soak/fault.go
+++ b/soak/fault.go
@@ -22,7 +22,7 @@
 	undo    func()
 }
 
-// span is when a fault was on; entry is the one whose planned stop it was, else -1.
+// span is when a fault was on.
 type span struct {
 	name     string
 	planned  bool
@@ -53,13 +53,13 @@
 	kinds := r.kinds(turns)
 	var plan []fault
 	for at := time.Duration(0); at < r.opts.Trouble; at += time.Duration(200+turns.IntN(500)) * time.Millisecond {
-		make := kinds[turns.IntN(len(kinds))]
+		draw := kinds[turns.IntN(len(kinds))]
 		series := 1
 		if turns.IntN(5) == 0 {
 			series = 2 + turns.IntN(2)
 		}
 		for n := range series {
-			f := make()
+			f := draw()
 			f.at = at + time.Duration(n)*700*time.Millisecond
 			f.lasts = time.Duration(200+turns.IntN(1800)) * time.Millisecond
 			plan = append(plan, f)
@@ -68,56 +68,55 @@
 	return plan
 }
 
-// kinds returns what can go wrong; each call of one draws what it strikes.
+// kinds returns what can go wrong; each call of one draws what it strikes, by numbers below another.
 func (r *rig) kinds(turns *rand.Rand) []func() fault {
-	any := func(n int) int { return turns.IntN(n) }
-	return append(r.processFaults(any), append(r.wayFaults(any), r.platformFaults(any)...)...)
+	return append(r.processFaults(turns.IntN), append(r.wayFaults(turns.IntN), r.platformFaults(turns.IntN)...)...)
 }
 
 // processFaults are those of daemons.
-func (r *rig) processFaults(any func(int) int) []func() fault {
+func (r *rig) processFaults(below func(int) int) []func() fault {
 	all := r.daemons()
 	restart := func(p *process) func() { return func() { _ = p.start() } }
 	return []func() fault{
 		func() fault {
-			p := all[any(len(all))]
+			p := all[below(len(all))]
 			return fault{name: "kill " + p.name, do: p.kill, undo: restart(p)}
 		},
 		func() fault {
-			p := all[any(len(all))]
+			p := all[below(len(all))]
 			return fault{
 				name: "pause " + p.name, do: func() { p.signal(syscall.SIGSTOP, false) }, undo: func() { p.signal(syscall.SIGCONT, false) },
 			}
 		},
 		func() fault {
-			p := all[any(len(all))]
+			p := all[below(len(all))]
 			return fault{name: "stop " + p.name, planned: true, do: func() { p.stop(bounds.Grace) }, undo: restart(p)}
 		},
 		func() fault {
-			p := r.entries[any(len(r.entries))]
+			p := r.entries[below(len(r.entries))]
 			return fault{name: "stop " + p.name, planned: true, do: func() { p.stop(bounds.Grace) }, undo: restart(p)}
 		},
 		func() fault {
-			p := all[any(len(all))]
+			p := all[below(len(all))]
 			return fault{name: "reload " + p.name, planned: true, do: func() { p.signal(syscall.SIGHUP, false) }, undo: func() {}}
 		},
 	}
 }
 
 // wayFaults are those of connections.
-func (r *rig) wayFaults(any func(int) int) []func() fault {
+func (r *rig) wayFaults(below func(int) int) []func() fault {
 	ways := map[string][]*hop{"store": r.toStore, "server": r.toServer, "box": r.toBox, "origin": {r.toOrigin}}
 	names := []string{"store", "server", "box", "origin"}
 	draw := func() (string, *hop) {
-		name := names[any(len(names))]
-		i := any(len(ways[name]))
+		name := names[below(len(names))]
+		i := below(len(ways[name]))
 		return fmt.Sprintf("%s way %d", name, i+1), ways[name][i]
 	}
 	directions := []string{toServer, toCaller}
 	harm := func(what string, do func(h *hop, direction string)) func() fault {
 		return func() fault {
 			name, h := draw()
-			direction := directions[any(2)]
+			direction := directions[below(2)]
 			return fault{name: what + " " + name + " " + direction, do: func() { do(h, direction) }, undo: h.heal}
 		}
 	}
@@ -130,18 +129,18 @@
 }
 
 // platformFaults are those of the store, the origin and the servers, and what operators do.
-func (r *rig) platformFaults(any func(int) int) []func() fault {
+func (r *rig) platformFaults(below func(int) int) []func() fault {
 	servers := r.servers()
 	harm := func(what string, harm standin.Harm) func() fault {
 		return func() fault {
-			s := servers[any(len(servers))]
+			s := servers[below(len(servers))]
 			return fault{name: what + " " + s.Address, do: func() { s.SetHarm(harm) }, undo: func() { s.SetHarm(standin.Harm{}) }}
 		}
 	}
 	statuses := []int{http.StatusServiceUnavailable, http.StatusTooManyRequests}
 	return []func() fault{
 		func() fault {
-			status := statuses[any(2)]
+			status := statuses[below(2)]
 			return fault{name: fmt.Sprintf("store answers %d", status), do: func() { r.store.Refuse(status) }, undo: func() { r.store.Refuse(0) }}
 		},
 		func() fault { return fault{name: "store forgets", do: r.store.Compact, undo: func() {}} },
@@ -158,16 +157,16 @@
 		harm("hang", standin.Harm{Hang: true}), harm("lose", standin.Harm{Lose: 4}), harm("tear", standin.Harm{Tear: 4}),
 		harm("surplus", standin.Harm{Surplus: 3}), harm("fail", standin.Harm{Fail: 3}), harm("shed", standin.Harm{Shed: 2}),
 		func() fault {
-			s := r.engines[any(len(r.engines))]
-			piece := any(standin.Pieces)
+			s := r.engines[below(len(r.engines))]
+			piece := below(standin.Pieces)
 			return fault{name: "rot " + s.Address, do: func() { s.Rot(piece) }, undo: func() {}}
 		},
 		func() fault {
-			s := servers[any(len(servers))]
+			s := servers[below(len(servers))]
 			return fault{name: "crash " + s.Address, do: s.Crash, undo: func() { r.restart(s, false) }}
 		},
 		func() fault {
-			s := r.engines[any(len(r.engines))]
+			s := r.engines[below(len(r.engines))]
 			return fault{name: "power off " + s.Address, do: s.Crash, undo: func() { r.restart(s, true) }}
 		},
 	}
--- a/soak/process.go
+++ b/soak/process.go
@@ -5,7 +5,6 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -128,6 +127,3 @@
 	defer p.mu.Unlock()
 	return p.life
 }
-
-// isEntry reports whether the process takes callers' requests.
-func (p *process) isEntry() bool { return strings.HasPrefix(p.name, "entry") }
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"path/filepath"
@@ -36,23 +37,14 @@
 )
 
 func (o Options) withDefaults() Options {
-	o.Entries = or(o.Entries, DefaultEntries)
-	o.Boxes = or(o.Boxes, DefaultBoxes)
-	o.Plain = or(o.Plain, DefaultPlain)
-	o.Callers = or(o.Callers, DefaultCallers)
-	if o.Trouble == 0 {
-		o.Trouble = DefaultTrouble
-	}
+	o.Entries = cmp.Or(o.Entries, DefaultEntries)
+	o.Boxes = cmp.Or(o.Boxes, DefaultBoxes)
+	o.Plain = cmp.Or(o.Plain, DefaultPlain)
+	o.Callers = cmp.Or(o.Callers, DefaultCallers)
+	o.Trouble = cmp.Or(o.Trouble, DefaultTrouble)
 	return o
 }
 
-func or(value, fallback int) int {
-	if value == 0 {
-		return fallback
-	}
-	return value
-}
-
 // Result is what a run showed.
 type Result struct {
 	Seed     uint64
