--- a/forward/enginefixture_test.go
+++ b/forward/enginefixture_test.go
@@ -33,7 +33,8 @@
 	for i := range routes {
 		routes[i].Split = []contract.Share{{Service: "s", Weight: 1}}
 	}
-	source := fixedSource{declared: view.Declared{Config: contract.NewConfig(1, contract.Limits{}, routes, []contract.Service{service}, nil)}}
+	cfg := contract.NewConfig(1, contract.Limits{}, routes, []contract.Service{service}, nil)
+	source := fixedSource{declared: view.Declared{Config: cfg}}
 	for i, address := range addresses {
 		source.servers.Present = append(source.servers.Present, contract.Server{
 			ID: serverName(i), Service: "s", Address: address, Slots: 8, Loaded: map[string]contract.Version{engineModel: 1},
--- a/soak/fault.go
+++ b/soak/fault.go
@@ -141,7 +141,10 @@
 	return []func() fault{
 		func() fault {
 			status := statuses[below(2)]
-			return fault{name: fmt.Sprintf("store answers %d", status), do: func() { r.store.Refuse(status) }, undo: func() { r.store.Refuse(0) }}
+			return fault{
+				name: fmt.Sprintf("store answers %d", status),
+				do:   func() { r.store.Refuse(status) }, undo: func() { r.store.Refuse(0) },
+			}
 		},
 		func() fault { return fault{name: "store forgets", do: r.store.Compact, undo: func() {}} },
 		func() fault { return fault{name: "rows lapse", do: r.lapse, undo: r.beatAll} },
--- a/soak/judge.go
+++ b/soak/judge.go
@@ -248,6 +248,7 @@
 // calmProbe checks that a configuration is in force in time.
 func (j *judge) calmProbe(o outcome) {
 	if o.revision == j.calm.config.revision && o.sent.After(j.calm.config.acked.Add(bounds.Apply)) && o.answer.Denied() {
-		j.breaks("configuration: entry %d does not know revision %d %s after its ack", o.entry+1, o.revision, o.sent.Sub(j.calm.config.acked))
+		j.breaks("configuration: entry %d does not know revision %d %s after its ack",
+			o.entry+1, o.revision, o.sent.Sub(j.calm.config.acked))
 	}
 }
--- a/soak/rig.go
+++ b/soak/rig.go
@@ -37,6 +37,8 @@
 	boxLinkPort = 7701
 	serverPort  = 9001
 	hopPort     = 9000
+	storePort   = 8000
+	originPort  = 8006
 )
 
 // bounds are those of the rules, short enough for a run of some seconds.
@@ -70,20 +72,12 @@
 	declared []declaration
 }
 
-// declaration is a configuration or a version, and when the store took it.
-type declaration struct {
-	revision int64
-	version  int64
-	sent     time.Time
-	acked    time.Time
-}
-
 func newRig(opts Options) (*rig, error) {
 	r := &rig{opts: opts, store: standin.NewStore(), origin: &standin.Origin{}, runs: &standin.Runs{}}
 	err := errors.Join(
-		r.serve(r.ip(9, 1)+":8000", r.store),
-		r.serve(r.ip(9, 2)+":8006", r.origin),
-		r.hop(&r.toOrigin, "origin", r.ip(9, 3)+":8006", r.ip(9, 2)+":8006"),
+		r.serve(hostPort(r.ip(9, 1), storePort), r.store),
+		r.serve(hostPort(r.ip(9, 2), originPort), r.origin),
+		r.hop(&r.toOrigin, "origin", hostPort(r.ip(9, 3), originPort), hostPort(r.ip(9, 2), originPort)),
 		r.addServers(),
 		r.addDaemons(),
 	)
@@ -101,6 +95,9 @@
 	return fmt.Sprintf("127.%d.%d.%d", 20+int(r.opts.Seed%200), group, n)
 }
 
+// hostPort returns an address with its port.
+func hostPort(ip string, port int) string { return fmt.Sprintf("%s:%d", ip, port) }
+
 // serve runs a stand-in.
 func (r *rig) serve(address string, handler http.Handler) error {
 	listener, err := net.Listen("tcp", address)
@@ -133,7 +130,7 @@
 		}
 		ip := r.ip(group, n)
 		s := &standin.Server{
-			Address: fmt.Sprintf("%s:%d", ip, hopPort), Listen: fmt.Sprintf("%s:%d", ip, serverPort),
+			Address: hostPort(ip, hopPort), Listen: hostPort(ip, serverPort),
 			Service: service, Zone: sites[i%len(sites)], Slots: 16, Store: r.store, Runs: r.runs,
 		}
 		if service == modelService {
@@ -156,7 +153,7 @@
 	for i := range r.opts.Entries {
 		ip := r.ip(1, i+1)
 		errs = append(errs, r.addDaemon("entry", i, standin.Settings{
-			IP: ip, Link: linkPort, Callers: fmt.Sprintf("%s:%d", ip, callersPort), Ready: fmt.Sprintf("%s:%d", ip, readyPort),
+			IP: ip, Link: linkPort, Callers: hostPort(ip, callersPort), Ready: hostPort(ip, readyPort),
 		}, &r.entries))
 	}
 	for i, server := range r.engines {
@@ -165,7 +162,7 @@
 			IP: ip, Link: boxLinkPort, App: server.Address, Service: modelService,
 		}, &r.boxes))
 		var h *hop
-		errs = append(errs, r.hop(&h, "box-"+ip, fmt.Sprintf("%s:%d", ip, linkPort), fmt.Sprintf("%s:%d", ip, boxLinkPort)))
+		errs = append(errs, r.hop(&h, "box-"+ip, hostPort(ip, linkPort), hostPort(ip, boxLinkPort)))
 		r.toBox = append(r.toBox, h)
 	}
 	return errors.Join(errs...)
@@ -173,9 +170,9 @@
 
 func (r *rig) addDaemon(role string, i int, settings standin.Settings, to *[]*process) error {
 	name := fmt.Sprintf("%s-%d", role, i+1)
-	storeAt := fmt.Sprintf("%s:8000", r.ip(4, len(r.toStore)+1))
+	storeAt := hostPort(r.ip(4, len(r.toStore)+1), storePort)
 	var h *hop
-	if err := r.hop(&h, "store-"+name, storeAt, r.ip(9, 1)+":8000"); err != nil {
+	if err := r.hop(&h, "store-"+name, storeAt, hostPort(r.ip(9, 1), storePort)); err != nil {
 		return err
 	}
 	r.toStore = append(r.toStore, h)
@@ -201,81 +198,10 @@
 }
 
 // entryAt returns where callers reach an entry.
-func (r *rig) entryAt(i int) string { return fmt.Sprintf("%s:%d", r.ip(1, i+1), callersPort) }
+func (r *rig) entryAt(i int) string { return hostPort(r.ip(1, i+1), callersPort) }
 
 // readyAt returns where the balancer asks an entry.
-func (r *rig) readyAt(i int) string { return fmt.Sprintf("%s:%d", r.ip(1, i+1), readyPort) }
-
-// revisionPath returns the path of the route that only one revision has.
-func revisionPath(revision int64) string { return fmt.Sprintf("/revision-%d/", revision) }
-
-// declare has the store take the next configuration: with a route of its own, and from the second on without a key.
-func (r *rig) declare() declaration {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.revision++
-	keys := []string{goodKey}
-	if r.revision == 1 {
-		keys = append(keys, oldKey)
-	}
-	route := func(name, path, kind, service string) standin.Route {
-		return standin.Route{
-			Name: name, Host: host, PathPrefix: path, Kind: kind, TimeoutMs: 4000, GoalMs: 500, Priority: 1, Service: service,
-			MaxAttempts: 2,
-		}
-	}
-	stream := route("draft", streamPath, standin.KindStream, modelService)
-	stream.Resumable, stream.GapGoalMs = true, 400
-	own := route("revision", revisionPath(r.revision), standin.KindSafe, plainService)
-	own.Public = true
-	cfg := standin.Config{
-		Version: r.revision,
-		Routes: []standin.Route{
-			stream, route("confirm", oncePath, standin.KindUnsafe, plainService), route("look", safePath, standin.KindSafe, plainService), own,
-		},
-		Services: []standin.Service{
-			{Name: modelService, HealthPath: "/health", MaxConns: 200, Engine: figures()},
-			{Name: plainService, HealthPath: "/health", MaxConns: 100},
-			{Name: originName, MaxConns: 48, Origin: r.ip(9, 3) + ":8006", LinkMbps: 50},
-		},
-		Tenants: []standin.Tenant{{Name: team, APIKeys: keys}},
-		Limits:  standin.Limits{MaxHeaderBytes: 16384, MaxBodyBytes: 1 << 20, HeaderTimeoutMs: 3000, IdleTimeoutMs: 15000},
-	}
-	d := declaration{revision: r.revision, sent: time.Now()}
-	r.store.Put(standin.TableDeclared, standin.KeyConfig, cfg)
-	d.acked = time.Now()
-	r.declared = append(r.declared, d)
-	return d
-}
-
-func figures() *standin.Figure {
-	return &standin.Figure{
-		Slots: 16, Stride: 1, Chunk: 2048, StepMs: 3, ReadPerS: 50000, Chunks: standin.Pieces, ChunkBytes: standin.PieceBytes,
-		Models: []standin.FigureModel{{Name: model, WarmS: 0.15}}, Usual: standin.Usual{Prompt: 200, Answer: 50},
-	}
-}
-
-// nameVersion has the store take the next version; the first is the one that servers start with and is not named.
-func (r *rig) nameVersion() declaration {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.version++
-	r.origin.Name(r.version)
-	d := declaration{version: r.version, sent: time.Now()}
-	if r.version > 1 {
-		r.store.Put(standin.TableDeclared, standin.KeyVersion+model, standin.Target{Model: model, Version: r.version})
-	}
-	d.acked = time.Now()
-	r.declared = append(r.declared, d)
-	return d
-}
-
-// current returns the newest revision and version.
-func (r *rig) current() (revision, version int64) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.revision, r.version
-}
+func (r *rig) readyAt(i int) string { return hostPort(r.ip(1, i+1), readyPort) }
 
 // close ends all that the rig started.
 func (r *rig) close() {
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -150,7 +150,8 @@
 	}
 	slices.SortFunc(j.spans, func(a, b span) int { return a.from.Compare(b.from) })
 	for _, s := range j.spans {
-		result.Faults = append(result.Faults, fmt.Sprintf("%s  %s for %s", s.from.Format("15:04:05.000"), s.name, s.to.Sub(s.from).Round(time.Millisecond)))
+		result.Faults = append(result.Faults, fmt.Sprintf("%s  %s for %s",
+			s.from.Format("15:04:05.000"), s.name, s.to.Sub(s.from).Round(time.Millisecond)))
 	}
 	result.Broken = j.judge()
 	return result
