Comments on the fields of feeds, their peers and a box's links

A newcomer could not tell rest from slow, news from began, nor which links out and in are. The loader takes the current filling by the function there is.

--- a/fill/links.go
+++ b/fill/links.go
@@ -14,15 +14,19 @@
 )
 
 const (
-	dialTime   = time.Second
-	dialPause  = 500 * time.Millisecond
-	askTime    = 100 * time.Millisecond
+	// dialTime bounds the opening of a link, dialPause is the pause after one that failed or ended.
+	dialTime  = time.Second
+	dialPause = 500 * time.Millisecond
+	// askTime is how long a full link may hold up a message before it is ended.
+	askTime = 100 * time.Millisecond
+	// keepIdle and keepProbes find a box that is cut off.
 	keepIdle   = time.Second
 	keepProbes = 2
 	linkBuffer = 2 << 10
 	// restTime is how long after its last use a link to another box stays.
 	restTime = 6 * time.Second
 
+	// roleBox and roleEntry are how daemons name themselves on a link.
 	roleBox   = "box"
 	roleEntry = "entry"
 )
@@ -33,10 +37,13 @@
 	box    *Box
 	client *http.Client
 
-	mu      sync.Mutex
+	mu sync.Mutex
+	// out are the links this box opened, dialing those it is opening, by the other box's id; after is when one may be opened
+	// again.
 	out     map[string]*outLink
 	dialing map[string]bool
 	after   map[string]time.Time
+	// in are the links it took; hearing counts the entries among them.
 	in      map[*inLink]bool
 	hearing int
 	// teller is the entry that tells what the store holds; nil while none does.
--- a/fill/loader.go
+++ b/fill/loader.go
@@ -24,10 +24,7 @@
 	defer ticker.Stop()
 	for {
 		b.loadPending(ctx)
-		b.mu.Lock()
-		f := b.fill
-		b.mu.Unlock()
-		if f != nil && b.runs(f.model) < f.version {
+		if f := b.current(); f != nil && b.runs(f.model) < f.version {
 			b.stageMemory(f)
 			b.load(ctx, f)
 		}
--- a/swarm/feed.go
+++ b/swarm/feed.go
@@ -7,13 +7,15 @@
 // also those elsewhere, and later ranks stand in when nothing comes. Draws follow a schedule by the origin's link, and
 // what is asked for at a time follows what the own link carries. It is not safe for concurrent use.
 type Feed struct {
-	params  FeedParams
-	self    Member
-	order   *Order
+	params FeedParams
+	self   Member
+	order  *Order
+	// places are this box's places for each group, among all boxes and among those of its site.
 	places  [][2]int
 	have    []bool
 	missing int
 	peers   map[string]*feedPeer
+	// asks are the pieces asked of other boxes, drawing those that are drawn.
 	asks    map[int]feedAsk
 	drawing map[int]bool
 	// retries are when pieces are drawn again that the origin could not be asked for.
@@ -24,13 +26,16 @@
 	// came counts the pieces that came, the first of them at firstCame.
 	came      int
 	firstCame time.Time
-	room      int
-	stalls    int
-	way       time.Duration
-	shrunk    time.Time
-	began     time.Time
-	news      time.Time
-	salt      uint64
+	// room is how many pieces may be asked for and drawn at a time now, shrunk when it last became less.
+	room   int
+	shrunk time.Time
+	// stalls counts how often in a row asks were given up while nothing came at all; news is when the last piece came.
+	stalls int
+	news   time.Time
+	// way is how long a piece usually takes from its ask.
+	way   time.Duration
+	began time.Time
+	salt  uint64
 }
 
 // NewFeed returns a feed of a box that already holds the pieces in have.
--- a/swarm/feedask.go
+++ b/swarm/feedask.go
@@ -6,6 +6,7 @@
 	"time"
 )
 
+// feedAsk is a piece asked of a box.
 type feedAsk struct {
 	peer  string
 	since time.Time
--- a/swarm/feedpeer.go
+++ b/swarm/feedpeer.go
@@ -2,14 +2,18 @@
 
 import "time"
 
+// feedPeer is a linked box.
 type feedPeer struct {
 	member Member
 	have   []bool
-	asked  int
-	queue  int
-	came   time.Time
-	rest   time.Time
-	slow   time.Time
+	// asked is how many pieces are asked of it, queue how many it said it has to give.
+	asked int
+	queue int
+	// came is when a piece last came from it.
+	came time.Time
+	// rest is until when it is not asked, slow until when only for what no other holds.
+	rest time.Time
+	slow time.Time
 }
 
 // Peer tells that a link to a box is up.
