Entries: what an attempt says of its server is a function of the upstream

note wrote the request's line and judged the server in one switch with an early break; the judgement is now upstream.after, one result a case.

--- a/forward/call.go
+++ b/forward/call.go
@@ -197,35 +197,11 @@
 
 // note keeps what became of an attempt for the request's line in the log, and what it says of the server.
 func (c *call) note(ch choice, result step, err error) {
-	now := time.Now()
-	reason, pause := "done", time.Duration(0)
 	if c.r.Context().Err() != nil {
 		// The caller has gone; that says nothing of the server.
 		return
 	}
-	switch result {
-	case stepNotRun:
-		reason = "not-run"
-	case stepLost:
-		reason = "lost"
-		if errors.As(err, new(*MovedError)) {
-			reason = "moved"
-			break
-		}
-		if errors.As(err, new(*SilentError)) {
-			pause = ch.up.silent(now)
-		} else {
-			pause = ch.up.failed(now)
-		}
-	case stepFailed:
-		reason = "failed"
-	case stepDone:
-		if err != nil {
-			pause = ch.up.failed(now)
-		} else {
-			ch.up.succeeded()
-		}
-	}
+	reason, pause := ch.up.after(result, err, time.Now())
 	if err != nil {
 		reason += ": " + err.Error()
 	}
@@ -236,6 +212,28 @@
 	}
 }
 
+// after notes what became of an attempt at the server; it returns that in a word, and for how long the server is now left
+// alone.
+func (u *upstream) after(result step, err error, now time.Time) (reason string, pause time.Duration) {
+	switch {
+	case result == stepNotRun:
+		return "not-run", 0
+	case result == stepFailed:
+		return "failed", 0
+	case result == stepDone && err != nil:
+		return "done", u.failed(now)
+	case result == stepDone:
+		u.succeeded()
+		return "done", 0
+	case errors.As(err, new(*MovedError)):
+		return "moved", 0
+	case errors.As(err, new(*SilentError)):
+		return "lost", u.silent(now)
+	default:
+		return "lost", u.failed(now)
+	}
+}
+
 // refuse answers with a problem of the entry's own.
 func (c *call) refuse(status int, slug, detail string, after time.Duration, cause error) {
 	c.entry.refuse(c.w, c.ask.ID, status, slug, detail, after)
