--- a/fill/piece.go
+++ b/fill/piece.go
@@ -35,9 +35,13 @@
 		piecesDrawn.Inc()
 		return
 	}
-	if f.ctx.Err() != nil {
-		return
+	if f.ctx.Err() == nil {
+		b.drawFailed(f, piece, err)
 	}
+}
+
+// drawFailed notes why a piece was not drawn: the feed draws it again, in its schedule when the origin was not reached.
+func (b *Box) drawFailed(f *filling, piece int, err error) {
 	b.log.WithField("piece", piece).WithField("cause", err.Error()).Warn("fill: a piece was not drawn")
 	if unreached(err) {
 		b.mu.Lock()
--- a/soak/declare.go
+++ b/soak/declare.go
@@ -23,6 +23,16 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.revision++
+	cfg := r.configuration()
+	d := declaration{revision: r.revision, sent: time.Now()}
+	r.store.Put(standin.TableDeclared, standin.KeyConfig, cfg)
+	d.acked = time.Now()
+	r.declared = append(r.declared, d)
+	return d
+}
+
+// configuration returns the configuration of the newest revision; mu is held.
+func (r *rig) configuration() standin.Config {
 	keys := []string{goodKey}
 	if r.revision == 1 {
 		keys = append(keys, oldKey)
@@ -37,7 +47,7 @@
 	stream.Resumable, stream.GapGoalMs = true, 400
 	own := route("revision", revisionPath(r.revision), standin.KindSafe, plainService)
 	own.Public = true
-	cfg := standin.Config{
+	return standin.Config{
 		Version: r.revision,
 		Routes: []standin.Route{
 			stream, route("confirm", oncePath, standin.KindUnsafe, plainService), route("look", safePath, standin.KindSafe, plainService), own,
@@ -50,11 +60,6 @@
 		Tenants: []standin.Tenant{{Name: team, APIKeys: keys}},
 		Limits:  standin.Limits{MaxHeaderBytes: 16384, MaxBodyBytes: 1 << 20, HeaderTimeoutMs: 3000, IdleTimeoutMs: 15000},
 	}
-	d := declaration{revision: r.revision, sent: time.Now()}
-	r.store.Put(standin.TableDeclared, standin.KeyConfig, cfg)
-	d.acked = time.Now()
-	r.declared = append(r.declared, d)
-	return d
 }
 
 func figures() *standin.Figure {
--- a/soak/fault.go
+++ b/soak/fault.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -70,7 +71,9 @@
 
 // kinds returns what can go wrong; each call of one draws what it strikes, by numbers below another.
 func (r *rig) kinds(turns *rand.Rand) []func() fault {
-	return append(r.processFaults(turns.IntN), append(r.wayFaults(turns.IntN), r.platformFaults(turns.IntN)...)...)
+	return slices.Concat(
+		r.processFaults(turns.IntN), r.wayFaults(turns.IntN), r.platformFaults(turns.IntN), r.serverFaults(turns.IntN),
+	)
 }
 
 // processFaults are those of daemons.
@@ -128,15 +131,8 @@
 	}
 }
 
-// platformFaults are those of the store, the origin and the servers, and what operators do.
+// platformFaults are those of the store and the origin, and what operators do.
 func (r *rig) platformFaults(below func(int) int) []func() fault {
-	servers := r.servers()
-	harm := func(what string, harm standin.Harm) func() fault {
-		return func() fault {
-			s := servers[below(len(servers))]
-			return fault{name: what + " " + s.Address, do: func() { s.SetHarm(harm) }, undo: func() { s.SetHarm(standin.Harm{}) }}
-		}
-	}
 	statuses := []int{http.StatusServiceUnavailable, http.StatusTooManyRequests}
 	return []func() fault{
 		func() fault {
@@ -157,6 +153,19 @@
 		func() fault {
 			return fault{name: "version", planned: true, do: func() { r.nameVersion() }, undo: func() {}}
 		},
+	}
+}
+
+// serverFaults are those of the servers.
+func (r *rig) serverFaults(below func(int) int) []func() fault {
+	servers := r.servers()
+	harm := func(what string, harm standin.Harm) func() fault {
+		return func() fault {
+			s := servers[below(len(servers))]
+			return fault{name: what + " " + s.Address, do: func() { s.SetHarm(harm) }, undo: func() { s.SetHarm(standin.Harm{}) }}
+		}
+	}
+	return []func() fault{
 		harm("hang", standin.Harm{Hang: true}), harm("lose", standin.Harm{Lose: 4}), harm("tear", standin.Harm{Tear: 4}),
 		harm("surplus", standin.Harm{Surplus: 3}), harm("fail", standin.Harm{Fail: 3}), harm("shed", standin.Harm{Shed: 2}),
 		func() fault {
--- a/view/take.go
+++ b/view/take.go
@@ -1,7 +1,6 @@
 package view
 
 import (
-	"maps"
 	"time"
 
 	"github.com/apex/log"
@@ -98,20 +97,25 @@
 		v.miss(id, now)
 	}
 	if whole {
-		for id := range maps.Clone(v.servers) {
+		for id := range v.servers {
 			if !present[id] {
 				v.miss(id, now)
 			}
 		}
 	}
+	v.dropMissing(now)
+	v.listed = true
+	v.wake()
+}
+
+// dropMissing forgets the servers that have been missing for too long; mu is held.
+func (v *View) dropMissing(now time.Time) {
 	for id, gap := range v.missing {
 		if now.After(gap.until) {
 			delete(v.missing, id)
 			delete(v.servers, id)
 		}
 	}
-	v.listed = true
-	v.wake()
 }
 
 // noteServer logs a server whose entry is new or tells something new; mu is held.
