--- a/fill/told.go
+++ b/fill/told.go
@@ -181,21 +181,28 @@
 			}
 			continue
 		}
-		timer := time.NewTimer(time.Until(until))
-		select {
-		case <-ctx.Done():
-			timer.Stop()
-			return ctx.Err()
-		case <-changed:
-		case <-timer.C:
+		if err := waitFor(ctx, changed, until); err != nil {
+			return err
 		}
-		timer.Stop()
 		if t.tells() && !time.Now().Before(deadline) {
 			return nil
 		}
 	}
 }
 
+// waitFor waits for a change, until a time at most; it fails when ctx ends.
+func waitFor(ctx context.Context, changed <-chan struct{}, until time.Time) error {
+	timer := time.NewTimer(time.Until(until))
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-changed:
+	case <-timer.C:
+	}
+	return nil
+}
+
 // readAlone reads the store until an entry tells, and notes when.
 func (t *Told) readAlone(ctx context.Context, last *time.Time, read func(context.Context) error) error {
 	ctx, cancel := context.WithCancel(ctx)
--- a/forward/followers.go
+++ b/forward/followers.go
@@ -10,7 +10,6 @@
 
 // follower is a box that this entry tells what it needs of what the store holds.
 type follower struct {
-	conn    *link.Conn
 	service string
 	// services and servers are what it was told last; nil before the first time.
 	services []contract.Service
@@ -24,7 +23,7 @@
 	if service == "" {
 		delete(rs.followers, conn)
 	} else {
-		rs.followers[conn] = &follower{conn: conn, service: service}
+		rs.followers[conn] = &follower{service: service}
 	}
 	rs.mu.Unlock()
 	rs.wake()
