--- a/fill/inlink.go
+++ b/fill/inlink.go
@@ -29,7 +29,7 @@
 
 func newInLink(ls *links, conn *link.Conn, hello *link.Hello) *inLink {
 	return &inLink{
-		links: ls, conn: conn, id: hello.ID, site: hello.Site, entry: hello.Role == roleEntry,
+		links: ls, conn: conn, id: hello.ID, site: hello.Site, entry: hello.Role == link.RoleEntry,
 		reports: make(chan *link.Report, 1),
 	}
 }
--- a/fill/links.go
+++ b/fill/links.go
@@ -25,10 +25,6 @@
 	linkBuffer = 2 << 10
 	// restTime is how long after its last use a link to another box stays.
 	restTime = 6 * time.Second
-
-	// roleBox and roleEntry are how daemons name themselves on a link.
-	roleBox   = "box"
-	roleEntry = "entry"
 )
 
 // links are a box's links: those it opened, on which it asks other boxes, and those it took, on which it gives to boxes
@@ -186,7 +182,7 @@
 		return
 	}
 	defer conn.Close()
-	hello := &link.Hello{ID: ls.box.cfg.Machine.Address, Role: roleBox, Site: ls.box.cfg.Machine.Site}
+	hello := &link.Hello{ID: ls.box.cfg.Machine.Address, Role: link.RoleBox, Site: ls.box.cfg.Machine.Site}
 	if err := conn.Send(dialCtx, hello); err != nil {
 		return
 	}
--- a/forward/reports.go
+++ b/forward/reports.go
@@ -23,9 +23,6 @@
 	reportRedial  = 500 * time.Millisecond
 )
 
-// roleEntry is how an entry names itself on a link.
-const roleEntry = "entry"
-
 // reports keeps a link to the box of each engine, on which the box tells what its engine does.
 type reports struct {
 	entry  *Entry
@@ -149,7 +146,7 @@
 	defer conn.Close()
 	stop := context.AfterFunc(ctx, conn.Close)
 	defer stop()
-	hello := &link.Hello{ID: rs.entry.cfg.Machine.ID, Role: roleEntry, Site: rs.entry.cfg.Machine.Site}
+	hello := &link.Hello{ID: rs.entry.cfg.Machine.ID, Role: link.RoleEntry, Site: rs.entry.cfg.Machine.Site}
 	if err := conn.Send(ctx, hello); err != nil {
 		return
 	}
--- a/link/daemon.go
+++ b/link/daemon.go
@@ -6,6 +6,12 @@
 	"github.com/coralstair/coralstair/fleet"
 )
 
+// The roles of the daemons of package forward and package fill, as their Hello tells them.
+const (
+	RoleEntry = "entry"
+	RoleBox   = "box"
+)
+
 // Hello opens a link and says who speaks.
 type Hello struct {
 	ID          string         `cbor:"1,keyasint"`
--- a/view/follow.go
+++ b/view/follow.go
@@ -62,9 +62,9 @@
 	})
 }
 
+// gone reports whether the store no longer has the history, so that the whole has to be read.
 func gone(err error) bool {
-	var history *HistoryGoneError
-	return errors.As(err, &history)
+	return errors.As(err, new(*HistoryGoneError))
 }
 
 // settleOf returns the pause after an answer that told a change: as long as its bytes take at the rate at which a daemon may
