--- a/forward/call.go
+++ b/forward/call.go
@@ -18,12 +18,6 @@
 	answerMargin = 20 * time.Millisecond
 	// notRunTries is how many more servers than its attempts a request may be offered when each says that it did not run.
 	notRunTries = 1
-	// comeBack is when a caller is told to come back at the earliest, comeBackSpread how much later at most, loadComeBack how
-	// much later where no server takes requests, plainComeBack the time where nothing is predicted.
-	comeBack       = 400 * time.Millisecond
-	comeBackSpread = 900 * time.Millisecond
-	loadComeBack   = 600 * time.Millisecond
-	plainComeBack  = 300 * time.Millisecond
 	// admitShare is the part of a request's goal that may pass before it is read.
 	admitShare = 0.8
 )
@@ -123,9 +117,7 @@
 
 // next chooses the next server.
 func (c *call) next() (choice, error) {
-	now := time.Now()
-	want := wanted{service: c.service, model: c.model(), prompt: c.ask.Prompt, answer: c.ask.answer(), not: c.not}
-	ch, ok := c.entry.choose(want, now)
+	ch, ok := c.entry.choose(c.wanted(), time.Now())
 	if !ok {
 		return choice{}, &NoServerError{Service: c.service.Name, Reason: "none can take it now"}
 	}
@@ -135,6 +127,11 @@
 	return ch, nil
 }
 
+// wanted returns what a server has to be to take the request.
+func (c *call) wanted() wanted {
+	return wanted{service: c.service, model: c.model(), prompt: c.ask.Prompt, answer: c.ask.answer(), not: c.not}
+}
+
 // worthwhile reports whether a request is let in: what waits before it at the best server must leave it in time. Its own
 // length does not count, so that long requests are not refused more often.
 func (c *call) worthwhile(ch choice) bool {
@@ -200,35 +197,11 @@
 
 // note keeps what became of an attempt for the request's line in the log, and what it says of the server.
 func (c *call) note(ch choice, result step, err error) {
-	now := time.Now()
-	reason, pause := "done", time.Duration(0)
 	if c.r.Context().Err() != nil {
 		// The caller has gone; that says nothing of the server.
 		return
 	}
-	switch result {
-	case stepNotRun:
-		reason = "not-run"
-	case stepLost:
-		reason = "lost"
-		if errors.As(err, new(*MovedError)) {
-			reason = "moved"
-			break
-		}
-		if errors.As(err, new(*SilentError)) {
-			pause = ch.up.silent(now)
-		} else {
-			pause = ch.up.failed(now)
-		}
-	case stepFailed:
-		reason = "failed"
-	case stepDone:
-		if err != nil {
-			pause = ch.up.failed(now)
-		} else {
-			ch.up.succeeded()
-		}
-	}
+	reason, pause := ch.up.after(result, err, time.Now())
 	if err != nil {
 		reason += ": " + err.Error()
 	}
@@ -239,6 +212,28 @@
 	}
 }
 
+// after notes what became of an attempt at the server; it returns that in a word, and for how long the server is now left
+// alone.
+func (u *upstream) after(result step, err error, now time.Time) (reason string, pause time.Duration) {
+	switch {
+	case result == stepNotRun:
+		return "not-run", 0
+	case result == stepFailed:
+		return "failed", 0
+	case result == stepDone && err != nil:
+		return "done", u.failed(now)
+	case result == stepDone:
+		u.succeeded()
+		return "done", 0
+	case errors.As(err, new(*MovedError)):
+		return "moved", 0
+	case errors.As(err, new(*SilentError)):
+		return "lost", u.silent(now)
+	default:
+		return "lost", u.failed(now)
+	}
+}
+
 // refuse answers with a problem of the entry's own.
 func (c *call) refuse(status int, slug, detail string, after time.Duration, cause error) {
 	c.entry.refuse(c.w, c.ask.ID, status, slug, detail, after)
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"path/filepath"
@@ -36,23 +37,14 @@
 )
 
 func (o Options) withDefaults() Options {
-	o.Entries = or(o.Entries, DefaultEntries)
-	o.Boxes = or(o.Boxes, DefaultBoxes)
-	o.Plain = or(o.Plain, DefaultPlain)
-	o.Callers = or(o.Callers, DefaultCallers)
-	if o.Trouble == 0 {
-		o.Trouble = DefaultTrouble
-	}
+	o.Entries = cmp.Or(o.Entries, DefaultEntries)
+	o.Boxes = cmp.Or(o.Boxes, DefaultBoxes)
+	o.Plain = cmp.Or(o.Plain, DefaultPlain)
+	o.Callers = cmp.Or(o.Callers, DefaultCallers)
+	o.Trouble = cmp.Or(o.Trouble, DefaultTrouble)
 	return o
 }
 
-func or(value, fallback int) int {
-	if value == 0 {
-		return fallback
-	}
-	return value
-}
-
 // Result is what a run showed.
 type Result struct {
 	Seed     uint64
@@ -158,7 +150,8 @@
 	}
 	slices.SortFunc(j.spans, func(a, b span) int { return a.from.Compare(b.from) })
 	for _, s := range j.spans {
-		result.Faults = append(result.Faults, fmt.Sprintf("%s  %s for %s", s.from.Format("15:04:05.000"), s.name, s.to.Sub(s.from).Round(time.Millisecond)))
+		result.Faults = append(result.Faults, fmt.Sprintf("%s  %s for %s",
+			s.from.Format("15:04:05.000"), s.name, s.to.Sub(s.from).Round(time.Millisecond)))
 	}
 	result.Broken = j.judge()
 	return result
