--- a/soak/fault.go
+++ b/soak/fault.go
@@ -66,7 +66,16 @@
 			plan = append(plan, f)
 		}
 	}
-	return plan
+	return append(plan, r.lostAnswers())
+}
+
+// lostAnswers is a fault of every run: at a plain service, whose requests may not be repeated, answers are lost.
+func (r *rig) lostAnswers() fault {
+	s := r.plain[int(r.opts.Seed)%len(r.plain)]
+	return fault{
+		name: "lose " + s.Address, at: r.opts.Trouble / 2, lasts: r.opts.Trouble / 4,
+		do: func() { s.SetHarm(standin.Harm{Lose: 2}) }, undo: func() { s.SetHarm(standin.Harm{}) },
+	}
 }
 
 // kinds returns what can go wrong; each call of one draws what it strikes, by numbers below another.
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"strings"
+	"sync"
 
 	toxiproxy "github.com/Shopify/toxiproxy/v2"
 	"github.com/sirupsen/logrus"
@@ -14,9 +15,12 @@
 	proxy *toxiproxy.Proxy
 }
 
+// quietProxies keeps the proxies' own log out of the test's.
+var quietProxies = sync.OnceFunc(func() { logrus.SetOutput(io.Discard) })
+
 // newHop opens a way from one address to another.
 func newHop(name, from, to string) (*hop, error) {
-	logrus.SetOutput(io.Discard)
+	quietProxies()
 	proxy := toxiproxy.NewProxy()
 	proxy.Name, proxy.Listen, proxy.Upstream = name, from, to
 	if err := proxy.Start(); err != nil {
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -83,7 +83,7 @@
 	}
 	var on spans
 	on.run(r.plan())
-	c := r.beCalm(ctx)
+	c := r.beCalm(ctx, &on)
 	cancel()
 	wait()
 	j := &judge{
@@ -107,9 +107,9 @@
 	return wg.Wait
 }
 
-// beCalm ends all harm, and once all daemons are in touch has operators change the configuration, name a version and take
-// a server away.
-func (r *rig) beCalm(ctx context.Context) calm {
+// beCalm ends all harm; once all daemons are in touch an entry is stopped as planned and started again, and then operators
+// change the configuration, name a version and take a server away.
+func (r *rig) beCalm(ctx context.Context, on *spans) calm {
 	for _, ways := range [][]*hop{r.toStore, r.toServer, r.toBox, {r.toOrigin}} {
 		for _, h := range ways {
 			h.heal()
@@ -119,7 +119,9 @@
 		_ = p.start()
 	}
 	r.beatAll()
-	tick(ctx, bounds.Contact+bounds.Version)
+	tick(ctx, bounds.Contact+2*settleTime)
+	on.run([]fault{r.plannedStop()})
+	tick(ctx, bounds.Contact)
 	c := calm{from: time.Now()}
 	c.config = r.declare()
 	c.version = r.nameVersion()
@@ -131,6 +133,15 @@
 	return c
 }
 
+// plannedStop is the stop of one entry while nothing else goes wrong.
+func (r *rig) plannedStop() fault {
+	p := r.entries[int(r.opts.Seed)%len(r.entries)]
+	return fault{
+		name: "stop " + p.name, planned: true, lasts: settleTime,
+		do: func() { p.stop(bounds.Grace) }, undo: func() { _ = p.start() },
+	}
+}
+
 // result counts what callers saw and has it judged.
 func (j *judge) result(seed uint64) *Result {
 	result := &Result{Seed: seed}
