--- a/fill/fill_test.go
+++ b/fill/fill_test.go
@@ -84,11 +84,7 @@
 
 func TestOlderVersionIsLoadedInItsTurn(t *testing.T) {
 	t.Parallel()
-	s := newSite(t, 3, 8*time.Second)
-	s.startRunning()
-	s.name(2)
-	time.Sleep(2400 * time.Millisecond)
-	s.name(3)
+	s := newSiteOfTwoVersions(t)
 	s.wait(3, fillLimit)
 	for i, engine := range s.engines {
 		if len(engine.orders) != 2 || engine.orders[0] != 2 || engine.orders[1] != 3 {
@@ -124,11 +120,7 @@
 
 func TestOlderVersionWithABadPieceGivesWay(t *testing.T) {
 	t.Parallel()
-	s := newSite(t, 3, 8*time.Second)
-	s.startRunning()
-	s.name(2)
-	time.Sleep(2400 * time.Millisecond)
-	s.name(3)
+	s := newSiteOfTwoVersions(t)
 	time.Sleep(50 * time.Millisecond)
 	s.engines[1].rot(4)
 	s.wait(3, fillLimit)
--- a/fill/sitefixture_test.go
+++ b/fill/sitefixture_test.go
@@ -54,6 +54,17 @@
 
 func (s *site) host(i int) string { return fmt.Sprintf("127.0.7.%d", i+1) }
 
+// newSiteOfTwoVersions returns three boxes that run version 1, hold version 2 and have just heard of version 3.
+func newSiteOfTwoVersions(t *testing.T) *site {
+	t.Helper()
+	s := newSite(t, 3, 8*time.Second)
+	s.startRunning()
+	s.name(2)
+	time.Sleep(2400 * time.Millisecond)
+	s.name(3)
+	return s
+}
+
 // start runs one box until the returned function or the test ends it.
 func (s *site) start(i int, target contract.Version) context.CancelFunc {
 	s.t.Helper()
--- a/soak/caller.go
+++ b/soak/caller.go
@@ -9,7 +9,7 @@
 	"sync"
 	"time"
 
-	"github.com/coralstair/coralstair/platform/standin"
+	"github.com/coralstair/coralstair/lab/standin"
 )
 
 const (
--- a/soak/declare.go
+++ b/soak/declare.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"time"
 
-	"github.com/coralstair/coralstair/platform/standin"
+	"github.com/coralstair/coralstair/lab/standin"
 )
 
 // declaration is a configuration or a version, and when the store took it.
--- a/soak/fault.go
+++ b/soak/fault.go
@@ -9,7 +9,7 @@
 	"syscall"
 	"time"
 
-	"github.com/coralstair/coralstair/platform/standin"
+	"github.com/coralstair/coralstair/lab/standin"
 )
 
 // fault is one thing that goes wrong for a while.
--- a/soak/judge.go
+++ b/soak/judge.go
@@ -5,7 +5,7 @@
 	"slices"
 	"time"
 
-	"github.com/coralstair/coralstair/platform/standin"
+	"github.com/coralstair/coralstair/lab/standin"
 )
 
 const (
--- a/soak/rig.go
+++ b/soak/rig.go
@@ -10,7 +10,7 @@
 	"sync"
 	"time"
 
-	"github.com/coralstair/coralstair/platform/standin"
+	"github.com/coralstair/coralstair/lab/standin"
 )
 
 // What the rig is made of, by name.
