A silent connection no longer keeps a daemon from what is declared, nor denies on it

A waiting call on what is declared (10 s and 2 s allowed) that was sent while the store was silent hung for 12 s after the store was back; the entry stayed at its revision and answered 401. Ruled out: a revision that goes back (the view takes none), the settle time (0.5 s). Found on the way by reading: a link to a box that falls silent for good was kept for the whole fill, and a box kept hearing its teller on a link the entry had given up.

Change: view.Insist makes a call anew beside the first when its answer is 0.5 s overdue (whole reads 1.2 s), calls wait 1.5 s, while the store is lost they do not wait; an entry that has not heard from the store for 2.5 s answers 503 with a time where it would deny; a daemon's new link takes the place of its old one; a link on which nothing came for 3 s to an ask is opened anew.

--- a/fill/filler.go
+++ b/fill/filler.go
@@ -78,7 +78,7 @@
 		case action.Draw:
 			go b.draw(f, action.Chunk)
 		case action.Drop:
-			b.links.drop(f, action.Peer, action.Chunk)
+			b.links.giveUp(f, action.Peer, action.Chunk)
 		default:
 			b.links.ask(f, action.Peer, action.Chunk)
 		}
--- a/fill/fixture_test.go
+++ b/fill/fixture_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"crypto/sha256"
+	"net"
 	"sync"
 	"testing"
 	"time"
@@ -39,6 +40,8 @@
 	asked  map[contract.Version]int
 	spoil  func(draw int) bool
 	newest contract.Version
+	// away has no piece be drawn.
+	away bool
 }
 
 func (o *fakeOrigin) Manifest(_ context.Context, _, _ string, version contract.Version) (*Manifest, error) {
@@ -60,6 +63,9 @@
 	if o.draws == nil {
 		o.draws = make(map[contract.Version]int)
 	}
+	if o.away {
+		return nil, &net.OpError{Op: opDial, Err: context.DeadlineExceeded}
+	}
 	o.draws[version]++
 	if o.spoil != nil && o.spoil(o.draws[version]) {
 		return []byte("spoilt"), nil
--- a/fill/links.go
+++ b/fill/links.go
@@ -25,6 +25,9 @@
 	linkBuffer = 2 << 10
 	// restTime is how long after its last use a link to another box stays.
 	restTime = 6 * time.Second
+	// linkSilence is how long a box that was asked in vain may have sent nothing before its link is ended and a new one is
+	// tried: a link may fall silent for good while new ones work.
+	linkSilence = 3 * time.Second
 )
 
 // links are a box's links: those it opened, on which it asks other boxes, and those it took, on which it gives to boxes
@@ -82,6 +85,12 @@
 
 func (ls *links) add(l *inLink) {
 	ls.mu.Lock()
+	for older := range ls.in {
+		// A daemon opens a new link when the one before is lost to it, which only it may have noticed.
+		if older.id == l.id && older.entry == l.entry {
+			older.conn.Close()
+		}
+	}
 	ls.in[l] = true
 	if l.entry {
 		ls.hearing++
@@ -186,7 +195,8 @@
 	if err := conn.Send(dialCtx, hello); err != nil {
 		return
 	}
-	l := &outLink{links: ls, conn: conn, member: member, used: time.Now()}
+	now := time.Now()
+	l := &outLink{links: ls, conn: conn, member: member, used: now, heard: now}
 	ls.mu.Lock()
 	ls.out[member.ID] = l
 	delete(ls.dialing, member.ID)
@@ -231,6 +241,19 @@
 	ls.sendTo(peer, &link.Want{Manifest: f.key, Chunk: uint32(piece)})
 }
 
+// giveUp tells a box that a piece asked of it is no longer wanted; a link on which nothing comes any more is ended.
+func (ls *links) giveUp(f *filling, peer string, piece int) {
+	ls.mu.Lock()
+	l := ls.out[peer]
+	silent := l != nil && time.Since(l.heard) > linkSilence
+	ls.mu.Unlock()
+	if silent {
+		l.conn.Close()
+		return
+	}
+	ls.drop(f, peer, piece)
+}
+
 // drop tells a box that a piece asked of it is no longer wanted.
 func (ls *links) drop(f *filling, peer string, piece int) {
 	ls.sendTo(peer, &link.Have{Manifest: f.key, Chunks: []uint32{uint32(piece)}})
--- a/fill/outlink.go
+++ b/fill/outlink.go
@@ -14,6 +14,8 @@
 	conn   *link.Conn
 	member swarm.Member
 	used   time.Time
+	// heard is when the other box last sent anything; guarded by the mutex of the links.
+	heard time.Time
 	// joined is the version of which the other box was told last; guarded by the mutex of the links.
 	joined contract.Version
 }
@@ -35,6 +37,9 @@
 		if err != nil {
 			return
 		}
+		l.links.mu.Lock()
+		l.heard = time.Now()
+		l.links.mu.Unlock()
 		l.handle(msg)
 	}
 }
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -36,12 +36,12 @@
 	}
 	route := cfg.Route(r.Host, r.URL.Path)
 	if route == nil {
-		e.deny(w, r, ask, http.StatusNotFound, "no-route", "no route leads there", 0)
+		e.denyUnlessInDoubt(w, r, ask, http.StatusNotFound, "no-route", "no route leads there")
 		return
 	}
 	team, known := teamOf(cfg, route, ask)
 	if !known {
-		e.deny(w, r, ask, http.StatusUnauthorized, "no-team", "the key is not known", 0)
+		e.denyUnlessInDoubt(w, r, ask, http.StatusUnauthorized, "no-team", "the key is not known")
 		return
 	}
 	if limit := cfg.Limits.HeaderBytes; limit > 0 && headerBytes(r) > limit {
@@ -113,6 +113,16 @@
 	return nil, false
 }
 
+// denyUnlessInDoubt denies what the configuration in force does not allow; while a newer one may be in force that does, the
+// caller is told to come back.
+func (e *Entry) denyUnlessInDoubt(w http.ResponseWriter, r *http.Request, ask Ask, status int, slug, detail string) {
+	if e.cfg.View.Doubtful() {
+		e.deny(w, r, ask, http.StatusServiceUnavailable, "configuration-in-doubt", detail+" as far as is known; the store is away", loadComeBack)
+		return
+	}
+	e.deny(w, r, ask, status, slug, detail, 0)
+}
+
 // deny answers a request that is not let in, and logs it.
 func (e *Entry) deny(w http.ResponseWriter, r *http.Request, ask Ask, status int, slug, detail string, after time.Duration) {
 	countOutcome("", slug)
--- a/view/follow.go
+++ b/view/follow.go
@@ -9,7 +9,7 @@
 
 const (
 	// maxRetry bounds the pause after calls that fail one after the other.
-	maxRetry = time.Second
+	maxRetry = 600 * time.Millisecond
 	// settleRate is how many bytes a second of changes a daemon reads.
 	settleRate = 1 << 20
 )
@@ -17,11 +17,11 @@
 // ServeDeclared follows what operators declare until ctx ends.
 func (v *View) ServeDeclared(ctx context.Context) error {
 	cursor, known, first := Cursor(0), false, true
-	return v.follow(ctx, "declared", func(ctx context.Context) (time.Duration, error) {
+	return v.follow(ctx, "declared", func(ctx context.Context, wait time.Duration) (time.Duration, error) {
 		var declared Declared
 		var err error
 		if known {
-			declared, err = v.source.DeclaredAfter(ctx, cursor, v.opts.Wait)
+			declared, err = v.source.DeclaredAfter(ctx, cursor, wait)
 		} else {
 			declared, err = v.source.Declared(ctx)
 		}
@@ -30,6 +30,7 @@
 			return 0, err
 		}
 		changed := v.takeDeclared(declared, first)
+		v.confirm()
 		cursor, known, first = declared.Cursor, !changed || first || !v.opts.Reread, false
 		if !changed {
 			return 0, nil
@@ -41,11 +42,11 @@
 // ServeServers follows the list of servers until ctx ends.
 func (v *View) ServeServers(ctx context.Context) error {
 	cursor, known := Cursor(0), false
-	return v.follow(ctx, "servers", func(ctx context.Context) (time.Duration, error) {
+	return v.follow(ctx, "servers", func(ctx context.Context, wait time.Duration) (time.Duration, error) {
 		var servers Servers
 		var err error
 		if known {
-			servers, err = v.source.ServersAfter(ctx, cursor, v.opts.Wait)
+			servers, err = v.source.ServersAfter(ctx, cursor, wait)
 		} else {
 			servers, err = v.source.Servers(ctx)
 		}
@@ -77,10 +78,15 @@
 }
 
 // follow makes one call after another; a call returns the pause after it. After a failure it pauses longer each time.
-func (v *View) follow(ctx context.Context, what string, call func(context.Context) (time.Duration, error)) error {
+func (v *View) follow(ctx context.Context, what string, call func(ctx context.Context, wait time.Duration) (time.Duration, error)) error {
 	pause, lost := v.opts.Retry, false
 	for {
-		wait, err := call(ctx)
+		patience := v.opts.Wait
+		if lost {
+			// A call that waits at a store that is away may hang long after it is back.
+			patience = 0
+		}
+		wait, err := call(ctx, patience)
 		switch {
 		case ctx.Err() != nil:
 			return ctx.Err()
--- /dev/null
+++ b/view/insist.go
@@ -0,0 +1,83 @@
+package view
+
+import (
+	"context"
+	"time"
+)
+
+const (
+	// insistAfter is how long the answer to a small call may be overdue before the call is made anew beside it, readAfter the
+	// same for a whole read, whose answer is long. A connection may fall silent for good while new ones work: without the
+	// second call an entry knew of a configuration 12 s late, with it 2.5 s at most (virtual time, package test).
+	insistAfter = 500 * time.Millisecond
+	readAfter   = 1200 * time.Millisecond
+	// mostCalls is how many calls for the same thing are made at most.
+	mostCalls = 4
+)
+
+// Insist returns a source that makes a call anew, beside the first one, when its answer is overdue; the first answer counts.
+func Insist(source Source) Source { return insistent{source} }
+
+// insistent is a source whose calls do not hang on one connection.
+type insistent struct{ source Source }
+
+// Declared reads the whole of what is declared.
+func (s insistent) Declared(ctx context.Context) (Declared, error) {
+	return insist(ctx, 0, readAfter, func(ctx context.Context, _ time.Duration) (Declared, error) { return s.source.Declared(ctx) })
+}
+
+// DeclaredAfter waits for a change of what is declared.
+func (s insistent) DeclaredAfter(ctx context.Context, cursor Cursor, wait time.Duration) (Declared, error) {
+	return insist(ctx, wait, insistAfter, func(ctx context.Context, wait time.Duration) (Declared, error) {
+		return s.source.DeclaredAfter(ctx, cursor, wait)
+	})
+}
+
+// Servers reads the whole list of servers.
+func (s insistent) Servers(ctx context.Context) (Servers, error) {
+	return insist(ctx, 0, readAfter, func(ctx context.Context, _ time.Duration) (Servers, error) { return s.source.Servers(ctx) })
+}
+
+// ServersAfter waits for a change of the list of servers.
+func (s insistent) ServersAfter(ctx context.Context, cursor Cursor, wait time.Duration) (Servers, error) {
+	return insist(ctx, wait, insistAfter, func(ctx context.Context, wait time.Duration) (Servers, error) {
+		return s.source.ServersAfter(ctx, cursor, wait)
+	})
+}
+
+// answered is what a call came to; first says that it was the first of its kind.
+type answered[T any] struct {
+	value T
+	err   error
+	first bool
+}
+
+// insist makes a call, and makes it again without waiting each time an answer is overdue. It fails when the first call fails
+// before another is answered.
+func insist[T any](
+	ctx context.Context, wait, after time.Duration, call func(ctx context.Context, wait time.Duration) (T, error),
+) (T, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	answers := make(chan answered[T], mostCalls)
+	ask := func(wait time.Duration, first bool) {
+		value, err := call(ctx, wait)
+		answers <- answered[T]{value, err, first}
+	}
+	go ask(wait, true)
+	overdue := time.NewTimer(wait + after)
+	defer overdue.Stop()
+	for made := 1; ; {
+		select {
+		case a := <-answers:
+			if a.err == nil || a.first || gone(a.err) {
+				return a.value, a.err
+			}
+		case <-overdue.C:
+			if made++; made <= mostCalls {
+				go ask(0, false)
+				overdue.Reset(after)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/view/insist_test.go
@@ -0,0 +1,161 @@
+package view
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+
+	"github.com/coralstair/coralstair/contract"
+)
+
+// callLimit is after how long beyond its wait a call of the test's store fails when nothing comes.
+const callLimit = 2 * time.Second
+
+// fakeStore is a store whose revision rises, and which leaves calls without an answer as a test says.
+type fakeStore struct {
+	mu       sync.Mutex
+	revision contract.Revision
+	changed  chan struct{}
+	calls    int
+	// hangs says whether a call is never answered, by its number and when it was made.
+	hangs func(call int, at time.Duration) bool
+	slow  time.Duration
+	began time.Time
+}
+
+func (s *fakeStore) set(revision contract.Revision) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision = revision
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// call answers once the revision is beyond the cursor, or after wait.
+func (s *fakeStore) call(ctx context.Context, cursor Cursor, wait time.Duration) (contract.Revision, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+callLimit)
+	defer cancel()
+	s.mu.Lock()
+	s.calls++
+	hangs := s.hangs != nil && s.hangs(s.calls, time.Since(s.began))
+	s.mu.Unlock()
+	if hangs {
+		<-ctx.Done()
+		return 0, errors.New("no answer")
+	}
+	time.Sleep(s.slow)
+	timeout := time.After(wait)
+	for {
+		s.mu.Lock()
+		revision, changed := s.revision, s.changed
+		s.mu.Unlock()
+		if Cursor(revision) > cursor {
+			return revision, nil
+		}
+		select {
+		case <-changed:
+		case <-timeout:
+			return revision, nil
+		case <-ctx.Done():
+			return 0, ctx.Err()
+		}
+	}
+}
+
+func (s *fakeStore) Declared(ctx context.Context) (Declared, error) {
+	return s.DeclaredAfter(ctx, 0, 0)
+}
+
+func (s *fakeStore) DeclaredAfter(ctx context.Context, cursor Cursor, wait time.Duration) (Declared, error) {
+	revision, err := s.call(ctx, cursor, wait)
+	if err != nil {
+		return Declared{}, err
+	}
+	return Declared{Config: config(revision), Cursor: Cursor(revision)}, nil
+}
+
+func (s *fakeStore) Servers(ctx context.Context) (Servers, error) { return s.ServersAfter(ctx, 0, 0) }
+
+func (s *fakeStore) ServersAfter(ctx context.Context, _ Cursor, _ time.Duration) (Servers, error) {
+	<-ctx.Done()
+	return Servers{}, ctx.Err()
+}
+
+func TestFollowsAStoreThatFallsSilent(t *testing.T) {
+	for name, test := range map[string]struct {
+		hangs func(call int, at time.Duration) bool
+		slow  time.Duration
+		// declared is when a new revision is there, known by when it has to be known.
+		declared time.Duration
+		known    time.Duration
+	}{
+		"undisturbed": {declared: 20 * time.Second, known: 10 * time.Millisecond},
+		"the waiting call is never answered, new ones are": {
+			hangs:    func(call int, _ time.Duration) bool { return call == 2 },
+			declared: 500 * time.Millisecond, known: 2100 * time.Millisecond,
+		},
+		"every second call is never answered": {
+			hangs:    func(call int, _ time.Duration) bool { return call%2 == 0 },
+			declared: 30 * time.Second, known: 2100 * time.Millisecond,
+		},
+		"silent for nine seconds": {
+			hangs:    func(_ int, at time.Duration) bool { return at > 4*time.Second && at < 13*time.Second },
+			declared: 13 * time.Second, known: 2 * time.Second,
+		},
+		"silent for a second": {
+			hangs:    func(_ int, at time.Duration) bool { return at > 1900*time.Millisecond && at < 3*time.Second },
+			declared: 3100 * time.Millisecond, known: 2100 * time.Millisecond,
+		},
+		"answers take long": {slow: 900 * time.Millisecond, declared: 20 * time.Second, known: 2 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := &fakeStore{revision: 1, changed: make(chan struct{}), hangs: test.hangs, slow: test.slow, began: time.Now()}
+				v := New(Insist(s), Options{Log: &log.Logger{Handler: discard.Default, Level: log.InfoLevel}})
+				ctx, cancel := context.WithCancel(t.Context())
+				go func() { _ = v.ServeDeclared(ctx) }()
+				time.Sleep(test.declared)
+				s.set(2)
+				time.Sleep(test.known)
+				if got := v.Config(); got == nil || got.Revision != 2 {
+					t.Errorf("%s after it was declared: %+v is in force, want revision 2", test.known, got)
+				}
+				if v.Doubtful() && test.slow == 0 {
+					t.Error("what is in force is in doubt")
+				}
+				cancel()
+				synctest.Wait()
+			})
+		})
+	}
+}
+
+func TestDoubt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		silent := false
+		s := &fakeStore{revision: 1, changed: make(chan struct{}), began: time.Now()}
+		s.hangs = func(int, time.Duration) bool { return silent }
+		v := New(Insist(s), Options{Log: &log.Logger{Handler: discard.Default, Level: log.InfoLevel}})
+		ctx, cancel := context.WithCancel(t.Context())
+		go func() { _ = v.ServeDeclared(ctx) }()
+		time.Sleep(time.Minute)
+		if v.Doubtful() {
+			t.Error("in doubt while the store answers")
+		}
+		s.mu.Lock()
+		silent = true
+		s.mu.Unlock()
+		time.Sleep(6 * time.Second)
+		if !v.Doubtful() {
+			t.Error("not in doubt though nothing was heard for 6 s")
+		}
+		cancel()
+		synctest.Wait()
+	})
+}
--- a/view/view.go
+++ b/view/view.go
@@ -31,7 +31,7 @@
 
 // Defaults of Options.
 const (
-	DefaultWait          = 10 * time.Second
+	DefaultWait          = 1500 * time.Millisecond
 	DefaultRetry         = 100 * time.Millisecond
 	DefaultSettle        = 500 * time.Millisecond
 	DefaultServersSettle = 400 * time.Millisecond
@@ -41,6 +41,8 @@
 	lapseGrace = 1500 * time.Millisecond
 	awayGrace  = 2500 * time.Millisecond
 	awayLately = 3 * time.Second
+	// doubtAfter is how long after the store's latest answer what is declared is in doubt: a feed that works is answered sooner.
+	doubtAfter = DefaultWait + 2*insistAfter
 )
 
 // View is what one daemon believes; it is safe for concurrent use.
@@ -57,6 +59,8 @@
 	listed  bool
 	changed chan struct{}
 	away    time.Time
+	// confirmed is when the store last answered what is declared.
+	confirmed time.Time
 	// lost counts the feeds on which the store does not answer.
 	lost int
 }
@@ -107,6 +111,20 @@
 	return v.lost == 0
 }
 
+// Doubtful reports whether something newer may be in force than what is known: the store has not answered for too long.
+func (v *View) Doubtful() bool {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	return v.now().Sub(v.confirmed) > doubtAfter
+}
+
+// confirm notes that the store has answered what is declared.
+func (v *View) confirm() {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.confirmed = v.now()
+}
+
 // lapse is since when a server is no longer listed, and until when that may be the list's fault.
 type lapse struct{ since, until time.Time }
 
