First tries before returns: admission in a package of its own, others' requests by what they have at the servers

Greeting lines (goal 300 ms) were refused 59 in 100 first tries, drafts (400 ms) 26. One site with one entry was refused four times as often as the others: its entry took four others for as busy as itself.

Ruled out: the way between sites as the cause of the unlike refusals (any site: no change). A caller whose own time is shorter than others' of its route is taken for a return; it is put behind only while first tries are refused.

--- a/engine/model.go
+++ b/engine/model.go
@@ -61,11 +61,11 @@
 	if over <= 0 || e.Slots == 0 {
 		return 0
 	}
-	return time.Duration(over) * hold(e, load) / time.Duration(e.Slots)
+	return time.Duration(over) * Hold(e, load) / time.Duration(e.Slots)
 }
 
-// hold returns how long a usual request holds its slot.
-func hold(e *contract.Engine, load Load) time.Duration {
+// Hold returns how long a usual request holds its slot at a load.
+func Hold(e *contract.Engine, load Load) time.Duration {
 	writing := min(load.Writing+load.Reading, e.Slots)
 	step := Step(e, writing)
 	// Each slot is read for once in the time in which its answer is written.
--- a/forward/budget.go
+++ b/forward/budget.go
@@ -41,13 +41,6 @@
 	b.at(service, now).first[0]++
 }
 
-// Entries returns how many entries share the budget.
-func (b *Budget) Entries() int {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.entries
-}
-
 // SetEntries tells how many entries share the budget.
 func (b *Budget) SetEntries(n int) {
 	b.mu.Lock()
--- a/forward/call.go
+++ b/forward/call.go
@@ -9,6 +9,7 @@
 
 	"github.com/apex/log"
 
+	"github.com/coralstair/coralstair/admission"
 	"github.com/coralstair/coralstair/contract"
 	"github.com/coralstair/coralstair/engine"
 )
@@ -18,8 +19,6 @@
 	answerMargin = 20 * time.Millisecond
 	// notRunTries is how many more servers than its attempts a request may be offered when each says that it did not run.
 	notRunTries = 1
-	// admitShare is the part of a request's goal that may pass before it is read.
-	admitShare = 0.8
 )
 
 // call is one caller's request on its way.
@@ -36,6 +35,8 @@
 	started time.Time
 	ends    time.Time
 	config  contract.Revision
+	// waited is how long ago the request was tried first, as far as the entry can tell: 0 for a first try.
+	waited time.Duration
 
 	// mu guards what a move looks at while an attempt is in progress; between attempts only the call's own goroutine is there.
 	mu sync.Mutex
@@ -74,7 +75,7 @@
 	ctx, cancel := context.WithDeadline(ctx, c.ends)
 	defer cancel()
 	c.entry.budget.First(c.service.Name, c.started)
-	c.entry.rate.add(c.service.Name, c.started)
+	c.waited = c.entry.admission.Of(c.service.Name).Waited(c.admissionAsk(), c.started)
 	var kept *answer
 	for {
 		ch, err := c.next()
@@ -132,14 +133,19 @@
 	return wanted{service: c.service, model: c.model(), prompt: c.ask.Prompt, answer: c.ask.answer(), not: c.not}
 }
 
-// worthwhile reports whether a request is let in: what waits before it at the best server must leave it in time. Its own
-// length does not count, so that long requests are not refused more often.
+// worthwhile reports whether a request is let in by what waits before it at the best server. Its own length does not count,
+// so that long requests are not refused more often.
 func (c *call) worthwhile(ch choice) bool {
 	if c.service.Engine == nil || c.route.Goal <= 0 {
 		return true
 	}
 	ahead := ch.first - engine.Read(c.service.Engine, c.ask.Prompt, 1)
-	return ahead <= time.Duration(admitShare*float64(c.route.Goal))
+	return c.entry.admission.Of(c.service.Name).LetIn(c.admissionAsk(), c.waited, ahead)
+}
+
+// admissionAsk returns what the request tells that asks to be let in.
+func (c *call) admissionAsk() admission.Ask {
+	return admission.Ask{Kind: c.route.Name, Goal: c.route.Goal, Wait: c.ask.Wait}
 }
 
 // model returns the model that the request asks for, or the service's only one.
@@ -249,7 +255,7 @@
 		"id": c.ask.ID, "route": c.route.Name, "team": c.teamName(), "revision": int64(c.config),
 		"outcome": outcome, "status": status, "ms": took.Milliseconds(), "first_ms": c.first.Milliseconds(),
 		"server": c.last.server.ID, "predicted_ms": c.last.first.Milliseconds(),
-		"writing": c.last.load.Writing, "reading": c.last.load.Reading, "attempts": c.offered,
+		"writing": c.last.load.Writing, "reading": c.last.load.Reading, "attempts": c.offered, "waited_ms": c.waited.Milliseconds(),
 	}
 	if cause != nil {
 		fields["cause"] = cause.Error()
--- a/forward/choose.go
+++ b/forward/choose.go
@@ -57,8 +57,10 @@
 func (e *Entry) choose(want wanted, now time.Time) (best choice, ok bool) {
 	ups := e.upstreams.of(want.service.Name)
 	usable, resting := make([]choice, 0, len(ups)), []choice(nil)
+	var at shares
 	for _, up := range ups {
 		c, until, fits := e.consider(up, want, now)
+		at.add(up, now)
 		switch {
 		case !fits:
 		case now.Before(until):
@@ -76,7 +78,7 @@
 	if want.service.Engine == nil || want.service.Engine.ReadRate <= 0 {
 		return usable[cheapest(usable)], true
 	}
-	return pick(usable, e.unseen(want.service.Name, now), addedWait(want.service.Engine)), true
+	return pick(usable, at.unseen(want.service.Engine), addedWait(want.service.Engine)), true
 }
 
 // consider predicts what a request costs at a server; fits is false when it may not take it, until is when it is no longer
--- a/forward/entry.go
+++ b/forward/entry.go
@@ -10,6 +10,7 @@
 
 	"github.com/apex/log"
 
+	"github.com/coralstair/coralstair/admission"
 	"github.com/coralstair/coralstair/machine"
 	"github.com/coralstair/coralstair/supervise"
 	"github.com/coralstair/coralstair/view"
@@ -46,7 +47,7 @@
 	transport *http.Transport
 	upstreams upstreams
 	budget    *Budget
-	rate      rate
+	admission admission.Services
 	reports   *reports
 	callers   *http.Server
 	ready     *http.Server
--- a/forward/pick.go
+++ b/forward/pick.go
@@ -1,10 +1,8 @@
 package forward
 
 import (
-	"math"
 	"math/rand/v2"
 	"slices"
-	"sync"
 	"time"
 
 	"github.com/coralstair/coralstair/contract"
@@ -15,46 +13,37 @@
 	// reportLag is how old what is known of other entries' requests is, in the mean: half the pause between two reports, half
 	// that between two looks at the server, and the way.
 	reportLag = 90 * time.Millisecond
-	// rateTime is the time over which the rate of requests is told.
-	rateTime = time.Second
 	// usualWriting is how many requests a server usually writes for when one more is weighed.
 	usualWriting = 8
 )
 
-// rate is how many requests of a service come a second, of late.
-type rate struct {
-	mu     sync.Mutex
-	perSec map[string]float64
-	at     map[string]time.Time
-}
+// shares are how many requests are at the servers of a service, and how many of them are other entries'.
+type shares struct{ servers, own, others int }
 
-// add counts a request.
-func (r *rate) add(service string, now time.Time) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.perSec == nil {
-		r.perSec, r.at = make(map[string]float64), make(map[string]time.Time)
+// add counts what is at a server.
+func (s *shares) add(up *upstream, now time.Time) {
+	up.mu.Lock()
+	defer up.mu.Unlock()
+	s.servers++
+	s.own += up.inFlight
+	if now.Sub(up.reportAt) < reportLife {
+		s.others += up.othersWriting + up.othersReading
 	}
-	r.perSec[service] = r.faded(service, now) + 1/rateTime.Seconds()
-	r.at[service] = now
-}
-
-// of returns the rate of a service.
-func (r *rate) of(service string, now time.Time) float64 {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.faded(service, now)
 }
 
-// faded returns the rate as it counts now; mu is held.
-func (r *rate) faded(service string, now time.Time) float64 {
-	return r.perSec[service] * math.Exp(-now.Sub(r.at[service]).Seconds()/rateTime.Seconds())
-}
-
-// unseen returns how many requests all entries together send to a service, this one included, while a report is on its way.
-func (e *Entry) unseen(service string, now time.Time) float64 {
-	others := float64(e.budget.Entries() - 1)
-	return 1 + others*e.rate.of(service, now)*reportLag.Seconds()
+// unseen returns how many requests all entries together send while a report is on its way, the one at hand included: others
+// send as many as they have at the servers in the time for which a request is there. This entry's own requests do not count in
+// that. Taken from their rate, an entry that refused most of them believed ever more of the others, and refused nearly all from
+// then on (0.11 of a day's worth).
+func (s shares) unseen(e *contract.Engine) float64 {
+	if s.servers == 0 {
+		return 1
+	}
+	held := engine.Hold(e, engine.Load{Writing: (s.own + s.others) / s.servers})
+	if held <= 0 {
+		return 1
+	}
+	return 1 + float64(s.others)*reportLag.Seconds()/held.Seconds()
 }
 
 // addedWait returns what one more request adds to the wait at an engine.
--- a/forward/pick_test.go
+++ b/forward/pick_test.go
@@ -41,3 +41,24 @@
 		})
 	}
 }
+
+func TestUnseenFollowsWhatOthersHaveAtTheServers(t *testing.T) {
+	usual := &contract.Engine{Slots: 16, Step: 7 * time.Millisecond, ReadRate: 30000, UsualPrompt: 900, UsualAnswer: 120}
+	for name, test := range map[string]struct {
+		at          shares
+		least, most float64
+	}{
+		"no server":                           {shares{}, 1, 1},
+		"alone":                               {shares{servers: 12, own: 100}, 1, 1},
+		"most are others'":                    {shares{servers: 12, own: 35, others: 140}, 8, 12},
+		"half are others'":                    {shares{servers: 12, own: 85, others: 90}, 5, 8},
+		"one that refuses all believes alike": {shares{servers: 12, own: 0, others: 175}, 10, 15},
+		"little is there":                     {shares{servers: 12, own: 2, others: 4}, 1, 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			if got := test.at.unseen(usual); got < test.least || got > test.most {
+				t.Errorf("%.2f unseen, want %.0f to %.0f", got, test.least, test.most)
+			}
+		})
+	}
+}
