Drawers that fail are replaced while the origin's link is free

The next rank stood in 1.2 s after the slot, at 20.7; the origin went away at 20.5. A version with 62 of 64 pieces was given up. Ruled out: pieces spoilt on the way (none logged), the origin's link (free from 19.8). Found beside it: a server that takes no piece because it is down counted as an origin that cannot be reached, so all boxes would have left draws to their drawers.

Change: boxes of leaving servers take no part in the order of draws; one that stands in waits as long as pieces are usually late (measured by each box) and 0.3 s a rank, not 0.6 s a rank and 0.6; once all pieces had their slot a piece that only one box has held for 0.6 s is drawn again, unless the own link is jammed; a piece that is not staged is told apart from an origin that is away.

--- a/fill/box.go
+++ b/fill/box.go
@@ -156,14 +156,15 @@
 	return slices.DeleteFunc(slices.Clone(of), func(m swarm.Member) bool { return m.Site != b.cfg.Machine.Site })
 }
 
-// siblings returns the boxes of the servers of this service, this one among them.
+// siblings returns the boxes of the servers of this service, this one among them. Those of servers that leave take no part: a
+// box that ended with its server after it was to draw pieces held a whole version up.
 func (b *Box) siblings() []swarm.Member {
 	self := b.self()
 	members := []swarm.Member{self}
 	seen := map[string]bool{self.ID: true}
 	for _, server := range b.cfg.View.Servers() {
 		host, _, err := net.SplitHostPort(server.Address)
-		if err != nil || server.Service != b.cfg.Machine.Service || seen[host] {
+		if err != nil || server.Service != b.cfg.Machine.Service || server.Leaving || seen[host] {
 			continue
 		}
 		seen[host] = true
--- a/fill/engine.go
+++ b/fill/engine.go
@@ -56,6 +56,20 @@
 // Error names the piece.
 func (e *MisfitError) Error() string { return fmt.Sprintf("piece %d does not fit its digest", e.Piece) }
 
+// NotStagedError says that the server on this machine did not take a piece.
+type NotStagedError struct {
+	Piece int
+	Err   error
+}
+
+// Error names the piece.
+func (e *NotStagedError) Error() string {
+	return fmt.Sprintf("piece %d was not staged: %s", e.Piece, e.Err)
+}
+
+// Unwrap returns why.
+func (e *NotStagedError) Unwrap() error { return e.Err }
+
 // RefusedError says that a server did not take an order.
 type RefusedError struct{ Reason string }
 
--- a/fill/outlink.go
+++ b/fill/outlink.go
@@ -89,7 +89,7 @@
 	case *link.Have:
 		if f := b.filling(m.Manifest); f != nil {
 			b.mu.Lock()
-			f.feed.PeerHas(l.member.ID, m.Reset, m.Chunks, m.Queue)
+			f.feed.PeerHas(l.member.ID, m.Reset, m.Chunks, m.Queue, time.Now())
 			b.mu.Unlock()
 			b.wake()
 		}
--- a/fill/piece.go
+++ b/fill/piece.go
@@ -59,10 +59,10 @@
 	b.wake()
 }
 
-// unreached reports whether the origin could not be asked at all.
+// unreached reports whether the origin could not be asked at all; a server that takes no piece says nothing of it.
 func unreached(err error) bool {
 	var op *net.OpError
-	return errors.As(err, &op) && op.Op == opDial
+	return !errors.As(err, new(*NotStagedError)) && errors.As(err, &op) && op.Op == opDial
 }
 
 // misfit counts a drawn piece that does not fit; after several in a row the manifest itself is in doubt. mu is held.
@@ -135,7 +135,7 @@
 		if f.ctx.Err() == nil {
 			b.log.WithField("piece", piece).WithField("cause", err.Error()).Warn("fill: a piece was not staged")
 		}
-		return false, err
+		return false, &NotStagedError{Piece: piece, Err: err}
 	}
 	return true, nil
 }
--- /dev/null
+++ b/fill/siblings_test.go
@@ -0,0 +1,30 @@
+package fill
+
+import (
+	"testing"
+	"time"
+
+	"github.com/coralstair/coralstair/machine"
+	"github.com/coralstair/coralstair/view"
+)
+
+// TestBoxesOfLeavingServersTakeNoPart proves that no piece is left to the box of a server that leaves.
+func TestBoxesOfLeavingServersTakeNoPart(t *testing.T) {
+	s := newSite(t, 4, time.Second)
+	s.servers.Present[1].Leaving = true
+	s.servers.Present[2].Service = "other"
+	source := &fakeSource{servers: s.servers}
+	v := view.New(source, view.Options{})
+	go func() { _ = v.ServeServers(t.Context()) }()
+	for len(v.Servers()) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	b := New(Config{View: v, Machine: machine.Machine{Address: s.host(0), Site: "site0", Service: "s", LinkRate: 1e6}})
+	var ids []string
+	for _, member := range b.siblings() {
+		ids = append(ids, member.ID)
+	}
+	if len(ids) != 2 || ids[0] != s.host(0) || ids[1] != s.host(3) {
+		t.Errorf("%v take part, want this box and %s", ids, s.host(3))
+	}
+}
--- a/swarm/feed.go
+++ b/swarm/feed.go
@@ -26,6 +26,10 @@
 	// came counts the pieces that came, the first of them at firstCame.
 	came      int
 	firstCame time.Time
+	// heard are when this box first heard that some box holds a piece; late is how much later than their slot it usually
+	// hears of drawn ones.
+	heard []time.Time
+	late  time.Duration
 	// room is how many pieces may be asked for and drawn at a time now, shrunk when it last became less.
 	room   int
 	shrunk time.Time
@@ -41,9 +45,9 @@
 // NewFeed returns a feed of a box that already holds the pieces in have.
 func NewFeed(params FeedParams, self Member, order *Order, have []int, now time.Time) *Feed {
 	f := &Feed{
-		params: params.withDefaults(), self: self, have: make([]bool, order.chunks), missing: order.chunks,
+		params: params.withDefaults(), self: self, have: make([]bool, order.chunks), heard: make([]time.Time, order.chunks), missing: order.chunks,
 		peers: make(map[string]*feedPeer), asks: make(map[int]feedAsk), drawing: make(map[int]bool),
-		retries: make(map[int]time.Time), room: firstAsks, began: now, news: now, salt: score(self.ID, 0, self.Site),
+		retries: make(map[int]time.Time), room: firstAsks, late: firstLate, began: now, news: now, salt: score(self.ID, 0, self.Site),
 	}
 	for _, piece := range have {
 		f.hold(piece)
@@ -62,13 +66,14 @@
 		if a.peer == from {
 			f.adapt(from, now.Sub(a.since)-waited, now)
 		} else {
-			// It came after all, from a box that was given up too early: the own link is slow.
+			// It came after all, from a box that was given up too early or from the origin: the own link may be slow.
 			asked = a.peer
 			f.shrink(now)
 		}
 		f.release(piece, a.peer)
 	}
 	delete(f.drawing, piece)
+	f.hear(piece, now)
 	f.news, f.stalls = now, 0
 	if f.away {
 		f.away, f.back = false, now
--- a/swarm/feed_test.go
+++ b/swarm/feed_test.go
@@ -90,7 +90,7 @@
 	f := NewFeed(FeedParams{}, members[0], NewOrder("salt", feedPieces, members), nil, testStart)
 	for _, member := range members[1:] {
 		f.Peer(member)
-		f.PeerHas(member.ID, true, toPieces(everything()), 0)
+		f.PeerHas(member.ID, true, toPieces(everything()), 0, testStart)
 	}
 	now, asked := testStart, 0
 	for range 40 {
--- a/swarm/feeddraw.go
+++ b/swarm/feeddraw.go
@@ -23,9 +23,20 @@
 	return slot
 }
 
-// due returns when one that stands in draws a piece.
+// due returns when one that stands in draws a piece: when it is overdue by more than others usually are, each rank a little
+// later than the one before.
 func (f *Feed) due(piece, rank int) time.Time {
-	return f.slot(piece, f.back).Add(time.Duration(rank+1) * standInFactor * f.params.Patience)
+	return f.slot(piece, f.back).Add(f.late + time.Duration(rank)*f.params.Patience)
+}
+
+// hear notes that some box holds a piece, and how late after its slot that was heard.
+func (f *Feed) hear(piece int, now time.Time) {
+	if !f.heard[piece].IsZero() {
+		return
+	}
+	f.heard[piece] = now
+	late := max(now.Sub(f.slot(piece, f.back)), 0)
+	f.late += (min(late, 2*f.late) - f.late) / lateWeight
 }
 
 // Drawer reports whether this box is the first to draw a piece, so that others wait to hear of it.
@@ -38,7 +49,7 @@
 		if len(f.drawing) >= min(f.params.Draws, f.room) {
 			break
 		}
-		if f.wanted(piece) && f.mayDraw(piece, now) {
+		if !f.have[piece] && !f.drawing[piece] && f.mayDraw(piece, now) {
 			f.drawing[piece] = true
 			actions = append(actions, Action{Chunk: piece, Draw: true, Rank: f.places[f.order.Group(piece)][0]})
 		}
@@ -49,8 +60,10 @@
 func (f *Feed) mayDraw(piece int, now time.Time) bool {
 	rank := f.places[f.order.Group(piece)][0]
 	switch {
-	case rank < 0 || rank >= MaxPermits || f.known(piece, now) || now.Before(f.retries[piece]):
+	case rank < 0 || rank >= MaxPermits || now.Before(f.retries[piece]):
 		return false
+	case f.known(piece, now):
+		return f.lonely(piece, rank, now)
 	case len(f.order.members) > 1 && now.Before(f.began.Add(f.params.Greet)):
 		return false
 	case rank == 0:
@@ -62,6 +75,22 @@
 	}
 }
 
+// lonely reports whether a piece is held by one box only, for so long that this box is likely not to give it, and the origin's
+// link is free: all pieces have had their slot. A box that dies after it drew a piece is noticed much later. A box whose own
+// link is jammed leaves such pieces to others.
+func (f *Feed) lonely(piece, rank int, now time.Time) bool {
+	if rank == 0 || f.away || f.way > quickPiece || now.Before(f.slot(len(f.have)-1, f.began).Add(f.late)) {
+		return false
+	}
+	holders := 0
+	for _, p := range f.peers {
+		if p.have[piece] {
+			holders++
+		}
+	}
+	return holders == 1 && now.Sub(f.heard[piece]) >= time.Duration(rank+1)*f.params.Patience
+}
+
 // known reports whether any linked box that is not left alone holds a piece.
 func (f *Feed) known(piece int, now time.Time) bool {
 	for _, p := range f.peers {
--- a/swarm/feedfixture_test.go
+++ b/swarm/feedfixture_test.go
@@ -26,7 +26,8 @@
 	asks    map[string][]feedWant
 	out, in map[string]time.Time
 	events  []feedEvent
-	// back is when the origin can be reached; crowd is the most draws that waited for its link at a time.
+	// gone is from when on the origin cannot be reached, back from when on it can; crowd is the most draws that waited for its link at a time.
+	gone    time.Time
 	back    time.Time
 	crowd   time.Duration
 	draws   int
@@ -66,7 +67,7 @@
 func (w *feedWorld) meet(member Member) {
 	for _, other := range w.order.Partners(member) {
 		w.feeds[member.ID].Peer(other)
-		w.feeds[member.ID].PeerHas(other.ID, true, w.feeds[other.ID].Held(), 0)
+		w.feeds[member.ID].PeerHas(other.ID, true, w.feeds[other.ID].Held(), 0, w.now)
 	}
 }
 
@@ -101,7 +102,7 @@
 		w.asks[action.Peer] = slices.DeleteFunc(w.asks[action.Peer], func(a feedWant) bool {
 			return a.to == member.ID && a.piece == action.Chunk
 		})
-	case action.Draw && w.now.Before(w.back):
+	case action.Draw && w.away():
 		w.feeds[member.ID].DrawUnreached(action.Chunk, w.now)
 	case action.Draw:
 		w.draws++
@@ -118,6 +119,11 @@
 	}
 }
 
+// away reports whether the origin cannot be reached.
+func (w *feedWorld) away() bool {
+	return w.now.Before(w.back) || !w.gone.IsZero() && !w.now.Before(w.gone)
+}
+
 // give sends the next piece that was asked of a box, unless one is on its way out.
 func (w *feedWorld) give(from string) {
 	if w.out[from].After(w.now) || len(w.asks[from]) == 0 || w.dead[from] {
@@ -156,7 +162,7 @@
 	queue := len(w.asks[to])
 	for _, other := range w.order.members {
 		if other.ID != to && (other.Site == f.self.Site || f.Drawer(piece) || from == "" || f.Complete()) {
-			w.after(newsTime, func() { w.feeds[other.ID].PeerHas(to, false, pieces, queue) })
+			w.after(newsTime, func() { w.feeds[other.ID].PeerHas(to, false, pieces, queue, w.now) })
 		}
 	}
 }
--- a/swarm/feedparams.go
+++ b/swarm/feedparams.go
@@ -40,9 +40,10 @@
 	shrinkPause = 200 * time.Millisecond
 	// maxStalls bounds by how many times an ask may take longer while nothing comes.
 	maxStalls = 3
-	// standInFactor times the patience is how much later each rank draws a piece than the one before: boxes begin at times of
-	// their own.
-	standInFactor = 2
+	// lateWeight is one over the weight of the newest piece in how late pieces are usually heard of.
+	lateWeight = 8
+	// firstLate is how late pieces are taken to be heard of as long as none was.
+	firstLate = 300 * time.Millisecond
 	// slowRest is how long a box that took too long is asked only for what no other holds.
 	slowRest = 4 * time.Second
 )
--- a/swarm/feedpeer.go
+++ b/swarm/feedpeer.go
@@ -34,7 +34,7 @@
 }
 
 // PeerHas tells which pieces a box holds, all of them when reset, and how many it has to give before the next.
-func (f *Feed) PeerHas(id string, reset bool, pieces []uint32, queue int) {
+func (f *Feed) PeerHas(id string, reset bool, pieces []uint32, queue int, now time.Time) {
 	p := f.peers[id]
 	if p == nil {
 		return
@@ -46,6 +46,7 @@
 	for _, piece := range pieces {
 		if int(piece) < len(p.have) {
 			p.have[piece] = true
+			f.hear(int(piece), now)
 		}
 	}
 }
