coralstair report: what became of requests, by second, route, team and site, and why

Cause: what binds under load was read from logs with throw-away scripts; operators had only the story of one request. Change: package report streams the daemons' logs (plain, gzip, several, standard input) into counts and HDR histograms of bounded size and writes one HTML page with plots (gonum/plot) or tables; progressbar on inputs over 64 MB; lines that cannot be read are counted and named. The request's line now tells waited_ms, goal_ms and report_ms. Not yet: shares per priority, the choice of a time range, bands drawn into the plots of routes.

--- a/forward/call.go
+++ b/forward/call.go
@@ -256,6 +256,7 @@
 		"outcome": outcome, "status": status, "ms": took.Milliseconds(), "first_ms": c.first.Milliseconds(),
 		"server": c.last.server.ID, "predicted_ms": c.last.first.Milliseconds(),
 		"writing": c.last.load.Writing, "reading": c.last.load.Reading, "attempts": c.offered, "waited_ms": c.waited.Milliseconds(),
+		"goal_ms": c.route.Goal.Milliseconds(), "report_ms": c.last.reportAge.Milliseconds(),
 	}
 	if cause != nil {
 		fields["cause"] = cause.Error()
--- a/forward/choose.go
+++ b/forward/choose.go
@@ -50,6 +50,8 @@
 	first time.Duration
 	cost  time.Duration
 	load  engine.Load
+	// reportAge is how old the latest report of the server's box was; 0 when there is none.
+	reportAge time.Duration
 }
 
 // choose returns a server at which a request is done soonest; ok is false when none may take it. Servers that failed lately
@@ -91,6 +93,9 @@
 		return choice{}, time.Time{}, false
 	}
 	c = choice{up: up, server: server}
+	if !up.reportAt.IsZero() {
+		c.reportAge = now.Sub(up.reportAt)
+	}
 	if want.service.Engine == nil {
 		c.first = plainWork*time.Duration(1+up.inFlight/max(server.Slots, 1)) + time.Duration(up.inFlight)*time.Millisecond
 	} else if !e.predict(&c, want, now) {
--- a/internal/cmd/cmd_test.go
+++ b/internal/cmd/cmd_test.go
@@ -23,7 +23,7 @@
 
 // TestCommandPages keeps a page of each command's help under docs/commands.
 func TestCommandPages(t *testing.T) {
-	for _, name := range []string{"entry", "box", "do", "show", "shell", "publish", "check", "key", "explain", "version"} {
+	for _, name := range []string{"entry", "box", "do", "show", "shell", "publish", "check", "key", "explain", "report", "version"} {
 		t.Run(name, func(t *testing.T) {
 			var help bytes.Buffer
 			c := NewConfig(WithOutput(&help, &help))
--- a/internal/cmd/config.go
+++ b/internal/cmd/config.go
@@ -86,7 +86,7 @@
 		Commands: []*cli.Command{
 			c.newEntryCmd(), c.newBoxCmd(),
 			c.newDoCmd(), c.newShowCmd(), c.newShellCmd(), c.newPublishCmd(),
-			c.newCheckCmd(), c.newKeyCmd(), c.newExplainCmd(), c.newVersionCmd(),
+			c.newCheckCmd(), c.newKeyCmd(), c.newExplainCmd(), c.newReportCmd(), c.newVersionCmd(),
 		},
 	}
 }
