The newer life of an address counts, and a server's denial stands until there is news

Ruled out: the weights (all servers had them by 35.96 s), the entries (configuration at 35.0). Change: a server listed for the first time takes the place of others at its address while it is listed; rows are taken in the order of writing; a denial stands 4 s or until the server's own entry or the version its box tells differs.

--- a/forward/choose.go
+++ b/forward/choose.go
@@ -15,8 +15,9 @@
 	otherRegion = 40 * time.Millisecond
 	// jitter keeps entries from all choosing the same server.
 	jitter = 10 * time.Millisecond
-	// deniedTime is how long a server that denied what the list says is passed over without newer news.
-	deniedTime = time.Second
+	// deniedTime is how long a server that denied what the list says is passed over without newer news: an entry of the list
+	// whose server has ended lapses after about that time.
+	deniedTime = 4 * time.Second
 	// plainWork is what a request at a plain service counts as.
 	plainWork = 60 * time.Millisecond
 	// dueMargin, and dueFactor times the predicted wait more, is how long before the bound on its version a server gets no
--- a/forward/upstream.go
+++ b/forward/upstream.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"reflect"
 	"slices"
 	"sync"
 	"time"
@@ -59,7 +60,7 @@
 	failures int
 	pause    time.Duration
 	until    time.Time
-	// denied is when the server itself said that it is not what the list says.
+	// denied is when the server itself said that it is not what the list and its box say; zero once these say something new.
 	denied time.Time
 }
 
@@ -126,18 +127,22 @@
 	if report.Closing && !u.report.Closing {
 		time.AfterFunc(moveAfter, u.moveOn)
 	}
+	if report.Version != u.report.Version {
+		u.denied = time.Time{}
+	}
 	u.report, u.reportAt = report, now
 	u.othersReading = max(0, report.Waiting-u.reading)
 	u.othersWriting = max(0, report.Running-(u.inFlight-u.reading))
-	u.denied = time.Time{}
 }
 
 // listed takes the server's entry on the list.
 func (u *upstream) listed(server contract.Server, missing bool) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
+	if !reflect.DeepEqual(u.server, server) {
+		u.denied = time.Time{}
+	}
 	u.server, u.missing = server, missing
-	u.denied = time.Time{}
 }
 
 // load returns what is believed to be at the server now; mu is held.
--- a/view/source.go
+++ b/view/source.go
@@ -24,6 +24,7 @@
 
 // Servers is the list of servers, whole or as far as it changed.
 type Servers struct {
+	// Present are in the order in which they were written.
 	Present []contract.Server
 	// Gone holds the ids of servers that are no longer listed.
 	Gone []string
--- a/view/take.go
+++ b/view/take.go
@@ -88,6 +88,7 @@
 		present[server.ID] = true
 		delete(v.missing, server.ID)
 		v.noteServer(server)
+		v.replace(server)
 		v.servers[server.ID] = server
 	}
 	for _, id := range servers.Unread {
@@ -114,10 +115,35 @@
 		if now.After(gap.until) {
 			delete(v.missing, id)
 			delete(v.servers, id)
+			delete(v.replaced, id)
 		}
 	}
 }
 
+// replace notes that a server that is listed for the first time has the address of others: their lives have ended, though the
+// list tells so only after several heartbeats (2.5 s in a loss of power of all, in which callers were sent to them). mu is held.
+func (v *View) replace(server contract.Server) {
+	if _, known := v.servers[server.ID]; known || server.Address == "" {
+		return
+	}
+	for id, other := range v.servers {
+		if other.Address == server.Address {
+			v.replaced[id] = server.ID
+		}
+	}
+}
+
+// hasSuccessor reports whether another server that is still listed took the address of one; mu is held.
+func (v *View) hasSuccessor(id string) bool {
+	successor, ok := v.replaced[id]
+	if !ok {
+		return false
+	}
+	_, listed := v.servers[successor]
+	_, missing := v.missing[successor]
+	return listed && !missing
+}
+
 // noteServer logs a server whose entry is new or tells something new; mu is held.
 func (v *View) noteServer(server contract.Server) {
 	old, known := v.servers[server.ID]
--- a/view/view.go
+++ b/view/view.go
@@ -56,9 +56,11 @@
 	targets map[string]*history
 	servers map[string]contract.Server
 	missing map[string]lapse
-	listed  bool
-	changed chan struct{}
-	away    time.Time
+	// replaced holds for a server the one that took its address: of the two only the newer one lives.
+	replaced map[string]string
+	listed   bool
+	changed  chan struct{}
+	away     time.Time
 	// confirmed is when the store last answered what is declared.
 	confirmed time.Time
 	// lost counts the feeds on which the store does not answer.
@@ -78,7 +80,7 @@
 		source: source, opts: opts, now: time.Now,
 		targets: make(map[string]*history),
 		servers: make(map[string]contract.Server),
-		missing: make(map[string]lapse),
+		missing: make(map[string]lapse), replaced: make(map[string]string),
 		changed: make(chan struct{}),
 	}
 }
@@ -142,7 +144,7 @@
 	now := v.now()
 	for id, server := range v.servers {
 		gap, missing := v.missing[id]
-		if missing && now.After(gap.until) {
+		if missing && now.After(gap.until) || v.hasSuccessor(id) {
 			continue
 		}
 		servers = append(servers, Listed{Server: server, Missing: gap.since})
--- a/view/view_test.go
+++ b/view/view_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -238,3 +239,39 @@
 		})
 	}
 }
+
+func TestAddressesThatChangeHands(t *testing.T) {
+	server := func(id, address string) contract.Server {
+		return contract.Server{ID: id, Service: "s", Address: address}
+	}
+	present := func(servers ...contract.Server) Servers { return Servers{Present: servers} }
+	for name, test := range map[string]struct {
+		changes []Servers
+		want    []string
+	}{
+		"two addresses":                  {[]Servers{present(server("a", "h:1"), server("b", "h:2"))}, []string{"a", "b"}},
+		"the newer life of an address":   {[]Servers{present(server("a", "h:1")), present(server("b", "h:1"))}, []string{"b"}},
+		"written later in one whole":     {[]Servers{present(server("a", "h:1"), server("b", "h:1"))}, []string{"b"}},
+		"a late heartbeat of the older":  {[]Servers{present(server("a", "h:1")), present(server("b", "h:1")), present(server("a", "h:1"))}, []string{"b"}},
+		"the newer one is gone":          {[]Servers{present(server("a", "h:1")), present(server("b", "h:1")), {Gone: []string{"b"}}}, []string{"a", "b"}},
+		"the third life":                 {[]Servers{present(server("a", "h:1")), present(server("b", "h:1")), present(server("c", "h:1"))}, []string{"c"}},
+		"the older one moved: both live": {[]Servers{present(server("a", "h:1")), present(server("a", "h:2")), present(server("b", "h:1"))}, []string{"a", "b"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			following(t, func(t *testing.T, v *View, s *fakeSource) {
+				for _, change := range test.changes {
+					s.servers <- answer[Servers]{value: change}
+				}
+				synctest.Wait()
+				var got []string
+				for _, server := range v.Servers() {
+					got = append(got, server.ID)
+				}
+				slices.Sort(got)
+				if !slices.Equal(got, test.want) {
+					t.Errorf("%v are listed, want %v", got, test.want)
+				}
+			})
+		})
+	}
+}
