--- a/forward/choose.go
+++ b/forward/choose.go
@@ -90,7 +90,8 @@
 	up.mu.Lock()
 	defer up.mu.Unlock()
 	server := up.server
-	if server.Leaving || want.not[server.ID] || now.Sub(up.denied) < deniedTime {
+	gone := up.missing && now.After(up.goneAt)
+	if server.Leaving || gone || want.not[server.ID] || now.Sub(up.denied) < deniedTime {
 		return choice{}, time.Time{}, false
 	}
 	c = choice{up: up, server: server}
--- a/forward/upstream.go
+++ b/forward/upstream.go
@@ -10,6 +10,7 @@
 	"github.com/coralstair/coralstair/contract"
 	"github.com/coralstair/coralstair/engine"
 	"github.com/coralstair/coralstair/link"
+	"github.com/coralstair/coralstair/view"
 )
 
 const (
@@ -36,8 +37,9 @@
 type upstream struct {
 	mu     sync.Mutex
 	server contract.Server
-	// missing says that the server is no longer listed, which may be a lapse of the list.
+	// missing says that the server is no longer listed, which may be a lapse of the list; from goneAt on it gets nothing more.
 	missing bool
+	goneAt  time.Time
 
 	// inFlight are this entry's requests there, reading those without a first event, unread their prompt tokens.
 	inFlight int
@@ -136,13 +138,13 @@
 }
 
 // listed takes the server's entry on the list.
-func (u *upstream) listed(server contract.Server, missing bool) {
+func (u *upstream) listed(server view.Listed) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	if !reflect.DeepEqual(u.server, server) {
+	if !reflect.DeepEqual(u.server, server.Server) {
 		u.denied = time.Time{}
 	}
-	u.server, u.missing = server, missing
+	u.server, u.missing, u.goneAt = server.Server, !server.Missing.IsZero(), server.Until
 }
 
 // load returns what is believed to be at the server now; mu is held.
--- a/forward/upstreams.go
+++ b/forward/upstreams.go
@@ -27,7 +27,7 @@
 		if up == nil {
 			up = &upstream{}
 		}
-		up.listed(server.Server, !server.Missing.IsZero())
+		up.listed(server)
 		us.byID[server.ID] = up
 		us.byService[server.Service] = append(us.byService[server.Service], up)
 	}
--- a/internal/daemoncmd/daemon.go
+++ b/internal/daemoncmd/daemon.go
@@ -58,7 +58,9 @@
 
 // newView returns what a daemon believes, by the store; where entries tell what that holds, also the source that they tell.
 func newView(of role, m machine.Machine, logger log.Interface) (*view.View, *fill.Told) {
-	opts := view.Options{Log: logger, VersionBound: m.Bounds.Version, Wait: view.WaitWithin(m.Bounds.Contact)}
+	opts := view.Options{
+		Log: logger, Drain: m.Bounds.Drain, VersionBound: m.Bounds.Version, Wait: view.WaitWithin(m.Bounds.Contact),
+	}
 	store := view.Insist(platform.NewStore(m.StoreAt, newClient()))
 	if !of.told {
 		return view.New(store, opts), nil
--- a/machine/machine.go
+++ b/machine/machine.go
@@ -30,6 +30,8 @@
 
 // Bounds are the times and shares that operators have set for the system.
 type Bounds struct {
+	// Drain is how long after it said that it leaves a server may still get requests; 0 where operators have set none.
+	Drain time.Duration
 	// Grace is how long a planned stop may take.
 	Grace time.Duration
 	// Contact is how long a machine has to be undisturbed until the other bounds hold for it; 0 where operators have set none.
--- a/view/take.go
+++ b/view/take.go
@@ -164,6 +164,9 @@
 		return
 	}
 	grace := lapseGrace
+	if v.opts.Drain > 0 {
+		grace = max(min(grace, v.opts.Drain-drainMargin), 0)
+	}
 	if now.Sub(v.away) < awayLately {
 		grace = awayGrace
 	}
--- a/view/view.go
+++ b/view/view.go
@@ -25,6 +25,8 @@
 	ServersSettle time.Duration
 	// Reread has the whole of what is declared read after a change, instead of every change since.
 	Reread bool
+	// Drain is how long after it said that it leaves a server may still get requests; 0 for no bound.
+	Drain time.Duration
 	// VersionBound is how soon after a version is named nothing begins on an older one.
 	VersionBound time.Duration
 }
@@ -41,6 +43,8 @@
 	lapseGrace = 1500 * time.Millisecond
 	awayGrace  = 2500 * time.Millisecond
 	awayLately = 3 * time.Second
+	// drainMargin is kept from the time for which a server that leaves may get requests: its entry may go without a word.
+	drainMargin = 500 * time.Millisecond
 	// leastWait bounds the wait of a call on a feed from below.
 	leastWait = time.Second
 )
@@ -145,6 +149,8 @@
 type Listed struct {
 	contract.Server
 	Missing time.Time
+	// Until is from when on the server counts as gone; zero while it is listed.
+	Until time.Time
 }
 
 // Servers returns the servers that are listed, and those that went missing a short time ago.
@@ -158,7 +164,7 @@
 		if missing && now.After(gap.until) || v.hasSuccessor(id) {
 			continue
 		}
-		servers = append(servers, Listed{Server: server, Missing: gap.since})
+		servers = append(servers, Listed{Server: server, Missing: gap.since, Until: gap.until})
 	}
 	return servers
 }
--- a/view/view_test.go
+++ b/view/view_test.go
@@ -275,3 +275,25 @@
 		})
 	}
 }
+
+func TestGraceFitsTheDrainBound(t *testing.T) {
+	for name, test := range map[string]struct {
+		drain time.Duration
+		want  time.Duration
+	}{
+		"no bound":        {0, lapseGrace},
+		"a wide bound":    {5 * time.Second, lapseGrace},
+		"a tight bound":   {time.Second, time.Second - drainMargin},
+		"one of no grace": {drainMargin / 2, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			now := time.Now()
+			v := New(nil, Options{Log: &log.Logger{Handler: discard.Default, Level: log.InfoLevel}, Drain: test.drain})
+			v.servers["a"] = contract.Server{ID: "a"}
+			v.miss("a", now)
+			if got := v.missing["a"].until.Sub(now); got != test.want {
+				t.Errorf("a missing server counts for %s, want %s", got, test.want)
+			}
+		})
+	}
+}
