--- a/internal/labcmd/config.go
+++ b/internal/labcmd/config.go
@@ -85,7 +85,7 @@
 		After:  c.stopProfile,
 		Commands: []*cli.Command{
 			c.newPlatformCmd(), c.newEngineCmd(), c.newPlainCmd(), c.newWeightsCmd(), c.newAskCmd(),
-			c.newDemoCmd(), c.newRolloutCmd(), c.newDriveCmd(), c.newControlCmd(),
+			c.newDemoCmd(), c.newRolloutCmd(), c.newDriveCmd(), c.newControlCmd(), c.newShortageCmd(),
 		},
 	}
 }
