An answer of the store that has begun is not asked for again; after a loss the whole is read

Ruled out: the store (other entries had each revision within 0.3 s), the pause after a change (0.5 s). Change: the source tells when an answer begins (view.Begun); from then on no further call is made and the first call's end does not end the others. After a failed call the whole is read: one configuration in place of all revisions since. Tests fail on the code before (4 calls for one answer; the whole was read once).

--- a/view/follow.go
+++ b/view/follow.go
@@ -26,7 +26,8 @@
 			declared, err = v.source.Declared(ctx)
 		}
 		if err != nil {
-			known = known && !gone(err)
+			// The whole is one configuration; the feed sends each revision since, 32 of them after a storm of changes.
+			known = false
 			return 0, err
 		}
 		changed := v.takeDeclared(declared, first)
--- a/view/insist.go
+++ b/view/insist.go
@@ -45,6 +45,17 @@
 	})
 }
 
+// begunKey is the key of the context's value that Begun calls.
+type begunKey struct{}
+
+// Begun tells that the answer to the call of a context has begun: it is on its way, however long it takes, and asking for it
+// again would have the same bytes sent twice.
+func Begun(ctx context.Context) {
+	if begun, ok := ctx.Value(begunKey{}).(func()); ok {
+		begun()
+	}
+}
+
 // answered is what a call came to; first says that it was the first of its kind.
 type answered[T any] struct {
 	value T
@@ -52,14 +63,20 @@
 	first bool
 }
 
-// insist makes a call, and makes it again without waiting each time an answer is overdue. It fails when the first call fails
-// before another is answered.
+// insist makes a call, and makes it again without waiting each time an answer is overdue, until one has begun. It fails when
+// the first call fails before another has begun to be answered, or when all have failed.
 func insist[T any](
 	ctx context.Context, wait, after time.Duration, call func(ctx context.Context, wait time.Duration) (T, error),
 ) (T, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	answers := make(chan answered[T], mostCalls)
+	answers, begins := make(chan answered[T], mostCalls), make(chan struct{}, 1)
+	ctx = context.WithValue(ctx, begunKey{}, func() {
+		select {
+		case begins <- struct{}{}:
+		default:
+		}
+	})
 	ask := func(wait time.Duration, first bool) {
 		value, err := call(ctx, wait)
 		answers <- answered[T]{value, err, first}
@@ -67,14 +84,21 @@
 	go ask(wait, true)
 	overdue := time.NewTimer(wait + after)
 	defer overdue.Stop()
-	for made := 1; ; {
+	begun := false
+	for made, open := 1, 1; ; {
 		select {
 		case a := <-answers:
-			if a.err == nil || a.first || gone(a.err) {
+			open--
+			if a.err == nil || gone(a.err) || open == 0 || a.first && !begun {
 				return a.value, a.err
 			}
+		case <-begins:
+			begun = true
+			overdue.Stop()
 		case <-overdue.C:
-			if made++; made <= mostCalls {
+			if made < mostCalls {
+				made++
+				open++
 				go ask(0, false)
 				overdue.Reset(after)
 			}
--- a/view/insist_test.go
+++ b/view/insist_test.go
@@ -26,7 +26,11 @@
 	// hangs says whether a call is never answered, by its number and when it was made.
 	hangs func(call int, at time.Duration) bool
 	slow  time.Duration
+	// body is how long an answer takes once it has begun.
+	body  time.Duration
 	began time.Time
+	// whole counts the reads of the whole.
+	whole int
 }
 
 func (s *fakeStore) set(revision contract.Revision) {
@@ -56,6 +60,8 @@
 		revision, changed := s.revision, s.changed
 		s.mu.Unlock()
 		if Cursor(revision) > cursor {
+			Begun(ctx)
+			time.Sleep(s.body)
 			return revision, nil
 		}
 		select {
@@ -69,6 +75,9 @@
 }
 
 func (s *fakeStore) Declared(ctx context.Context) (Declared, error) {
+	s.mu.Lock()
+	s.whole++
+	s.mu.Unlock()
 	return s.DeclaredAfter(ctx, 0, 0)
 }
 
@@ -174,3 +183,54 @@
 		})
 	}
 }
+
+// storeFollowed returns a store and a view that follows it.
+func storeFollowed(t *testing.T, s *fakeStore) *View {
+	s.revision, s.changed, s.began = 1, make(chan struct{}), time.Now()
+	v := New(Insist(s), Options{Log: &log.Logger{Handler: discard.Default, Level: log.InfoLevel}})
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() { _ = v.ServeDeclared(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		synctest.Wait()
+	})
+	return v
+}
+
+// TestAnswerThatHasBegunIsNotAskedForAgain proves that a long answer over a full link is not sent several times.
+func TestAnswerThatHasBegunIsNotAskedForAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &fakeStore{body: 5 * time.Second}
+		v := storeFollowed(t, s)
+		time.Sleep(4900 * time.Millisecond)
+		s.mu.Lock()
+		calls := s.calls
+		s.mu.Unlock()
+		if calls != 1 {
+			t.Errorf("%d calls for one answer that is on its way, want 1", calls)
+		}
+		time.Sleep(200 * time.Millisecond)
+		if v.Config() == nil {
+			t.Error("the answer was not taken")
+		}
+	})
+}
+
+// TestWholeIsReadAfterALoss proves that an entry that lost the store does not have each revision since sent to it.
+func TestWholeIsReadAfterALoss(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &fakeStore{hangs: func(_ int, at time.Duration) bool { return at > 4*time.Second && at < 13*time.Second }}
+		v := storeFollowed(t, s)
+		time.Sleep(12 * time.Second)
+		s.set(40)
+		time.Sleep(3 * time.Second)
+		if got := v.Config(); got == nil || got.Revision != 40 {
+			t.Errorf("%+v is in force, want revision 40", got)
+		}
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if s.whole < 2 {
+			t.Errorf("the whole was read %d times, want again after the loss", s.whole)
+		}
+	})
+}
