--- a/swarm/feedtail_test.go
+++ b/swarm/feedtail_test.go
@@ -11,7 +11,7 @@
 // seedsVariable names how many seeds are played instead of usualSeeds.
 const (
 	seedsVariable = "CORALSTAIR_TAIL_SEEDS"
-	usualSeeds    = 15
+	usualSeeds    = 25
 )
 
 // spare is how long after its whole way over the origin's link a version has had time to be drawn: three drawers fail.
