Requests at servers about to load: moved again and again, first at the next server, priced by turns

Change: what still runs 0.4 s after the close goes on elsewhere, tried each 0.1 s; it has the first rank at the next server, and its wait there is predicted without those it passes; the last quarter of a server's slots may pause longer; a request that outlasts a turn counts as one reading more (80 ms) where a server of its version loads 1.5 s later or more, else as long as it holds the server up.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -31,6 +31,7 @@
 	ctx    context.Context
 	cancel context.CancelCauseFunc
 	quiet  *time.Timer
+	rank   int
 	conn   *conn
 	before int64
 	resp   *http.Response
@@ -53,7 +54,7 @@
 
 // attempt prepares a send that is given up after so long a silence.
 func (c *call) attempt(ctx context.Context, ch choice, silence time.Duration) *attempt {
-	a := &attempt{call: c, choice: ch, ticket: ch.up.take(c.ask.Prompt, ch.first, time.Now())}
+	a := &attempt{call: c, choice: ch, ticket: ch.up.take(c.ask.Prompt, ch.first, time.Now()), rank: c.priority()}
 	a.ctx, a.cancel = context.WithCancelCause(ctx)
 	if silence > 0 {
 		a.giveUpAfter(silence)
--- a/forward/call.go
+++ b/forward/call.go
@@ -19,6 +19,8 @@
 	answerMargin = 20 * time.Millisecond
 	// notRunTries is how many more servers than its attempts a request may be offered when each says that it did not run.
 	notRunTries = 1
+	// mostUrgent is the rank that servers let in first.
+	mostUrgent = 0
 )
 
 // call is one caller's request on its way.
@@ -45,6 +47,9 @@
 	current   *attempt
 	streaming contract.Version
 	granted   bool
+	// urgent says that the request was in progress already: its caller waits in the middle of an answer, so servers let it in
+	// before others.
+	urgent bool
 
 	// offered counts the servers the request was sent to.
 	offered int
@@ -130,7 +135,10 @@
 
 // wanted returns what a server has to be to take the request.
 func (c *call) wanted() wanted {
-	return wanted{service: c.service, model: c.model(), prompt: c.ask.Prompt, answer: c.ask.answer(), not: c.not}
+	return wanted{
+		service: c.service, model: c.model(), prompt: c.ask.Prompt, answer: c.ask.answer(), not: c.not,
+		urgent: c.urgent, moves: c.route.Repeatable() && c.offered+1 < c.route.Attempts,
+	}
 }
 
 // worthwhile reports whether a request is let in by what waits before it at the best server. Its own length does not count,
@@ -187,8 +195,12 @@
 	return c.entry.comeBack(c.service, c.route, time.Now())
 }
 
-// priority returns the rank of the request: that of its team before that of its route.
+// priority returns the rank of the request: that of its team before that of its route, the first one when it goes on at another
+// server.
 func (c *call) priority() int {
+	if c.urgent {
+		return mostUrgent
+	}
 	if c.team != nil && c.team.HasPriority {
 		return c.team.Priority
 	}
--- a/forward/choose.go
+++ b/forward/choose.go
@@ -39,7 +39,10 @@
 	answer  int
 	// exact is the only version that may answer; 0 for any.
 	exact contract.Version
-	not   map[string]bool
+	// urgent says that servers let it in before what waits there, moves that it may go on at another one later.
+	urgent bool
+	moves  bool
+	not    map[string]bool
 }
 
 // choice is a server with what is predicted there.
@@ -51,6 +54,9 @@
 	first time.Duration
 	cost  time.Duration
 	load  engine.Load
+	// closes is how soon the server takes nothing new, over by how much the request would outlast that.
+	closes time.Duration
+	over   time.Duration
 	// reportAge is how old the latest report of the server's box was; 0 when there is none.
 	reportAge time.Duration
 }
@@ -78,6 +84,7 @@
 	if len(usable) == 0 {
 		return choice{}, false
 	}
+	priceOverrun(usable, want.moves)
 	if want.service.Engine == nil || want.service.Engine.ReadRate <= 0 {
 		return usable[cheapest(usable)], true
 	}
@@ -119,11 +126,15 @@
 		return false
 	}
 	c.load = up.load(want.service.Engine, now)
+	if want.urgent {
+		c.load.Reading, c.load.Unread = 0, 0
+	}
 	c.first = engine.First(want.service.Engine, c.load, want.prompt) + up.faded(now) + stuckFactor*up.stuck(now) + up.way.held(now)
 	if e.overdue(up, want.model, *c, now) {
 		return false
 	}
-	c.cost = up.overrun(c.first+engine.Write(want.service.Engine, c.load, want.answer), now)
+	c.closes = up.closes(now)
+	c.over = max(c.first+engine.Write(want.service.Engine, c.load, want.answer)-c.closes, 0)
 	return true
 }
 
--- a/forward/enginefixture_test.go
+++ b/forward/enginefixture_test.go
@@ -11,7 +11,11 @@
 	"github.com/coralstair/coralstair/view"
 )
 
-const engineModel = "m"
+const (
+	engineModel = "m"
+	// usualRank is the rank of the engine's streams.
+	usualRank = 3
+)
 
 // newEngineWorld returns an entry before model servers that run version 1.
 func newEngineWorld(t *testing.T, addresses ...string) *world {
@@ -23,7 +27,7 @@
 	routes := []contract.Route{
 		{
 			Name: "stream", Host: "h", Prefix: "/stream/", Kind: contract.KindStream, TimeLimit: 3 * time.Second, Attempts: 2,
-			Goal: 500 * time.Millisecond, PauseGoal: 400 * time.Millisecond, Resumable: true,
+			Goal: 500 * time.Millisecond, PauseGoal: 400 * time.Millisecond, Resumable: true, Priority: usualRank,
 		},
 		{
 			Name: "stream once", Host: "h", Prefix: "/stream/once/", Kind: contract.KindStream, TimeLimit: 3 * time.Second, Attempts: 2,
--- a/forward/fixture_test.go
+++ b/forward/fixture_test.go
@@ -38,6 +38,7 @@
 	h.Set("Wait", strconv.FormatInt(send.Left.Milliseconds(), 10))
 	h.Set("Expect", send.Server)
 	h.Set("Team", send.Team)
+	h.Set("Rank", strconv.Itoa(send.Priority))
 	if send.LastEvent != "" {
 		h.Set("Last", send.LastEvent)
 	}
--- a/forward/move.go
+++ b/forward/move.go
@@ -1,20 +1,55 @@
 package forward
 
 import (
+	"slices"
 	"time"
 
 	"github.com/coralstair/coralstair/contract"
 )
 
 const (
-	// moveAfter is how long after a server closes to load another version what still runs there is moved: the server loads
-	// once the last has ended, and until then does little.
-	moveAfter = 150 * time.Millisecond
+	// moveAfter is how long after a server closes to load another version what still runs there is moved: the server loads once
+	// the last has ended, and until then does little. Moved at once, more prompts are read twice; each takes the time of about
+	// four hundredths of a server's second. With moves that are repeated and go first at the server (below), servers are out for
+	// 0.7 to 0.9 s where it was 1.2 to 2.2 s, and mean worth rose by 0.008 (10 days; standard error 0.003).
+	moveAfter = 400 * time.Millisecond
+	// moveAgain is how long after requests that found no place in time it is tried again.
+	moveAgain = 100 * time.Millisecond
 	// moveShare is the part of the pause that is in time which a move may take.
-	moveShare = 0.6
+	moveShare = 0.85
+	// fewLeft is the part of a server's slots, one in so many, up to which what is left there keeps more others waiting than it
+	// is worth: it then goes on elsewhere also when that takes longer, lateMove times the pause in time at most.
+	fewLeft  = 4
+	lateMove = 4
+	// moveCost is what a request counts as more that will have to go on at another server: its prompt is read twice.
+	moveCost = 80 * time.Millisecond
+	// movedTime is how much later a server's turn has to come for requests of another one to go on there: most end in that time.
+	movedTime = 1500 * time.Millisecond
+	// unknownTurn stands for a turn that is not known.
+	unknownTurn = time.Hour
 )
 
-// moveOn has requests go on elsewhere that hold a server up which is closing.
+// priceOverrun adds to the costs of offers what the request counts as where it would outlast the server's turn to load. If it
+// can go on at a server of the same version whose turn comes later, that is one more reading of its prompt; else it keeps the
+// server from loading.
+func priceOverrun(offers []choice, moves bool) {
+	for i := range offers {
+		c := &offers[i]
+		if c.over > moveCost && moves && goesOn(*c, offers) {
+			c.over = moveCost
+		}
+		c.cost += c.over
+	}
+}
+
+// goesOn reports whether requests at a server can go on at another one of its version when its turn to load comes.
+func goesOn(c choice, offers []choice) bool {
+	return slices.ContainsFunc(offers, func(other choice) bool {
+		return other.version == c.version && other.closes >= c.closes+movedTime
+	})
+}
+
+// moveOn has requests go on elsewhere that hold a server up which is closing, again and again until none is left.
 func (u *upstream) moveOn() {
 	u.mu.Lock()
 	var moves []func()
@@ -23,12 +58,22 @@
 			moves = append(moves, move)
 		}
 	}
+	if len(moves) > 0 {
+		time.AfterFunc(moveAgain, u.moveOn)
+	}
 	u.mu.Unlock()
 	for _, move := range moves {
 		move()
 	}
 }
 
+// fewLeft reports whether little keeps the server from loading.
+func (u *upstream) fewLeft() bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.report.Running*fewLeft <= u.server.Slots
+}
+
 // whenClosing has a request moved when its server closes.
 func (t *ticket) whenClosing(move func()) {
 	t.up.mu.Lock()
@@ -74,22 +119,32 @@
 	if c.current != a || c.offered >= c.route.Attempts {
 		return
 	}
-	limit := c.route.Goal
-	if c.streaming != 0 {
-		limit = time.Duration(moveShare * float64(c.route.PauseGoal))
-	}
 	now := time.Now()
 	want := c.wanted()
-	want.exact = c.streaming
+	want.exact, want.urgent, want.moves = c.streaming, true, false
 	ch, ok := c.entry.choose(want, now)
-	if !ok || ch.first > limit || !c.entry.budget.Again(c.service.Name, now) {
+	if !ok || ch.first > a.moveLimit() || !c.entry.budget.Again(c.service.Name, now) {
 		return
 	}
-	c.granted, c.current = true, nil
+	c.granted, c.urgent, c.current = true, true, nil
 	moves.Inc()
 	a.cancel(&MovedError{Server: a.choice.server.ID})
 }
 
+// moveLimit returns how long the first event of another server may take for the request to be moved there; the call's mutex is
+// held.
+func (a *attempt) moveLimit() time.Duration {
+	c := a.call
+	switch {
+	case c.streaming == 0:
+		return c.route.Goal
+	case a.choice.up.fewLeft():
+		return lateMove * c.route.PauseGoal
+	default:
+		return time.Duration(moveShare * float64(c.route.PauseGoal))
+	}
+}
+
 // mayRepeat takes a second send from the budget, unless it was taken when the request was moved.
 func (c *call) mayRepeat() bool {
 	c.mu.Lock()
--- a/forward/request.go
+++ b/forward/request.go
@@ -23,7 +23,7 @@
 	extra.Left = time.Until(c.ends) - answerMargin
 	extra.Server = a.choice.server.ID
 	extra.Team = c.teamName()
-	extra.Priority = c.priority()
+	extra.Priority = a.rank
 	header := c.r.Header.Clone()
 	dropHopHeaders(header)
 	if _, told := header["User-Agent"]; !told {
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -73,6 +73,7 @@
 		return errNoResume
 	}
 	now := time.Now()
+	c.urgent = true
 	want := c.wanted()
 	want.exact = p.version
 	ch, ok := c.entry.choose(want, now)
--- a/forward/upstream.go
+++ b/forward/upstream.go
@@ -209,13 +209,12 @@
 	return max(now.Sub(oldest.sent)-oldest.predicted*3/2-stuckUsual, 0)
 }
 
-// overrun returns by how much a request that takes so long would outlast the time until the server takes nothing new:
-// what still runs then keeps the server from loading. mu is held.
-func (u *upstream) overrun(takes time.Duration, now time.Time) time.Duration {
+// closes returns how soon the server takes nothing new, unknownTurn when its box has not told. mu is held.
+func (u *upstream) closes(now time.Time) time.Duration {
 	if u.report.Closes == 0 || now.Sub(u.reportAt) > reportLife {
-		return 0
+		return unknownTurn
 	}
-	return max(takes-(u.report.Closes-now.Sub(u.reportAt)), 0)
+	return u.report.Closes - now.Sub(u.reportAt)
 }
 
 // failed notes a failure; after several in a row the server is left alone for the time returned.
