--- a/fill/aim.go
+++ b/fill/aim.go
@@ -40,78 +40,22 @@
 	cancel context.CancelFunc
 }
 
-// aim makes a version the one to fill; a newer one takes the place of any on its way, or is prepared while that is finished.
+// aim makes a version the one to fill; a newer one takes the place of any on its way.
 func (b *Box) aim(ctx context.Context, model string, target contract.Version) *filling {
 	b.mu.Lock()
+	defer b.mu.Unlock()
 	if b.fill != nil && b.fill.model == model && (b.fill.version == target || b.finishesFirst(b.fill, target)) {
-		if b.fill.version != target {
-			b.prepare(ctx, model, target)
-		}
-		defer b.mu.Unlock()
 		return b.fill
 	}
-	old := b.fill
 	b.replace(model)
-	f := b.prepared(model, target, old)
-	known := f != nil && f.feed != nil
-	if f == nil {
-		f = b.newFilling(ctx, model, target)
-	}
-	b.fill = f
-	if b.pending == nil {
-		b.closing = false
-	}
-	b.mu.Unlock()
-	b.log.WithFields(log.Fields{"model": model, "version": int64(target), "prepared": known}).Info("fill: a version is aimed at")
-	if known {
-		b.links.begin(f)
-	}
-	return f
-}
-
-// newFilling returns the way of a version to this box before anything is known of it; mu is held.
-func (b *Box) newFilling(ctx context.Context, model string, target contract.Version) *filling {
 	f := &filling{model: model, version: target, began: time.Now()}
 	_, f.named = b.cfg.View.Target(model)
 	f.ctx, f.cancel = context.WithCancel(ctx)
-	return f
-}
-
-// prepare has the manifest of a version fetched and this box's own pieces of it drawn while an older one is still finished:
-// that one has left the origin's link free, which may fail before the newer one's turn comes. mu is held.
-func (b *Box) prepare(ctx context.Context, model string, target contract.Version) {
-	if b.ahead != nil && b.ahead.model == model && b.ahead.version == target {
-		return
-	}
-	if b.ahead != nil {
-		b.ahead.cancel()
-	}
-	b.ahead = b.newFilling(ctx, model, target)
-}
-
-// prepared returns the version that was prepared, nil when it is another one; what it shares with an older one need not come
-// again. mu is held.
-func (b *Box) prepared(model string, target contract.Version, old *filling) *filling {
-	f := b.ahead
-	b.ahead = nil
-	if f == nil {
-		return nil
-	}
-	if f.model != model || f.version != target {
-		f.cancel()
-		return nil
-	}
-	if f.feed == nil {
-		return f
-	}
-	f.feed.Open(time.Now())
-	if old != nil && old.feed != nil && len(old.manifest.Digests) == len(f.manifest.Digests) {
-		for piece, digest := range f.manifest.Digests {
-			if old.manifest.Digests[piece] == digest && old.feed.Holds(piece) {
-				f.feed.Has(piece)
-			}
-		}
+	b.fill = f
+	if b.pending == nil {
+		b.closing = false
 	}
+	b.log.WithFields(log.Fields{"model": model, "version": int64(target)}).Info("fill: a version is aimed at")
 	return f
 }
 
--- a/fill/box.go
+++ b/fill/box.go
@@ -53,8 +53,6 @@
 	fill    *filling
 	// pending is an older version whose pieces are all staged and whose turn to load has not come.
 	pending *filling
-	// ahead is a newer version that is prepared while an older one is finished; nil when there is none.
-	ahead *filling
 	// closing says that the server is about to load and takes nothing new.
 	closing bool
 	// closes is when the server's turn to load comes.
@@ -182,27 +180,13 @@
 	return b.fill
 }
 
-// fillings returns the version on its way, an older one that waits for its turn, which is still given to others, and a newer
-// one that is prepared.
-func (b *Box) fillings() []*filling {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	var all []*filling
-	for _, f := range []*filling{b.fill, b.pending, b.ahead} {
-		if f != nil {
-			all = append(all, f)
-		}
-	}
-	return all
-}
-
-// filling returns the version of fillings whose manifest has a key; nil when there is none.
+// filling returns the version whose manifest has a key: the one on its way, or an older one that waits for its turn and is
+// still given to others; nil when it is neither.
 func (b *Box) filling(key uint64) *filling {
-	all := b.fillings()
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	for _, f := range all {
-		if f.feed != nil && f.key == key {
+	for _, f := range []*filling{b.fill, b.pending} {
+		if f != nil && f.feed != nil && f.key == key {
 			return f
 		}
 	}
--- a/fill/fetch.go
+++ b/fill/fetch.go
@@ -86,13 +86,10 @@
 	b.wake()
 }
 
-// takeManifest takes the manifest of the version aimed at or prepared, and finds out which of its pieces the server holds.
+// takeManifest takes the manifest of the version aimed at, and finds out which of its pieces the server holds.
 func (b *Box) takeManifest(m *Manifest, from string) {
 	b.mu.Lock()
 	f := b.fill
-	if b.ahead != nil && b.ahead.version == m.Version {
-		f = b.ahead
-	}
 	if f == nil || f.model != m.Model || f.version != m.Version || f.manifest != nil {
 		b.mu.Unlock()
 		return
@@ -104,17 +101,12 @@
 	members := b.siblings()
 	b.mu.Lock()
 	f.feed = swarm.NewFeed(b.feedParams(m), b.self(), b.orderOf(f, members), have, time.Now())
-	ahead := b.ahead == f
 	b.mu.Unlock()
 	b.log.WithFields(log.Fields{
 		"model": m.Model, "version": int64(m.Version), "from": from, "held": len(have), "pieces": len(m.Digests),
 		"read_ms": time.Since(began).Milliseconds(),
 	}).Info("fill: manifest taken")
-	if ahead {
-		b.links.giveManifest(f)
-	} else {
-		b.links.begin(f)
-	}
+	b.links.begin(f)
 	b.wake()
 }
 
--- a/fill/filler.go
+++ b/fill/filler.go
@@ -46,7 +46,6 @@
 		return
 	}
 	f := b.aim(ctx, model, target)
-	b.drawAhead()
 	if b.runs(model) >= f.version {
 		b.settle(f)
 		return
@@ -56,25 +55,6 @@
 	}
 }
 
-// drawAhead draws this box's own pieces of the version that is prepared.
-func (b *Box) drawAhead() {
-	b.mu.Lock()
-	f := b.ahead
-	b.mu.Unlock()
-	if f == nil || !b.haveManifest(f) {
-		return
-	}
-	b.mu.Lock()
-	var actions []swarm.Action
-	if f.feed != nil && b.ahead == f {
-		actions = f.feed.NextOwn(time.Now())
-	}
-	b.mu.Unlock()
-	for _, action := range actions {
-		go b.draw(f, action.Chunk)
-	}
-}
-
 // spread asks other boxes and the origin for what is missing.
 func (b *Box) spread(f *filling) {
 	members := b.siblings()
--- a/fill/inlink.go
+++ b/fill/inlink.go
@@ -74,7 +74,7 @@
 	l.mu.Lock()
 	l.manifest = m
 	l.mu.Unlock()
-	for _, f := range l.links.box.fillings() {
+	if f := l.links.box.current(); f != nil {
 		l.giveManifest(f)
 	}
 }
--- a/fill/links.go
+++ b/fill/links.go
@@ -223,13 +223,6 @@
 	}
 }
 
-// giveManifest sends the manifest of a version to the boxes that wait for it.
-func (ls *links) giveManifest(f *filling) {
-	for _, l := range ls.boxes() {
-		l.giveManifest(f)
-	}
-}
-
 // boxes returns the links that other boxes opened.
 func (ls *links) boxes() []*inLink {
 	ls.mu.Lock()
--- a/fill/piece.go
+++ b/fill/piece.go
@@ -74,9 +74,6 @@
 	if b.fill == f {
 		b.fill = nil
 	}
-	if b.ahead == f {
-		b.ahead = nil
-	}
 	b.log.WithField("version", int64(f.version)).Warn("fill: the manifest is in doubt and drawn again")
 }
 
@@ -116,12 +113,12 @@
 // when the piece is held already.
 func (b *Box) keep(f *filling, piece int, data []byte) (news bool, err error) {
 	b.mu.Lock()
-	current := (b.fill == f || b.ahead == f) && f.feed != nil
+	current := b.fill == f && f.feed != nil
 	if current && f.feed.Holds(piece) {
 		piecesTwice.Inc()
 		current = false
 	}
-	hold := b.pending != nil || b.ahead == f
+	hold := b.pending != nil
 	if current && hold {
 		if f.memory == nil {
 			f.memory = make(map[int][]byte)
--- a/swarm/feed.go
+++ b/swarm/feed.go
@@ -37,11 +37,9 @@
 	stalls int
 	news   time.Time
 	// way is how long a piece usually takes from its ask.
-	way time.Duration
-	// began is when the schedule of draws begins, opened when others are asked.
-	began  time.Time
-	opened time.Time
-	salt   uint64
+	way   time.Duration
+	began time.Time
+	salt  uint64
 }
 
 // NewFeed returns a feed of a box that already holds the pieces in have.
@@ -49,7 +47,7 @@
 	f := &Feed{
 		params: params.withDefaults(), self: self, have: make([]bool, order.chunks), heard: make([]time.Time, order.chunks), missing: order.chunks,
 		peers: make(map[string]*feedPeer), asks: make(map[int]feedAsk), drawing: make(map[int]bool),
-		retries: make(map[int]time.Time), room: firstAsks, late: firstLate, began: now, opened: now, news: now, salt: score(self.ID, 0, self.Site),
+		retries: make(map[int]time.Time), room: firstAsks, late: firstLate, began: now, news: now, salt: score(self.ID, 0, self.Site),
 	}
 	for _, piece := range have {
 		f.hold(piece)
@@ -128,27 +126,13 @@
 	}
 }
 
-// Has says that a piece is held already.
-func (f *Feed) Has(piece int) { f.hold(piece) }
-
-// Open says that pieces are asked of others from now on, after a time in which this box has only drawn its own.
-func (f *Feed) Open(now time.Time) {
-	f.opened, f.back, f.news = now, now, now
-	f.came = 0
-}
-
-// NextOwn returns the pieces of which this box is the first drawer that are to be drawn now, and marks them as being drawn.
-func (f *Feed) NextOwn(now time.Time) []Action {
-	return f.nextDraws(now, func(piece int) bool { return f.Drawer(piece) && f.mayDraw(piece, now) })
-}
-
 // Next returns what to do now and marks it as being done.
 func (f *Feed) Next(now time.Time) []Action {
 	if f.Complete() {
 		return nil
 	}
 	actions := f.expire(now)
-	actions = append(actions, f.nextDraws(now, func(piece int) bool { return f.mayDraw(piece, now) })...)
+	actions = append(actions, f.nextDraws(now)...)
 	return append(actions, f.nextAsks(now)...)
 }
 
--- a/swarm/feeddraw.go
+++ b/swarm/feeddraw.go
@@ -42,15 +42,14 @@
 // Drawer reports whether this box is the first to draw a piece, so that others wait to hear of it.
 func (f *Feed) Drawer(piece int) bool { return f.places[f.order.Group(piece)][0] == 0 }
 
-// nextDraws chooses among the pieces that may be drawn: those of this box by the schedule, those of earlier ranks when nothing
-// comes.
-func (f *Feed) nextDraws(now time.Time, may func(piece int) bool) []Action {
+// nextDraws chooses pieces to draw: those of this box by the schedule, those of earlier ranks when nothing comes.
+func (f *Feed) nextDraws(now time.Time) []Action {
 	var actions []Action
 	for piece := range f.have {
 		if len(f.drawing) >= min(f.params.Draws, f.room) {
 			break
 		}
-		if !f.have[piece] && !f.drawing[piece] && may(piece) {
+		if !f.have[piece] && !f.drawing[piece] && f.mayDraw(piece, now) {
 			f.drawing[piece] = true
 			actions = append(actions, Action{Chunk: piece, Draw: true, Rank: f.places[f.order.Group(piece)][0]})
 		}
@@ -65,7 +64,7 @@
 		return false
 	case f.known(piece, now):
 		return f.lonely(piece, rank, now)
-	case len(f.order.members) > 1 && now.Before(f.opened.Add(f.params.Greet)):
+	case len(f.order.members) > 1 && now.Before(f.began.Add(f.params.Greet)):
 		return false
 	case rank == 0:
 		return !now.Before(f.slot(piece, f.began))
