Streams are handed on only while enough servers can take them

Ruled out: the margin before the bound (1.1 s at the send). Change: streams go on elsewhere only while a quarter of the service's servers can take them, and to servers whose own turn is more than 0.5 s away; the bound on a version is weighed by all that waits at the server; what outlasts a turn is priced as a move only then. Tests: TestLastServersKeepTheirStreams, TestMove (turns): fail without it.

--- a/forward/choose.go
+++ b/forward/choose.go
@@ -42,7 +42,9 @@
 	// urgent says that servers let it in before what waits there, moves that it may go on at another one later.
 	urgent bool
 	moves  bool
-	not    map[string]bool
+	// stays is how much later at least the server's turn to load has to come.
+	stays time.Duration
+	not   map[string]bool
 }
 
 // choice is a server with what is predicted there.
@@ -57,6 +59,8 @@
 	// closes is how soon the server takes nothing new, over by how much the request would outlast that.
 	closes time.Duration
 	over   time.Duration
+	// among is how many servers could be chosen.
+	among int
 	// reportAge is how old the latest report of the server's box was; 0 when there is none.
 	reportAge time.Duration
 }
@@ -88,7 +92,9 @@
 	if want.service.Engine == nil || want.service.Engine.ReadRate <= 0 {
 		return usable[cheapest(usable)], true
 	}
-	return pick(usable, at.unseen(want.service.Engine), addedWait(want.service.Engine)), true
+	best = pick(usable, at.unseen(want.service.Engine), addedWait(want.service.Engine))
+	best.among = len(usable)
+	return best, true
 }
 
 // consider predicts what a request costs at a server; fits is false when it may not take it, until is when it is no longer
@@ -126,14 +132,16 @@
 		return false
 	}
 	c.load = up.load(want.service.Engine, now)
+	late := up.faded(now) + stuckFactor*up.stuck(now) + up.way.held(now)
+	c.first = engine.First(want.service.Engine, c.load, want.prompt) + late
+	c.closes = up.closes(now)
+	if e.overdue(up, want.model, *c, now) || c.closes < want.stays {
+		return false
+	}
 	if want.urgent {
 		c.load.Reading, c.load.Unread = 0, 0
+		c.first = engine.First(want.service.Engine, c.load, want.prompt) + late
 	}
-	c.first = engine.First(want.service.Engine, c.load, want.prompt) + up.faded(now) + stuckFactor*up.stuck(now) + up.way.held(now)
-	if e.overdue(up, want.model, *c, now) {
-		return false
-	}
-	c.closes = up.closes(now)
 	c.over = max(c.first+engine.Write(want.service.Engine, c.load, want.answer)-c.closes, 0)
 	return true
 }
--- a/forward/enginefixture_test.go
+++ b/forward/enginefixture_test.go
@@ -56,7 +56,13 @@
 
 // report has the box of a server say whether it closes.
 func (w *world) report(i int, closing bool) {
-	w.entry.upstreams.heard(link.Report{Server: serverName(i), Model: engineModel, Version: 1, Closing: closing}, time.Now())
+	w.heard(i, link.Report{Closing: closing})
+}
+
+// heard takes a report of a server's box.
+func (w *world) heard(i int, report link.Report) {
+	report.Server, report.Model, report.Version = serverName(i), engineModel, 1
+	w.entry.upstreams.heard(report, time.Now())
 }
 
 // pausing streams as much as it says, and the rest after a pause.
--- a/forward/move.go
+++ b/forward/move.go
@@ -1,7 +1,6 @@
 package forward
 
 import (
-	"slices"
 	"time"
 
 	"github.com/coralstair/coralstair/contract"
@@ -25,12 +24,17 @@
 	moveCost = 80 * time.Millisecond
 	// movedTime is how much later a server's turn has to come for requests of another one to go on there: most end in that time.
 	movedTime = 1500 * time.Millisecond
+	// enoughServers is the part of a service's servers, one in so many, that has to run a version for requests to go on there:
+	// the last few got all that others handed on, and held some of it until after the bound on their version.
+	enoughServers = 4
+	// turnMargin is how much later the turn of a server has to come for a request to go on there: what meets its turn waits.
+	turnMargin = 500 * time.Millisecond
 	// unknownTurn stands for a turn that is not known.
 	unknownTurn = time.Hour
 )
 
 // priceOverrun adds to the costs of offers what the request counts as where it would outlast the server's turn to load. If it
-// can go on at a server of the same version whose turn comes later, that is one more reading of its prompt; else it keeps the
+// can go on at servers of the same version whose turn comes later, that is one more reading of its prompt; else it keeps the
 // server from loading.
 func priceOverrun(offers []choice, moves bool) {
 	for i := range offers {
@@ -42,11 +46,15 @@
 	}
 }
 
-// goesOn reports whether requests at a server can go on at another one of its version when its turn to load comes.
+// goesOn reports whether requests at a server can go on at others of its version when its turn to load comes.
 func goesOn(c choice, offers []choice) bool {
-	return slices.ContainsFunc(offers, func(other choice) bool {
-		return other.version == c.version && other.closes >= c.closes+movedTime
-	})
+	later := 0
+	for _, other := range offers {
+		if other.version == c.version && other.closes >= c.closes+movedTime {
+			later++
+		}
+	}
+	return later*enoughServers >= len(offers)
 }
 
 // moveOn has requests go on elsewhere that hold a server up which is closing, again and again until none is left.
@@ -122,8 +130,11 @@
 	now := time.Now()
 	want := c.wanted()
 	want.exact, want.urgent, want.moves = c.streaming, true, false
+	if c.streaming != 0 {
+		want.stays = turnMargin
+	}
 	ch, ok := c.entry.choose(want, now)
-	if !ok || ch.first > a.moveLimit() || !c.entry.budget.Again(c.service.Name, now) {
+	if !ok || ch.first > a.moveLimit() || c.streaming != 0 && c.few(ch.among) || !c.entry.budget.Again(c.service.Name, now) {
 		return
 	}
 	c.granted, c.urgent, c.current = true, true, nil
@@ -131,6 +142,11 @@
 	a.cancel(&MovedError{Server: a.choice.server.ID})
 }
 
+// few reports whether so many servers are too few to take over what others hand on.
+func (c *call) few(servers int) bool {
+	return servers*enoughServers < len(c.entry.upstreams.of(c.service.Name))
+}
+
 // moveLimit returns how long the first event of another server may take for the request to be moved there; the call's mutex is
 // held.
 func (a *attempt) moveLimit() time.Duration {
--- a/forward/move_test.go
+++ b/forward/move_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/coralstair/coralstair/contract"
+	"github.com/coralstair/coralstair/link"
 )
 
 // ranks are those with which requests arrive at servers.
@@ -44,8 +45,10 @@
 		// alone says that the other server closes too, opens that it does not any more after a time.
 		alone bool
 		opens time.Duration
-		seal  string
-		moved bool
+		// closes is how soon the other server's turn to load comes.
+		closes time.Duration
+		seal   string
+		moved  bool
 	}{
 		"a stream goes on elsewhere": {path: "/stream/a", first: pausing("a", 3, 6, long), seal: "a", moved: true},
 		"a request without an event begins anew": {path: "/stream/a", first: func(conn net.Conn, n int, r *http.Request) bool {
@@ -57,6 +60,12 @@
 			path: "/stream/a", first: pausing("a", 3, 6, 750*time.Millisecond), alone: true, opens: 450 * time.Millisecond,
 			seal: "a", moved: true,
 		},
+		"the other's turn comes too soon": {
+			path: "/stream/a", first: pausing("a", 3, 6, 700*time.Millisecond), closes: turnMargin + moveAfter/2, seal: "a",
+		},
+		"the other's turn comes later": {
+			path: "/stream/a", first: pausing("a", 3, 6, 700*time.Millisecond), closes: turnMargin + 2*moveAfter, seal: "a", moved: true,
+		},
 		"one that may not run again": {path: "/stream/once/a", first: pausing("a", 3, 6, 400*time.Millisecond), seal: "a"},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -71,7 +80,7 @@
 					asked = 1
 				}
 				w.report(asked, true)
-				w.report(1-asked, test.alone)
+				w.heard(1-asked, link.Report{Closing: test.alone, Closes: test.closes})
 				if test.opens > 0 {
 					time.AfterFunc(test.opens, func() { w.report(1-asked, false) })
 				}
@@ -90,6 +99,39 @@
 	}
 }
 
+// TestLastServersKeepTheirStreams proves that a server goes on with its streams to their end when few others are left to take them.
+func TestLastServersKeepTheirStreams(t *testing.T) {
+	for name, test := range map[string]struct {
+		others int
+		moved  bool
+	}{
+		"one of four": {others: 2, moved: true},
+		"one of six":  {others: 4},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			both := firstThen(pausing("a", 3, 6, 700*time.Millisecond), streaming("b", 6, finish))
+			one, two := newFake(t, both), newFake(t, both)
+			addresses := []string{one.address, two.address}
+			for i := range test.others {
+				addresses = append(addresses, "127.0.0.1:"+strconv.Itoa(1+i))
+			}
+			w := newEngineWorld(t, addresses...)
+			for i := range test.others {
+				w.report(2+i, true)
+			}
+			time.AfterFunc(100*time.Millisecond, func() { w.report(min(two.arrivals(), 1), true) })
+			got := w.ask(http.MethodPost, "/stream/a", "x", nil)
+			if got.status != http.StatusOK || got.err != nil || got.body != all(6) {
+				t.Errorf("status %d, body %q, error %v", got.status, got.body, got.err)
+			}
+			if moved := one.arrivals()+two.arrivals() == 2; moved != test.moved {
+				t.Errorf("moved %t, want %t", moved, test.moved)
+			}
+		})
+	}
+}
+
 func TestPriceOfWhatOutlastsATurn(t *testing.T) {
 	const own, over = 100 * time.Millisecond, 700 * time.Millisecond
 	for name, test := range map[string]struct {
