--- a/fill/filler.go
+++ b/fill/filler.go
@@ -64,7 +64,7 @@
 		return
 	}
 	if !equalMembers(members, f.members) {
-		f.feed.Reorder(b.orderOf(f, members), time.Now())
+		f.feed.Reorder(b.orderOf(f, members))
 	}
 	partners := f.partners
 	actions := f.feed.Next(time.Now())
--- a/swarm/feed.go
+++ b/swarm/feed.go
@@ -15,8 +15,6 @@
 	have    []bool
 	missing int
 	peers   map[string]*feedPeer
-	// expected are the boxes to which this one opens links.
-	expected map[string]bool
 	// asks are the pieces asked of other boxes, drawing those that are drawn.
 	asks    map[int]feedAsk
 	drawing map[int]bool
@@ -41,11 +39,7 @@
 	// way is how long a piece usually takes from its ask.
 	way   time.Duration
 	began time.Time
-	// tookOver are the pieces of which this box became the first drawer when another may have been drawing them already.
-	tookOver map[int]bool
-	// met says that another box has told what it holds since the version was begun.
-	met  bool
-	salt uint64
+	salt  uint64
 }
 
 // NewFeed returns a feed of a box that already holds the pieces in have.
@@ -53,12 +47,12 @@
 	f := &Feed{
 		params: params.withDefaults(), self: self, have: make([]bool, order.chunks), heard: make([]time.Time, order.chunks), missing: order.chunks,
 		peers: make(map[string]*feedPeer), asks: make(map[int]feedAsk), drawing: make(map[int]bool),
-		retries: make(map[int]time.Time), tookOver: make(map[int]bool), room: firstAsks, late: firstLate, began: now, news: now, salt: score(self.ID, 0, self.Site),
+		retries: make(map[int]time.Time), room: firstAsks, late: firstLate, began: now, news: now, salt: score(self.ID, 0, self.Site),
 	}
 	for _, piece := range have {
 		f.hold(piece)
 	}
-	f.Reorder(order, now)
+	f.Reorder(order)
 	return f
 }
 
@@ -143,19 +137,13 @@
 }
 
 // Reorder takes a new order after boxes came or went.
-func (f *Feed) Reorder(order *Order, now time.Time) {
-	before := f.places
+func (f *Feed) Reorder(order *Order) {
 	f.order = order
 	f.places = make([][2]int, order.Groups())
 	for group := range f.places {
 		all, site := order.Places(group, f.self)
 		f.places[group] = [2]int{all, site}
 	}
-	f.takeOver(before, now)
-	f.expected = make(map[string]bool)
-	for _, partner := range order.Partners(f.self) {
-		f.expected[partner.ID] = true
-	}
 }
 
 func (f *Feed) wanted(piece int) bool {
--- a/swarm/feeddraw.go
+++ b/swarm/feeddraw.go
@@ -58,16 +58,14 @@
 }
 
 func (f *Feed) mayDraw(piece int, now time.Time) bool {
-	rank := f.rank(piece, now)
+	rank := f.places[f.order.Group(piece)][0]
 	switch {
-	case rank < 0 || rank >= MaxPermits || now.Before(f.retries[piece]) || f.cutOff(now):
+	case rank < 0 || rank >= MaxPermits || now.Before(f.retries[piece]):
 		return false
 	case f.known(piece, now):
-		return f.lonely(piece, f.places[f.order.Group(piece)][0], now)
+		return f.lonely(piece, rank, now)
 	case len(f.order.members) > 1 && now.Before(f.began.Add(f.params.Greet)):
 		return false
-	case rank == 0 && f.tookOver[piece] && !f.away:
-		return !now.Before(f.due(piece, 0))
 	case rank == 0:
 		return !now.Before(f.slot(piece, f.began))
 	default:
@@ -77,45 +75,6 @@
 	}
 }
 
-// rank returns this box's place among those that draw a piece, -1 when it takes no part. Boxes to which it should have a link and
-// has none do not count: the next one draws in their place without waiting for them.
-func (f *Feed) rank(piece int, now time.Time) int {
-	group := f.order.Group(piece)
-	place := f.places[group][0]
-	if place <= 0 || place >= 2*MaxPermits || now.Before(f.began.Add(linkTime)) {
-		return place
-	}
-	rank := place
-	for _, i := range f.order.ranked[group][:place] {
-		if id := f.order.members[i].ID; f.expected[id] && f.peers[id] == nil {
-			rank--
-		}
-	}
-	return rank
-}
-
-// takeOver notes the pieces of which this box has become the first drawer by a new order, and whose slot comes before all boxes
-// are likely to have that order: the one before may have drawn them, so they are drawn only when they are overdue. Where two of
-// 20 boxes are replaced each 0.3 s, 1.1 copies are drawn instead of 1.3.
-func (f *Feed) takeOver(before [][2]int, now time.Time) {
-	if len(before) == 0 {
-		return
-	}
-	for piece := range f.have {
-		group := f.order.Group(piece)
-		if f.places[group][0] == 0 && before[group][0] != 0 && f.slot(piece, f.began).Before(now.Add(orderTime)) {
-			f.tookOver[piece] = true
-		}
-	}
-}
-
-// cutOff reports whether this box reaches no other, so that it can give to none what it draws: then the origin's link is left to
-// those that can, for some time. With this and rank, no version of 100 stays incomplete where six of 20 boxes are cut off, by 78
-// without, and 1.7 copies are drawn instead of 2.1.
-func (f *Feed) cutOff(now time.Time) bool {
-	return !f.met && len(f.order.members) > 1 && now.Before(f.began.Add(loneTime))
-}
-
 // lonely reports whether a piece is held by one box only, for so long that this box is likely not to give it, and the origin's
 // link is free: all pieces have had their slot. A box that dies after it drew a piece is noticed much later. A box whose own
 // link is jammed leaves such pieces to others.
--- a/swarm/feedfixture_test.go
+++ b/swarm/feedfixture_test.go
@@ -17,14 +17,12 @@
 // feedWorld drives feeds in virtual time. Each box gives one piece after the other, those to other sites first, and takes
 // one after the other; news of pieces, with how many asks wait at their sender, comes a little later.
 type feedWorld struct {
-	now    time.Time
-	order  *Order
-	feeds  map[string]*Feed
-	dead   map[string]bool
-	spoils map[string]bool
-	slow   map[string]time.Duration
-	// cut are boxes that reach the origin but no other box.
-	cut     map[string]bool
+	now     time.Time
+	order   *Order
+	feeds   map[string]*Feed
+	dead    map[string]bool
+	spoils  map[string]bool
+	slow    map[string]time.Duration
 	asks    map[string][]feedWant
 	out, in map[string]time.Time
 	events  []feedEvent
@@ -50,15 +48,11 @@
 	do func()
 }
 
-func newFeedWorld(members []Member, pieces int, have func(Member) []int, cut ...string) *feedWorld {
+func newFeedWorld(members []Member, pieces int, have func(Member) []int) *feedWorld {
 	w := &feedWorld{
 		now: testStart, order: NewOrder("salt", pieces, members), feeds: make(map[string]*Feed),
 		dead: make(map[string]bool), spoils: make(map[string]bool), slow: make(map[string]time.Duration),
 		asks: make(map[string][]feedWant), out: make(map[string]time.Time), in: make(map[string]time.Time),
-		cut: make(map[string]bool),
-	}
-	for _, id := range cut {
-		w.cut[id] = true
 	}
 	for _, member := range members {
 		w.feeds[member.ID] = NewFeed(FeedParams{DrawEvery: drawTime}, member, w.order, have(member), w.now)
@@ -72,9 +66,6 @@
 // meet links a box with its partners and tells it what they hold.
 func (w *feedWorld) meet(member Member) {
 	for _, other := range w.order.Partners(member) {
-		if w.cut[member.ID] || w.cut[other.ID] {
-			continue
-		}
 		w.feeds[member.ID].Peer(other)
 		w.feeds[member.ID].PeerHas(other.ID, true, w.feeds[other.ID].Held(), 0, w.now)
 	}
@@ -170,7 +161,7 @@
 	}
 	queue := len(w.asks[to])
 	for _, other := range w.order.members {
-		if other.ID != to && !w.cut[to] && !w.cut[other.ID] && (other.Site == f.self.Site || f.Drawer(piece) || from == "" || f.Complete()) {
+		if other.ID != to && (other.Site == f.self.Site || f.Drawer(piece) || from == "" || f.Complete()) {
 			w.after(newsTime, func() { w.feeds[other.ID].PeerHas(to, false, pieces, queue, w.now) })
 		}
 	}
--- a/swarm/feedparams.go
+++ b/swarm/feedparams.go
@@ -44,12 +44,6 @@
 	lateWeight = 8
 	// firstLate is how late pieces are taken to be heard of as long as none was.
 	firstLate = 300 * time.Millisecond
-	// loneTime is how long a box that has heard no other draws nothing.
-	loneTime = 3 * time.Second
-	// linkTime is how long after a version is begun the links stand to the boxes that can be reached.
-	linkTime = 300 * time.Millisecond
-	// orderTime is how long it takes until all boxes have a new order.
-	orderTime = 400 * time.Millisecond
 	// slowRest is how long a box that took too long is asked only for what no other holds.
 	slowRest = 4 * time.Second
 )
--- a/swarm/feedpeer.go
+++ b/swarm/feedpeer.go
@@ -39,7 +39,6 @@
 	if p == nil {
 		return
 	}
-	f.met = true
 	p.queue = queue
 	if reset {
 		clear(p.have)
