--- a/fill/aim.go
+++ b/fill/aim.go
@@ -67,7 +67,7 @@
 	if newest != target || old.named.IsZero() || old.feed == nil || old.feed.Complete() || b.state.Loaded[old.model] >= old.version {
 		return false
 	}
-	drawn := b.feedParams(old.manifest, old.named).DrawnAfter(len(old.manifest.Digests))
+	drawn := b.feedParams(old.manifest).DrawnAfter(len(old.manifest.Digests))
 	if drawn == 0 {
 		drawn = mostlyFilled
 	}
--- a/fill/fetch.go
+++ b/fill/fetch.go
@@ -100,7 +100,7 @@
 	have := b.heldPieces(f.ctx, m)
 	members := b.siblings()
 	b.mu.Lock()
-	f.feed = swarm.NewFeed(b.feedParams(m, f.named), b.self(), b.orderOf(f, members), have, time.Now())
+	f.feed = swarm.NewFeed(b.feedParams(m), b.self(), b.orderOf(f, members), have, time.Now())
 	b.mu.Unlock()
 	b.log.WithFields(log.Fields{
 		"model": m.Model, "version": int64(m.Version), "from": from, "held": len(have), "pieces": len(m.Digests),
@@ -111,8 +111,8 @@
 }
 
 // feedParams returns the times of a feed: how fast the origin hands out pieces follows from its link.
-func (b *Box) feedParams(m *Manifest, named time.Time) swarm.FeedParams {
-	params := swarm.FeedParams{Named: named}
+func (b *Box) feedParams(m *Manifest) swarm.FeedParams {
+	var params swarm.FeedParams
 	if origin := b.origin(); origin != nil && origin.LinkRate > 0 {
 		params.DrawEvery = time.Duration(float64(m.PieceBytes) / origin.LinkRate * float64(time.Second))
 	}
--- a/swarm/feed.go
+++ b/swarm/feed.go
@@ -37,11 +37,9 @@
 	stalls int
 	news   time.Time
 	// way is how long a piece usually takes from its ask.
-	way time.Duration
-	// began is when the schedule of draws begins, opened when this box began to hear others.
-	began  time.Time
-	opened time.Time
-	salt   uint64
+	way   time.Duration
+	began time.Time
+	salt  uint64
 }
 
 // NewFeed returns a feed of a box that already holds the pieces in have.
@@ -49,10 +47,7 @@
 	f := &Feed{
 		params: params.withDefaults(), self: self, have: make([]bool, order.chunks), heard: make([]time.Time, order.chunks), missing: order.chunks,
 		peers: make(map[string]*feedPeer), asks: make(map[int]feedAsk), drawing: make(map[int]bool),
-		retries: make(map[int]time.Time), room: firstAsks, late: firstLate, began: now, opened: now, news: now, salt: score(self.ID, 0, self.Site),
-	}
-	if named := params.Named.Add(manifestTime); now.Sub(named) < freshTime && named.Before(now) {
-		f.began = named
+		retries: make(map[int]time.Time), room: firstAsks, late: firstLate, began: now, news: now, salt: score(self.ID, 0, self.Site),
 	}
 	for _, piece := range have {
 		f.hold(piece)
--- a/swarm/feeddraw.go
+++ b/swarm/feeddraw.go
@@ -64,7 +64,7 @@
 		return false
 	case f.known(piece, now):
 		return f.lonely(piece, rank, now)
-	case len(f.order.members) > 1 && now.Before(f.opened.Add(f.params.Greet)):
+	case len(f.order.members) > 1 && now.Before(f.began.Add(f.params.Greet)):
 		return false
 	case rank == 0:
 		return !now.Before(f.slot(piece, f.began))
--- a/swarm/feedparams.go
+++ b/swarm/feedparams.go
@@ -20,8 +20,6 @@
 	// DrawEvery is how long the origin's link takes for one piece: pieces are drawn one after the other, over all boxes, so
 	// that the first can be handed on at once.
 	DrawEvery time.Duration
-	// Named is when the version was named; zero when that is not known.
-	Named time.Time
 }
 
 // Defaults of FeedParams.
@@ -32,13 +30,6 @@
 	DefaultFeedDraws      = 2
 	DefaultAsks           = 6
 
-	// manifestTime is how long after a version is named most boxes know its pieces: the schedule of draws begins then at all of
-	// them, so that those that know later make up for it.
-	manifestTime = 50 * time.Millisecond
-
-	// freshTime is how long after it was named a version is drawn by the schedule that begins with its name.
-	freshTime = time.Second
-
 	// faultRest is how long a box that did not deliver is not asked.
 	faultRest = time.Second
 	// slowPiece and quickPiece are how long a piece is on its way that takes one from the asks at a time, and that allows one
