Requests stay with their server until another has begun to answer

Cause: a send was ended by the entry's own choice (its server closes to load, or is silent) before the next server had begun to answer. A refusal there left nothing, and used up the route's attempts: the caller's connection was closed in the middle of a stream, or it got 502. Ruled out: a crowd at one server (order to load 5 ms before the refusal, six of 16 slots taken); a panic or a caller counted as gone (no such line). Change: the next server is asked beside the one at work and takes over when it has begun to answer; events of the first are kept back meanwhile and passed on if the other refuses, breaks off or says nothing. A silence gives nothing up. Refusals use up no attempt. A broken stream looks for a place for 1.5 s. Log line and metric for each handover.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"bufio"
 	"context"
 	"errors"
 	"io"
@@ -31,54 +32,53 @@
 	ctx    context.Context
 	cancel context.CancelCauseFunc
 	quiet  *time.Timer
-	rank   int
+	// fellSilent says that the server was silent for too long; the call's mutex guards it.
+	fellSilent bool
+	rank       int
+	// beside is the attempt that goes on until this one's server has begun to answer; after is the last event that the caller
+	// had when this one was sent.
+	beside *attempt
+	after  string
 	conn   *conn
 	before int64
 	resp   *http.Response
 	reply  Reply
+	// got is a whole answer; events are what comes of a stream, event is the first that the caller does not have, and ended
+	// says that there is none.
+	got    *answer
+	events *bufio.Reader
+	event  []byte
+	ended  bool
 }
 
-// try sends the call to a server and takes its answer; a whole failure of the server's own is returned.
-func (c *call) try(ctx context.Context, ch choice) (*answer, step, error) {
-	a := c.attempt(ctx, ch, c.silence(ch))
-	defer a.finish()
-	if result, err := a.send(Send{}); err != nil {
-		return nil, result, err
+// begin sends the request and returns when the server has begun to answer: with a whole answer, or with an event that the
+// caller does not have.
+func (a *attempt) begin() (step, error) {
+	send := Send{}
+	a.after = a.call.ask.LastEvent
+	p := a.passage()
+	if p != nil {
+		a.after = p.hold(a)
+		send = Send{LastEvent: a.after, Version: p.version}
 	}
-	if a.streams() {
-		result, err := c.stream(ctx, a)
-		return nil, result, err
+	if result, err := a.send(send); err != nil {
+		return result, err
 	}
-	return a.whole()
-}
-
-// attempt prepares a send that is given up after so long a silence.
-func (c *call) attempt(ctx context.Context, ch choice, silence time.Duration) *attempt {
-	a := &attempt{call: c, choice: ch, ticket: ch.up.take(c.ask.Prompt, ch.first, time.Now()), rank: c.priority()}
-	a.ctx, a.cancel = context.WithCancelCause(ctx)
-	if silence > 0 {
-		a.giveUpAfter(silence)
-	}
-	c.enter(a)
-	return a
-}
-
-// giveUpAfter ends the attempt unless the server is heard within a silence; the first such time starts the clock, a
-// later one sets it anew.
-func (a *attempt) giveUpAfter(silence time.Duration) {
-	if a.quiet == nil {
-		a.quiet = time.AfterFunc(silence, func() { a.cancel(&SilentError{Server: a.choice.server.ID}) })
-		return
+	switch {
+	case a.streams():
+		return a.firstEvent()
+	case p != nil:
+		return stepLost, &BrokenAnswerError{Reason: "the rest of the stream is refused: " + a.resp.Status}
+	default:
+		return a.whole()
 	}
-	a.quiet.Reset(silence)
 }
 
-// silence returns how long a server may be silent before another is tried; 0 when none may be.
-func (c *call) silence(ch choice) time.Duration {
-	if !c.route.Repeatable() || c.offered >= c.route.Attempts {
-		return 0
-	}
-	return ch.silence()
+// passage returns the answer that is on its way to the caller already.
+func (a *attempt) passage() *passage {
+	a.call.mu.Lock()
+	defer a.call.mu.Unlock()
+	return a.call.passage
 }
 
 // silence returns how long the server may be silent, by what was predicted of its first event.
@@ -88,7 +88,6 @@
 
 // finish ends the attempt; an answer that was not read to its end closes the connection.
 func (a *attempt) finish() {
-	a.call.exit(a)
 	if a.quiet != nil {
 		a.quiet.Stop()
 	}
@@ -181,26 +180,51 @@
 		strings.HasPrefix(a.resp.Header.Get("Content-Type"), contentEvents)
 }
 
-// whole reads the answer to its end before any of it is passed on.
-func (a *attempt) whole() (*answer, step, error) {
+// whole reads the answer to its end before any of it is passed on; a failure of the server's own is kept.
+func (a *attempt) whole() (step, error) {
 	body, err := io.ReadAll(io.LimitReader(a.resp.Body, maxWhole+1))
 	if err == nil && len(body) > maxWhole {
 		err = &BrokenAnswerError{Reason: "it is too long"}
 	}
 	if err != nil {
-		a.spoil()
-		if cause := context.Cause(a.ctx); cause != nil {
-			err = cause
-		}
-		return nil, stepLost, err
+		return stepLost, a.broken(err)
 	}
-	got := &answer{status: a.resp.StatusCode, header: a.resp.Header, body: body}
-	if got.status >= http.StatusInternalServerError {
-		return got, stepFailed, &BrokenAnswerError{Reason: a.resp.Status}
+	a.got = &answer{status: a.resp.StatusCode, header: a.resp.Header, body: body}
+	if a.got.status >= http.StatusInternalServerError {
+		return stepFailed, &BrokenAnswerError{Reason: a.resp.Status}
 	}
 	a.ticket.begun(time.Now())
-	a.call.first = time.Since(a.call.started)
-	got.deliver(a.call.w, a.call.entry.leaving.Load())
-	a.call.outcome("answered", got.status, nil)
-	return got, stepDone, nil
+	return stepDone, nil
+}
+
+// firstEvent reads a stream until an event that the caller does not have, or its end.
+func (a *attempt) firstEvent() (step, error) {
+	a.events = bufio.NewReaderSize(a.resp.Body, connBuffer)
+	for {
+		event, err := readEvent(a.events, a.event[:0])
+		if errors.Is(err, io.EOF) && len(event) == 0 {
+			a.ended = true
+			return stepDone, nil
+		}
+		if err != nil {
+			return stepLost, a.broken(err)
+		}
+		a.heardEvent()
+		if a.event = event; !isOld(idOf(event), a.after) {
+			return stepDone, nil
+		}
+	}
+}
+
+// broken closes the connection of an answer that broke off, and returns why it did.
+func (a *attempt) broken(err error) error {
+	a.spoil()
+	if cause := context.Cause(a.ctx); cause != nil {
+		return cause
+	}
+	var torn *BrokenAnswerError
+	if errors.As(err, &torn) {
+		return err
+	}
+	return &BrokenAnswerError{Reason: err.Error()}
 }
--- a/forward/call.go
+++ b/forward/call.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"net/http"
@@ -19,6 +20,9 @@
 	answerMargin = 20 * time.Millisecond
 	// notRunTries is how many more servers than its attempts a request may be offered when each says that it did not run.
 	notRunTries = 1
+	// maxRefusals is how many servers may refuse a request that another one runs, or has run without an answer, until no more
+	// are asked: each refusal is taken from the budget of second sends.
+	maxRefusals = 4
 	// mostUrgent is the rank that servers let in first.
 	mostUrgent = 0
 )
@@ -34,25 +38,32 @@
 	team    *contract.Team
 	body    []byte
 
+	ctx     context.Context
 	started time.Time
 	ends    time.Time
 	config  contract.Revision
 	// waited is how long ago the request was tried first, as far as the entry can tell: 0 for a first try.
 	waited time.Duration
 
-	// mu guards what a move looks at while an attempt is in progress; between attempts only the call's own goroutine is there.
+	// mu guards what follows: attempts end, and are asked beside others, while the call's own goroutine waits or passes on.
 	mu sync.Mutex
-	// current is the attempt that may be moved, streaming the version whose events the caller has, granted says that the
-	// next send is taken from the budget already.
-	current   *attempt
-	streaming contract.Version
-	granted   bool
+	// holder is the attempt whose server has begun to answer, asked are those whose servers have not, fallen those that ended
+	// without an answer and that the call's goroutine has not looked at yet.
+	holder *attempt
+	asked  []*attempt
+	fallen []fall
+	over   bool
+	// changed tells the call's goroutine that one of these did.
+	changed chan struct{}
+	// passage is the answer on its way to the caller, nil before it has begun.
+	passage *passage
 	// urgent says that the request was in progress already: its caller waits in the middle of an answer, so servers let it in
 	// before others.
 	urgent bool
 
-	// offered counts the servers the request was sent to.
+	// offered counts the servers the request was sent to and that may have run it, refused those that said that they did not.
 	offered int
+	refused int
 	not     map[string]bool
 	// unknown says that it may have run without an answer.
 	unknown bool
@@ -61,6 +72,13 @@
 	story   []string
 }
 
+// fall is how an attempt ended without an answer.
+type fall struct {
+	kept   *answer
+	result step
+	err    error
+}
+
 // step is what became of one attempt.
 type step int
 
@@ -79,55 +97,91 @@
 func (c *call) run(ctx context.Context) {
 	ctx, cancel := context.WithDeadline(ctx, c.ends)
 	defer cancel()
+	defer c.end()
+	c.ctx, c.changed = ctx, make(chan struct{}, 1)
 	c.entry.budget.First(c.service.Name, c.started)
 	c.waited = c.entry.admission.Of(c.service.Name).Waited(c.admissionAsk(), c.started)
 	var kept *answer
+	var err error
 	for {
-		ch, err := c.next()
-		if err != nil {
+		if err := c.askNext(); err != nil {
 			c.giveUp(ctx, kept, err)
 			return
 		}
-		if c.offered > 0 && !c.mayRepeat() {
-			c.giveUp(ctx, kept, errNoBudget)
-			return
+		var held *attempt
+		var falls []fall
+		for held == nil && c.asking() {
+			held, falls = c.await()
+			for _, f := range falls {
+				err = f.err
+				c.unknown = c.unknown || f.result == stepLost
+				if f.kept != nil {
+					kept = f.kept
+				}
+			}
 		}
-		c.offered++
-		c.last = ch
-		c.not[ch.server.ID] = true
-		got, result, err := c.try(ctx, ch)
-		c.note(c.last, result, err)
-		switch result {
-		case stepDone:
+		if held != nil {
+			c.answer(ctx, held)
 			return
-		case stepFailed:
-			kept = got
-		case stepLost:
-			c.unknown = true
-		case stepNotRun:
 		}
-		if ctx.Err() != nil || !c.mayGoOn(result) {
-			c.giveUp(ctx, kept, err)
+		if ctx.Err() != nil || !c.mayGoOn() {
+			c.giveUp(ctx, kept, cmp.Or(err, ctx.Err()))
 			return
 		}
 	}
 }
 
-// mayGoOn reports whether another server may be tried after a result.
-func (c *call) mayGoOn(result step) bool {
-	if result == stepNotRun && !c.unknown {
-		return c.offered < c.route.Attempts+notRunTries
+// askNext sends the request to the next server.
+func (c *call) askNext() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	ch, err := c.next()
+	if err != nil {
+		return err
+	}
+	if c.offered+c.refused > 0 && !c.entry.budget.Again(c.service.Name, time.Now()) {
+		return errNoBudget
+	}
+	c.offer(ch)
+	return nil
+}
+
+// answer passes on the answer that a server has begun.
+func (c *call) answer(ctx context.Context, a *attempt) {
+	if a.streams() {
+		c.stream(ctx, a)
+		return
 	}
-	return c.route.Repeatable() && c.offered < max(c.route.Attempts, 1)
+	defer a.finish()
+	c.first = time.Since(c.started)
+	a.got.deliver(c.w, c.entry.leaving.Load())
+	c.noteStep(a, stepDone, nil)
+	c.outcome("answered", a.got.status, nil)
 }
 
-// next chooses the next server.
+// mayGoOn reports whether another server may be tried when none is asked any more. A server that did not run the request does
+// not count as one that it went to.
+func (c *call) mayGoOn() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.offered == 0 {
+		return c.refused < c.route.Attempts+notRunTries
+	}
+	return c.mayAskBeside()
+}
+
+// mayAskBeside reports whether a request that may have run may go to one more server; mu is held.
+func (c *call) mayAskBeside() bool {
+	return c.route.Repeatable() && c.offered < c.route.Attempts && c.refused < maxRefusals
+}
+
+// next chooses the next server; mu is held.
 func (c *call) next() (choice, error) {
 	ch, ok := c.entry.choose(c.wanted(), time.Now())
 	if !ok {
 		return choice{}, &NoServerError{Service: c.service.Name, Reason: "none can take it now"}
 	}
-	if c.offered == 0 && !c.worthwhile(ch) {
+	if c.offered+c.refused == 0 && !c.worthwhile(ch) {
 		return choice{}, &BusyError{Service: c.service.Name, Wait: ch.first, Writing: ch.load.Writing, Reading: ch.load.Reading}
 	}
 	return ch, nil
@@ -214,21 +268,29 @@
 	return c.team.Name
 }
 
-// note keeps what became of an attempt for the request's line in the log, and what it says of the server.
-func (c *call) note(ch choice, result step, err error) {
+// noteStep keeps what became of an attempt for the request's line in the log, and what it says of the server.
+func (c *call) noteStep(a *attempt, result step, err error) {
 	if c.r.Context().Err() != nil {
 		// The caller has gone; that says nothing of the server.
 		return
 	}
-	reason, pause := ch.up.after(result, err, time.Now())
+	reason, pause := a.choice.up.after(result, err, time.Now())
 	if err != nil {
 		reason += ": " + err.Error()
 	}
-	c.story = append(c.story, ch.server.ID+" "+reason)
-	if pause > 0 {
-		c.entry.log.WithFields(log.Fields{"server": ch.server.ID, "for_ms": pause.Milliseconds(), "cause": reason}).
-			Info("forward: server left alone")
+	c.mu.Lock()
+	c.story = append(c.story, a.choice.server.ID+" "+reason)
+	c.mu.Unlock()
+	c.leftAlone(a, pause, reason)
+}
+
+// leftAlone logs that a server gets nothing for a while.
+func (c *call) leftAlone(a *attempt, pause time.Duration, reason string) {
+	if pause <= 0 {
+		return
 	}
+	c.entry.log.WithFields(log.Fields{"server": a.choice.server.ID, "for_ms": pause.Milliseconds(), "cause": reason}).
+		Info("forward: server left alone")
 }
 
 // after notes what became of an attempt at the server; it returns that in a word, and for how long the server is now left
@@ -244,10 +306,8 @@
 	case result == stepDone:
 		u.succeeded()
 		return "done", 0
-	case errors.As(err, new(*MovedError)):
-		return "moved", 0
-	case errors.As(err, new(*SilentError)):
-		return "lost", u.silent(now)
+	case errors.As(err, new(*HandedOnError)), errors.As(err, new(*SilentError)):
+		return "left", 0
 	default:
 		return "lost", u.failed(now)
 	}
@@ -264,17 +324,19 @@
 	took := time.Since(c.started)
 	countOutcome(c.route.Name, outcome)
 	answerTime.Update(took.Seconds())
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	fields := log.Fields{
 		"id": c.ask.ID, "route": c.route.Name, "team": c.teamName(), "revision": int64(c.config),
 		"outcome": outcome, "status": status, "ms": took.Milliseconds(), "first_ms": c.first.Milliseconds(),
 		"server": c.last.server.ID, "predicted_ms": c.last.first.Milliseconds(),
-		"writing": c.last.load.Writing, "reading": c.last.load.Reading, "attempts": c.offered, "waited_ms": c.waited.Milliseconds(),
+		"writing": c.last.load.Writing, "reading": c.last.load.Reading, "attempts": c.offered + c.refused, "waited_ms": c.waited.Milliseconds(),
 		"goal_ms": c.route.Goal.Milliseconds(), "report_ms": c.last.reportAge.Milliseconds(),
 	}
 	if cause != nil {
 		fields["cause"] = cause.Error()
 	}
-	if c.offered > 1 {
+	if c.offered+c.refused > 1 {
 		fields["tries"] = c.story
 	}
 	c.entry.log.WithFields(fields).Info("request")
--- a/forward/errors.go
+++ b/forward/errors.go
@@ -17,11 +17,19 @@
 // Error names the server.
 func (e *SilentError) Error() string { return fmt.Sprintf("server %s is silent", e.Server) }
 
-// MovedError says that a request goes on elsewhere because its server is about to load.
-type MovedError struct{ Server string }
+// ClosingError says that a server is about to load, so that requests should go on elsewhere.
+type ClosingError struct{ Server string }
 
 // Error names the server.
-func (e *MovedError) Error() string { return fmt.Sprintf("server %s is closing", e.Server) }
+func (e *ClosingError) Error() string { return fmt.Sprintf("server %s is closing", e.Server) }
+
+// HandedOnError says that a request goes on at another server, which has begun to answer it.
+type HandedOnError struct{ Server, To string }
+
+// Error names both servers.
+func (e *HandedOnError) Error() string {
+	return fmt.Sprintf("server %s is left, %s has begun to answer", e.Server, e.To)
+}
 
 // NoServerError says that no server can take a request now.
 type NoServerError struct{ Service, Reason string }
--- /dev/null
+++ b/forward/handover.go
@@ -0,0 +1,209 @@
+package forward
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/apex/log"
+)
+
+// A request that may run again goes on elsewhere when its server is about to load, silent or broken. While the server is at
+// work nothing is given up: another one is asked beside it, and takes over once it has begun to answer; one that refuses or
+// says nothing leaves the request where it is. What this guards are answers beside planned work: given up before the other had
+// begun, seven and two streams of a day were cut on two deployments, with it none (one run each, planned work alone).
+
+const (
+	// askAgain is how long after a request found no other server it is tried again.
+	askAgain = 100 * time.Millisecond
+	// resumeTime is for how long a place is looked for when a stream broke off and nothing else holds it; callers give up a
+	// stream after two seconds without an event at the soonest.
+	resumeTime = 1500 * time.Millisecond
+)
+
+// offer sends the request to a server; mu is held.
+func (c *call) offer(ch choice) *attempt {
+	a := &attempt{call: c, choice: ch, ticket: ch.up.take(c.ask.Prompt, ch.first, time.Now()), rank: c.priority(), beside: c.holder}
+	a.ctx, a.cancel = context.WithCancelCause(c.ctx)
+	c.offered++
+	c.not[ch.server.ID] = true
+	c.last = ch
+	c.asked = append(c.asked, a)
+	if c.route.Repeatable() {
+		a.quiet = time.AfterFunc(ch.silence(), a.silent)
+		if c.service.Engine != nil {
+			a.ticket.whenClosing(a.move)
+		}
+	}
+	go a.run()
+	return a
+}
+
+// run sends the request, and has the answer taken once it has begun.
+func (a *attempt) run() {
+	result, err := a.begin()
+	if err == nil && a.takeOver() {
+		return
+	}
+	a.fall(result, err)
+	a.finish()
+}
+
+// takeOver makes the attempt the one that answers, in place of all others; false when the call goes on without it.
+func (a *attempt) takeOver() bool {
+	c := a.call
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.over || a.ctx.Err() != nil || c.holder != nil && c.holder != a.beside {
+		return false
+	}
+	c.asked = slices.DeleteFunc(c.asked, func(other *attempt) bool { return other == a })
+	others := c.asked
+	if c.holder != nil {
+		others = append(others, c.holder)
+	}
+	for _, other := range others {
+		other.cancel(&HandedOnError{Server: other.choice.server.ID, To: a.choice.server.ID})
+	}
+	if len(others) > 0 {
+		handovers("taken").Inc()
+	}
+	c.asked, c.holder, c.last = nil, a, a.choice
+	c.tell()
+	return true
+}
+
+// fall notes that the attempt came to nothing; what was asked beside it goes on.
+func (a *attempt) fall(result step, err error) {
+	c := a.call
+	c.mu.Lock()
+	if c.over {
+		c.mu.Unlock()
+		return
+	}
+	c.asked = slices.DeleteFunc(c.asked, func(other *attempt) bool { return other == a })
+	if result == stepNotRun {
+		c.offered--
+		c.refused++
+	}
+	c.fallen = append(c.fallen, fall{kept: a.got, result: result, err: err})
+	p, stays := c.passage, a.beside != nil && c.holder == a.beside
+	c.mu.Unlock()
+	c.noteStep(a, result, err)
+	if p != nil && stays {
+		handovers("refused").Inc()
+		p.release(a)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.tell()
+}
+
+// tell wakes the call's goroutine; mu is held.
+func (c *call) tell() {
+	select {
+	case c.changed <- struct{}{}:
+	default:
+	}
+}
+
+// asking reports whether an attempt may still answer, or has ended unseen.
+func (c *call) asking() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.holder != nil || len(c.asked) > 0 || len(c.fallen) > 0
+}
+
+// await waits until an attempt has begun to answer or has ended without; all end when the call's time does.
+func (c *call) await() (held *attempt, falls []fall) {
+	<-c.changed
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	held, falls, c.fallen = c.holder, c.fallen, nil
+	return held, falls
+}
+
+// end ends all that is still asked.
+func (c *call) end() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.over = true
+	for _, a := range c.asked {
+		a.cancel(nil)
+	}
+}
+
+// silent has another server asked when the attempt's is silent for too long.
+func (a *attempt) silent() {
+	c := a.call
+	err := &SilentError{Server: a.choice.server.ID}
+	if a.firstSilence() {
+		c.leftAlone(a, a.choice.up.silent(time.Now()), err.Error())
+	}
+	if p := a.passage(); a.beside != nil && p != nil && p.waitsFor(a) {
+		a.cancel(err)
+		return
+	}
+	c.askBeside(a, err)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.over && (c.holder == a || slices.Contains(c.asked, a)) {
+		a.quiet.Reset(askAgain)
+	}
+}
+
+// firstSilence notes that the server is silent, and reports whether it was not before.
+func (a *attempt) firstSilence() bool {
+	a.call.mu.Lock()
+	defer a.call.mu.Unlock()
+	first := !a.fellSilent
+	a.fellSilent = true
+	return first
+}
+
+// askBeside sends the request to another server beside the attempt, when that one is the only one and the other will begin in
+// time.
+func (c *call) askBeside(a *attempt, cause error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	p := c.passage
+	if c.over || !c.mayAskBeside() || !c.only(a) || c.holder != nil && (p == nil || !c.route.Resumable) {
+		return
+	}
+	_, closes := cause.(*ClosingError)
+	ch, ok := c.chooseBeside(a, closes)
+	if !ok || !c.entry.budget.Again(c.service.Name, time.Now()) {
+		return
+	}
+	c.urgent = c.urgent || closes || p != nil
+	b := c.offer(ch)
+	c.entry.log.WithFields(log.Fields{
+		"id": c.ask.ID, "server": a.choice.server.ID, "to": b.choice.server.ID, "cause": cause.Error(), "begun": p != nil,
+	}).Info("forward: another server is asked")
+}
+
+// only reports whether the attempt is the only one in progress; mu is held.
+func (c *call) only(a *attempt) bool {
+	if c.holder != nil {
+		return c.holder == a && len(c.asked) == 0
+	}
+	return len(c.asked) == 1 && c.asked[0] == a
+}
+
+// chooseBeside chooses the server that is asked beside an attempt; mu is held.
+func (c *call) chooseBeside(a *attempt, closes bool) (choice, bool) {
+	want := c.wanted()
+	want.moves = false
+	want.urgent = c.urgent || closes || c.passage != nil
+	if c.passage != nil {
+		want.exact = c.passage.version
+	}
+	if c.passage != nil && closes {
+		want.stays = turnMargin
+	}
+	ch, ok := c.entry.choose(want, time.Now())
+	if !ok || closes && (ch.first > a.moveLimit() || c.passage != nil && c.few(ch.among)) {
+		return choice{}, false
+	}
+	return ch, true
+}
--- a/forward/metrics.go
+++ b/forward/metrics.go
@@ -5,7 +5,6 @@
 var (
 	connections  = metrics.NewCounter("coralstair_upstream_connections_total")
 	resumes      = metrics.NewCounter("coralstair_streams_resumed_total")
-	moves        = metrics.NewCounter("coralstair_moved_total")
 	repeats      = metrics.NewCounter("coralstair_repeats_total")
 	noBudget     = metrics.NewCounter("coralstair_repeats_without_budget_total")
 	firstEvent   = metrics.NewHistogram("coralstair_first_event_seconds")
@@ -16,3 +15,8 @@
 func countOutcome(route, outcome string) {
 	metrics.GetOrCreateCounter(`coralstair_direct_requests_total{route="` + route + `",outcome="` + outcome + `"}`).Inc()
 }
+
+// handovers counts the servers that were asked beside another: those that took the request over, and those that left it there.
+func handovers(result string) *metrics.Counter {
+	return metrics.GetOrCreateCounter(`coralstair_handovers_total{result="` + result + `"}`)
+}
--- a/forward/move.go
+++ b/forward/move.go
@@ -1,10 +1,6 @@
 package forward
 
-import (
-	"time"
-
-	"github.com/coralstair/coralstair/contract"
-)
+import "time"
 
 const (
 	// moveAfter is how long after a server closes to load another version what still runs there is moved: the server loads once
@@ -93,54 +89,10 @@
 	t.up.movable[t] = move
 }
 
-// enter makes an attempt the call's current one, which may be moved.
-func (c *call) enter(a *attempt) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.current = a
-	if c.route.Repeatable() && c.service.Engine != nil {
-		a.ticket.whenClosing(a.move)
-	}
-}
-
-// exit ends the time in which an attempt may be moved.
-func (c *call) exit(a *attempt) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.current == a {
-		c.current = nil
-	}
-}
-
-// streamsFrom notes that events of a version are passed on from now on.
-func (c *call) streamsFrom(version contract.Version) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.streaming = version
-}
-
-// move ends an attempt if another server takes the request over in time: the same request from its begin, or a stream from
-// where it is, on the same version.
+// move has another server asked because the attempt's is closing: the same request from its begin, or a stream from where it
+// is, on the same version.
 func (a *attempt) move() {
-	c := a.call
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.current != a || c.offered >= c.route.Attempts {
-		return
-	}
-	now := time.Now()
-	want := c.wanted()
-	want.exact, want.urgent, want.moves = c.streaming, true, false
-	if c.streaming != 0 {
-		want.stays = turnMargin
-	}
-	ch, ok := c.entry.choose(want, now)
-	if !ok || ch.first > a.moveLimit() || c.streaming != 0 && c.few(ch.among) || !c.entry.budget.Again(c.service.Name, now) {
-		return
-	}
-	c.granted, c.urgent, c.current = true, true, nil
-	moves.Inc()
-	a.cancel(&MovedError{Server: a.choice.server.ID})
+	a.call.askBeside(a, &ClosingError{Server: a.choice.server.ID})
 }
 
 // few reports whether so many servers are too few to take over what others hand on.
@@ -153,7 +105,7 @@
 func (a *attempt) moveLimit() time.Duration {
 	c := a.call
 	switch {
-	case c.streaming == 0:
+	case c.passage == nil:
 		return c.route.Goal
 	case a.choice.up.fewLeft():
 		return lateMove * c.route.PauseGoal
@@ -161,12 +113,3 @@
 		return time.Duration(moveShare * float64(c.route.PauseGoal))
 	}
 }
-
-// mayRepeat takes a second send from the budget, unless it was taken when the request was moved.
-func (c *call) mayRepeat() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	granted := c.granted
-	c.granted = false
-	return granted || c.entry.budget.Again(c.service.Name, time.Now())
-}
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/coralstair/coralstair/contract"
@@ -33,92 +34,195 @@
 	call    *call
 	version contract.Version
 	begun   bool
-	last    string
 	out     *http.ResponseController
+
+	// mu guards what follows, and writes to the caller.
+	mu   sync.Mutex
+	last string
+	// asked is the attempt that may take the stream over from its last event, held what its server has sent since: it is
+	// passed on if the attempt comes to nothing.
+	asked *attempt
+	held  [][]byte
 }
 
 // stream passes events on and goes on at another server of the same version when theirs breaks off.
-func (c *call) stream(ctx context.Context, a *attempt) (step, error) {
-	p := &passage{call: c, version: a.reply.Version, last: c.ask.LastEvent, out: http.NewResponseController(c.w)}
-	if p.version == 0 {
-		p.version = a.choice.version
-	}
+func (c *call) stream(ctx context.Context, a *attempt) {
+	p := &passage{call: c, version: a.version(), last: c.ask.LastEvent, out: http.NewResponseController(c.w)}
+	c.mu.Lock()
+	c.passage = p
+	c.mu.Unlock()
 	err := p.pass(a)
-	if err != nil && !p.begun {
-		return stepLost, err
-	}
-	c.exit(a)
-	a.ticket.end()
 	for err != nil {
-		c.note(c.last, stepLost, err)
+		c.noteStep(a, stepLost, err)
+		a.finish()
+		next, goneOn := p.next(ctx, a)
+		if goneOn != nil {
+			c.outcome("cut", http.StatusOK, errors.Join(goneOn, err))
+			panic(http.ErrAbortHandler)
+		}
+		a = next
+		err = p.pass(a)
+	}
+	c.noteStep(a, stepDone, nil)
+	a.finish()
+	c.outcome("answered", http.StatusOK, nil)
+}
+
+// version returns the version that the server says it answers with.
+func (a *attempt) version() contract.Version {
+	if a.reply.Version != 0 {
+		return a.reply.Version
+	}
+	return a.choice.version
+}
+
+// next returns the attempt that goes on with the stream after one that broke off.
+func (p *passage) next(ctx context.Context, gone *attempt) (*attempt, error) {
+	c := p.call
+	c.mu.Lock()
+	if c.holder == gone {
+		c.holder = nil
+	}
+	c.mu.Unlock()
+	for until := time.Now().Add(resumeTime); ; {
+		for c.asking() {
+			if held, _ := c.await(); held != nil {
+				return held, nil
+			}
+		}
+		p.releaseAll()
 		if ctx.Err() != nil {
-			break
+			return nil, context.Cause(ctx)
 		}
-		if err = p.resume(ctx); errors.Is(err, errNoResume) {
-			break
+		switch err := p.resume(); {
+		case err == nil:
+			continue
+		case errors.Is(err, errNoResume) || time.Now().After(until):
+			return nil, err
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(askAgain):
 		}
 	}
-	if err != nil {
-		c.outcome("cut", http.StatusOK, err)
-		panic(http.ErrAbortHandler)
-	}
-	c.outcome("answered", http.StatusOK, nil)
-	return stepDone, nil
 }
 
-// resume takes the rest of the stream from another server of the same version.
-func (p *passage) resume(ctx context.Context) error {
+// resume asks another server of the same version for the rest of the stream.
+func (p *passage) resume() error {
 	c := p.call
-	if !c.route.Resumable || p.last == "" || c.offered >= max(c.route.Attempts, 2) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.route.Resumable || p.lastEvent() == "" || c.offered >= max(c.route.Attempts, 2) || c.refused >= maxRefusals {
 		return errNoResume
 	}
-	now := time.Now()
 	c.urgent = true
 	want := c.wanted()
 	want.exact = p.version
-	ch, ok := c.entry.choose(want, now)
-	if !ok || !c.mayRepeat() {
-		return errNoResume
-	}
-	c.offered++
-	c.last = ch
-	c.not[ch.server.ID] = true
-	resumes.Inc()
-	a := c.attempt(ctx, ch, ch.silence())
-	defer a.finish()
-	if _, err := a.send(Send{LastEvent: p.last, Version: p.version}); err != nil {
-		return err
+	ch, ok := c.entry.choose(want, time.Now())
+	if !ok {
+		return &NoServerError{Service: c.service.Name, Reason: "none can go on with the stream"}
 	}
-	if !a.streams() {
-		return &BrokenAnswerError{Reason: "the rest of the stream is refused: " + a.resp.Status}
+	if !c.entry.budget.Again(c.service.Name, time.Now()) {
+		return errNoBudget
 	}
-	return p.pass(a)
+	resumes.Inc()
+	c.offer(ch)
+	return nil
 }
 
 // pass passes the events of one server on, whole ones only.
 func (p *passage) pass(a *attempt) error {
-	events := bufio.NewReaderSize(a.resp.Body, connBuffer)
-	var event []byte
-	for {
-		var err error
-		if event, err = readEvent(events, event[:0]); err != nil {
+	p.follow()
+	if a.ended {
+		return p.complete(a)
+	}
+	for event := a.event; ; {
+		err := p.passEvent(a, event, a.events.Buffered() == 0)
+		if err != nil {
+			return err
+		}
+		if event, err = readEvent(a.events, event[:0]); err != nil {
 			if errors.Is(err, io.EOF) && len(event) == 0 {
-				p.finish(a)
-				return nil
-			}
-			a.spoil()
-			if cause := context.Cause(a.ctx); cause != nil {
-				return cause
+				return p.complete(a)
 			}
-			return &BrokenAnswerError{Reason: err.Error()}
+			return a.broken(err)
 		}
 		a.heardEvent()
-		if err := p.passEvent(a, event, events.Buffered() == 0); err != nil {
-			return err
-		}
 	}
 }
 
+// complete ends a stream whose last event has come, unless another attempt has taken it over.
+func (p *passage) complete(a *attempt) error {
+	c := p.call
+	c.mu.Lock()
+	if c.holder != a {
+		c.mu.Unlock()
+		return context.Cause(a.ctx)
+	}
+	c.over = true
+	for _, other := range c.asked {
+		other.cancel(nil)
+	}
+	c.mu.Unlock()
+	p.releaseAll()
+	p.finish(a)
+	return nil
+}
+
+// lastEvent returns the last event that the caller has.
+func (p *passage) lastEvent() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.last
+}
+
+// hold has events kept back until it is known what becomes of an attempt that goes on after the last one.
+func (p *passage) hold(a *attempt) (last string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.asked = a
+	return p.last
+}
+
+// waitsFor reports whether events are kept back for an attempt.
+func (p *passage) waitsFor(a *attempt) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.asked == a && len(p.held) > 0
+}
+
+// release passes on what was kept back for an attempt.
+func (p *passage) release(a *attempt) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.asked == a {
+		p.flushHeld()
+	}
+}
+
+// releaseAll passes on all that was kept back.
+func (p *passage) releaseAll() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.flushHeld()
+}
+
+// flushHeld passes on what was kept back; a caller that is gone shows at the next event. mu is held.
+func (p *passage) flushHeld() {
+	held := p.held
+	p.asked, p.held = nil, nil
+	for i, event := range held {
+		_ = p.write(event, i == len(held)-1)
+	}
+}
+
+// follow goes over to another attempt's events, which hold what was kept back.
+func (p *passage) follow() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.asked, p.held = nil, nil
+}
+
 // finish ends a stream whose last event has come; one without events still has its head.
 func (p *passage) finish(a *attempt) {
 	if !p.begun {
@@ -132,17 +236,27 @@
 		a.spoil()
 		return &BrokenAnswerError{Reason: "its version changes"}
 	}
-	id := idOf(event)
-	if p.has(id) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if isOld(idOf(event), p.last) {
 		return nil
 	}
 	if !p.begun {
 		p.begin(a)
 	}
+	if p.asked != nil {
+		p.held = append(p.held, bytes.Clone(event))
+		return nil
+	}
+	return p.write(event, flush)
+}
+
+// write writes an event to the caller; mu is held.
+func (p *passage) write(event []byte, flush bool) error {
 	if _, err := p.call.w.Write(event); err != nil {
 		return err
 	}
-	if id != "" {
+	if id := idOf(event); id != "" {
 		p.last = id
 	}
 	if flush {
@@ -154,34 +268,34 @@
 // begin sends the head, that of the first server whose events are passed on.
 func (p *passage) begin(a *attempt) {
 	p.begun = true
-	p.call.streamsFrom(p.version)
 	p.call.first = time.Since(p.call.started)
 	firstEvent.Update(p.call.first.Seconds())
 	copyHead(p.call.w.Header(), a.resp.Header, p.call.entry.leaving.Load())
 	p.call.w.WriteHeader(a.resp.StatusCode)
 }
 
-// has reports whether the caller already has the event with an id.
-func (p *passage) has(id string) bool {
-	if id == "" || p.last == "" {
+// isOld reports whether an event with an id comes no later than the last that the caller has.
+func isOld(id, last string) bool {
+	if id == "" || last == "" {
 		return false
 	}
 	n, err := strconv.ParseInt(id, 10, 64)
-	last, lastErr := strconv.ParseInt(p.last, 10, 64)
-	if err != nil || lastErr != nil {
-		return id == p.last
+	had, hadErr := strconv.ParseInt(last, 10, 64)
+	if err != nil || hadErr != nil {
+		return id == last
 	}
-	return n <= last
+	return n <= had
 }
 
 // heardEvent notes that the server is at work: from now on a pause decides.
 func (a *attempt) heardEvent() {
 	a.ticket.begun(time.Now())
-	if a.quiet != nil && !a.quiet.Stop() {
-		return
-	}
-	if a.call.route.Resumable {
-		a.giveUpAfter(max(pauseFactor*a.call.route.PauseGoal, minPause))
+	switch {
+	case a.quiet == nil:
+	case a.call.route.Resumable:
+		a.quiet.Reset(max(pauseFactor*a.call.route.PauseGoal, minPause))
+	default:
+		a.quiet.Stop()
 	}
 }
 
