--- a/fill/reporter.go
+++ b/fill/reporter.go
@@ -87,8 +87,8 @@
 		Server: id, Running: b.state.Running, Waiting: b.state.Waiting, Used: b.state.Used, Slow: b.state.Slow,
 		Closing: b.closing || b.state.Busy, Entries: b.links.entries(),
 	}
-	if left := time.Until(b.closes); !b.closes.IsZero() && left < closesHorizon {
-		report.Closes = max(left, time.Millisecond).Round(closesStep)
+	if !b.closes.IsZero() {
+		report.Closes = closesIn(time.Until(b.closes))
 	}
 	report.Ready = b.readyIn(time.Now()).Round(readyStep)
 	report.Filled = b.pending != nil || b.fill != nil && b.fill.feed != nil && b.fill.feed.Complete()
@@ -98,6 +98,14 @@
 	return report, true
 }
 
+// closesIn returns what entries hear of a turn to load that comes in so long; 0 while it is far away.
+func closesIn(left time.Duration) time.Duration {
+	if left >= closesHorizon {
+		return 0
+	}
+	return max(left, time.Millisecond).Round(closesStep)
+}
+
 // readyIn returns how soon the server is likely to run the version that should run; 0 when it does or that is not known.
 // mu is held.
 func (b *Box) readyIn(now time.Time) time.Duration {
