--- /dev/null
+++ b/forward/leavefixture_test.go
@@ -0,0 +1,195 @@
+package forward
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/coralstair/coralstair/contract"
+	"github.com/coralstair/coralstair/view"
+)
+
+// lengthWire reads of a head also how long the answer may be.
+type lengthWire struct{ testWire }
+
+func (w lengthWire) Ask(r *http.Request) Ask {
+	ask := w.testWire.Ask(r)
+	ask.Answer, _ = strconv.Atoi(r.Header.Get("Most"))
+	return ask
+}
+
+// leavingWorld is an entry at a listener of its own that is going to leave.
+type leavingWorld struct {
+	*world
+	lines *lines
+	ready string
+	left  chan time.Time
+	stop  context.CancelFunc
+}
+
+// newLeavingWorld returns an entry before servers of a service; callers may use connections again within an idle time, and a
+// planned stop may take a grace.
+func newLeavingWorld(t *testing.T, service contract.Service, idle, grace time.Duration, addresses ...string) *leavingWorld {
+	t.Helper()
+	service.Name, service.MaxConns = "s", 100
+	routes := make([]contract.Route, len(testRoutes))
+	for i, route := range testRoutes {
+		route.Split = []contract.Share{{Service: "s", Weight: 1}}
+		routes[i] = route
+	}
+	limits := contract.Limits{HeaderBytes: 4096, BodyBytes: 1 << 20, IdleTime: idle}
+	cfg := contract.NewConfig(1, limits, routes, []contract.Service{service}, nil)
+	source := fixedSource{declared: view.Declared{Config: cfg}}
+	for i, address := range addresses {
+		source.servers.Present = append(source.servers.Present, contract.Server{
+			ID: serverName(i), Service: "s", Address: address, Slots: 8, Loaded: map[string]contract.Version{engineModel: 1},
+		})
+	}
+	w := &leavingWorld{world: newWorldOf(t, source), lines: &lines{}, left: make(chan time.Time, 1)}
+	w.entry.log = &log.Logger{Handler: w.lines, Level: log.InfoLevel}
+	w.entry.cfg.Wire = lengthWire{}
+	w.entry.cfg.Machine.Bounds.Grace = grace
+	for i := range addresses {
+		w.report(i, false)
+	}
+	w.url = w.serve(w.entry.callers)
+	w.ready = w.serve(w.entry.ready)
+	return w
+}
+
+// serve runs one of the entry's servers at a listener of its own and returns its address.
+func (w *leavingWorld) serve(server *http.Server) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	go func() { _ = serve(w.t.Context(), server, listener) }()
+	return listener.Addr().String()
+}
+
+// leave has the entry leave.
+func (w *leavingWorld) leave() {
+	ctx, cancel := context.WithCancel(w.t.Context())
+	w.stop = cancel
+	w.t.Cleanup(cancel)
+	go func() {
+		w.entry.Leave(ctx)
+		w.left <- time.Now()
+	}()
+	for deadline := time.Now().Add(time.Second); !w.entry.leaving.Load() && time.Now().Before(deadline); {
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// ended waits until the entry has left and says when that was.
+func (w *leavingWorld) ended() time.Time {
+	w.t.Helper()
+	select {
+	case at := <-w.left:
+		return at
+	case <-time.After(6 * time.Second):
+		w.t.Fatal("the entry does not end")
+		return time.Time{}
+	}
+}
+
+// line returns the latest line of the entry's log with a message; nil when there is none.
+func (w *leavingWorld) line(message string) *log.Entry {
+	w.lines.mu.Lock()
+	defer w.lines.mu.Unlock()
+	return w.lines.latest[message]
+}
+
+// lines keeps the latest line of a log for each message.
+type lines struct {
+	mu     sync.Mutex
+	latest map[string]*log.Entry
+}
+
+// HandleLog takes one line.
+func (l *lines) HandleLog(line *log.Entry) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.latest == nil {
+		l.latest = make(map[string]*log.Entry)
+	}
+	l.latest[line.Message] = line
+	return nil
+}
+
+// caller is a connection that a caller keeps; nothing is ever sent twice on it.
+type caller struct {
+	conn   net.Conn
+	reader *bufio.Reader
+}
+
+func (w *leavingWorld) connect() (*caller, error) {
+	conn, err := net.DialTimeout("tcp", w.url, time.Second)
+	if err != nil {
+		return nil, err
+	}
+	w.t.Cleanup(func() { _ = conn.Close() })
+	return &caller{conn: conn, reader: bufio.NewReader(conn)}, nil
+}
+
+// mustConnect returns a connection that has to come up.
+func (w *leavingWorld) mustConnect() *caller {
+	w.t.Helper()
+	c, err := w.connect()
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	return c
+}
+
+// ask sends a request on the connection and reads its answer.
+func (c *caller) ask(path, header string) result {
+	if err := c.send(path, header); err != nil {
+		return result{err: err}
+	}
+	return c.read()
+}
+
+func (c *caller) send(path, header string) error {
+	_, err := fmt.Fprintf(c.conn, "GET %s HTTP/1.1\r\nHost: h\r\nId: r1\r\n%s\r\n", path, header)
+	return err
+}
+
+func (c *caller) read() result {
+	_ = c.conn.SetReadDeadline(time.Now().Add(6 * time.Second))
+	resp, err := http.ReadResponse(c.reader, &http.Request{Method: http.MethodGet})
+	if err != nil {
+		return result{err: err}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	got, err := io.ReadAll(resp.Body)
+	return result{status: resp.StatusCode, header: resp.Header, body: string(got), closes: resp.Close, err: err}
+}
+
+// wantLastAnswer proves that a caller got a whole answer and was told that its connection closes.
+func wantLastAnswer(t *testing.T, got result) {
+	t.Helper()
+	if got.err != nil || got.status != http.StatusOK || got.body != "hello" {
+		t.Errorf("status %d, body %q, %v; want a whole answer", got.status, got.body, got.err)
+	}
+	if got.err == nil && !got.closes {
+		t.Error("the caller is not told that the connection closes")
+	}
+}
+
+// after answers in a way once some time has passed.
+func after(pause time.Duration, answer answering) answering {
+	return func(conn net.Conn, n int, r *http.Request) bool {
+		time.Sleep(pause)
+		return answer(conn, n, r)
+	}
+}
