Leaving entries: requests are taken until the end, and kept connections closed last

Cause: http.Server.Shutdown closed the listener and all idle connections 2.5 s after the signal, while callers still sent on them and the balancer still handed connections over. Ruled out: closing idle connections one by one or by Shutdown later: a request that is read but not yet parsed would be cut without an answer. Each gets a read deadline that is over instead: what was read is served, what was not goes nowhere. Change: a leaving entry takes connections and requests, each answer with Connection: close, until nothing is in progress, nothing came for a second and each kept connection has rested four fifths of the idle time and half a second, or until its deadline. It does not begin what is predicted not to end by then (503, not run, 0.1 s). What its end cuts is logged by request and counted. Both servers of net/http write lines of the log; panics are counted. Signals as before.

--- a/forward/entry.go
+++ b/forward/entry.go
@@ -22,11 +22,6 @@
 	headerTime     = 5 * time.Second
 	idleCallerTime = 60 * time.Second
 	headerRoom     = 64 << 10
-	// lameTime is how long a leaving entry still takes requests: the balancer asks once a second and believes the
-	// second miss.
-	lameTime = 2500 * time.Millisecond
-	// graceMargin is kept from the time that a planned stop may take.
-	graceMargin = 500 * time.Millisecond
 )
 
 // Config is what an entry works with.
@@ -51,7 +46,10 @@
 	reports   *reports
 	callers   *http.Server
 	ready     *http.Server
-	leaving   atomic.Bool
+	conns     callerConns
+	// closes is when a leaving entry closes the connections that rest at the latest; it is set before leaving is.
+	closes  atomic.Pointer[time.Time]
+	leaving atomic.Bool
 }
 
 // New returns an entry that does not run yet.
@@ -63,10 +61,13 @@
 	}
 	e.reports = newReports(e)
 	e.callers = &http.Server{
-		Handler: e, ReadHeaderTimeout: headerTime, IdleTimeout: idleCallerTime, MaxHeaderBytes: headerRoom,
-		ErrorLog: nil,
+		Handler: countPanics(e), ReadHeaderTimeout: headerTime, IdleTimeout: idleCallerTime, MaxHeaderBytes: headerRoom,
+		ErrorLog: e.errorLog("entry: the callers' server says"), ConnState: e.conns.note,
+	}
+	e.ready = &http.Server{
+		Handler: countPanics(http.HandlerFunc(e.serveReady)), ReadHeaderTimeout: headerTime,
+		ErrorLog: e.errorLog("entry: the balancer's server says"),
 	}
-	e.ready = &http.Server{Handler: http.HandlerFunc(e.serveReady), ReadHeaderTimeout: headerTime}
 	return e
 }
 
@@ -81,25 +82,6 @@
 	}
 }
 
-// Leave takes the entry out of service: the balancer is told, what is in progress is finished, then callers are closed.
-func (e *Entry) Leave(ctx context.Context) {
-	e.leaving.Store(true)
-	e.log.Info("entry: leaving")
-	deadline := time.Now().Add(e.cfg.Machine.Bounds.Grace - graceMargin)
-	select {
-	case <-ctx.Done():
-	case <-time.After(lameTime):
-	}
-	ctx, cancel := context.WithDeadline(ctx, deadline)
-	defer cancel()
-	if err := e.callers.Shutdown(ctx); err != nil {
-		e.log.WithField("cause", err.Error()).Warn("entry: left with requests in progress")
-		_ = e.callers.Close()
-		return
-	}
-	e.log.Info("entry: left")
-}
-
 func serve(ctx context.Context, server *http.Server, listener net.Listener) error {
 	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 	defer stop()
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -39,6 +39,7 @@
 		e.denyUnlessInDoubt(w, r, ask, http.StatusNotFound, "no-route", "no route leads there")
 		return
 	}
+	defer e.conns.end(e.conns.begin(&running{id: ask.ID, route: route.Name, started: started}))
 	team, known := teamOf(cfg, route, ask)
 	if !known {
 		e.denyUnlessInDoubt(w, r, ask, http.StatusUnauthorized, "no-team", "the key is not known")
@@ -61,6 +62,10 @@
 		c.refuse(http.StatusServiceUnavailable, "no-service", "the route's service is not known", plainComeBack, nil)
 		return
 	}
+	if !c.endsInTime(time.Now()) {
+		c.refuse(http.StatusServiceUnavailable, "leaving", "the entry ends before it would be answered", leaveComeBack, nil)
+		return
+	}
 	c.run(r.Context())
 }
 
--- a/forward/metrics.go
+++ b/forward/metrics.go
@@ -8,6 +8,7 @@
 	moves        = metrics.NewCounter("coralstair_moved_total")
 	repeats      = metrics.NewCounter("coralstair_repeats_total")
 	noBudget     = metrics.NewCounter("coralstair_repeats_without_budget_total")
+	panics       = metrics.NewCounter("coralstair_panics_total")
 	firstEvent   = metrics.NewHistogram("coralstair_first_event_seconds")
 	answerTime   = metrics.NewHistogram("coralstair_answer_seconds")
 	reportsTaken = metrics.NewCounter("coralstair_reports_taken_total")
--- /dev/null
+++ b/forward/serverlog.go
@@ -0,0 +1,50 @@
+package forward
+
+import (
+	"errors"
+	stdlog "log"
+	"net/http"
+	"strings"
+)
+
+// stackLines is how much of a panic's stack is written at most.
+const stackLines = 40
+
+// serverLog takes what a server of net/http says and writes each text as one line of the entry's log.
+type serverLog struct {
+	entry   *Entry
+	message string
+}
+
+// Write takes one text: its first line is the cause, what follows a panic's stack.
+func (l serverLog) Write(text []byte) (int, error) {
+	parts := strings.Split(strings.TrimSpace(string(text)), "\n")
+	line := l.entry.log.WithField("cause", parts[0])
+	if stack := parts[1:]; len(stack) > 0 {
+		line = line.WithField("stack", stack[:min(len(stack), stackLines)])
+	}
+	line.Warn(l.message)
+	return len(text), nil
+}
+
+// errorLog returns a log for a server of net/http.
+func (e *Entry) errorLog(message string) *stdlog.Logger {
+	return stdlog.New(serverLog{entry: e, message: message}, "", 0)
+}
+
+// countPanics counts the panics of a handler; net/http logs them.
+func countPanics(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		defer func() {
+			cause := recover()
+			if cause == nil {
+				return
+			}
+			if err, ok := cause.(error); !ok || !errors.Is(err, http.ErrAbortHandler) {
+				panics.Inc()
+			}
+			panic(cause)
+		}()
+		next.ServeHTTP(w, r)
+	})
+}
