Leaving entries: the test of crossing requests meets the closing

Cause: the test waited for the quiet end, which each of its requests put off, so all 60 were answered and none crossed; it passed whatever the end did. Ruled out: a fault of the leave. Change: its requests come around the latest time at which resting connections close, and it fails when nothing crosses. As strict as before on what is sent on, stricter in that all three outcomes have to occur.

--- a/forward/leave_test.go
+++ b/forward/leave_test.go
@@ -1,7 +1,6 @@
 package forward
 
 import (
-	"math/rand/v2"
 	"net/http"
 	"strings"
 	"sync"
@@ -177,18 +176,16 @@
 	}
 }
 
-// TestRequestsThatCrossTheEnd proves that a request which meets the closing of its connection is either answered whole or was
-// sent to no server.
+// TestRequestsThatCrossTheEnd proves that of requests which come around the closing of their connections each is answered, refused
+// or was sent to no server.
 func TestRequestsThatCrossTheEnd(t *testing.T) {
 	t.Parallel()
 	const (
-		callers = 60
-		idle    = 100 * time.Millisecond
+		callers = 90
+		grace   = 2 * time.Second
 	)
-	server := newFake(t, good)
-	w := newLeavingWorld(t, contract.Service{}, idle, 4*time.Second, server.address)
-	var answered, torn atomic.Int32
-	var wait sync.WaitGroup
+	server := newFake(t, after(20*time.Millisecond, good))
+	w := newLeavingWorld(t, contract.Service{}, time.Minute, grace, server.address)
 	kept := make([]*caller, callers)
 	for i := range kept {
 		kept[i] = w.mustConnect()
@@ -198,14 +195,21 @@
 	}
 	sent := server.arrivals()
 	w.leave()
-	end := time.Now().Add(lameTime)
-	for _, c := range kept {
+	closes := time.Now().Add(grace - graceMargin - closingTime)
+	var answered, refused, closed, torn atomic.Int32
+	var wait sync.WaitGroup
+	for i, c := range kept {
+		at := closes.Add(time.Duration(i-callers*4/5) * 5 * time.Millisecond)
 		wait.Go(func() {
-			time.Sleep(time.Until(end) + rand.N(200*time.Millisecond) - 100*time.Millisecond)
+			time.Sleep(time.Until(at))
 			switch got := c.ask("/short/a", ""); {
 			case got.err == nil && got.body == "hello":
 				answered.Add(1)
-			case got.status != 0:
+			case got.err == nil && got.status == http.StatusServiceUnavailable:
+				refused.Add(1)
+			case got.status == 0:
+				closed.Add(1)
+			default:
 				torn.Add(1)
 			}
 		})
@@ -215,6 +219,9 @@
 	if n := server.arrivals() - sent; n != int(answered.Load()) || torn.Load() > 0 {
 		t.Errorf("%d requests sent on, %d answered, %d torn", n, answered.Load(), torn.Load())
 	}
+	if answered.Load() == 0 || refused.Load() == 0 || closed.Load() == 0 {
+		t.Errorf("%d answered, %d refused, %d closed: nothing crosses", answered.Load(), refused.Load(), closed.Load())
+	}
 }
 
 // panicWire panics at a path.
