A second send on a silent connection: test that fails as it is

Cause: after a silence the request goes to another server on a kept connection, which may have gone silent at the same moment.

--- a/forward/handover_test.go
+++ b/forward/handover_test.go
@@ -3,6 +3,8 @@
 import (
 	"net"
 	"net/http"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 )
@@ -104,3 +106,34 @@
 		})
 	}
 }
+
+// TestSecondSendAfterASilenceTakesANewConnection proves that a request whose connection has gone silent is not sent on another
+// kept one, which may be silent too: all that were open may go silent at once, while new ones work.
+func TestSecondSendAfterASilenceTakesANewConnection(t *testing.T) {
+	t.Parallel()
+	var silent atomic.Bool
+	used := make(map[net.Conn]bool)
+	var mu sync.Mutex
+	answer := func(conn net.Conn, n int, r *http.Request) bool {
+		mu.Lock()
+		kept := used[conn]
+		used[conn] = true
+		mu.Unlock()
+		if kept && silent.Load() {
+			time.Sleep(5 * time.Second)
+			return false
+		}
+		return good(conn, n, r)
+	}
+	one, two := newFake(t, answer), newFake(t, answer)
+	w := newWorld(t, false, one.address, two.address)
+	for range 20 {
+		if got := w.ask(http.MethodGet, "/safe/a", "", nil); got.status != http.StatusOK {
+			t.Fatalf("status %d", got.status)
+		}
+	}
+	silent.Store(true)
+	if got := w.ask(http.MethodGet, "/safe/a", "", nil); got.status != http.StatusOK || got.body != "hello" {
+		t.Errorf("status %d, body %q, error %v", got.status, got.body, got.err)
+	}
+}
