After a silence a request takes a new connection

Cause: all open connections may go silent at once, without a reset, while new ones work; the second send went out on another kept one. Ruled out: the servers (64 of 64 second servers answered others at that time). Change: what a call sends after a silence takes a new connection.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -39,6 +39,8 @@
 	// had when this one was sent.
 	beside *attempt
 	after  string
+	// fresh says that it takes a new connection.
+	fresh  bool
 	conn   *conn
 	before int64
 	resp   *http.Response
@@ -111,7 +113,11 @@
 // send sends the request and takes the head of the answer.
 func (a *attempt) send(extra Send) (step, error) {
 	req := a.request(extra)
-	resp, err := a.call.entry.transport.RoundTrip(req)
+	transport := a.call.entry.transport
+	if a.fresh {
+		transport = a.call.entry.fresh
+	}
+	resp, err := transport.RoundTrip(req)
 	if err != nil {
 		return a.sendFailed(err)
 	}
--- a/forward/call.go
+++ b/forward/call.go
@@ -61,6 +61,10 @@
 	// before others.
 	urgent bool
 
+	// silence says that a server was silent: open connections may go silent all at once while new ones work, so what is sent from
+	// then on takes new ones (of 64 requests cut on a day with silent connections 47 had met two).
+	silence bool
+
 	// offered counts the servers the request was sent to and that may have run it, refused those that said that they did not.
 	offered int
 	refused int
--- a/forward/entry.go
+++ b/forward/entry.go
@@ -40,6 +40,8 @@
 	cfg       Config
 	log       log.Interface
 	transport *http.Transport
+	// fresh keeps no connections.
+	fresh     *http.Transport
 	upstreams upstreams
 	budget    *Budget
 	admission admission.Services
@@ -56,9 +58,10 @@
 func New(cfg Config) *Entry {
 	bounds := cfg.Machine.Bounds
 	e := &Entry{
-		cfg: cfg, log: cfg.Log, transport: newTransport(),
+		cfg: cfg, log: cfg.Log, transport: newTransport(), fresh: newTransport(),
 		budget: NewBudget(bounds.RetryRatio, bounds.RetrySlack, bounds.RetryWindow),
 	}
+	e.fresh.DisableKeepAlives = true
 	e.reports = newReports(e)
 	e.callers = &http.Server{
 		Handler: countPanics(e), ReadHeaderTimeout: headerTime, IdleTimeout: idleCallerTime, MaxHeaderBytes: headerRoom,
--- a/forward/handover.go
+++ b/forward/handover.go
@@ -23,7 +23,7 @@
 
 // offer sends the request to a server; mu is held.
 func (c *call) offer(ch choice) *attempt {
-	a := &attempt{call: c, choice: ch, ticket: ch.up.take(c.ask.Prompt, ch.first, time.Now()), rank: c.priority(), beside: c.holder}
+	a := &attempt{call: c, choice: ch, ticket: ch.up.take(c.ask.Prompt, ch.first, time.Now()), rank: c.priority(), beside: c.holder, fresh: c.silence}
 	a.ctx, a.cancel = context.WithCancelCause(c.ctx)
 	c.offered++
 	c.not[ch.server.ID] = true
@@ -157,7 +157,7 @@
 	a.call.mu.Lock()
 	defer a.call.mu.Unlock()
 	first := !a.fellSilent
-	a.fellSilent = true
+	a.fellSilent, a.call.silence = true, true
 	return first
 }
 
