--- /dev/null
+++ b/entry/main_test.go
@@ -0,0 +1,14 @@
+package entry
+
+import (
+	"os"
+	"testing"
+
+	"github.com/apex/log"
+)
+
+// TestMain silences the entry's log.
+func TestMain(m *testing.M) {
+	log.SetLevel(log.FatalLevel)
+	os.Exit(m.Run())
+}
