A refusal leaves a request its boxes: one that refused is asked again once it told news

Cause: a box that closes to load refuses what crosses its closing. The entry noted it as tried and, once all were tried, kept the last one out for good: at the only box that serves, nothing was left until the request's deadline, and since such a request goes first, all that waited at the entry stood behind it. With several boxes the rounds went on without a pause, and each refusal used up one of eight turns.

Ruled out: the queue's order (the request was first) and the box, which served again after 20 ms in the tests.

Change: the entry notes when a box was tried. Boxes not tried go first; else one that has told news since: what it offers, or an answer that freed room. Only attempts that may have run count as turns.

--- a/entry/boxes.go
+++ b/entry/boxes.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -44,9 +46,11 @@
 	incarnation string
 
 	// The rest is guarded by the boxes' mutex.
-	beat     *link.Heartbeat
-	beatAt   time.Time
-	beatOwn  int
+	beat    *link.Heartbeat
+	beatAt  time.Time
+	beatOwn int
+	// newsAt is when the box last told what it offers, or that it has answered a request.
+	newsAt   time.Time
 	inFlight int
 }
 
@@ -130,20 +134,6 @@
 	return found
 }
 
-// offering counts the boxes that serve the service, with room or without.
-func (b *boxes) offering(service fleet.Service, now time.Time) int {
-	allowed := b.entry.follower.Config().Digests(service.Name)
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	n := 0
-	for _, l := range b.links {
-		if l.offers(service, allowed, now) {
-			n++
-		}
-	}
-	return n
-}
-
 func (b *boxes) closeAll() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -205,10 +195,14 @@
 	return l, ok
 }
 
-// place chooses a box for a request among those not tried, and reserves room there.
-func (b *boxes) place(service fleet.Service, pin string, tried []string) (id string, ok bool) {
+// place chooses a box for a request, and reserves room there: one not tried, or else one that told news since.
+func (b *boxes) place(service fleet.Service, pin string, tried map[string]time.Time) (id string, ok bool) {
 	now := time.Now()
-	candidates := route.Without(b.candidates(service, pin, now), tried)
+	all := b.candidates(service, pin, now)
+	candidates := route.Without(all, slices.Collect(maps.Keys(tried)))
+	if len(candidates) == 0 {
+		candidates = route.Without(all, b.withoutNews(tried))
+	}
 	picked, ok := b.entry.cfg.Picker.Pick(b.entry.health.Filter(candidates, now))
 	if !ok {
 		return "", false
@@ -273,7 +267,7 @@
 		case *link.Config:
 			b.entry.follower.Offer(m.Config)
 		case *link.End:
-			b.noteLoad(l, m.Load)
+			b.noteEnd(l, m)
 			l.client.Handle(msg)
 		default:
 			l.client.Handle(msg)
@@ -297,17 +291,20 @@
 	}
 }
 
-// noteLoad takes the load that a box tells with an answer, which is newer than its last heartbeat.
-func (b *boxes) noteLoad(l *boxLink, load int) {
+// noteEnd takes the load that a box tells with an answer, which is newer than its last heartbeat.
+func (b *boxes) noteEnd(l *boxLink, end *link.End) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if l.beat == nil {
 		return
 	}
 	beat := *l.beat
-	beat.Load = load
+	beat.Load = end.Load
 	l.beat = &beat
 	l.beatOwn = max(0, l.inFlight-1)
+	if end.Outcome == link.OutcomeRan {
+		l.newsAt = time.Now()
+	}
 }
 
 // take notes a box's heartbeat.
@@ -315,6 +312,7 @@
 	b.mu.Lock()
 	l.beat = beat
 	l.beatAt = time.Now()
+	l.newsAt = l.beatAt
 	l.beatOwn = l.inFlight
 	b.mu.Unlock()
 	b.entry.hear(l.conn, beat.Revision)
@@ -335,6 +333,19 @@
 	go b.dial(ctx, member)
 }
 
+// withoutNews returns those of the tried boxes that told no news since.
+func (b *boxes) withoutNews(tried map[string]time.Time) []string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var ids []string
+	for id, at := range tried {
+		if l, ok := b.links[id]; ok && !l.newsAt.After(at) {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
 // newer reports whether the list knows of another daemon of a box than the one linked.
 func newer(l *boxLink, member membership.Member) bool {
 	return member.Incarnation != "" && l.incarnation != "" && member.Incarnation != l.incarnation && member.Incarnation > l.incarnation
--- a/entry/run.go
+++ b/entry/run.go
@@ -18,7 +18,7 @@
 )
 
 const (
-	// maxTurns is how often a request may be handed to boxes that did not run it.
+	// maxTurns is how often a request may be handed to boxes that may have run it.
 	maxTurns = 8
 	// againPriority puts a request that had its turn already before all of its team that had none.
 	againPriority = 10
@@ -40,9 +40,10 @@
 	whole      context.Context
 	req        callerRequest
 	controller *admit.Controller
-	tried      []string
-	admitted   bool
-	box        string
+	// tried are the boxes that the request was handed to in vain, and when.
+	tried    map[string]time.Time
+	admitted bool
+	box      string
 	// mayHaveRun says that an attempt was lost: from then on the request can no longer be said not to have run.
 	mayHaveRun bool
 	// pin, when set, is the digest of the version that the answer must come from.
@@ -53,7 +54,7 @@
 func (e *Entry) run(whole context.Context, w http.ResponseWriter, req callerRequest) {
 	ctx, cancel := context.WithDeadline(whole, req.deadline)
 	defer cancel()
-	t := &turn{entry: e, whole: whole, req: req, controller: e.controller(req.service.Name)}
+	t := &turn{entry: e, whole: whole, req: req, controller: e.controller(req.service.Name), tried: make(map[string]time.Time)}
 	if err := t.acquire(ctx); err != nil {
 		e.refuse(w, t.refusal(err))
 		return
@@ -110,9 +111,9 @@
 }
 
 // begin hands the request to boxes until one begins to answer. A box that certainly did not run it is followed by
-// another; when it may have run, only a repeatable request is tried again, within the retry budget.
+// another, and uses up nothing; when it may have run, only a repeatable request is tried again, within the retry budget.
 func (t *turn) begin(ctx context.Context) (*attempt, error) {
-	for range maxTurns {
+	for lost := 0; ; {
 		a, err := t.try(ctx)
 		if err == nil {
 			return a, nil
@@ -121,15 +122,16 @@
 			return nil, err
 		}
 		var notRunErr *relay.NotRunError
-		ran := !errors.As(err, &notRunErr)
-		if ran && (!t.req.repeatable || !t.entry.budget.Spend()) {
-			return nil, err
+		if !errors.As(err, &notRunErr) {
+			lost++
+			if !t.req.repeatable || lost == maxTurns || !t.entry.budget.Spend() {
+				return nil, err
+			}
 		}
 		if !t.next(ctx) {
 			return nil, err
 		}
 	}
-	return nil, &relay.NotRunError{Reason: "no box took the request"}
 }
 
 // try hands the request to the box that is held and waits for the first part of the answer.
@@ -221,18 +223,15 @@
 	}
 }
 
-// next moves the request to another box; it waits its turn again when all that were not tried are full.
+// next moves the request to another box; it waits its turn again when none has room that was not tried, or told news since.
 func (t *turn) next(ctx context.Context) bool {
-	t.tried = append(t.tried, t.box)
+	t.tried[t.box] = time.Now()
 	t.release()
 	if box, ok := t.controller.Again(t.admission()); ok {
 		t.box = box
 		return true
 	}
 	t.leave()
-	if t.entry.boxes.offering(t.req.service, time.Now()) <= len(t.tried) {
-		t.tried = t.tried[len(t.tried)-1:]
-	}
 	return t.acquire(ctx) == nil
 }
 
