Test, failing: a silent box loses answers that nothing else can hold

Cause: not mended here. After 2.5 s in which a box told nothing of itself the entry cancels all that may be repeated there: a stream whose caller has its beginning and that engines can not go on with, the rest of an answer too long to be held, and a request while no other box serves.

Ruled out: that the box stopped; in the tests it answers on after 3.5 s.

--- a/entry/boxfixture_test.go
+++ b/entry/boxfixture_test.go
@@ -180,10 +180,15 @@
 	return b
 }
 
-// ask sends a repeatable request and returns what the caller got.
-func (w *boxWorld) ask(patience time.Duration) *httptest.ResponseRecorder {
+// ask sends a repeatable request and returns what the caller got, also of an answer that the entry broke off.
+func (w *boxWorld) ask(patience time.Duration) (got *httptest.ResponseRecorder) {
 	w.t.Helper()
-	got := httptest.NewRecorder()
+	got = httptest.NewRecorder()
+	defer func() {
+		if cause := recover(); cause != nil && cause != http.ErrAbortHandler {
+			panic(cause)
+		}
+	}()
 	w.entry.run(w.t.Context(), got, callerRequest{
 		id: "r", service: w.entry.follower.Config().Services[fakeService], method: http.MethodGet, path: "/",
 		header: http.Header{}, deadline: time.Now().Add(patience), repeatable: true,
