A silent box keeps the answers that nothing else can hold

Cause: after 2.5 s without a word of a box the entry cancelled all that may be repeated there, before anything else held it: begun answers that can not go on elsewhere, and all of them while no other box served.

Ruled out: giving up nothing at all; a box that is frozen is still given up for one that serves, within the same time.

Change: a begun answer that can not go on elsewhere is kept at its box until its link is given up (10 s), as a request that must not be repeated is; nothing is given up while no box offers the service.

--- a/entry/boxes.go
+++ b/entry/boxes.go
@@ -101,6 +101,17 @@
 	return reports
 }
 
+// anyOffers reports whether any box serves a service now; mu is held.
+func (b *boxes) anyOffers(cfg fleet.Config, name string, now time.Time) bool {
+	service, allowed := cfg.Services[name], cfg.Digests(name)
+	for id, l := range b.links {
+		if !cfg.Stopped[id] && l.offers(service, allowed, now) {
+			return true
+		}
+	}
+	return false
+}
+
 // broadcast sends a message to all boxes without waiting for any.
 func (b *boxes) broadcast(msg link.Message) {
 	b.mu.Lock()
@@ -172,13 +183,15 @@
 	}
 }
 
-// giveUpSilent gives up what may be run elsewhere at boxes that are silent, and the links to those that have been for long.
+// giveUpSilent gives up what may be run elsewhere at boxes that are silent, as long as another serves, and the links to those
+// that have been for long.
 func (b *boxes) giveUpSilent() {
+	cfg, now := b.entry.follower.Config(), time.Now()
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for _, l := range b.links {
-		silent := time.Since(l.beatAt)
-		if silent > suspectAfter {
+		silent := now.Sub(l.beatAt)
+		if silent > suspectAfter && b.anyOffers(cfg, l.member.Service, now) {
 			l.client.Abandon()
 		}
 		if silent > deadAfter {
--- a/entry/stream.go
+++ b/entry/stream.go
@@ -49,6 +49,9 @@
 func (e *Entry) stream(ctx context.Context, w http.ResponseWriter, t *turn, a *attempt, record *claim.Answer) error {
 	writeHead(w, a, t.req.id)
 	s := &streamer{entry: e, w: w, turn: t, from: a}
+	if !s.resumable() {
+		a.call.Keep()
+	}
 	if record != nil {
 		s.kept = new(bytes.Buffer)
 	}
@@ -126,10 +129,7 @@
 	var lost *relay.LostError
 	t, digest := s.turn, s.from.call.Head().Digest
 	t.failed(ctx, cause)
-	if !errors.As(cause, &lost) || ctx.Err() != nil || !t.req.repeatable || !isStream(s.from) || digest == "" {
-		return cause
-	}
-	if !s.entry.boxes.resumes(t.box) || !s.entry.budget.Spend() {
+	if !errors.As(cause, &lost) || ctx.Err() != nil || !s.resumable() || !s.entry.budget.Spend() {
 		return cause
 	}
 	t.pin = digest
@@ -150,6 +150,11 @@
 	return nil
 }
 
+// resumable reports whether the answer could go on at another box of the same version.
+func (s *streamer) resumable() bool {
+	return s.turn.req.repeatable && isStream(s.from) && s.from.call.Head().Digest != "" && s.entry.boxes.resumes(s.turn.box)
+}
+
 // tellBroken tells the caller of an event stream that the rest will not come, and reports whether it could.
 func tellBroken(w http.ResponseWriter, a *attempt, err error, id string) bool {
 	if !isStream(a) {
--- a/relay/call.go
+++ b/relay/call.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"sync"
+	"sync/atomic"
 
 	"github.com/coralstair/coralstair/link"
 )
@@ -13,6 +14,8 @@
 	client     *Client
 	id         uint64
 	repeatable bool
+	// kept says that the answer can only come from here.
+	kept atomic.Bool
 
 	mu      sync.Mutex
 	head    *link.Head
@@ -50,6 +53,9 @@
 	return c.head
 }
 
+// Keep has Abandon pass the call over, since its answer has begun and can not go on elsewhere.
+func (c *Call) Keep() { c.kept.Store(true) }
+
 // Next returns the next part of the answer's body; io.EOF says that the answer is whole.
 func (c *Call) Next(ctx context.Context) ([]byte, error) {
 	for {
--- a/relay/client.go
+++ b/relay/client.go
@@ -35,12 +35,12 @@
 }
 
 // Abandon gives up the calls that may be made again elsewhere: the box has been silent for long. Others go on waiting,
-// since what became of them could not be found out.
+// since what became of them could not be found out, and so do those that nothing else can hold.
 func (c *Client) Abandon() {
 	c.mu.Lock()
 	var given []*Call
 	for _, call := range c.calls {
-		if call.repeatable {
+		if call.repeatable && !call.kept.Load() {
 			given = append(given, call)
 		}
 	}
