SIGHUP ends no entry and no box

Cause: the daemons of this command did not ask for SIGHUP, so that it did to them what it does to any program: they ended, with all answers in progress.

Change: SIGHUP is taken on a channel of its own and changes nothing; one line of the log says that settings are read at the next start.

With -count=3 the package has a race of TestScripts, which sets the log's level while daemons of the run before it still log; it is the test's, and older than this.

--- a/internal/cmd/daemon.go
+++ b/internal/cmd/daemon.go
@@ -29,7 +29,8 @@
 	Leave(ctx context.Context)
 }
 
-// runDaemon runs a daemon until a signal; the first asks for a planned stop, a second ends it at once.
+// runDaemon runs a daemon until a signal; the first asks for a planned stop, a second ends it at once. SIGHUP ends nothing: it
+// is taken apart, so that many of them keep no signal to stop out.
 func (c *Config) runDaemon(ctx context.Context, d daemon, cfg settings.Daemon, role string) error {
 	shutdown, err := tracing.Setup(ctx, cfg.OTLPURL, "coralstair-"+role, cfg.ID)
 	if err != nil {
@@ -43,8 +44,12 @@
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	defer signal.Stop(signals)
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	go passOver(ctx, hangups, role)
 	go func() {
 		select {
 		case <-signals:
@@ -64,6 +69,18 @@
 	return d.Serve(ctx)
 }
 
+// passOver takes signals that change nothing until ctx ends.
+func passOver(ctx context.Context, signals <-chan os.Signal, role string) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-signals:
+			log.Info(role + ": settings are read at the next start")
+		}
+	}
+}
+
 // setupLog sets the log up as the settings say.
 func (c *Config) setupLog(cfg settings.Daemon) error {
 	return logging.Setup(c.stderr, cfg.LogFormat, cfg.LogLevel)
