A daemon that ends sends the answers of its last handlers first

Cause: what a handler wrote leaves after it has returned; the daemon's server was closed at that moment, once the entry had left.

Ruled out: longer waiting in Leave, which knows nothing of what the server has still to send.

Change: the server is shut down, for half a second at most, and then closed.

--- a/supervise/daemon.go
+++ b/supervise/daemon.go
@@ -5,11 +5,15 @@
 	"errors"
 	"net"
 	"net/http"
+	"time"
 
 	"github.com/apex/log"
 	"github.com/thejerf/suture/v4"
 )
 
+// sendTime is how long answers whose handlers are done may take to leave when a daemon ends.
+const sendTime = 500 * time.Millisecond
+
 // Part is a named part of a daemon; Run returns when ctx ends.
 type Part struct {
 	Name string
@@ -44,11 +48,13 @@
 	return nil
 }
 
-// Run runs the server and all parts until ctx ends, then ends the server at once.
+// Run runs the server and all parts until ctx ends, then ends the server once what it has answered has left.
 func (d *Daemon) Run(ctx context.Context) error {
+	closed := make(chan struct{})
 	go func() {
+		defer close(closed)
 		<-ctx.Done()
-		_ = d.Server.Close()
+		d.closeServer()
 	}()
 	served := make(chan error, 1)
 	go func() { served <- d.Server.Serve(d.Listener) }()
@@ -56,9 +62,19 @@
 	if serveErr := <-served; !errors.Is(serveErr, http.ErrServerClosed) {
 		err = errors.Join(err, serveErr)
 	}
+	<-closed
 	return err
 }
 
+// closeServer ends the server; answers that take longer to leave are cut off.
+func (d *Daemon) closeServer() {
+	ctx, cancel := context.WithTimeout(context.Background(), sendTime)
+	defer cancel()
+	if err := d.Server.Shutdown(ctx); err != nil {
+		_ = d.Server.Close()
+	}
+}
+
 // logEvent logs that a part ended; a panic is logged with its cause, not with its whole stack.
 func (d *Daemon) logEvent(event suture.Event) {
 	fields := event.Map()
