--- a/entry/boxfixture_test.go
+++ b/entry/boxfixture_test.go
@@ -89,6 +89,13 @@
 	return b.requests
 }
 
+// ended reports whether the entry has ended its link.
+func (b *fakeBox) ended() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.conn.Context().Err() != nil
+}
+
 // tell has the entry hear what the box offers.
 func (b *fakeBox) tell(open, leaving bool) {
 	b.send(&link.Heartbeat{
