A link to a daemon that has moved finishes what is in progress there

Cause: the entry closed its link to a daemon as soon as the list named another address for the box, and lost the answers in progress with it.

Ruled out: keeping a link at the same address beside a later daemon's: the port is the box's lock, so the earlier one has ended.

Change: such a link takes nothing new and ends, a second later at the earliest, when nothing is in progress on it, or when the daemon has been silent for long.

--- a/entry/boxes.go
+++ b/entry/boxes.go
@@ -25,6 +25,8 @@
 	suspectAfter = 2500 * time.Millisecond
 	// deadAfter is the silence after which the link is given up, and with it what is in progress there.
 	deadAfter = 10 * time.Second
+	// retireTime is how long a link to a daemon that has moved stays at least: requests may be about to be sent there.
+	retireTime = time.Second
 )
 
 // boxes keeps a link to each live box of the fleet and what each last said of itself.
@@ -33,8 +35,10 @@
 
 	mu      sync.Mutex
 	links   map[string]*boxLink
-	dialing map[string]bool
+	dialing map[membership.Member]bool
 	after   map[string]time.Time
+	// retired are links to daemons that the list names elsewhere now, and since when: they end with what is in progress there.
+	retired map[*boxLink]time.Time
 	dials   int64
 }
 
@@ -58,8 +62,9 @@
 	return &boxes{
 		entry:   e,
 		links:   make(map[string]*boxLink),
-		dialing: make(map[string]bool),
+		dialing: make(map[membership.Member]bool),
 		after:   make(map[string]time.Time),
+		retired: make(map[*boxLink]time.Time),
 	}
 }
 
@@ -148,17 +153,22 @@
 func (b *boxes) closeAll() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	for _, l := range b.links {
+	for _, l := range b.all() {
 		l.conn.Close()
 	}
 }
 
+// all returns the links in use and those that only finish what is in progress; mu is held.
+func (b *boxes) all() []*boxLink {
+	return slices.AppendSeq(slices.Collect(maps.Values(b.links)), maps.Keys(b.retired))
+}
+
 // dial opens one link and runs it until it ends.
 func (b *boxes) dial(ctx context.Context, member membership.Member) {
 	defer func() {
 		b.mu.Lock()
 		defer b.mu.Unlock()
-		delete(b.dialing, member.ID)
+		delete(b.dialing, member)
 		b.after[member.ID] = time.Now().Add(dialPause/2 + rand.N(dialPause))
 	}()
 	dialCtx, cancel := context.WithTimeout(ctx, dialTimeout)
@@ -184,17 +194,19 @@
 }
 
 // giveUpSilent gives up what may be run elsewhere at boxes that are silent, as long as another serves, and the links to those
-// that have been for long.
+// that have been for long; links to daemons that have moved it ends once they have finished.
 func (b *boxes) giveUpSilent() {
 	cfg, now := b.entry.follower.Config(), time.Now()
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	for _, l := range b.links {
+	for _, l := range b.all() {
 		silent := now.Sub(l.beatAt)
 		if silent > suspectAfter && b.anyOffers(cfg, l.member.Service, now) {
 			l.client.Abandon()
 		}
-		if silent > deadAfter {
+		since, retired := b.retired[l]
+		finished := retired && now.Sub(since) > retireTime && l.client.InFlight() == 0
+		if silent > deadAfter || finished {
 			l.conn.Close()
 		}
 	}
@@ -262,6 +274,7 @@
 		if b.links[member.ID] == l {
 			delete(b.links, member.ID)
 		}
+		delete(b.retired, l)
 		b.mu.Unlock()
 		l.client.Close(nil)
 		b.entry.log.WithField("box", member.ID).Info("entry: link ended")
@@ -332,17 +345,25 @@
 	b.entry.kick(l.member.Service)
 }
 
+// want opens a link to a box that the list names, unless there is one. One to a daemon at another address finishes what is in
+// progress there; one at the same address has ended, since a later daemon could not have its port.
 func (b *boxes) want(ctx context.Context, member membership.Member) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	l := b.links[member.ID]
-	if l != nil && (l.member.Address != member.Address || newer(l, member)) {
+	switch {
+	case l == nil:
+	case l.member.Address != member.Address:
+		b.retired[l] = time.Now()
+		delete(b.links, member.ID)
+		l = nil
+	case newer(l, member):
 		l.conn.Close()
 	}
-	if l != nil || b.dialing[member.ID] || time.Now().Before(b.after[member.ID]) {
+	if l != nil || b.dialing[member] || time.Now().Before(b.after[member.ID]) {
 		return
 	}
-	b.dialing[member.ID] = true
+	b.dialing[member] = true
 	go b.dial(ctx, member)
 }
 
