--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -2,11 +2,13 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"errors"
 	"io"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/coralstair/coralstair/contract"
@@ -34,7 +36,9 @@
 	quiet  *time.Timer
 	// fellSilent says that the server was silent for too long; the call's mutex guards it.
 	fellSilent bool
-	rank       int
+	// listens says that something has to come from the server in time.
+	listens atomic.Bool
+	rank    int
 	// beside is the attempt that goes on until this one's server has begun to answer; after is the last event that the caller
 	// had when this one was sent.
 	beside *attempt
@@ -63,6 +67,10 @@
 		a.after = p.hold(a)
 		send = Send{LastEvent: a.after, Version: p.version}
 	}
+	if now, live := a.live(); !live || now != p {
+		// Another one has begun before this one could: nothing is sent, and nothing kept back for it.
+		return stepNotRun, cmp.Or(context.Cause(a.ctx), context.Canceled)
+	}
 	if result, err := a.send(send); err != nil {
 		return result, err
 	}
@@ -195,6 +203,7 @@
 	if err != nil {
 		return stepLost, a.broken(err)
 	}
+	a.heard()
 	a.got = &answer{status: a.resp.StatusCode, header: a.resp.Header, body: body}
 	if a.got.status >= http.StatusInternalServerError {
 		return stepFailed, &BrokenAnswerError{Reason: a.resp.Status}
@@ -215,11 +224,25 @@
 		if err != nil {
 			return stepLost, a.broken(err)
 		}
-		a.heardEvent()
-		if a.event = event; !isOld(idOf(event), a.after) {
-			return stepDone, nil
+		if a.event = event; isOld(idOf(event), a.after) {
+			continue
+		}
+		if version, changes := a.call.entry.cfg.Wire.EventVersion(event); changes && version != a.expected() {
+			a.spoil()
+			return stepLost, &BrokenAnswerError{Reason: "its version changes"}
 		}
+		a.heard()
+		a.ticket.begun(time.Now())
+		return stepDone, nil
+	}
+}
+
+// expected returns the version of all events: that of the answer on its way, or the one that the server says.
+func (a *attempt) expected() contract.Version {
+	if p := a.passage(); p != nil {
+		return p.version
 	}
+	return a.version()
 }
 
 // broken closes the connection of an answer that broke off, and returns why it did.
--- a/forward/call.go
+++ b/forward/call.go
@@ -68,7 +68,9 @@
 	// offered counts the servers the request was sent to and that may have run it, refused those that said that they did not.
 	offered int
 	refused int
-	not     map[string]bool
+	// not are the servers that are not asked again, refusals those of them that said that they did not run it, and when.
+	not      map[string]bool
+	refusals map[string]time.Time
 	// unknown says that it may have run without an answer.
 	unknown bool
 	last    choice
@@ -102,7 +104,7 @@
 	ctx, cancel := context.WithDeadline(ctx, c.ends)
 	defer cancel()
 	defer c.end()
-	c.ctx, c.changed = ctx, make(chan struct{}, 1)
+	c.ctx, c.changed, c.refusals = ctx, make(chan struct{}, 1), make(map[string]time.Time)
 	c.entry.budget.First(c.service.Name, c.started)
 	c.waited = c.entry.admission.Of(c.service.Name).Waited(c.admissionAsk(), c.started)
 	var kept *answer
--- a/forward/conn.go
+++ b/forward/conn.go
@@ -85,12 +85,12 @@
 	c.timer.Reset(c.rest)
 }
 
+// expire closes a connection that has rested; a request that takes it at the same moment waits, and leaves no byte on it.
 func (c *conn) expire() {
 	c.mu.Lock()
-	idle := c.uses == 0
-	c.mu.Unlock()
-	if idle {
-		_ = c.Close()
+	defer c.mu.Unlock()
+	if c.uses == 0 {
+		_ = c.Conn.Close()
 	}
 }
 
--- a/forward/handover.go
+++ b/forward/handover.go
@@ -30,7 +30,8 @@
 	c.last = ch
 	c.asked = append(c.asked, a)
 	if c.route.Repeatable() {
-		a.quiet = time.AfterFunc(ch.silence(), a.silent)
+		a.listens.Store(true)
+		a.quiet = time.AfterFunc(a.patience(), a.silent)
 		if c.service.Engine != nil {
 			a.ticket.whenClosing(a.move)
 		}
@@ -39,16 +40,37 @@
 	return a
 }
 
+// patience returns how long the server may be silent: as long as events of another one are kept back for it, not much longer
+// than a pause that is in time.
+func (a *attempt) patience() time.Duration {
+	if a.beside == nil {
+		return a.choice.silence()
+	}
+	return max(a.call.route.PauseGoal, a.choice.first*3/2)
+}
+
 // run sends the request, and has the answer taken once it has begun.
 func (a *attempt) run() {
 	result, err := a.begin()
-	if err == nil && a.takeOver() {
-		return
+	if err == nil {
+		if a.takeOver() {
+			return
+		}
+		// Its server has run it, though nobody gets the answer.
+		result, err = stepLost, context.Cause(a.ctx)
 	}
 	a.fall(result, err)
 	a.finish()
 }
 
+// live reports whether the attempt may still take the call over, and returns the answer that is on its way already.
+func (a *attempt) live() (p *passage, live bool) {
+	c := a.call
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.passage, !c.over && slices.Contains(c.asked, a)
+}
+
 // takeOver makes the attempt the one that answers, in place of all others; false when the call goes on without it.
 func (a *attempt) takeOver() bool {
 	c := a.call
@@ -85,13 +107,16 @@
 	if result == stepNotRun {
 		c.offered--
 		c.refused++
+		c.refusals[a.choice.server.ID] = time.Now()
 	}
 	c.fallen = append(c.fallen, fall{kept: a.got, result: result, err: err})
-	p, stays := c.passage, a.beside != nil && c.holder == a.beside
+	p, stays := c.passage, c.stays()
 	c.mu.Unlock()
 	c.noteStep(a, result, err)
-	if p != nil && stays {
+	if stays {
 		handovers("refused").Inc()
+	}
+	if p != nil {
 		p.release(a)
 	}
 	c.mu.Lock()
@@ -99,6 +124,20 @@
 	c.tell()
 }
 
+// stays reports whether the request goes on at another server when an attempt has come to nothing, which is then the one that
+// the request's line names; mu is held.
+func (c *call) stays() bool {
+	switch {
+	case c.holder != nil:
+		c.last = c.holder.choice
+	case len(c.asked) > 0:
+		c.last = c.asked[0].choice
+	default:
+		return false
+	}
+	return true
+}
+
 // tell wakes the call's goroutine; mu is held.
 func (c *call) tell() {
 	select {
@@ -133,25 +172,53 @@
 	}
 }
 
+// listen starts the time in which the server has to be heard.
+func (a *attempt) listen(silence time.Duration) {
+	if a.quiet != nil {
+		a.listens.Store(true)
+		a.quiet.Reset(silence)
+	}
+}
+
+// heard ends the time in which the server has to be heard; while its answer waits for a slow caller it may be silent.
+func (a *attempt) heard() {
+	if a.quiet != nil {
+		a.listens.Store(false)
+		a.quiet.Stop()
+	}
+}
+
 // silent has another server asked when the attempt's is silent for too long.
 func (a *attempt) silent() {
 	c := a.call
+	if !a.listens.Load() {
+		return
+	}
 	err := &SilentError{Server: a.choice.server.ID}
 	if a.firstSilence() {
 		c.leftAlone(a, a.choice.up.silent(time.Now()), err.Error())
 	}
-	if p := a.passage(); a.beside != nil && p != nil && p.waitsFor(a) {
+	if a.heldUpFor() {
 		a.cancel(err)
 		return
 	}
 	c.askBeside(a, err)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.over && (c.holder == a || slices.Contains(c.asked, a)) {
-		a.quiet.Reset(askAgain)
+	if a.listens.Load() && !c.over && (c.holder == a || slices.Contains(c.asked, a)) {
+		a.quiet.Reset(askAgain << min(c.refused, maxRefusals))
 	}
 }
 
+// heldUpFor reports whether a server at work has sent events that are kept back for the attempt.
+func (a *attempt) heldUpFor() bool {
+	c := a.call
+	c.mu.Lock()
+	p, atWork := c.passage, a.beside != nil && c.holder == a.beside
+	c.mu.Unlock()
+	return p != nil && atWork && p.waitsFor(a)
+}
+
 // firstSilence notes that the server is silent, and reports whether it was not before.
 func (a *attempt) firstSilence() bool {
 	a.call.mu.Lock()
@@ -167,7 +234,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	p := c.passage
-	if c.over || !c.mayAskBeside() || !c.only(a) || c.holder != nil && (p == nil || !c.route.Resumable) {
+	if c.over || !c.mayAskBeside() || !c.only(a) || c.holder != nil && (p == nil || !p.resumable()) {
 		return
 	}
 	_, closes := cause.(*ClosingError)
@@ -190,8 +257,22 @@
 	return len(c.asked) == 1 && c.asked[0] == a
 }
 
+// forgive lets servers be asked again that have refused the request a while ago: what they had no room for may fit now. mu is
+// held.
+func (c *call) forgive(now time.Time) {
+	for id, at := range c.refusals {
+		if now.Sub(at) >= askAgain {
+			delete(c.refusals, id)
+			delete(c.not, id)
+		}
+	}
+}
+
 // chooseBeside chooses the server that is asked beside an attempt; mu is held.
 func (c *call) chooseBeside(a *attempt, closes bool) (choice, bool) {
+	if !closes {
+		c.forgive(time.Now())
+	}
 	want := c.wanted()
 	want.moves = false
 	want.urgent = c.urgent || closes || c.passage != nil
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/coralstair/coralstair/contract"
@@ -35,6 +36,9 @@
 	version contract.Version
 	begun   bool
 	out     *http.ResponseController
+	// named says that the last event that the caller has has an id, gone that nothing more can be written to it.
+	named atomic.Bool
+	gone  atomic.Bool
 
 	// mu guards what follows, and writes to the caller.
 	mu   sync.Mutex
@@ -84,27 +88,43 @@
 		c.holder = nil
 	}
 	c.mu.Unlock()
-	for until := time.Now().Add(resumeTime); ; {
-		for c.asking() {
-			if held, _ := c.await(); held != nil {
-				return held, nil
-			}
+	for until := time.Now().Add(resumeTime); ; p.pause(ctx) {
+		if held := c.awaitHolder(); held != nil {
+			return held, nil
 		}
 		p.releaseAll()
-		if ctx.Err() != nil {
+		switch {
+		case ctx.Err() != nil:
 			return nil, context.Cause(ctx)
+		case p.gone.Load():
+			return nil, context.Canceled
 		}
-		switch err := p.resume(); {
-		case err == nil:
-			continue
-		case errors.Is(err, errNoResume) || time.Now().After(until):
+		err := p.resume()
+		if errors.Is(err, errNoResume) || err != nil && time.Now().After(until) {
 			return nil, err
 		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(askAgain):
+		if held := c.awaitHolder(); held != nil {
+			return held, nil
+		}
+	}
+}
+
+// awaitHolder waits for one of the attempts in progress to begin to answer; nil when none did.
+func (c *call) awaitHolder() *attempt {
+	for c.asking() {
+		if held, _ := c.await(); held != nil {
+			return held
 		}
 	}
+	return nil
+}
+
+// pause waits until the next server is asked for the rest.
+func (p *passage) pause(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(askAgain):
+	}
 }
 
 // resume asks another server of the same version for the rest of the stream.
@@ -112,10 +132,11 @@
 	c := p.call
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.route.Resumable || p.lastEvent() == "" || c.offered >= max(c.route.Attempts, 2) || c.refused >= maxRefusals {
+	if !p.resumable() || c.offered >= max(c.route.Attempts, 2) {
 		return errNoResume
 	}
 	c.urgent = true
+	c.forgive(time.Now())
 	want := c.wanted()
 	want.exact = p.version
 	ch, ok := c.entry.choose(want, time.Now())
@@ -141,13 +162,15 @@
 		if err != nil {
 			return err
 		}
-		if event, err = readEvent(a.events, event[:0]); err != nil {
+		a.listen(max(pauseFactor*a.call.route.PauseGoal, minPause))
+		event, err = readEvent(a.events, event[:0])
+		a.heard()
+		if err != nil {
 			if errors.Is(err, io.EOF) && len(event) == 0 {
 				return p.complete(a)
 			}
 			return a.broken(err)
 		}
-		a.heardEvent()
 	}
 }
 
@@ -169,12 +192,8 @@
 	return nil
 }
 
-// lastEvent returns the last event that the caller has.
-func (p *passage) lastEvent() string {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.last
-}
+// resumable reports whether another server can go on after the last event that the caller has.
+func (p *passage) resumable() bool { return p.call.route.Resumable && p.named.Load() }
 
 // hold has events kept back until it is known what becomes of an attempt that goes on after the last one.
 func (p *passage) hold(a *attempt) (last string) {
@@ -254,10 +273,12 @@
 // write writes an event to the caller; mu is held.
 func (p *passage) write(event []byte, flush bool) error {
 	if _, err := p.call.w.Write(event); err != nil {
+		p.gone.Store(true)
 		return err
 	}
 	if id := idOf(event); id != "" {
 		p.last = id
+		p.named.Store(true)
 	}
 	if flush {
 		return p.out.Flush()
@@ -287,18 +308,6 @@
 	return n <= had
 }
 
-// heardEvent notes that the server is at work: from now on a pause decides.
-func (a *attempt) heardEvent() {
-	a.ticket.begun(time.Now())
-	switch {
-	case a.quiet == nil:
-	case a.call.route.Resumable:
-		a.quiet.Reset(max(pauseFactor*a.call.route.PauseGoal, minPause))
-	default:
-		a.quiet.Stop()
-	}
-}
-
 // readEvent appends the next whole event, with the blank line that ends it.
 func readEvent(r *bufio.Reader, event []byte) ([]byte, error) {
 	for {
