Soak: a run of planned work alone in which nothing may be lost

Cause: the fault soak saw no answer that was given up beside planned work, since it never brought one about. Its streams last 30 to 255 ms (a move comes 400 ms after a box closes); 1 of 131 orders to load found a stream running; 8 to 14 of 16 slots were taken at most, so no engine was full; none was asked while it loaded, and stand-ins let requests wait then where engines refuse. Change: Options may carry a plan of planned work (versions each 2 to 4 s, configurations, reloads, two entries stopped at a time, servers that leave and come back empty), with streams of 1.5 to 3 s, six slots an engine, 32 callers, pieces that come 2 to 3 s after a version is named. Then each request has to get its whole answer or a refusal with a time; each lost one is printed with what the entries' logs say of it. Stand-ins refuse while they load. Callers of such a run take a new connection by the balancer once theirs is to close.

--- a/lab/standin/caller.go
+++ b/lab/standin/caller.go
@@ -30,6 +30,8 @@
 	Status int
 	Cut    error
 	Wrong  string
+	// Closes says that the connection takes no more requests.
+	Closes bool
 	// Back is when a refused caller is told to come back.
 	Back string
 }
@@ -90,7 +92,7 @@
 
 // check reads an answer and says what is wrong with it.
 func (a Ask) check(resp *http.Response) Answer {
-	answer := Answer{Status: resp.StatusCode, Back: resp.Header.Get("Retry-After")}
+	answer := Answer{Status: resp.StatusCode, Back: resp.Header.Get("Retry-After"), Closes: resp.Close}
 	if id := resp.Header.Get("X-Request-Id"); id != a.ID {
 		answer.Wrong = fmt.Sprintf("an answer to %q", id)
 		return answer
--- a/lab/standin/server.go
+++ b/lab/standin/server.go
@@ -171,7 +171,8 @@
 	}
 }
 
-// begin takes a request in, once the server is not loading; status is not 0 when it is refused without having run.
+// begin takes a request in, once a slot is free and unless the server is about to load; status is not 0 when it is refused without
+// having run.
 func (s *Server) begin(r *http.Request) (run Run, status int) {
 	id := r.Header.Get("X-Request-Id")
 	s.Runs.arrive(id, s.Service)
@@ -180,7 +181,7 @@
 	defer s.mu.Unlock()
 	s.requests++
 	for s.loading || s.running >= s.Slots {
-		if s.waiting >= s.Slots || time.Now().After(deadline) || r.Context().Err() != nil {
+		if s.loading || s.waiting >= s.Slots || time.Now().After(deadline) || r.Context().Err() != nil {
 			return Run{}, http.StatusServiceUnavailable
 		}
 		s.wait()
@@ -215,6 +216,13 @@
 
 func every(n, count int) bool { return n > 0 && count%n == 0 }
 
+// Idle reports whether nothing runs.
+func (s *Server) Idle() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.running == 0
+}
+
 func (s *Server) end() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/soak/caller.go
+++ b/soak/caller.go
@@ -109,6 +109,13 @@
 	return from
 }
 
+// takes reports whether an entry takes requests.
+func (b *balancer) takes(entry int) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.miss[entry] < 2
+}
+
 func tick(ctx context.Context, every time.Duration) bool {
 	select {
 	case <-ctx.Done():
@@ -138,7 +145,7 @@
 		if c.entry < 0 || c.turns.IntN(20) == 0 {
 			c.connect()
 		}
-		if answer := c.ask(ctx, count); answer.Cut != nil {
+		if answer := c.ask(ctx, count); answer.Cut != nil || c.rig.opts.planned != nil && answer.Closes {
 			c.entry = -1
 		}
 	}
@@ -162,14 +169,15 @@
 
 // ask makes one request.
 func (c *caller) ask(ctx context.Context, count int) standin.Answer {
+	size := c.rig.size()
 	o := outcome{entry: c.entry, life: c.rig.entries[c.entry].lifeNow()}
 	o.ask = standin.Ask{
-		ID: fmt.Sprintf("%d-%d-%d", c.rig.opts.Seed, c.n, count), Host: host, Key: goodKey, Wait: patience,
+		ID: fmt.Sprintf("%d-%d-%d", c.rig.opts.Seed, c.n, count), Host: host, Key: goodKey, Wait: size.patience,
 	}
 	switch turn := c.turns.Float64(); {
 	case turn < 0.6:
 		o.kind, o.ask.Path, o.ask.Model = kindStream, streamPath, model
-		o.ask.Prompt, o.ask.Tokens = 50+c.turns.IntN(300), 10+c.turns.IntN(80)
+		o.ask.Prompt, o.ask.Tokens = 50+c.turns.IntN(300), size.tokens+c.turns.IntN(size.spread)
 	case turn < 0.85:
 		o.kind, o.ask.Path = kindOnce, oncePath
 	default:
@@ -179,7 +187,7 @@
 	if c.turns.Float64() < unknownShare {
 		o.ask.Key = "unknown"
 	}
-	limit := patience + time.Second
+	limit := size.patience + time.Second
 	if c.turns.Float64() < leaveShare {
 		o.left, limit = true, time.Duration(c.turns.IntN(100))*time.Millisecond
 	}
@@ -189,6 +197,10 @@
 	o.answer = o.ask.Send(askCtx, c.client, c.rig.entryAt(c.entry))
 	o.ended = time.Now()
 	o.left = o.left && o.answer.Cut != nil || ctx.Err() != nil
+	if c.rig.opts.planned != nil && unreached(o.answer.Cut) && !c.b.takes(c.entry) {
+		// The entry has left: its callers go to another one.
+		return o.answer
+	}
 	c.out.add(o)
 	return o.answer
 }
--- a/soak/declare.go
+++ b/soak/declare.go
@@ -37,10 +37,11 @@
 	if r.revision == 1 {
 		keys = append(keys, oldKey)
 	}
+	size := r.size()
 	route := func(name, path, kind, service string) standin.Route {
 		return standin.Route{
-			Name: name, Host: host, PathPrefix: path, Kind: kind, TimeoutMs: 4000, GoalMs: 500, Priority: 1, Service: service,
-			MaxAttempts: 2,
+			Name: name, Host: host, PathPrefix: path, Kind: kind, GoalMs: 500, Priority: 1, Service: service,
+			TimeoutMs: int((size.patience + time.Second).Milliseconds()), MaxAttempts: 2,
 		}
 	}
 	stream := route("draft", streamPath, standin.KindStream, modelService)
@@ -53,7 +54,7 @@
 			stream, route("confirm", oncePath, standin.KindUnsafe, plainService), route("look", safePath, standin.KindSafe, plainService), own,
 		},
 		Services: []standin.Service{
-			{Name: modelService, HealthPath: "/health", MaxConns: 200, Engine: figures()},
+			{Name: modelService, HealthPath: "/health", MaxConns: 200, Engine: figures(size)},
 			{Name: plainService, HealthPath: "/health", MaxConns: 100},
 			{Name: originName, MaxConns: 48, Origin: hostPort(r.ip(9, 3), originPort), LinkMbps: 50},
 		},
@@ -62,10 +63,10 @@
 	}
 }
 
-func figures() *standin.Figure {
+func figures(size size) *standin.Figure {
 	return &standin.Figure{
-		Slots: 16, Stride: 1, Chunk: 2048, StepMs: 3, ReadPerS: 50000, Chunks: standin.Pieces, ChunkBytes: standin.PieceBytes,
-		Models: []standin.FigureModel{{Name: model, WarmS: 0.15}}, Usual: standin.Usual{Prompt: 200, Answer: 50},
+		Slots: size.slots, Stride: 1, Chunk: 2048, StepMs: 3, ReadPerS: 50000, Chunks: standin.Pieces, ChunkBytes: standin.PieceBytes,
+		Models: []standin.FigureModel{{Name: model, WarmS: 0.15}}, Usual: standin.Usual{Prompt: 200, Answer: size.tokens + size.spread/2},
 	}
 }
 
--- a/soak/judge.go
+++ b/soak/judge.go
@@ -27,6 +27,7 @@
 	calm     calm
 	asked    map[string]outcome
 	broken   []string
+	lost     []string
 }
 
 // calm is the time after all faults, in which bounds hold too.
@@ -52,9 +53,13 @@
 	j.runsAllowed()
 	j.runsOnce()
 	j.revisions()
-	j.plannedStops()
 	j.budget()
-	j.calmBounds()
+	if j.rig.opts.planned != nil {
+		j.nothingLost()
+	} else {
+		j.plannedStops()
+		j.calmBounds()
+	}
 	for _, fault := range j.rig.runs.Faults() {
 		j.breaks("weights: %s", fault)
 	}
--- a/soak/rig.go
+++ b/soak/rig.go
@@ -150,7 +150,7 @@
 		ip := r.ip(group, n)
 		s := &standin.Server{
 			Address: hostPort(ip, hopPort), Listen: hostPort(ip, serverPort),
-			Service: service, Zone: sites[i%len(sites)], Slots: 16, Store: r.store, Runs: r.runs,
+			Service: service, Zone: sites[i%len(sites)], Slots: r.size().slots, Store: r.store, Runs: r.runs,
 		}
 		if service == modelService {
 			s.Model = model
@@ -196,6 +196,7 @@
 	}
 	r.toStore = append(r.toStore, h)
 	settings.ID, settings.Zone, settings.Zones, settings.Store, settings.Bounds = name, sites[i%len(sites)], sites, storeAt, bounds
+	settings.Bounds.Grace = r.size().grace
 	path := filepath.Join(r.opts.Dir, name+".toml")
 	if err := os.WriteFile(path, []byte(settings.String()), 0o600); err != nil {
 		return err
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -21,8 +21,10 @@
 	Boxes   int
 	Plain   int
 	Callers int
-	// Trouble is for how long faults begin.
+	// Trouble is for how long faults begin, or planned work.
 	Trouble time.Duration
+	// planned returns planned work beside which nothing may be lost; nil has faults go on.
+	planned func(r *rig) []fault
 }
 
 // Defaults of Options.
@@ -54,6 +56,8 @@
 	Cut      int
 	Faults   []string
 	Broken   []string
+	// Lost are the requests of a planned run without a whole answer or a refusal that says when to come back.
+	Lost []string
 }
 
 // String tells the result in a line.
@@ -82,8 +86,14 @@
 		return nil, ctx.Err()
 	}
 	var on spans
-	on.run(r.plan())
-	c := r.beCalm(ctx, &on)
+	var c calm
+	if opts.planned != nil {
+		on.run(opts.planned(r))
+		tick(ctx, startTime)
+	} else {
+		on.run(r.plan())
+		c = r.beCalm(ctx, &on)
+	}
 	cancel()
 	wait()
 	j := &judge{
@@ -165,5 +175,6 @@
 			s.from.Format("15:04:05.000"), s.name, s.to.Sub(s.from).Round(time.Millisecond)))
 	}
 	result.Broken = j.judge()
+	result.Lost = j.lost
 	return result
 }
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -19,10 +19,7 @@
 const seedsVariable = "CORALSTAIR_SOAK_SEEDS"
 
 func TestSoak(t *testing.T) {
-	daemon := filepath.Join(t.TempDir(), "coralstaird")
-	if out, err := exec.Command("go", "build", "-o", daemon, "../cmd/coralstaird").CombinedOutput(); err != nil {
-		t.Fatalf("%v\n%s", err, out)
-	}
+	daemon := build(t)
 	for name, seed := range seeds {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -34,21 +31,44 @@
 	}
 }
 
-func soakSeed(t *testing.T, daemon string, seed uint64) {
-	dir := t.TempDir()
-	if keep := os.Getenv("CORALSTAIR_SOAK_LOGS"); keep != "" {
-		dir = filepath.Join(keep, strconv.FormatUint(seed, 10))
-		if err := os.MkdirAll(dir, 0o700); err != nil {
-			t.Fatal(err)
-		}
+// build returns the daemon's program.
+func build(t *testing.T) string {
+	t.Helper()
+	daemon := filepath.Join(t.TempDir(), "coralstaird")
+	if out, err := exec.Command("go", "build", "-o", daemon, "../cmd/coralstaird").CombinedOutput(); err != nil {
+		t.Fatalf("%v\n%s", err, out)
 	}
-	result, err := Run(t.Context(), Options{Seed: seed, Daemon: daemon, Dir: dir})
+	return daemon
+}
+
+// logs returns where the logs of a run go.
+func logs(t *testing.T, kind string, seed uint64) string {
+	t.Helper()
+	keep := os.Getenv("CORALSTAIR_SOAK_LOGS")
+	if keep == "" {
+		return t.TempDir()
+	}
+	dir := filepath.Join(keep, kind+strconv.FormatUint(seed, 10))
+	if err := os.MkdirAll(dir, 0o700); err != nil {
+		t.Fatal(err)
+	}
+	return dir
+}
+
+func soakSeed(t *testing.T, daemon string, seed uint64) {
+	run(t, Options{Seed: seed, Daemon: daemon, Dir: logs(t, "", seed)})
+}
+
+// run fails the test for what a run broke.
+func run(t *testing.T, opts Options) *Result {
+	t.Helper()
+	result, err := Run(t.Context(), opts)
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Log(result)
 	if len(result.Broken) == 0 {
-		return
+		return result
 	}
 	t.Logf("faults:\n%s", strings.Join(result.Faults, "\n"))
 	for i, broken := range result.Broken {
@@ -58,20 +78,21 @@
 		}
 		t.Error(broken)
 	}
+	return result
 }
 
 // moreSeeds returns the seeds that the environment asks for.
 func moreSeeds(t *testing.T) map[uint64]bool {
 	from, to, ok := strings.Cut(os.Getenv(seedsVariable), "-")
+	seeds := make(map[uint64]bool)
 	if !ok {
-		return nil
+		return seeds
 	}
 	first, err1 := strconv.ParseUint(from, 10, 64)
 	last, err2 := strconv.ParseUint(to, 10, 64)
 	if err1 != nil || err2 != nil {
 		t.Fatalf("%s is FROM-TO", seedsVariable)
 	}
-	seeds := make(map[uint64]bool)
 	for seed := first; seed <= last; seed++ {
 		seeds[seed] = true
 	}
