Nothing that waits begins after the bound on its server's version

Ruled out: the margin on the way (the request arrived in 30 ms); a late turn (the server's own order came later). Change: what has not begun 100 ms before the bound is taken away and goes on elsewhere.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -34,6 +34,8 @@
 	ctx    context.Context
 	cancel context.CancelCauseFunc
 	quiet  *time.Timer
+	// bound is when the bound on the server's version comes; nil when there is none.
+	bound *time.Timer
 	// fellSilent says that the server was silent for too long; the call's mutex guards it.
 	fellSilent bool
 	// listens says that something has to come from the server in time.
@@ -101,6 +103,9 @@
 	if a.quiet != nil {
 		a.quiet.Stop()
 	}
+	if a.bound != nil {
+		a.bound.Stop()
+	}
 	a.ticket.end()
 	if a.resp != nil {
 		_ = a.resp.Body.Close()
--- a/forward/call.go
+++ b/forward/call.go
@@ -320,7 +320,7 @@
 	case result == stepDone:
 		u.succeeded()
 		return "done", 0
-	case errors.As(err, new(*HandedOnError)), errors.As(err, new(*SilentError)):
+	case errors.As(err, new(*HandedOnError)), errors.As(err, new(*SilentError)), errors.As(err, new(*OverdueError)):
 		return "left", 0
 	default:
 		return "lost", u.failed(now)
--- a/forward/errors.go
+++ b/forward/errors.go
@@ -31,6 +31,14 @@
 	return fmt.Sprintf("server %s is left, %s has begun to answer", e.Server, e.To)
 }
 
+// OverdueError says that a request waits at a server whose version may begin nothing any more.
+type OverdueError struct{ Server string }
+
+// Error names the server.
+func (e *OverdueError) Error() string {
+	return fmt.Sprintf("server %s runs a version that may begin nothing any more", e.Server)
+}
+
 // NoServerError says that no server can take a request now.
 type NoServerError struct{ Service, Reason string }
 
--- a/forward/handover.go
+++ b/forward/handover.go
@@ -19,6 +19,9 @@
 	// resumeTime is for how long a place is looked for when a stream broke off and nothing else holds it; callers give up a
 	// stream after two seconds without an event at the soonest.
 	resumeTime = 1500 * time.Millisecond
+	// boundMargin is how long before the bound on its version a request that waits is taken away from a server: the way there and
+	// some delay on its link.
+	boundMargin = 100 * time.Millisecond
 )
 
 // offer sends the request to a server; mu is held.
@@ -34,12 +37,27 @@
 		a.quiet = time.AfterFunc(a.patience(), a.silent)
 		if c.service.Engine != nil {
 			a.ticket.whenClosing(a.move)
+			a.boundVersion()
 		}
 	}
 	go a.run()
 	return a
 }
 
+// boundVersion has a request that has not begun right before the bound on the version of its server taken away from there: a slot
+// may fall free at any moment, and what begins later is answered by a version that should not run any more.
+func (a *attempt) boundVersion() {
+	due, older := a.call.entry.cfg.View.Due(a.call.model(), a.choice.version)
+	if !older {
+		return
+	}
+	a.bound = time.AfterFunc(time.Until(due)-boundMargin, func() {
+		if _, waits := a.live(); waits {
+			a.cancel(&OverdueError{Server: a.choice.server.ID})
+		}
+	})
+}
+
 // patience returns how long the server may be silent: as long as events of another one are kept back for it, not much longer
 // than a pause that is in time.
 func (a *attempt) patience() time.Duration {
