Late in a leave only what is certain to end is begun

Ruled out: a second send (one attempt); the mends of moves (no other server is named). Change: once the balancer has had time to hear of the leave, a request is begun only if its own time ends before the entry does; else 503 with 0.1 s, which another entry serves.

--- a/forward/leave.go
+++ b/forward/leave.go
@@ -85,6 +85,13 @@
 	line.Info("entry: left")
 }
 
+// lameUntil returns the time from which on the balancer hands no connections over any more, by that at which a leave closes those
+// that rest. What comes later comes from callers whom other entries serve as well, so only what is certain to end is begun: an
+// answer that took longer than twice what was predicted was cut.
+func (e *Entry) lameUntil(closes time.Time) time.Time {
+	return closes.Add(closingTime + graceMargin - e.cfg.Machine.Bounds.Grace + lameTime)
+}
+
 // endsInTime reports whether the request is answered before a leaving entry ends: because its own time is over by then, or as
 // far as the best server's load tells. What waits before it and its length may be off by a factor, its length up to what the
 // caller lets it have.
@@ -94,7 +101,7 @@
 		return true
 	}
 	model := c.service.Engine
-	if model == nil || model.ReadRate <= 0 {
+	if model == nil || model.ReadRate <= 0 || now.After(c.entry.lameUntil(*closes)) {
 		return false
 	}
 	ch, ok := c.entry.choose(c.wanted(), now)
--- a/forward/leave_test.go
+++ b/forward/leave_test.go
@@ -289,3 +289,26 @@
 		t.Errorf("status %d, %d sends, want a refusal after one", got.status, one.arrivals()+two.arrivals())
 	}
 }
+
+// TestLateInALeaveOnlyWhatIsCertainIsBegun proves that once the balancer has had time to hear of the leave a request is begun only
+// if its own time ends before the entry does: a stream that was let in 4.4 s after the signal, since it was predicted to end, was
+// cut 3.1 s later.
+func TestLateInALeaveOnlyWhatIsCertainIsBegun(t *testing.T) {
+	t.Parallel()
+	model := contract.Service{Engine: &contract.Engine{
+		Slots: 8, Stride: 1, Chunk: 1000, Step: time.Millisecond, ReadRate: 1e5, UsualPrompt: 100, UsualAnswer: 50,
+		Models: []contract.Model{{Name: engineModel}},
+	}}
+	server := newFake(t, good)
+	w := newLeavingWorld(t, model, time.Second, 6*time.Second, server.address)
+	w.leave()
+	early, late := w.mustConnect(), w.mustConnect()
+	time.Sleep(lameTime - 200*time.Millisecond)
+	wantLastAnswer(t, early.ask("/safe/a", ""))
+	time.Sleep(400 * time.Millisecond)
+	got := late.ask("/safe/a", "")
+	if got.status != http.StatusServiceUnavailable || server.arrivals() != 1 || got.header.Get("Retry-After") != "0.100" {
+		t.Errorf("status %d, %d sends, want a refusal after one", got.status, server.arrivals())
+	}
+	wantLastAnswer(t, w.mustConnect().ask("/safe/a", "Wait: 500\r\n"))
+}
