Servers start again under their id: each life is believed by itself

Cause: nothing read a server's birth, so a server that starts again under its id kept all that was believed of the life that had ended: what it ran, its failures, requests in progress, its turn; its box held on to the order that life had taken and never gave another (read as open before, now reproduced). An entry of another writer counted as ready, and one that could not be read left the server that stood there in use.

Ruled out: a new upstream only by the list's birth (it lags the box's report); ordering lives by their births alone (clocks step: the list's order decides, a report that goes back waits for the list); ending all requests at the older life (what left on a connection opened since may be at the new one, and would get an answer that it may have run).

--- a/contract/server.go
+++ b/contract/server.go
@@ -13,8 +13,11 @@
 
 // Server is one upstream on the platform's list.
 type Server struct {
-	// ID stands for one life of the server.
-	ID      string
+	// ID names the server; it may start again under it.
+	ID string
+	// Born is when this life of the server began, in Unix milliseconds by its own clock; 0 where it is not told. Two lives
+	// differ in it, and nothing else orders them: clocks step.
+	Born    int64
 	Service string
 	// Address is its host and port.
 	Address string
@@ -36,6 +39,11 @@
 	return 0
 }
 
+// IsAnotherLife reports whether two births are of different lives of a server; one that is not told fits any.
+func IsAnotherLife(born, other int64) bool {
+	return born != 0 && other != 0 && born != other
+}
+
 // Changes returns what a list of servers by id tells that an older one did not: those that are new or differ, and the ids
 // of those that are gone, both in no order.
 func Changes(old, list map[string]Server) (present []Server, gone []string) {
--- a/fill/box.go
+++ b/fill/box.go
@@ -57,7 +57,9 @@
 	closing  bool
 	closedAt time.Time
 	// closes is when the server's turn to load comes.
-	closes      time.Time
+	closes time.Time
+	// relist says that what the server holds is to be looked at again.
+	relist      bool
 	newestAsked time.Time
 }
 
--- a/fill/engine.go
+++ b/fill/engine.go
@@ -11,8 +11,10 @@
 type State struct {
 	Loaded map[string]contract.Version
 	// Busy says that an order is under way, Seq counts the orders taken.
-	Busy    bool
-	Seq     int64
+	Busy bool
+	Seq  int64
+	// Born is when this life of the server began, in Unix milliseconds by its clock; 0 where it is not told.
+	Born    int64
 	Waiting int
 	Running int
 	// Used is the tokens of memory that cannot give way.
--- a/fill/filler.go
+++ b/fill/filler.go
@@ -46,6 +46,7 @@
 		return
 	}
 	f := b.aim(ctx, model, target)
+	b.listAgain(ctx, f)
 	if b.runs(model) >= f.version {
 		b.settle(f)
 		return
--- a/fill/reporter.go
+++ b/fill/reporter.go
@@ -49,7 +49,7 @@
 // urgent reports whether entries should hear of a change at once.
 func urgent(report, last link.Report) bool {
 	return report.Closing != last.Closing || report.Filled != last.Filled ||
-		report.Version != last.Version || report.Server != last.Server
+		report.Version != last.Version || report.Server != last.Server || report.Born != last.Born
 }
 
 // setState takes what the server told; one that does not answer keeps its last state.
@@ -58,6 +58,9 @@
 		return
 	}
 	b.mu.Lock()
+	if b.state.anotherLife(state) {
+		b.forgetLife(state)
+	}
 	changed := b.state.Busy != state.Busy || len(b.state.Loaded) != len(state.Loaded)
 	for model, version := range state.Loaded {
 		if b.state.Loaded[model] != version {
@@ -84,7 +87,7 @@
 		return link.Report{}, false
 	}
 	report = link.Report{
-		Server: id, Running: b.state.Running, Waiting: b.state.Waiting, Used: b.state.Used, Slow: b.state.Slow,
+		Server: id, Born: b.state.Born, Running: b.state.Running, Waiting: b.state.Waiting, Used: b.state.Used, Slow: b.state.Slow,
 		Closing: b.closing || b.state.Busy, Entries: b.links.entries(),
 	}
 	if !b.closes.IsZero() {
--- a/fill/told.go
+++ b/fill/told.go
@@ -4,6 +4,7 @@
 	"context"
 	"maps"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -117,7 +118,7 @@
 	for _, server := range servers.Present {
 		t.passed[server.ID] = server
 	}
-	for _, id := range servers.Gone {
+	for _, id := range slices.Concat(servers.Gone, servers.Unread) {
 		delete(t.passed, id)
 	}
 }
@@ -135,9 +136,6 @@
 	for _, server := range servers.Present {
 		there[server.ID] = true
 	}
-	for _, id := range servers.Unread {
-		there[id] = true
-	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for id := range t.passed {
--- a/forward/conn.go
+++ b/forward/conn.go
@@ -30,6 +30,7 @@
 // conn is a connection to a server that knows whether any byte of the latest request has left on it.
 type conn struct {
 	net.Conn
+	opened  time.Time
 	written atomic.Int64
 	mu      sync.Mutex
 	rest    time.Duration
@@ -109,7 +110,7 @@
 				return nil, err
 			}
 			connections.Inc()
-			return &conn{Conn: c}, nil
+			return &conn{Conn: c, opened: time.Now()}, nil
 		},
 		DisableCompression:  true,
 		MaxIdleConnsPerHost: idlePerHost,
--- a/forward/errors.go
+++ b/forward/errors.go
@@ -31,6 +31,12 @@
 	return fmt.Sprintf("server %s is left, %s has begun to answer", e.Server, e.To)
 }
 
+// RestartedError says that a server has started again, and with it what it had in progress has ended.
+type RestartedError struct{ Server string }
+
+// Error names the server.
+func (e *RestartedError) Error() string { return fmt.Sprintf("server %s has started again", e.Server) }
+
 // OverdueError says that a request waits at a server whose version may begin nothing any more.
 type OverdueError struct{ Server string }
 
--- a/forward/handover.go
+++ b/forward/handover.go
@@ -31,6 +31,7 @@
 	c.offered++
 	c.not[ch.server.ID] = true
 	c.last = ch
+	a.ticket.whenRestarted(a.cancel)
 	c.asked = append(c.asked, a)
 	if c.route.Repeatable() {
 		a.listens.Store(true)
--- a/forward/move.go
+++ b/forward/move.go
@@ -59,8 +59,10 @@
 	u.mu.Lock()
 	var moves []func()
 	if u.closing(time.Now()) {
-		for _, move := range u.movable {
-			moves = append(moves, move)
+		for t := range u.tickets {
+			if t.move != nil {
+				moves = append(moves, t.move)
+			}
 		}
 	}
 	if len(moves) > 0 {
@@ -83,10 +85,7 @@
 func (t *ticket) whenClosing(move func()) {
 	t.up.mu.Lock()
 	defer t.up.mu.Unlock()
-	if t.up.movable == nil {
-		t.up.movable = make(map[*ticket]func())
-	}
-	t.up.movable[t] = move
+	t.move = move
 }
 
 // move has another server asked because the attempt's is closing: the same request from its begin, or a stream from where it
--- a/forward/request.go
+++ b/forward/request.go
@@ -43,6 +43,7 @@
 	if c, ok := info.Conn.(*conn); ok {
 		a.conn = c
 		a.before = c.begin()
+		a.ticket.connectedAt(c.opened)
 	}
 }
 
--- a/forward/upstream.go
+++ b/forward/upstream.go
@@ -37,6 +37,10 @@
 type upstream struct {
 	mu     sync.Mutex
 	server contract.Server
+	// born is when the life of the server began that this stands for, as its box or the list told last; listedBorn is what the
+	// list tells, which may lag. 0 while not told.
+	born       int64
+	listedBorn int64
 	// missing says that the server is no longer listed, which may be a lapse of the list; from goneAt on it gets nothing more.
 	missing bool
 	goneAt  time.Time
@@ -45,9 +49,9 @@
 	inFlight int
 	reading  int
 	unread   int
-	// pending are those without a first event, the oldest first; movable those that may go on elsewhere, with what has them do so.
+	// tickets are those in progress; pending are those without a first event, the oldest first.
+	tickets map[*ticket]bool
 	pending []*ticket
-	movable map[*ticket]func()
 	// lag is by how much first events came later than predicted, at lagAt; it fades.
 	lag   time.Duration
 	lagAt time.Time
@@ -74,6 +78,11 @@
 	predicted time.Duration
 	first     bool
 	done      bool
+	// move has the request go on elsewhere while its server works on; nil where it may not. abandon ends it there.
+	move    func()
+	abandon func(cause error)
+	// connected is when the connection was opened on which the request left; zero before.
+	connected time.Time
 }
 
 // take counts a request that is about to be sent, with the time until its first event as predicted.
@@ -85,6 +94,10 @@
 	u.unread += prompt
 	t := &ticket{up: u, prompt: prompt, sent: now, predicted: predicted}
 	u.pending = append(u.pending, t)
+	if u.tickets == nil {
+		u.tickets = make(map[*ticket]bool)
+	}
+	u.tickets[t] = true
 	return t
 }
 
@@ -117,7 +130,7 @@
 		return
 	}
 	t.done = true
-	delete(t.up.movable, t)
+	delete(t.up.tickets, t)
 	t.begunLocked()
 	t.up.inFlight--
 }
@@ -141,10 +154,18 @@
 func (u *upstream) listed(server view.Listed) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
+	if contract.IsAnotherLife(server.Born, u.born) {
+		// The list lags: what it tells is the life that has ended, which is no longer what the server runs.
+		server.Loaded = nil
+	}
 	if !reflect.DeepEqual(u.server, server.Server) {
 		u.denied = time.Time{}
 	}
 	u.server, u.missing, u.goneAt = server.Server, !server.Missing.IsZero(), server.Until
+	u.listedBorn = server.Born
+	if u.born == 0 {
+		u.born = server.Born
+	}
 }
 
 // load returns what is believed to be at the server now; mu is held.
--- a/forward/upstreams.go
+++ b/forward/upstreams.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -27,6 +28,10 @@
 		if up == nil {
 			up = &upstream{}
 		}
+		if up.hasEnded(server.Born) {
+			up.abandon()
+			up = &upstream{}
+		}
 		up.listed(server)
 		us.byID[server.ID] = up
 		us.byService[server.Service] = append(us.byService[server.Service], up)
@@ -41,10 +46,33 @@
 
 // heard takes a report of a server's box.
 func (us *upstreams) heard(report link.Report, now time.Time) {
-	if up := us.byServer(report.Server); up != nil {
-		up.heard(report, now)
-		reportsTaken.Inc()
+	up := us.byServer(report.Server)
+	if up == nil {
+		return
+	}
+	switch up.lifeOf(report.Born) {
+	case lifeEnded:
+		return
+	case lifeNew:
+		up = us.restart(up, report.Born)
+	}
+	up.heard(report, now)
+	reportsTaken.Inc()
+}
+
+// restart puts a new life of a server in the place of the one that has ended, before the list tells of it.
+func (us *upstreams) restart(old *upstream, born int64) *upstream {
+	us.mu.Lock()
+	defer us.mu.Unlock()
+	up := old.successor(born)
+	us.byID[up.server.ID] = up
+	ups := slices.Clone(us.byService[up.server.Service])
+	if i := slices.Index(ups, old); i >= 0 {
+		ups[i] = up
 	}
+	us.byService[up.server.Service] = ups
+	old.abandon()
+	return up
 }
 
 // byServer returns a server by its id; nil when it is not known.
--- a/lab/standin/orders.go
+++ b/lab/standin/orders.go
@@ -19,12 +19,13 @@
 	Seq     int64    `json:"seq"`
 	Waiting int      `json:"waiting"`
 	Running int      `json:"running"`
+	Born    int64    `json:"born"`
 }
 
 func (s *Server) report(w http.ResponseWriter) {
 	s.mu.Lock()
 	body := reportBody{
-		Stage: "both", Models: s.models(), Busy: s.loading, Seq: s.seq, Waiting: s.waiting, Running: s.running,
+		Stage: "both", Models: s.models(), Busy: s.loading, Seq: s.seq, Waiting: s.waiting, Running: s.running, Born: s.born,
 	}
 	s.mu.Unlock()
 	writeJSON(w, body)
--- a/lab/standin/rows.go
+++ b/lab/standin/rows.go
@@ -96,6 +96,7 @@
 	State   string   `json:"state"`
 	Models  []Loaded `json:"models"`
 	Seq     int64    `json:"seq"`
+	Born    int64    `json:"born"`
 }
 
 // Loaded is a model that a server runs.
--- a/lab/standin/server.go
+++ b/lab/standin/server.go
@@ -50,6 +50,7 @@
 	mu       sync.Mutex
 	id       string
 	starts   int
+	born     int64
 	draining time.Time
 	loaded   int64
 	loading  bool
@@ -64,15 +65,23 @@
 	http     *http.Server
 }
 
-// Start starts a new incarnation; what is staged outlasts a crash.
-func (s *Server) Start(version int64) error {
+// Start starts the server under a new id; what is staged outlasts a crash.
+func (s *Server) Start(version int64) error { return s.start(version, false) }
+
+// StartAgain starts the server under the id that it had, holding nothing but what is staged.
+func (s *Server) StartAgain() error { return s.start(0, true) }
+
+func (s *Server) start(version int64, keepsID bool) error {
 	listener, err := net.Listen("tcp", s.Listen)
 	if err != nil {
 		return err
 	}
 	s.mu.Lock()
 	s.starts++
-	s.id = fmt.Sprintf("i-%s-%d", strings.NewReplacer(":", "-", ".", "-").Replace(s.Address), s.starts)
+	s.born = time.Now().UnixMilli()
+	if !keepsID {
+		s.id = s.newID()
+	}
 	s.draining, s.loaded, s.loading, s.seq = time.Time{}, version, false, 0
 	s.harm = Harm{}
 	if s.staged == nil {
@@ -87,6 +96,11 @@
 	return nil
 }
 
+// newID returns an id that stands nowhere else; mu is held.
+func (s *Server) newID() string {
+	return fmt.Sprintf("i-%s-%d", strings.NewReplacer(":", "-", ".", "-").Replace(s.Address), s.starts)
+}
+
 // Crash ends the server without a word; its row stays until Forget.
 func (s *Server) Crash() {
 	s.mu.Lock()
@@ -140,7 +154,7 @@
 // Beat writes the server's row.
 func (s *Server) Beat() {
 	s.mu.Lock()
-	beat := Beat{Service: s.Service, Address: s.Address, Zone: s.Zone, Slots: s.Slots, State: StateReady, Models: s.models()}
+	beat := Beat{Service: s.Service, Address: s.Address, Zone: s.Zone, Slots: s.Slots, State: StateReady, Models: s.models(), Seq: s.seq, Born: s.born}
 	if !s.draining.IsZero() {
 		beat.State = StateDraining
 	}
--- a/link/daemon.go
+++ b/link/daemon.go
@@ -83,6 +83,8 @@
 	// Ready is how soon a server that has yet to load the version that should run is likely to run it; 0 when it does, or
 	// when that is not known.
 	Ready time.Duration `cbor:"12,keyasint,omitempty"`
+	// Born is when the life of the server began of which this is told, in Unix milliseconds by its clock; 0 when not known.
+	Born int64 `cbor:"13,keyasint,omitempty"`
 }
 
 // Target tells which version of a model should run, and how long ago that was named.
--- a/soak/fault.go
+++ b/soak/fault.go
@@ -80,9 +80,14 @@
 
 // kinds returns what can go wrong; each call of one draws what it strikes, by numbers below another.
 func (r *rig) kinds(turns *rand.Rand) []func() fault {
-	return slices.Concat(
+	kinds := slices.Concat(
 		r.processFaults(turns.IntN), r.wayFaults(turns.IntN), r.platformFaults(turns.IntN), r.serverFaults(turns.IntN),
 	)
+	if r.opts.Lives {
+		kinds = append(kinds, r.lifeFaults(turns.IntN)...)
+		kinds = append(kinds, r.lifeFaults(turns.IntN)...)
+	}
+	return kinds
 }
 
 // processFaults are those of daemons.
@@ -193,6 +198,39 @@
 	}
 }
 
+// lifeFaults are servers that start again under their ids, and entries of the list that another writer leaves.
+func (r *rig) lifeFaults(below func(int) int) []func() fault {
+	servers := r.servers()
+	return []func() fault{
+		func() fault {
+			s := servers[below(len(servers))]
+			return fault{name: "start again " + s.Address, do: s.Crash, undo: func() { r.startAgain(s) }}
+		},
+		func() fault {
+			s := servers[below(len(servers))]
+			return fault{name: "start again at once " + s.Address, do: func() { s.Crash(); r.startAgain(s) }, undo: func() {}}
+		},
+		func() fault {
+			s, entry := servers[below(len(servers))], foreignEntries[below(len(foreignEntries))]
+			return fault{
+				name: "foreign entry at " + s.Address,
+				do:   func() { r.store.Put(standin.TableServers, s.ID(), entry) }, undo: s.Beat,
+			}
+		},
+	}
+}
+
+// foreignEntries are what another writer may leave where a server's entry stands.
+var foreignEntries = []any{
+	"no entry", []int{1, 2}, map[string]any{"service": 7}, map[string]any{"service": "desk", "address": "127.0.0.1:1", "state": "resting"},
+}
+
+// startAgain starts a server that crashed under the id that it had.
+func (r *rig) startAgain(s *standin.Server) {
+	s.Crash()
+	_ = s.StartAgain()
+}
+
 // lapse takes all servers' rows away, as a store does that was away too long.
 func (r *rig) lapse() {
 	for _, s := range r.servers() {
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -23,6 +23,8 @@
 	Callers int
 	// Trouble is for how long faults begin, or planned work.
 	Trouble time.Duration
+	// Lives adds servers that start again under their ids, and entries of other writers, twice as often as any other fault.
+	Lives bool
 	// planned returns planned work beside which nothing may be lost; nil has faults go on.
 	planned func(r *rig) []fault
 }
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -31,6 +31,24 @@
 	}
 }
 
+// livesSeeds are those of runs with servers that start again under their ids and entries of other writers that run in CI.
+var livesSeeds = []uint64{1}
+
+// TestLives proves the same promises while servers start again under their ids and another writer leaves entries on the list.
+func TestLives(t *testing.T) {
+	daemon := build(t)
+	more := moreSeeds(t)
+	for _, seed := range livesSeeds {
+		more[seed] = true
+	}
+	for seed := range more {
+		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
+			t.Parallel()
+			run(t, Options{Seed: seed, Daemon: daemon, Dir: logs(t, "lives", seed), Lives: true})
+		})
+	}
+}
+
 // build returns the daemon's program.
 func build(t *testing.T) string {
 	t.Helper()
--- a/view/metrics.go
+++ b/view/metrics.go
@@ -4,5 +4,6 @@
 
 var (
 	configFaults   = metrics.NewCounter("coralstair_declared_faults_total")
+	listFaults     = metrics.NewCounter("coralstair_list_faults_total")
 	configRevision = metrics.NewGauge("coralstair_config_revision", nil)
 )
--- a/view/source.go
+++ b/view/source.go
@@ -28,7 +28,7 @@
 	Present []contract.Server
 	// Gone holds the ids of servers that are no longer listed.
 	Gone []string
-	// Unread holds the ids of servers whose entries could not be read: what was known of them stays.
+	// Unread holds the ids of entries that another writer left or that cannot be read: they name no server to use.
 	Unread []string
 	Faults []error
 	Cursor Cursor
