A fill and a quiet box cost less: fewer partners, decisions made together, rarer looks

Cause: a box told all boxes of its site of each piece, and each of them made its whole decision anew at each message: the list of servers, the order of members and all pieces looked through. It also looked 80 times a second for something to do, and asked its server 20 times a second though entries hear of changes ten times a second at most.

Change: partners are sources and twelve neighbours, not the whole site; a piece is not told to a box known to hold it; a box looks again 5 ms after its last look at the earliest and rests for 250 ms when no version is on its way; the list of siblings is kept until a belief changes; the server is asked each 100 ms (50 while it loads, 200 while idle); a link has one timer for its writes in place of a context a message.

--- a/fill/aim.go
+++ b/fill/aim.go
@@ -55,6 +55,10 @@
 	if b.pending == nil {
 		b.reopen()
 	}
+	select {
+	case b.aimed <- struct{}{}:
+	default:
+	}
 	b.log.WithFields(log.Fields{"model": model, "version": int64(target)}).Info("fill: a version is aimed at")
 	return f
 }
--- a/fill/box.go
+++ b/fill/box.go
@@ -23,6 +23,8 @@
 	// pieceShare is the part of the link, in percent, that pieces may take: the events of streams are small, and wait behind
 	// one part of a piece at most.
 	pieceShare = 93
+	// siblingsAge is how old the list of a service's boxes may be while nothing changes.
+	siblingsAge = 500 * time.Millisecond
 )
 
 // Config is what a box works with.
@@ -46,6 +48,8 @@
 	giver  *giver
 	pacer  *pace.Pacer
 	woken  chan struct{}
+	// aimed wakes the loader when a version is aimed at.
+	aimed chan struct{}
 
 	mu      sync.Mutex
 	state   State
@@ -58,6 +62,7 @@
 	closedAt time.Time
 	// closes is when the server's turn to load comes.
 	closes time.Time
+	known  known
 	// relist says that what the server holds is to be looked at again.
 	relist      bool
 	newestAsked time.Time
@@ -66,7 +71,7 @@
 // New returns a box that does not run yet.
 func New(cfg Config) *Box {
 	b := &Box{
-		cfg: cfg, log: cfg.Log, woken: make(chan struct{}, 1),
+		cfg: cfg, log: cfg.Log, woken: make(chan struct{}, 1), aimed: make(chan struct{}, 1),
 		pacer: pace.New(int64(cfg.Machine.LinkRate)).WithShare(pieceShare),
 	}
 	b.links = newLinks(b)
@@ -135,8 +140,8 @@
 	return ""
 }
 
-// known reports whether the server on this machine has told its state yet.
-func (b *Box) known() bool {
+// heardOfServer reports whether the server on this machine has told its state yet.
+func (b *Box) heardOfServer() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	return !b.stateAt.IsZero()
@@ -159,9 +164,28 @@
 	return slices.DeleteFunc(slices.Clone(of), func(m swarm.Member) bool { return m.Site != b.cfg.Machine.Site })
 }
 
-// siblings returns the boxes of the servers of this service, this one among them. Those of servers that leave take no part: a
-// box that ended with its server after it was to draw pieces held a whole version up.
+// siblings returns the boxes of the servers of this service, this one among them; the list is not to be changed. It is made anew
+// when any belief changes, and now and then, since servers that are missing count for a while only.
 func (b *Box) siblings() []swarm.Member {
+	changed := b.cfg.View.Changed()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.known.changed != changed || time.Since(b.known.at) > siblingsAge {
+		b.known = known{siblings: b.listSiblings(), changed: changed, at: time.Now()}
+	}
+	return b.known.siblings
+}
+
+// known are the siblings of a box, and when they were listed.
+type known struct {
+	siblings []swarm.Member
+	changed  <-chan struct{}
+	at       time.Time
+}
+
+// listSiblings lists them. Those of servers that leave take no part: a box that ended with its server after it was to draw pieces
+// held a whole version up.
+func (b *Box) listSiblings() []swarm.Member {
 	self := b.self()
 	members := []swarm.Member{self}
 	seen := map[string]bool{self.ID: true}
--- a/fill/inlink.go
+++ b/fill/inlink.go
@@ -1,7 +1,6 @@
 package fill
 
 import (
-	"context"
 	"sync"
 	"time"
 
@@ -17,6 +16,8 @@
 	site   string
 	entry  bool
 	giving giving
+	// weight is for how many entries an entry stands; guarded by the mutex of the links.
+	weight float64
 	// awayAt is when the entry said that it has lost the store; guarded by the mutex of the links.
 	awayAt time.Time
 
@@ -30,6 +31,7 @@
 func newInLink(ls *links, conn *link.Conn, hello *link.Hello) *inLink {
 	return &inLink{
 		links: ls, conn: conn, id: hello.ID, site: hello.Site, entry: hello.Role == link.RoleEntry,
+		weight:  max(hello.Weight, 1),
 		reports: make(chan *link.Report, 1),
 	}
 }
@@ -54,6 +56,8 @@
 func (l *inLink) handle(msg link.Message) {
 	b := l.links.box
 	switch m := msg.(type) {
+	case *link.Hello:
+		l.links.weigh(l, m.Weight)
 	case *link.Target:
 		b.cfg.View.OfferTarget(contract.Target{Model: m.Model, Version: contract.Version(m.Version)}, m.Ago)
 	case *link.WantManifest:
@@ -190,9 +194,7 @@
 
 // sendInTime sends a message; a link that does not take it in time is ended.
 func sendInTime(conn *link.Conn, msg link.Message) {
-	ctx, cancel := context.WithTimeout(conn.Context(), askTime)
-	defer cancel()
-	if err := conn.Send(ctx, msg); err != nil {
+	if err := conn.SendWithin(askTime, msg); err != nil {
 		conn.Close()
 	}
 }
--- a/fill/links.go
+++ b/fill/links.go
@@ -45,6 +45,8 @@
 	// in are the links it took; hearing counts the entries among them.
 	in      map[*inLink]bool
 	hearing int
+	// standing is for how many entries those stand that hear this box.
+	standing float64
 	// teller is the entry that tells what the store holds; nil while none does.
 	teller *inLink
 }
@@ -92,9 +94,7 @@
 		}
 	}
 	ls.in[l] = true
-	if l.entry {
-		ls.hearing++
-	}
+	ls.countEntries()
 	ls.mu.Unlock()
 	if l.entry {
 		ls.box.sendReport()
@@ -106,18 +106,35 @@
 	ls.box.giver.leave(l)
 	ls.mu.Lock()
 	delete(ls.in, l)
-	if l.entry {
-		ls.hearing--
-	}
+	ls.countEntries()
 	ls.mu.Unlock()
 	ls.chooseTeller()
 }
 
-// entries returns how many entries hear this box.
-func (ls *links) entries() int {
+// weigh notes for how many entries an entry stands now.
+func (ls *links) weigh(l *inLink, weight float64) {
 	ls.mu.Lock()
 	defer ls.mu.Unlock()
-	return ls.hearing
+	l.weight = max(weight, 1)
+	ls.countEntries()
+}
+
+// countEntries counts the entries that hear this box; mu is held.
+func (ls *links) countEntries() {
+	ls.hearing, ls.standing = 0, 0
+	for l := range ls.in {
+		if l.entry {
+			ls.hearing++
+			ls.standing += l.weight
+		}
+	}
+}
+
+// entries returns how many entries hear this box, and for how many they stand.
+func (ls *links) entries() (hearing int, standing float64) {
+	ls.mu.Lock()
+	defer ls.mu.Unlock()
+	return ls.hearing, ls.standing
 }
 
 // tell sends a message to all entries that hear this box; one whose link is full misses it.
@@ -269,14 +286,17 @@
 	}
 }
 
-// got tells the boxes of the own site of a new piece, those of other sites too when they wait for this box to draw it,
-// and the box that was asked for it in vain that it is no longer wanted.
+// got tells the boxes of the own site of a new piece unless they are known to hold it, those of other sites too when they wait
+// for this box to draw it, and the box that was asked for it in vain that it is no longer wanted.
 func (ls *links) got(f *filling, piece int, asked string, complete, drawer bool) {
 	in := ls.boxes()
 	ls.drop(f, asked, piece)
+	ls.box.mu.Lock()
+	in = slices.DeleteFunc(in, func(l *inLink) bool {
+		return !complete && (!drawer && l.site != ls.box.cfg.Machine.Site || f.feed.PeerHolds(l.id, piece))
+	})
+	ls.box.mu.Unlock()
 	for _, l := range in {
-		if drawer || complete || l.site == ls.box.cfg.Machine.Site {
-			l.got(f, piece, complete)
-		}
+		l.got(f, piece, complete)
 	}
 }
--- a/fill/loader.go
+++ b/fill/loader.go
@@ -21,18 +21,20 @@
 
 // followTurns loads versions when their turn comes, until ctx ends.
 func (b *Box) followTurns(ctx context.Context) error {
-	ticker := time.NewTicker(followEvery)
-	defer ticker.Stop()
+	timer := time.NewTimer(followEvery)
+	defer timer.Stop()
 	for {
 		b.loadPending(ctx)
 		if f := b.current(); f != nil && b.runs(f.model) < f.version {
 			b.stageMemory(f)
 			b.load(ctx, f)
 		}
+		timer.Reset(b.restTime())
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case <-ticker.C:
+		case <-timer.C:
+		case <-b.aimed:
 		}
 	}
 }
--- a/fill/reporter.go
+++ b/fill/reporter.go
@@ -8,11 +8,16 @@
 )
 
 const (
-	// stateEvery is how often the server is asked for its state, quietEvery how often entries hear of it at least.
-	stateEvery = 50 * time.Millisecond
-	quietEvery = 500 * time.Millisecond
-	// reportEvery is how often entries hear of changes at most.
+	// reportEvery is how often the server is asked for its state while it has requests, and how often entries hear of changes at
+	// most: asked twice as often, they would hear nothing sooner. loadEvery is the same while it is about to load or loads, when
+	// what it runs changes, idleEvery while it has nothing to do.
 	reportEvery = 100 * time.Millisecond
+	loadEvery   = 50 * time.Millisecond
+	idleEvery   = 200 * time.Millisecond
+	// quietEvery is how often entries hear of a server at least.
+	quietEvery = 500 * time.Millisecond
+	// reportSlack is how much too early a look may come for entries to hear of it: timers are not exact.
+	reportSlack = 10 * time.Millisecond
 	// closesHorizon is how long before its turn to load entries hear of it, closesStep how exactly.
 	closesHorizon = 4 * time.Second
 	closesStep    = 50 * time.Millisecond
@@ -22,8 +27,8 @@
 
 // report asks the server for its state and tells entries of changes, until ctx ends.
 func (b *Box) report(ctx context.Context) error {
-	ticker := time.NewTicker(stateEvery)
-	defer ticker.Stop()
+	timer := time.NewTimer(reportEvery)
+	defer timer.Stop()
 	var last link.Report
 	var sent time.Time
 	for {
@@ -33,19 +38,34 @@
 		b.setState(state, err)
 		report, ok := b.newReport()
 		age := time.Since(sent)
-		if ok && (urgent(report, last) || report != last && age >= reportEvery || age >= quietEvery) {
+		if ok && (urgent(report, last) || report != last && age >= reportEvery-reportSlack || age >= quietEvery) {
 			b.links.tell(&report)
 			last, sent = report, time.Now()
 			b.links.chooseTeller()
 		}
+		timer.Reset(b.nextLook())
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case <-ticker.C:
+		case <-timer.C:
 		}
 	}
 }
 
+// nextLook returns how soon the server is asked for its state again.
+func (b *Box) nextLook() time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	switch {
+	case b.closing || b.state.Busy || b.fill != nil && b.fill.given:
+		return loadEvery
+	case b.state.Running+b.state.Waiting > 0 || b.stateAt.IsZero():
+		return reportEvery
+	default:
+		return idleEvery
+	}
+}
+
 // urgent reports whether entries should hear of a change at once.
 func urgent(report, last link.Report) bool {
 	return report.Closing != last.Closing || report.Filled != last.Filled ||
@@ -88,8 +108,9 @@
 	}
 	report = link.Report{
 		Server: id, Born: b.state.Born, Running: b.state.Running, Waiting: b.state.Waiting, Used: b.state.Used, Slow: b.state.Slow,
-		Closing: b.closing || b.state.Busy, Entries: b.links.entries(),
+		Closing: b.closing || b.state.Busy,
 	}
+	report.Entries, report.Standing = b.links.entries()
 	if !b.closes.IsZero() {
 		report.Closes = closesIn(time.Until(b.closes))
 	}
--- a/link/conn.go
+++ b/link/conn.go
@@ -47,6 +47,8 @@
 	urgent   chan []byte
 	bulk     chan bulkMessage
 	pacer    Pacer
+	// stalled ends the link when a message takes too long to be written.
+	stalled  *time.Timer
 	sent     atomic.Int64
 	received atomic.Int64
 }
@@ -78,6 +80,8 @@
 		urgent: make(chan []byte, queueSize),
 		bulk:   make(chan bulkMessage, bulkSize),
 	}
+	c.stalled = time.AfterFunc(writeTimeout, c.Close)
+	c.stalled.Stop()
 	go func() {
 		defer c.Close()
 		for c.writeNext() {
@@ -158,6 +162,22 @@
 	}
 }
 
+// SendWithin queues one message; it waits while the queue is full, for a time at most.
+func (c *Conn) SendWithin(limit time.Duration, msg Message) error {
+	data, err := Encode(msg)
+	if err != nil {
+		return err
+	}
+	select {
+	case c.urgent <- data:
+		return nil
+	default:
+	}
+	ctx, cancel := context.WithTimeout(c.ctx, limit)
+	defer cancel()
+	return queue(ctx, c, c.urgent, data)
+}
+
 // queue puts a message in one of a link's queues and waits while that is full.
 func queue[T any](ctx context.Context, c *Conn, to chan<- T, message T) error {
 	select {
@@ -172,18 +192,19 @@
 
 // write writes one message, a chunk piece by piece.
 func (c *Conn) write(data []byte, bulk bool) error {
-	ctx, cancel := context.WithTimeout(c.ctx, writeTimeout)
-	defer cancel()
+	// One timer a link, not a context a message: links carry some hundred small messages a second.
+	c.stalled.Reset(writeTimeout)
+	defer c.stalled.Stop()
 	if !bulk || c.pacer == nil {
-		return c.ws.Write(ctx, websocket.MessageBinary, data)
+		return c.ws.Write(c.ctx, websocket.MessageBinary, data)
 	}
-	w, err := c.ws.Writer(ctx, websocket.MessageBinary)
+	w, err := c.ws.Writer(c.ctx, websocket.MessageBinary)
 	if err != nil {
 		return err
 	}
 	for len(data) > 0 {
 		n := min(len(data), c.pacer.Piece())
-		if err := c.pacer.Wait(ctx, n); err != nil {
+		if err := c.pacer.Wait(c.ctx, n); err != nil {
 			return err
 		}
 		if _, err := w.Write(data[:n]); err != nil {
--- a/link/daemon.go
+++ b/link/daemon.go
@@ -20,6 +20,8 @@
 	Site        string         `cbor:"4,keyasint"`
 	Incarnation string         `cbor:"5,keyasint"`
 	Revision    fleet.Revision `cbor:"6,keyasint"`
+	// Weight is for how many entries one stands that keeps to some of many boxes; it is told again when it changes.
+	Weight float64 `cbor:"7,keyasint,omitempty"`
 }
 
 // Heartbeat is sent every second each way; Load is the box's requests in progress, Slots how many it takes, Entries how
@@ -85,6 +87,8 @@
 	Ready time.Duration `cbor:"12,keyasint,omitempty"`
 	// Born is when the life of the server began of which this is told, in Unix milliseconds by its clock; 0 when not known.
 	Born int64 `cbor:"13,keyasint,omitempty"`
+	// Standing is for how many entries those stand that hear the box; it varies from box to box, its mean does not.
+	Standing float64 `cbor:"14,keyasint,omitempty"`
 }
 
 // Target tells which version of a model should run, and how long ago that was named.
--- a/swarm/feed_test.go
+++ b/swarm/feed_test.go
@@ -23,6 +23,9 @@
 	"many boxes, undisturbed": {
 		boxes: 76, sites: 3, have: nothing, limit: 4 * time.Second, draws: feedPieces + 2, crossed: 2*feedPieces + 16,
 	},
+	"hundreds of boxes, undisturbed": {
+		boxes: 204, sites: 5, have: nothing, limit: 3600 * time.Millisecond, draws: feedPieces + 2, crossed: 4*feedPieces + 32,
+	},
 	"one site": {boxes: 5, sites: 1, have: nothing, limit: 4 * time.Second, draws: feedPieces},
 	"one box alone": {
 		boxes: 1, sites: 1, have: nothing, limit: 3 * time.Second, draws: feedPieces,
--- a/swarm/feedpeer.go
+++ b/swarm/feedpeer.go
@@ -23,6 +23,12 @@
 	}
 }
 
+// PeerHolds reports whether a linked box is known to hold a piece.
+func (f *Feed) PeerHolds(id string, piece int) bool {
+	p := f.peers[id]
+	return p != nil && p.have[piece]
+}
+
 // PeerGone tells that the link to a box has ended.
 func (f *Feed) PeerGone(id string) {
 	for piece, a := range f.asks {
--- a/swarm/partners.go
+++ b/swarm/partners.go
@@ -7,19 +7,16 @@
 // one that stands in for it.
 const standIns = 2
 
-// Partners returns the boxes to which self opens links: first the sources elsewhere of the groups that it takes across, then
-// boxes of its own site, in rendezvous order, then the sources of the groups for which it stands in.
+// Partners returns the boxes to which self opens links: first the sources elsewhere of the groups that it takes across, then its
+// neighbours in its own site, then the sources of the groups for which it stands in. With all boxes of the site as partners each
+// heard of every piece from each of them, and a fill took longer: 204 boxes in five sites 4.0 s in the median in place of 3.1 s,
+// 76 in three sites 3.5 s in place of 3.0 s (virtual time).
 func (o *Order) Partners(self Member) []Member {
 	p := partners{seen: map[string]bool{self.ID: true}}
 	p.addSources(o, self, 0)
 	for _, mate := range Neighbours(self, o.members) {
 		p.add(mate)
 	}
-	for _, mate := range o.members {
-		if mate.Site == self.Site {
-			p.add(mate)
-		}
-	}
 	for place := 1; place < standIns; place++ {
 		p.addSources(o, self, place)
 	}
