Entries of large fleets keep to some boxes and their servers

What rides on the links follows: the budget of second sends is shared by the number of entries for which those stand that hear a box (weights told in Hello), and what is compared with all servers of a service is compared with those kept to. A link to a box that is no longer kept to stays while requests are in progress there.

--- a/forward/budget.go
+++ b/forward/budget.go
@@ -48,6 +48,13 @@
 	b.entries = max(n, 1)
 }
 
+// Entries returns how many entries share the budget, as far as is known.
+func (b *Budget) Entries() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.entries
+}
+
 // Again takes one second send of a service from the budget; false when there is none left.
 func (b *Budget) Again(service string, now time.Time) bool {
 	b.mu.Lock()
--- a/forward/choose.go
+++ b/forward/choose.go
@@ -65,10 +65,17 @@
 	reportAge time.Duration
 }
 
-// choose returns a server at which a request is done soonest; ok is false when none may take it. Servers that failed lately
-// come in only when they are the most of a service.
+// choose returns a server at which a request is done soonest, one that the entry does not keep to only when none of the others
+// may take it; ok is false when none may at all.
 func (e *Entry) choose(want wanted, now time.Time) (best choice, ok bool) {
-	ups := e.upstreams.of(want.service.Name)
+	if best, ok = e.chooseOf(e.upstreams.of(want.service.Name), want, now); ok {
+		return best, true
+	}
+	return e.chooseOf(e.upstreams.besides(want.service.Name), want, now)
+}
+
+// chooseOf chooses among some servers. Those that failed lately come in only when they are the most of them.
+func (e *Entry) chooseOf(ups []*upstream, want wanted, now time.Time) (best choice, ok bool) {
 	usable, resting := make([]choice, 0, len(ups)), []choice(nil)
 	var at shares
 	for _, up := range ups {
--- a/forward/entry.go
+++ b/forward/entry.go
@@ -62,6 +62,7 @@
 		budget: NewBudget(bounds.RetryRatio, bounds.RetrySlack, bounds.RetryWindow),
 	}
 	e.fresh.DisableKeepAlives = true
+	e.upstreams.weigh = e.weigh
 	e.reports = newReports(e)
 	e.callers = &http.Server{
 		Handler: countPanics(e), ReadHeaderTimeout: headerTime, IdleTimeout: idleCallerTime, MaxHeaderBytes: headerRoom,
--- a/forward/life.go
+++ b/forward/life.go
@@ -47,7 +47,7 @@
 func (u *upstream) successor(born int64) *upstream {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	next := &upstream{server: u.server, born: born, listedBorn: u.listedBorn, missing: u.missing, goneAt: u.goneAt}
+	next := &upstream{server: u.server, born: born, listedBorn: u.listedBorn, weight: u.weight, missing: u.missing, goneAt: u.goneAt}
 	next.server.Born, next.server.Loaded = born, nil
 	return next
 }
--- a/forward/reports.go
+++ b/forward/reports.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"math"
 	"net"
 	"net/http"
 	"slices"
@@ -21,6 +22,8 @@
 	// reportSilence is how long a box may send nothing before its link is ended, reportRedial the pause before the next one.
 	reportSilence = 3 * time.Second
 	reportRedial  = 500 * time.Millisecond
+	// weightStep is by what part the weight of an entry at a box has to change for the box to be told.
+	weightStep = 0.05
 )
 
 // reports keeps a link to the box of each engine, on which the box tells what its engine does.
@@ -31,7 +34,8 @@
 
 	mu      sync.Mutex
 	linked  map[string]context.CancelFunc
-	entries map[string]int
+	weights map[string]float64
+	heard   map[string]entriesTold
 	conns   map[string]*reportLink
 	told    []view.Named
 	// followers are the boxes that this entry tells what the store holds, by their links.
@@ -57,7 +61,8 @@
 			DialContext: dialer.DialContext, ReadBufferSize: connBuffer, WriteBufferSize: connBuffer,
 		}},
 		woken:  make(chan struct{}, 1),
-		linked: make(map[string]context.CancelFunc), entries: make(map[string]int), conns: make(map[string]*reportLink),
+		linked: make(map[string]context.CancelFunc), weights: make(map[string]float64),
+		heard: make(map[string]entriesTold), conns: make(map[string]*reportLink),
 		followers: make(map[*link.Conn]*follower),
 	}
 }
@@ -84,44 +89,65 @@
 	}
 }
 
-// link opens and ends links as the list of servers has them; without a configuration all stay as they are.
+// link opens and ends links as the list of servers has them; without a configuration all stay as they are. One to a box that the
+// entry no longer keeps to ends once no request is in progress at its server.
 func (rs *reports) link(ctx context.Context) {
 	cfg := rs.entry.cfg.View.Config()
 	if cfg == nil {
 		return
 	}
-	wanted := rs.wanted(cfg)
+	wanted, busy := rs.wanted(cfg)
 	rs.mu.Lock()
 	defer rs.mu.Unlock()
 	for address, cancel := range rs.linked {
-		if !wanted[address] {
+		if wanted[address] == 0 && !busy[address] {
 			cancel()
 			delete(rs.linked, address)
-			delete(rs.entries, address)
+			delete(rs.heard, address)
+			delete(rs.weights, address)
 		}
 	}
-	for address := range wanted {
+	for address, weight := range wanted {
 		if rs.linked[address] == nil {
 			linkCtx, cancel := context.WithCancel(ctx)
 			rs.linked[address] = cancel
 			go rs.keep(linkCtx, address)
 		}
+		if old := rs.weights[address]; math.Abs(weight-old) > weightStep*old {
+			rs.weights[address] = weight
+			if l := rs.conns[address]; l != nil {
+				tellNow(l.conn, rs.hello(weight))
+			}
+		}
 	}
 }
 
-// wanted returns the addresses of the boxes of all engines.
-func (rs *reports) wanted(cfg *contract.Config) map[string]bool {
-	wanted := make(map[string]bool)
-	for _, server := range rs.entry.cfg.View.Servers() {
+// hello returns what the entry says of itself to a box.
+func (rs *reports) hello(weight float64) *link.Hello {
+	return &link.Hello{ID: rs.entry.cfg.Machine.ID, Role: link.RoleEntry, Site: rs.entry.cfg.Machine.Site, Weight: weight}
+}
+
+// wanted returns the addresses of the boxes of the engines that the entry keeps to, with for how many entries it stands there, and
+// those at whose servers requests are in progress.
+func (rs *reports) wanted(cfg *contract.Config) (wanted map[string]float64, busy map[string]bool) {
+	wanted, busy = make(map[string]float64), make(map[string]bool)
+	for _, up := range rs.entry.upstreams.all() {
+		server, weight, serves := up.keptTo()
 		service := cfg.Service(server.Service)
 		if service == nil || service.Engine == nil {
 			continue
 		}
-		if host, _, err := net.SplitHostPort(server.Address); err == nil {
-			wanted[rs.entry.cfg.Machine.LinkAt(host)] = true
+		host, _, err := net.SplitHostPort(server.Address)
+		if err != nil {
+			continue
+		}
+		address := rs.entry.cfg.Machine.LinkAt(host)
+		busy[address] = busy[address] || serves
+		if weight > 0 {
+			wanted[address] = weight
 		}
 	}
-	return wanted
+	return wanted, busy
 }
 
 // keep holds a link to one box until ctx ends.
@@ -146,8 +172,10 @@
 	defer conn.Close()
 	stop := context.AfterFunc(ctx, conn.Close)
 	defer stop()
-	hello := &link.Hello{ID: rs.entry.cfg.Machine.ID, Role: link.RoleEntry, Site: rs.entry.cfg.Machine.Site}
-	if err := conn.Send(ctx, hello); err != nil {
+	rs.mu.Lock()
+	weight := rs.weights[address]
+	rs.mu.Unlock()
+	if err := conn.Send(ctx, rs.hello(weight)); err != nil {
 		return
 	}
 	rs.join(address, conn)
@@ -163,7 +191,7 @@
 		switch msg := msg.(type) {
 		case *link.Report:
 			rs.entry.upstreams.heard(*msg, time.Now())
-			rs.count(address, msg.Server, msg.Entries)
+			rs.count(address, msg)
 		case *link.Follow:
 			rs.follow(conn, msg.Service)
 		}
@@ -214,25 +242,32 @@
 
 // tellNow queues a message; it reports whether there was room.
 func tellNow(conn *link.Conn, msg link.Message) bool {
-	ctx, cancel := context.WithTimeout(conn.Context(), tellTime)
-	defer cancel()
-	return conn.Send(ctx, msg) == nil
+	return conn.SendWithin(tellTime, msg) == nil
 }
 
-// count takes how many entries a box hears; the most that any tells share the budget.
-func (rs *reports) count(address, server string, entries int) {
+// count takes how many entries a box hears, and for how many these stand. The most that any box hears share the budget, or the
+// mean of those for which they stand: where all entries hear all boxes that is the same.
+func (rs *reports) count(address string, report *link.Report) {
 	rs.mu.Lock()
 	defer rs.mu.Unlock()
 	if l := rs.conns[address]; l != nil {
-		l.server = server
+		l.server = report.Server
 	}
-	if rs.entries[address] == entries {
+	told := entriesTold{hearing: report.Entries, standing: report.Standing}
+	if rs.heard[address] == told {
 		return
 	}
-	rs.entries[address] = entries
-	most := 1
-	for _, n := range rs.entries {
-		most = max(most, n)
+	rs.heard[address] = told
+	most, sum := 1, 0.0
+	for _, told := range rs.heard {
+		most = max(most, told.hearing)
+		sum += told.standing
 	}
-	rs.entry.budget.SetEntries(most)
+	rs.entry.budget.SetEntries(max(most, int(math.Round(sum/float64(len(rs.heard))))))
+}
+
+// entriesTold is how many entries a box hears, and for how many these stand.
+type entriesTold struct {
+	hearing  int
+	standing float64
 }
--- a/forward/upstream.go
+++ b/forward/upstream.go
@@ -41,6 +41,8 @@
 	// list tells, which may lag. 0 while not told.
 	born       int64
 	listedBorn int64
+	// weight is for how many entries this one stands at the server, 0 where it does not keep to it.
+	weight float64
 	// missing says that the server is no longer listed, which may be a lapse of the list; from goneAt on it gets nothing more.
 	missing bool
 	goneAt  time.Time
@@ -151,9 +153,10 @@
 }
 
 // listed takes the server's entry on the list.
-func (u *upstream) listed(server view.Listed) {
+func (u *upstream) listed(server view.Listed, weight float64) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
+	u.weight = weight
 	if contract.IsAnotherLife(server.Born, u.born) {
 		// The list lags: what it tells is the life that has ended, which is no longer what the server runs.
 		server.Loaded = nil
--- a/forward/upstreams.go
+++ b/forward/upstreams.go
@@ -11,18 +11,27 @@
 
 // upstreams are all servers that this entry may call.
 type upstreams struct {
-	mu        sync.RWMutex
-	byID      map[string]*upstream
-	byService map[string][]*upstream
+	// weigh returns the servers that the entry keeps to, with for how many entries it stands there; nil has it keep to all.
+	weigh func(servers []view.Listed) map[string]float64
+
+	mu   sync.RWMutex
+	byID map[string]*upstream
+	// kept are the servers of each service that the entry keeps to, others those that it does not.
+	kept   map[string][]*upstream
+	others map[string][]*upstream
 }
 
 // update takes the list of servers; those that stay keep what is known of them.
 func (us *upstreams) update(servers []view.Listed) {
+	var weights map[string]float64
+	if us.weigh != nil {
+		weights = us.weigh(servers)
+	}
 	us.mu.Lock()
 	defer us.mu.Unlock()
 	old := us.byID
 	us.byID = make(map[string]*upstream, len(servers))
-	us.byService = make(map[string][]*upstream)
+	us.kept, us.others = make(map[string][]*upstream), make(map[string][]*upstream)
 	for _, server := range servers {
 		up := old[server.ID]
 		if up == nil {
@@ -32,16 +41,48 @@
 			up.abandon()
 			up = &upstream{}
 		}
-		up.listed(server)
+		weight := 1.0
+		if us.weigh != nil {
+			weight = weights[server.ID]
+		}
+		up.listed(server, weight)
 		us.byID[server.ID] = up
-		us.byService[server.Service] = append(us.byService[server.Service], up)
+		us.add(up, server.Service, weight)
+	}
+}
+
+// add files a server under its service; mu is held.
+func (us *upstreams) add(up *upstream, service string, weight float64) {
+	if weight > 0 {
+		us.kept[service] = append(us.kept[service], up)
+	} else {
+		us.others[service] = append(us.others[service], up)
 	}
 }
 
+// of returns the servers of a service that the entry keeps to.
 func (us *upstreams) of(service string) []*upstream {
 	us.mu.RLock()
 	defer us.mu.RUnlock()
-	return us.byService[service]
+	return us.kept[service]
+}
+
+// besides returns the servers of a service that the entry does not keep to.
+func (us *upstreams) besides(service string) []*upstream {
+	us.mu.RLock()
+	defer us.mu.RUnlock()
+	return us.others[service]
+}
+
+// all returns all servers.
+func (us *upstreams) all() []*upstream {
+	us.mu.RLock()
+	defer us.mu.RUnlock()
+	all := make([]*upstream, 0, len(us.byID))
+	for _, up := range us.byID {
+		all = append(all, up)
+	}
+	return all
 }
 
 // heard takes a report of a server's box.
@@ -66,11 +107,13 @@
 	defer us.mu.Unlock()
 	up := old.successor(born)
 	us.byID[up.server.ID] = up
-	ups := slices.Clone(us.byService[up.server.Service])
-	if i := slices.Index(ups, old); i >= 0 {
-		ups[i] = up
+	for _, of := range []map[string][]*upstream{us.kept, us.others} {
+		ups := slices.Clone(of[up.server.Service])
+		if i := slices.Index(ups, old); i >= 0 {
+			ups[i] = up
+			of[up.server.Service] = ups
+		}
 	}
-	us.byService[up.server.Service] = ups
 	old.abandon()
 	return up
 }
