One entry of a site reads the list of servers for the others

Ruled out: what is declared told by one entry too (it must be in force in seconds also when that one is cut off; few calls find a change there); a reader found through rows of our own in the store (as many calls); a reader whose calls wait as long as all others do (the others would hear of no change for 4.5 s when the store falls silent for it alone).

Change: from 24 entries on, the first of a site by hash reads with calls that wait for a quarter of the drain bound, and tells the others over links of their own; boxes tell entries of each other. It tells only what the store itself told it of late; the others read for themselves at once when it dies, falls silent for 1.2 s, loses the store, or is told itself. The source that boxes had (Told) is package told now, and serves both. News of the list may be late by a fifth of the drain bound (0.8 s at 4 s; 0.4 s at 2 s as before).

--- a/fill/box.go
+++ b/fill/box.go
@@ -15,6 +15,7 @@
 	"github.com/coralstair/coralstair/pace"
 	"github.com/coralstair/coralstair/supervise"
 	"github.com/coralstair/coralstair/swarm"
+	"github.com/coralstair/coralstair/told"
 	"github.com/coralstair/coralstair/view"
 )
 
@@ -36,7 +37,7 @@
 	Log      log.Interface
 	Listener net.Listener
 	// Told is the view's source where entries tell what the store holds; nil where they do not.
-	Told *Told
+	Told *told.Source
 }
 
 // Box brings the server on its machine to the version that should run.
--- a/fill/inlink.go
+++ b/fill/inlink.go
@@ -16,8 +16,11 @@
 	site   string
 	entry  bool
 	giving giving
-	// weight is for how many entries an entry stands; guarded by the mutex of the links.
+	// weight is for how many entries an entry stands, host where it takes links, told the entries that it was told of; guarded by
+	// the mutex of the links.
 	weight float64
+	host   string
+	told   []string
 	// awayAt is when the entry said that it has lost the store; guarded by the mutex of the links.
 	awayAt time.Time
 
@@ -31,7 +34,7 @@
 func newInLink(ls *links, conn *link.Conn, hello *link.Hello) *inLink {
 	return &inLink{
 		links: ls, conn: conn, id: hello.ID, site: hello.Site, entry: hello.Role == link.RoleEntry,
-		weight:  max(hello.Weight, 1),
+		weight: max(hello.Weight, 1), host: hello.Host,
 		reports: make(chan *link.Report, 1),
 	}
 }
--- a/fill/links.go
+++ b/fill/links.go
@@ -130,6 +130,32 @@
 	}
 }
 
+// tellEntries tells the entries that hear this box of the others of their sites, if these have changed: one entry of a site reads
+// the list of servers for the others.
+func (ls *links) tellEntries() {
+	ls.mu.Lock()
+	bySite := make(map[string][]string)
+	for l := range ls.in {
+		if l.entry && l.host != "" {
+			bySite[l.site] = append(bySite[l.site], l.host)
+		}
+	}
+	for _, hosts := range bySite {
+		slices.Sort(hosts)
+	}
+	var changed []*inLink
+	for l := range ls.in {
+		if hosts := bySite[l.site]; l.entry && l.host != "" && !slices.Equal(hosts, l.told) {
+			l.told = hosts
+			changed = append(changed, l)
+		}
+	}
+	ls.mu.Unlock()
+	for _, l := range changed {
+		l.send(&link.Entries{Hosts: bySite[l.site]})
+	}
+}
+
 // entries returns how many entries hear this box, and for how many they stand.
 func (ls *links) entries() (hearing int, standing float64) {
 	ls.mu.Lock()
--- a/fill/reporter.go
+++ b/fill/reporter.go
@@ -42,6 +42,7 @@
 			b.links.tell(&report)
 			last, sent = report, time.Now()
 			b.links.chooseTeller()
+			b.links.tellEntries()
 		}
 		timer.Reset(b.nextLook())
 		select {
--- a/fill/teller.go
+++ b/fill/teller.go
@@ -34,7 +34,7 @@
 	}
 	if old != nil {
 		old.send(&link.Follow{})
-		ls.box.cfg.Told.silent()
+		ls.box.cfg.Told.Silent()
 	}
 	if chosen != nil {
 		chosen.send(&link.Follow{Service: ls.box.cfg.Machine.Service})
@@ -76,13 +76,13 @@
 		l.links.mu.Unlock()
 		l.links.chooseTeller()
 	default:
-		l.links.box.cfg.Told.takeDeclared(m)
+		l.links.box.cfg.Told.TakeDeclared(m)
 	}
 }
 
 // handleServers takes what an entry tells of the list of servers.
 func (l *inLink) handleServers(m *link.Servers) {
 	if l.links.isTeller(l) {
-		l.links.box.cfg.Told.takeServers(m)
+		l.links.box.cfg.Told.TakeServers(m)
 	}
 }
--- a/forward/entry.go
+++ b/forward/entry.go
@@ -13,6 +13,7 @@
 	"github.com/coralstair/coralstair/admission"
 	"github.com/coralstair/coralstair/machine"
 	"github.com/coralstair/coralstair/supervise"
+	"github.com/coralstair/coralstair/told"
 	"github.com/coralstair/coralstair/view"
 )
 
@@ -33,6 +34,10 @@
 	// Callers and Ready take the callers' and the balancer's connections.
 	Callers net.Listener
 	Ready   net.Listener
+	// Links takes the links of other entries, to which this one tells the list of servers; Told is the view's source where one
+	// entry of a site tells it to the others. Nil where each entry reads it.
+	Links net.Listener
+	Told  *told.EntrySource
 }
 
 // Entry takes callers' requests and calls upstreams directly.
@@ -46,6 +51,7 @@
 	budget    *Budget
 	admission admission.Services
 	reports   *reports
+	reader    *listReader
 	callers   *http.Server
 	ready     *http.Server
 	conns     callerConns
@@ -64,6 +70,7 @@
 	e.fresh.DisableKeepAlives = true
 	e.upstreams.weigh = e.weigh
 	e.reports = newReports(e)
+	e.reader = newListReader(e)
 	e.callers = &http.Server{
 		Handler: countPanics(e), ReadHeaderTimeout: headerTime, IdleTimeout: idleCallerTime, MaxHeaderBytes: headerRoom,
 		ErrorLog: e.errorLog("entry: the callers' server says"), ConnState: e.conns.note,
@@ -77,13 +84,17 @@
 
 // Parts returns what runs in the entry.
 func (e *Entry) Parts() []supervise.Part {
-	return []supervise.Part{
+	parts := []supervise.Part{
 		{Name: "callers", Run: func(ctx context.Context) error { return serve(ctx, e.callers, e.cfg.Callers) }},
 		{Name: "ready", Run: func(ctx context.Context) error { return serve(ctx, e.ready, e.cfg.Ready) }},
 		{Name: "upstreams", Run: e.followServers},
 		{Name: "reports", Run: e.reports.serve},
 		{Name: "ways", Run: e.reports.measureWays},
 	}
+	if e.cfg.Told != nil && e.cfg.Links != nil {
+		parts = append(parts, supervise.Part{Name: "links", Run: e.reader.serveLinks}, supervise.Part{Name: "list", Run: e.reader.serve})
+	}
+	return parts
 }
 
 func serve(ctx context.Context, server *http.Server, listener net.Listener) error {
--- a/forward/followers.go
+++ b/forward/followers.go
@@ -2,6 +2,7 @@
 
 import (
 	"reflect"
+	"time"
 
 	"github.com/coralstair/coralstair/contract"
 	"github.com/coralstair/coralstair/link"
@@ -15,6 +16,9 @@
 	services []contract.Service
 	servers  map[string]contract.Server
 	away     bool
+	// list says that it is an entry that is told the servers of all services, the last time at told.
+	list bool
+	told time.Time
 }
 
 // follow takes a box's ask to be told, or its end.
@@ -36,10 +40,14 @@
 	if cfg == nil || !v.Ready() {
 		return
 	}
+	rs.tellListFollowers()
 	listed := byService(v.Servers())
 	rs.mu.Lock()
 	defer rs.mu.Unlock()
 	for conn, f := range rs.followers {
+		if f.list {
+			continue
+		}
 		for _, msg := range f.news(cfg, listed[f.service], v.InTouch()) {
 			if !tellNow(conn, msg) {
 				delete(rs.followers, conn)
--- a/forward/followers_test.go
+++ b/forward/followers_test.go
@@ -35,11 +35,11 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			f := &follower{service: "s"}
-			first := told(f.news(config(1, 3, "h:1"), listed("a", "b"), true))
+			first := textsOf(f.news(config(1, 3, "h:1"), listed("a", "b"), true))
 			if want := "[services 2 2 present, 0 gone, reset true]"; fmt.Sprint(first) != want {
 				t.Fatalf("first told %v, want %s", first, want)
 			}
-			if got := told(f.news(test.cfg, test.servers, test.inTouch)); fmt.Sprint(got) != fmt.Sprint(test.want) {
+			if got := textsOf(f.news(test.cfg, test.servers, test.inTouch)); fmt.Sprint(got) != fmt.Sprint(test.want) {
 				t.Errorf("told %v, want %v", got, test.want)
 			}
 		})
@@ -52,14 +52,14 @@
 	f.news(cfg, nil, true)
 	f.news(cfg, nil, false)
 	if again := f.news(cfg, nil, false); len(again) != 0 {
-		t.Errorf("told %v twice", told(again))
+		t.Errorf("told %v twice", textsOf(again))
 	}
-	if got := told(f.news(cfg, nil, true)); len(got) != 2 {
+	if got := textsOf(f.news(cfg, nil, true)); len(got) != 2 {
 		t.Errorf("told %v, want services and servers", got)
 	}
 }
 
-func told(msgs []link.Message) []string {
+func textsOf(msgs []link.Message) []string {
 	var texts []string
 	for _, msg := range msgs {
 		switch m := msg.(type) {
--- /dev/null
+++ b/forward/reader.go
@@ -0,0 +1,249 @@
+package forward
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/coralstair/coralstair/contract"
+	"github.com/coralstair/coralstair/link"
+	"github.com/coralstair/coralstair/supervise"
+	"github.com/coralstair/coralstair/told"
+	"github.com/coralstair/coralstair/view"
+)
+
+// In a large fleet one entry of each site, its reader, follows the list of servers at the store and tells the others of its site.
+// Each entry makes two or more calls a second while servers load, come and go, and calls are priced: 53 entries made 6,976 in 70 s,
+// 0.067 of what was earned. What operators declare each entry reads itself: it must be in force everywhere within seconds, and
+// few calls find a change.
+
+const (
+	// readerEntries is from how many entries on a site has a reader: below, the calls cost less than 0.02 of what is earned.
+	readerEntries = 24
+	// listBeat is how often entries hear of the list at least, listSilence how long they may hear nothing until they read it
+	// themselves, listAge how old what the reader was told by the store may be for it to tell others; it follows from listWait.
+	listBeat    = 400 * time.Millisecond
+	listSilence = 1200 * time.Millisecond
+	// readerRest is how long a reader that failed is not followed.
+	readerRest = 3 * time.Second
+	// listWaitShare is the part of the drain bound, one in so many, that a reader's call may wait: a call that is never answered is
+	// noticed and the others read for themselves well before a server that left may get nothing more.
+	listWaitShare = 4
+	leastListWait = 500 * time.Millisecond
+	mostListWait  = 1500 * time.Millisecond
+	// answerSlack is how much longer than it waits a call usually takes at most.
+	answerSlack = time.Second
+	// readerCheck is how often it is looked at who reads.
+	readerCheck = time.Second
+)
+
+// ListWait returns how long an entry's calls for the list of servers may wait, by how long a server that leaves may get requests.
+func ListWait(drain time.Duration) time.Duration {
+	return min(max(drain/listWaitShare, leastListWait), mostListWait)
+}
+
+// listReader has an entry hear the list of servers from its site's reader, and tell it while it is the reader itself.
+type listReader struct {
+	entry  *Entry
+	server *http.Server
+
+	mu sync.Mutex
+	// hosts are the entries of the site that each box hears, by the box's address; resting are readers that failed, and until when.
+	hosts   map[string][]string
+	resting map[string]time.Time
+}
+
+func newListReader(e *Entry) *listReader {
+	lr := &listReader{entry: e, hosts: make(map[string][]string), resting: make(map[string]time.Time)}
+	lr.server = &http.Server{Handler: http.HandlerFunc(lr.accept), ReadHeaderTimeout: headerTime}
+	return lr
+}
+
+// heard takes which entries of the site a box hears; none when its link has ended.
+func (lr *listReader) heard(box string, hosts []string) {
+	lr.mu.Lock()
+	defer lr.mu.Unlock()
+	if len(hosts) == 0 {
+		delete(lr.hosts, box)
+		return
+	}
+	lr.hosts[box] = hosts
+}
+
+// reader returns the host of the entry that reads for the site, empty when this one is to read for itself.
+func (lr *listReader) reader(now time.Time) string {
+	self := lr.entry.cfg.Machine.Address
+	if lr.entry.budget.Entries() < readerEntries || lr.entry.leaving.Load() {
+		return ""
+	}
+	lr.mu.Lock()
+	defer lr.mu.Unlock()
+	first := self
+	for _, hosts := range lr.hosts {
+		for _, host := range hosts {
+			if readsBefore(host, first) && !now.Before(lr.resting[host]) {
+				first = host
+			}
+		}
+	}
+	if first == self {
+		return ""
+	}
+	return first
+}
+
+// readsBefore orders the entries of a site.
+func readsBefore(a, b string) bool {
+	scoreA, scoreB := xxhash.Sum64String(a), xxhash.Sum64String(b)
+	return scoreA < scoreB || scoreA == scoreB && a < b
+}
+
+// serve follows the site's reader until ctx ends.
+func (lr *listReader) serve(ctx context.Context) error {
+	for ctx.Err() == nil {
+		host := lr.reader(time.Now())
+		if host == "" {
+			select {
+			case <-ctx.Done():
+			case <-time.After(readerCheck):
+			}
+			continue
+		}
+		if lr.follow(ctx, host) {
+			lr.mu.Lock()
+			lr.resting[host] = time.Now().Add(readerRest)
+			lr.mu.Unlock()
+		}
+		lr.entry.cfg.Told.Silent()
+	}
+	return ctx.Err()
+}
+
+// follow takes the list from a reader until another one is to be followed, or it fails, falls silent or does not read itself.
+func (lr *listReader) follow(ctx context.Context, host string) (failed bool) {
+	dialCtx, cancel := context.WithTimeout(ctx, reportDialTime)
+	defer cancel()
+	conn, err := link.Dial(dialCtx, lr.entry.reports.client, lr.entry.cfg.Machine.LinkAt(host), nil)
+	if err != nil {
+		return true
+	}
+	defer conn.Close()
+	stop := context.AfterFunc(ctx, conn.Close)
+	defer stop()
+	hello := &link.Hello{ID: lr.entry.cfg.Machine.ID, Role: link.RoleEntry, Site: lr.entry.cfg.Machine.Site}
+	if conn.SendWithin(tellTime, hello) != nil || conn.SendWithin(tellTime, &link.Follow{List: true}) != nil {
+		return true
+	}
+	silence := time.AfterFunc(listSilence, conn.Close)
+	defer silence.Stop()
+	for {
+		msg, err := conn.Receive()
+		if err != nil {
+			return true
+		}
+		silence.Reset(listSilence)
+		switch msg := msg.(type) {
+		case *link.Servers:
+			lr.entry.cfg.Told.TakeServers(msg)
+		case *link.Declared:
+			return true
+		}
+		if lr.reader(time.Now()) != host {
+			return false
+		}
+	}
+}
+
+// serveLinks takes links of other entries until ctx ends.
+func (lr *listReader) serveLinks(ctx context.Context) error {
+	return supervise.ServeHTTP(ctx, lr.server, lr.entry.cfg.Links)
+}
+
+// accept takes a link of an entry that follows this one.
+func (lr *listReader) accept(w http.ResponseWriter, r *http.Request) {
+	conn, err := link.Accept(w, r, nil)
+	if err != nil {
+		return
+	}
+	defer conn.Close()
+	rs := lr.entry.reports
+	defer rs.unfollow(conn)
+	for {
+		msg, err := conn.Receive()
+		if err != nil {
+			return
+		}
+		if follow, ok := msg.(*link.Follow); ok && follow.List {
+			rs.followList(conn)
+		}
+	}
+}
+
+// followList takes an entry's ask to be told the list of servers.
+func (rs *reports) followList(conn *link.Conn) {
+	rs.mu.Lock()
+	rs.followers[conn] = &follower{list: true}
+	rs.mu.Unlock()
+	rs.wake()
+}
+
+func (rs *reports) unfollow(conn *link.Conn) {
+	rs.mu.Lock()
+	defer rs.mu.Unlock()
+	delete(rs.followers, conn)
+}
+
+// tellListFollowers tells the list of servers to the entries that follow this one, changes as they come and a sign of life now and
+// then. It tells only what it has from the store itself and of late: entries that told each other would all believe an old list.
+func (rs *reports) tellListFollowers() {
+	v, source := rs.entry.cfg.View, rs.entry.cfg.Told
+	reads := v.Ready() && v.InTouch() && (source == nil || !source.Tells()) && v.ListAge() < ListWait(rs.entry.cfg.Machine.Bounds.Drain)+answerSlack
+	now := time.Now()
+	rs.mu.Lock()
+	defer rs.mu.Unlock()
+	var listed map[string]contract.Server
+	for conn, f := range rs.followers {
+		switch {
+		case !f.list:
+		case !reads:
+			tellNow(conn, &link.Declared{Away: true})
+			delete(rs.followers, conn)
+		default:
+			if listed == nil {
+				listed = present(v.Servers())
+			}
+			if msg := f.listNews(listed, now); msg != nil && !tellNow(conn, msg) {
+				delete(rs.followers, conn)
+				conn.Close()
+			}
+		}
+	}
+}
+
+// present returns the servers that are listed now, by id.
+func present(servers []view.Listed) map[string]contract.Server {
+	listed := make(map[string]contract.Server, len(servers))
+	for _, server := range servers {
+		if server.Missing.IsZero() {
+			listed[server.ID] = server.Server
+		}
+	}
+	return listed
+}
+
+// listNews returns what an entry has not been told of the list, an empty message when it has not heard for a while, nil when there
+// is nothing to tell.
+func (f *follower) listNews(listed map[string]contract.Server, now time.Time) *link.Servers {
+	msg := &link.Servers{Reset: f.servers == nil}
+	msg.Present, msg.Gone = contract.Changes(f.servers, listed)
+	if !msg.Reset && len(msg.Present)+len(msg.Gone) == 0 && now.Sub(f.told) < listBeat {
+		return nil
+	}
+	f.servers, f.told = listed, now
+	return msg
+}
+
+var _ view.Source = (*told.EntrySource)(nil)
--- a/forward/reports.go
+++ b/forward/reports.go
@@ -77,14 +77,21 @@
 
 // serve opens a link to each box that is new, and ends those whose box is gone, until ctx ends.
 func (rs *reports) serve(ctx context.Context) error {
+	ticker := time.NewTicker(listBeat)
+	defer ticker.Stop()
 	for {
 		rs.link(ctx)
 		rs.tellTargets()
 		rs.tellFollowers()
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-rs.woken:
+		for woken := false; !woken; {
+			select {
+			case <-ctx.Done():
+				return ctx.Err()
+			case <-rs.woken:
+				woken = true
+			case <-ticker.C:
+				rs.tellListFollowers()
+			}
 		}
 	}
 }
@@ -124,7 +131,7 @@
 
 // hello returns what the entry says of itself to a box.
 func (rs *reports) hello(weight float64) *link.Hello {
-	return &link.Hello{ID: rs.entry.cfg.Machine.ID, Role: link.RoleEntry, Site: rs.entry.cfg.Machine.Site, Weight: weight}
+	return &link.Hello{ID: rs.entry.cfg.Machine.ID, Role: link.RoleEntry, Site: rs.entry.cfg.Machine.Site, Weight: weight, Host: rs.entry.cfg.Machine.Address}
 }
 
 // wanted returns the addresses of the boxes of the engines that the entry keeps to, with for how many entries it stands there, and
@@ -194,6 +201,8 @@
 			rs.count(address, msg)
 		case *link.Follow:
 			rs.follow(conn, msg.Service)
+		case *link.Entries:
+			rs.entry.reader.heard(address, msg.Hosts)
 		}
 	}
 }
@@ -212,6 +221,7 @@
 	rs.mu.Lock()
 	defer rs.mu.Unlock()
 	delete(rs.followers, conn)
+	rs.entry.reader.heard(address, nil)
 	if l := rs.conns[address]; l != nil && l.conn == conn {
 		delete(rs.conns, address)
 	}
--- a/internal/daemoncmd/daemon.go
+++ b/internal/daemoncmd/daemon.go
@@ -9,10 +9,11 @@
 
 	"github.com/apex/log"
 
-	"github.com/coralstair/coralstair/fill"
+	"github.com/coralstair/coralstair/forward"
 	"github.com/coralstair/coralstair/machine"
 	"github.com/coralstair/coralstair/platform"
 	"github.com/coralstair/coralstair/supervise"
+	"github.com/coralstair/coralstair/told"
 	"github.com/coralstair/coralstair/view"
 )
 
@@ -34,8 +35,8 @@
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	defer signal.Stop(signals)
-	v, told := newView(of, m, logger)
-	d, err := of.build(m, v, told, logger)
+	v, from := newView(of, m, logger)
+	d, err := of.build(m, v, from, logger)
 	if err != nil {
 		return err
 	}
@@ -56,16 +57,18 @@
 	return err
 }
 
-// newView returns what a daemon believes, by the store; where entries tell what that holds, also the source that they tell.
-func newView(of role, m machine.Machine, logger log.Interface) (*view.View, *fill.Told) {
+// newView returns what a daemon believes, by the store and by what entries tell of it.
+func newView(of role, m machine.Machine, logger log.Interface) (*view.View, sources) {
 	opts := view.Options{
 		Log: logger, Drain: m.Bounds.Drain, VersionBound: m.Bounds.Version, Wait: view.WaitWithin(m.Bounds.Contact),
+		ServersSettle: view.SettleWithin(m.Bounds.Drain),
 	}
 	store := view.Insist(platform.NewStore(m.StoreAt, newClient()))
 	if !of.told {
-		return view.New(store, opts), nil
+		source := told.NewForEntry(store, forward.ListWait(m.Bounds.Drain))
+		return view.New(source, opts), sources{entry: source}
 	}
-	told := fill.NewTold(store)
+	source := told.New(store)
 	opts.Reread, opts.Settle, opts.ServersSettle = true, toldSettle, toldSettle
-	return view.New(told, opts), told
+	return view.New(source, opts), sources{box: source}
 }
--- a/internal/daemoncmd/role.go
+++ b/internal/daemoncmd/role.go
@@ -12,6 +12,7 @@
 	"github.com/coralstair/coralstair/machine"
 	"github.com/coralstair/coralstair/platform"
 	"github.com/coralstair/coralstair/supervise"
+	"github.com/coralstair/coralstair/told"
 	"github.com/coralstair/coralstair/view"
 )
 
@@ -33,7 +34,13 @@
 	name string
 	// told says that entries tell what the store holds, and that it is read only while none does.
 	told  bool
-	build func(m machine.Machine, v *view.View, told *fill.Told, logger log.Interface) (daemon, error)
+	build func(m machine.Machine, v *view.View, sources sources, logger log.Interface) (daemon, error)
+}
+
+// sources are what a daemon's view reads, each nil where the daemon has another.
+type sources struct {
+	box   *told.Source
+	entry *told.EntrySource
 }
 
 var (
@@ -41,7 +48,7 @@
 	boxRole   = role{name: "box", build: newBox, told: true}
 )
 
-func newEntry(m machine.Machine, v *view.View, _ *fill.Told, logger log.Interface) (daemon, error) {
+func newEntry(m machine.Machine, v *view.View, from sources, logger log.Interface) (daemon, error) {
 	callers, err := net.Listen("tcp", m.CallersAt)
 	if err != nil {
 		return nil, err
@@ -50,16 +57,22 @@
 	if err != nil {
 		return nil, err
 	}
-	return forward.New(forward.Config{Machine: m, View: v, Wire: platform.Wire{}, Log: logger, Callers: callers, Ready: ready}), nil
+	links, err := net.Listen("tcp", m.LinkAt(m.Address))
+	if err != nil {
+		return nil, err
+	}
+	return forward.New(forward.Config{
+		Machine: m, View: v, Wire: platform.Wire{}, Log: logger, Callers: callers, Ready: ready, Links: links, Told: from.entry,
+	}), nil
 }
 
-func newBox(m machine.Machine, v *view.View, told *fill.Told, logger log.Interface) (daemon, error) {
+func newBox(m machine.Machine, v *view.View, from sources, logger log.Interface) (daemon, error) {
 	listener, err := net.Listen("tcp", m.LinkAt(m.Address))
 	if err != nil {
 		return nil, err
 	}
 	return fill.New(fill.Config{
-		Machine: m, View: v, Log: logger, Listener: listener, Told: told,
+		Machine: m, View: v, Log: logger, Listener: listener, Told: from.box,
 		Engine: platform.NewEngine(m.UpstreamAt, newClient()), Origin: platform.NewOrigin(newOriginClient()),
 	}), nil
 }
--- a/link/conn.go
+++ b/link/conn.go
@@ -41,12 +41,12 @@
 // Conn is one end of a link; Send may be called from several goroutines, Receive from one.
 // Chunks wait in a queue of their own, so that other messages overtake them.
 type Conn struct {
-	ws       *websocket.Conn
-	ctx      context.Context
-	cancel   context.CancelFunc
-	urgent   chan []byte
-	bulk     chan bulkMessage
-	pacer    Pacer
+	ws     *websocket.Conn
+	ctx    context.Context
+	cancel context.CancelFunc
+	urgent chan []byte
+	bulk   chan bulkMessage
+	pacer  Pacer
 	// stalled ends the link when a message takes too long to be written.
 	stalled  *time.Timer
 	sent     atomic.Int64
--- a/link/daemon.go
+++ b/link/daemon.go
@@ -22,6 +22,8 @@
 	Revision    fleet.Revision `cbor:"6,keyasint"`
 	// Weight is for how many entries one stands that keeps to some of many boxes; it is told again when it changes.
 	Weight float64 `cbor:"7,keyasint,omitempty"`
+	// Host is where the daemon itself takes links.
+	Host string `cbor:"8,keyasint,omitempty"`
 }
 
 // Heartbeat is sent every second each way; Load is the box's requests in progress, Slots how many it takes, Entries how
--- a/link/follow.go
+++ b/link/follow.go
@@ -3,9 +3,15 @@
 import "github.com/coralstair/coralstair/contract"
 
 // Follow asks an entry to tell, from now on, what a box of a service needs of what the store holds, so that boxes need not
-// read it themselves; an empty service ends that.
+// read it themselves; an empty service ends that. List is asked by another entry, for the servers of all services.
 type Follow struct {
 	Service string `cbor:"1,keyasint,omitempty"`
+	List    bool   `cbor:"2,keyasint,omitempty"`
+}
+
+// Entries tells an entry which entries of its site hear a box, by the hosts at which they take links.
+type Entries struct {
+	Hosts []string `cbor:"1,keyasint,omitempty"`
 }
 
 // Declared tells a box the services that it needs of a configuration: its own and the origins. Away says that the entry
@@ -29,5 +35,8 @@
 // Kind returns KindDeclared.
 func (*Declared) Kind() Kind { return KindDeclared }
 
+// Kind returns KindEntries.
+func (*Entries) Kind() Kind { return KindEntries }
+
 // Kind returns KindServers.
 func (*Servers) Kind() Kind { return KindServers }
--- a/link/frame_test.go
+++ b/link/frame_test.go
@@ -30,6 +30,8 @@
 		"chunk that waited": &Chunk{Manifest: 7, Chunk: 3, Body: []byte("z"), Waited: time.Second},
 		"want manifest":     &WantManifest{Model: "m", Version: 2},
 		"manifest":          &Manifest{Model: "m", Version: 2, Size: 8, Digests: []byte("d")},
+		"entries":           &Entries{Hosts: []string{"10.0.0.1"}},
+		"follow the list":   &Follow{List: true},
 		"target":            &Target{Model: "m", Version: 2, Ago: time.Second},
 	}
 }
--- a/link/message.go
+++ b/link/message.go
@@ -25,6 +25,7 @@
 	KindFollow
 	KindDeclared
 	KindServers
+	KindEntries
 )
 
 // Message is one typed message.
@@ -52,6 +53,7 @@
 	KindFollow:       func() Message { return new(Follow) },
 	KindDeclared:     func() Message { return new(Declared) },
 	KindServers:      func() Message { return new(Servers) },
+	KindEntries:      func() Message { return new(Entries) },
 }
 
 // newMessage returns an empty message of a kind; nil when the kind is not known.
--- a/fill/told.go
+++ b/told/source.go
@@ -1,4 +1,4 @@
-package fill
+package told
 
 import (
 	"context"
@@ -14,21 +14,25 @@
 )
 
 const (
-	// toldPatience is how long a box waits for an entry to tell it what the store holds before it reads that itself, and
-	// toldSpread how much longer at most: many boxes that start together would fill the links to the store.
-	toldPatience = 1200 * time.Millisecond
-	toldSpread   = 800 * time.Millisecond
+	// patience is how long a box waits for an entry to tell it what the store holds before it reads that itself, and
+	// spread how much longer at most: many boxes that start together would fill the links to the store.
+	patience = 1200 * time.Millisecond
+	spread   = 800 * time.Millisecond
 	// listPause and declaredPause are how long after it read the store itself a box does so again: the list grows old sooner.
 	listPause     = 1500 * time.Millisecond
 	declaredPause = 5 * time.Second
-	// toldCursor is the place in the store's history of what entries told: none.
-	toldCursor view.Cursor = -1
+	// noCursor is the place in the store's history of what entries told: none.
+	noCursor view.Cursor = -1
 )
 
-// Told is the source of a box's view: what an entry tells, and the store while none does.
-type Told struct {
-	store    view.Source
-	patience time.Duration
+// Source is the source of a view: what an entry tells, and the store while none does.
+type Source struct {
+	store view.Source
+	// patience is how long after the last entry fell silent the store is read, listPause and declaredPause are how long after that
+	// it is read again.
+	patience      time.Duration
+	listPause     time.Duration
+	declaredPause time.Duration
 
 	mu      sync.Mutex
 	changed chan struct{}
@@ -44,31 +48,63 @@
 	passed         map[string]contract.Server
 }
 
-// NewTold returns a source that reads the store itself as long as no entry tells.
-func NewTold(store view.Source) *Told {
-	return &Told{
-		store: store, patience: toldPatience + rand.N(toldSpread), changed: make(chan struct{}), silentSince: time.Now(),
+// New returns a box's source, which reads the store itself, now and then, as long as no entry tells for some time.
+func New(store view.Source) *Source {
+	return &Source{
+		store: store, patience: patience + rand.N(spread), listPause: listPause, declaredPause: declaredPause,
+		changed: make(chan struct{}), silentSince: time.Now(),
 	}
 }
 
-var _ view.Source = (*Told)(nil)
+// NewForEntry returns an entry's source, which reads the store itself, at once and all the time, as long as no other entry tells.
+// Only the list of servers is told to entries; its calls wait for a time at most, so that a channel that has fallen silent is
+// noticed sooner than by the others, who hear of no change meanwhile.
+func NewForEntry(store view.Source, mostWait time.Duration) *EntrySource {
+	return &EntrySource{Source: &Source{store: store, changed: make(chan struct{}), silentSince: time.Now()}, mostWait: mostWait}
+}
+
+// EntrySource is the source of an entry's view.
+type EntrySource struct {
+	*Source
+	mostWait time.Duration
+}
+
+// Declared reads what is declared from the store.
+func (s *EntrySource) Declared(ctx context.Context) (view.Declared, error) {
+	return s.store.Declared(ctx)
+}
+
+// DeclaredAfter waits for a change of what is declared at the store.
+func (s *EntrySource) DeclaredAfter(ctx context.Context, cursor view.Cursor, wait time.Duration) (view.Declared, error) {
+	return s.store.DeclaredAfter(ctx, cursor, wait)
+}
+
+// ServersAfter returns what is new of the list of servers.
+func (s *EntrySource) ServersAfter(ctx context.Context, cursor view.Cursor, wait time.Duration) (view.Servers, error) {
+	return s.Source.ServersAfter(ctx, cursor, min(wait, s.mostWait))
+}
+
+var (
+	_ view.Source = (*Source)(nil)
+	_ view.Source = (*EntrySource)(nil)
+)
 
 // Declared returns what an entry told, or what the store holds when none tells in time.
-func (t *Told) Declared(ctx context.Context) (view.Declared, error) {
-	return t.DeclaredAfter(ctx, toldCursor, view.DefaultWait)
+func (t *Source) Declared(ctx context.Context) (view.Declared, error) {
+	return t.DeclaredAfter(ctx, noCursor, view.DefaultWait)
 }
 
 // DeclaredAfter returns what is new of what is declared.
-func (t *Told) DeclaredAfter(ctx context.Context, cursor view.Cursor, wait time.Duration) (view.Declared, error) {
-	declared := view.Declared{Cursor: toldCursor}
-	err := t.await(ctx, wait, &t.declaredRead, declaredPause, func() bool {
+func (t *Source) DeclaredAfter(ctx context.Context, cursor view.Cursor, wait time.Duration) (view.Declared, error) {
+	declared := view.Declared{Cursor: noCursor}
+	err := t.await(ctx, wait, &t.declaredRead, t.declaredPause, func() bool {
 		if t.declared == nil || t.declared == t.passedDeclared {
 			return false
 		}
 		declared.Config, t.passedDeclared = t.declared, t.declared
 		return true
 	}, func(ctx context.Context) (err error) {
-		if cursor == toldCursor {
+		if cursor == noCursor {
 			declared, err = t.store.Declared(ctx)
 		} else {
 			declared, err = t.store.DeclaredAfter(ctx, cursor, wait)
@@ -79,17 +115,17 @@
 }
 
 // Servers returns the listed servers.
-func (t *Told) Servers(ctx context.Context) (view.Servers, error) {
+func (t *Source) Servers(ctx context.Context) (view.Servers, error) {
 	t.mu.Lock()
 	t.passed = nil
 	t.mu.Unlock()
-	return t.ServersAfter(ctx, toldCursor, view.DefaultWait)
+	return t.ServersAfter(ctx, noCursor, view.DefaultWait)
 }
 
 // ServersAfter returns what is new of the list of servers.
-func (t *Told) ServersAfter(ctx context.Context, cursor view.Cursor, wait time.Duration) (view.Servers, error) {
-	servers := view.Servers{Cursor: toldCursor}
-	err := t.await(ctx, wait, &t.listRead, listPause, func() bool {
+func (t *Source) ServersAfter(ctx context.Context, cursor view.Cursor, wait time.Duration) (view.Servers, error) {
+	servers := view.Servers{Cursor: noCursor}
+	err := t.await(ctx, wait, &t.listRead, t.listPause, func() bool {
 		if t.servers == nil {
 			return false
 		}
@@ -109,7 +145,7 @@
 }
 
 // pass notes what the view is given of what the store itself holds.
-func (t *Told) pass(servers view.Servers) {
+func (t *Source) pass(servers view.Servers) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.passed == nil {
@@ -124,8 +160,8 @@
 }
 
 // listed reads the list from the store: the whole, as what is new, after entries told.
-func (t *Told) listed(ctx context.Context, cursor view.Cursor, wait time.Duration) (view.Servers, error) {
-	if cursor != toldCursor {
+func (t *Source) listed(ctx context.Context, cursor view.Cursor, wait time.Duration) (view.Servers, error) {
+	if cursor != noCursor {
 		return t.store.ServersAfter(ctx, cursor, wait)
 	}
 	servers, err := t.store.Servers(ctx)
@@ -149,13 +185,13 @@
 // changesOf returns what is new in a list after another.
 func changesOf(old, list map[string]contract.Server) view.Servers {
 	present, gone := contract.Changes(old, list)
-	return view.Servers{Present: present, Gone: gone, Cursor: toldCursor}
+	return view.Servers{Present: present, Gone: gone, Cursor: noCursor}
 }
 
 // await takes what is told as soon as there is news, and reads the store when no entry tells for too long, at the earliest a
 // pause after the last time. News is called with mu held. A call to the store ends when an entry begins to tell; await
 // returns without news after wait.
-func (t *Told) await(
+func (t *Source) await(
 	ctx context.Context, wait time.Duration, last *time.Time, pause time.Duration, news func() bool, read func(context.Context) error,
 ) error {
 	deadline := time.Now().Add(wait)
@@ -174,7 +210,7 @@
 		}
 		t.mu.Unlock()
 		if alone && !time.Now().Before(until) {
-			if err := t.readAlone(ctx, last, read); ctx.Err() != nil || !t.tells() {
+			if err := t.readAlone(ctx, last, read); ctx.Err() != nil || !t.Tells() {
 				return err
 			}
 			continue
@@ -182,7 +218,7 @@
 		if err := waitFor(ctx, changed, until); err != nil {
 			return err
 		}
-		if t.tells() && !time.Now().Before(deadline) {
+		if t.Tells() && !time.Now().Before(deadline) {
 			return nil
 		}
 	}
@@ -202,7 +238,7 @@
 }
 
 // readAlone reads the store until an entry tells, and notes when.
-func (t *Told) readAlone(ctx context.Context, last *time.Time, read func(context.Context) error) error {
+func (t *Source) readAlone(ctx context.Context, last *time.Time, read func(context.Context) error) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	defer func() {
@@ -211,7 +247,7 @@
 		*last = time.Now()
 	}()
 	go func() {
-		for ctx.Err() == nil && !t.tells() {
+		for ctx.Err() == nil && !t.Tells() {
 			t.mu.Lock()
 			changed := t.changed
 			t.mu.Unlock()
@@ -225,15 +261,15 @@
 	return read(ctx)
 }
 
-// tells reports whether an entry tells.
-func (t *Told) tells() bool {
+// Tells reports whether an entry tells.
+func (t *Source) Tells() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return t.silentSince.IsZero()
 }
 
-// silent notes that no entry tells any more.
-func (t *Told) silent() {
+// Silent notes that no entry tells any more.
+func (t *Source) Silent() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.silentSince.IsZero() {
@@ -243,16 +279,16 @@
 	t.wake()
 }
 
-// takeDeclared takes the services that an entry told.
-func (t *Told) takeDeclared(msg *link.Declared) {
+// TakeDeclared takes the services that an entry told.
+func (t *Source) TakeDeclared(msg *link.Declared) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.declared = contract.NewConfig(msg.Revision, contract.Limits{}, nil, msg.Services, nil)
 	t.wake()
 }
 
-// takeServers takes the servers that an entry told; with the first, which are all, it has begun to tell.
-func (t *Told) takeServers(msg *link.Servers) {
+// TakeServers takes the servers that an entry told; with the first, which are all, it has begun to tell.
+func (t *Source) TakeServers(msg *link.Servers) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	switch {
@@ -272,7 +308,7 @@
 }
 
 // wake tells of news; mu is held.
-func (t *Told) wake() {
+func (t *Source) wake() {
 	close(t.changed)
 	t.changed = make(chan struct{})
 }
--- a/fill/told_test.go
+++ b/told/source_test.go
@@ -1,4 +1,4 @@
-package fill
+package told
 
 import (
 	"context"
@@ -62,15 +62,15 @@
 }
 
 func TestTold(t *testing.T) {
-	for name, test := range map[string]func(t *testing.T, store *countingStore, told *Told){
-		"an entry that tells spares the store": func(t *testing.T, store *countingStore, told *Told) {
-			told.takeServers(&link.Servers{Reset: true, Present: serversNamed("a", "b")})
+	for name, test := range map[string]func(t *testing.T, store *countingStore, told *Source){
+		"an entry that tells spares the store": func(t *testing.T, store *countingStore, told *Source) {
+			told.TakeServers(&link.Servers{Reset: true, Present: serversNamed("a", "b")})
 			whole, err := told.Servers(t.Context())
 			if err != nil || !slices.Equal(ids(whole.Present), []string{"a", "b"}) {
 				t.Fatalf("%v, %v", ids(whole.Present), err)
 			}
 			time.AfterFunc(time.Second, func() {
-				told.takeServers(&link.Servers{Present: serversNamed("c"), Gone: []string{"a"}})
+				told.TakeServers(&link.Servers{Present: serversNamed("c"), Gone: []string{"a"}})
 			})
 			news, err := told.ServersAfter(t.Context(), whole.Cursor, 10*time.Second)
 			if err != nil || !slices.Equal(ids(news.Present), []string{"c"}) || !slices.Equal(news.Gone, []string{"a"}) {
@@ -80,23 +80,23 @@
 				t.Errorf("the store was asked %d times", store.reads+store.waits)
 			}
 		},
-		"without an entry the store is read, after some time": func(t *testing.T, store *countingStore, told *Told) {
+		"without an entry the store is read, after some time": func(t *testing.T, store *countingStore, told *Source) {
 			began := time.Now()
 			whole, err := told.Servers(t.Context())
 			if err != nil || !slices.Equal(ids(whole.Present), []string{"a"}) || store.reads != 1 {
 				t.Fatalf("%v, %v", ids(whole.Present), err)
 			}
-			if took := time.Since(began); took < toldPatience || took > toldPatience+toldSpread {
+			if took := time.Since(began); took < patience || took > patience+spread {
 				t.Errorf("the store is read after %s", took)
 			}
 		},
-		"a call to the store ends when an entry tells": func(t *testing.T, store *countingStore, told *Told) {
+		"a call to the store ends when an entry tells": func(t *testing.T, store *countingStore, told *Source) {
 			whole, err := told.Servers(t.Context())
 			if err != nil {
 				t.Fatal(err)
 			}
 			time.AfterFunc(3*time.Second, func() {
-				told.takeServers(&link.Servers{Reset: true, Present: serversNamed("b")})
+				told.TakeServers(&link.Servers{Reset: true, Present: serversNamed("b")})
 			})
 			news, err := told.ServersAfter(t.Context(), whole.Cursor, 10*time.Second)
 			if err != nil || !slices.Equal(ids(news.Present), []string{"b"}) || !slices.Equal(news.Gone, []string{"a"}) {
@@ -106,21 +106,21 @@
 				t.Error("the call to the store goes on")
 			}
 		},
-		"when the entry falls silent the whole list is read": func(t *testing.T, _ *countingStore, told *Told) {
-			told.takeServers(&link.Servers{Reset: true, Present: serversNamed("b")})
+		"when the entry falls silent the whole list is read": func(t *testing.T, _ *countingStore, told *Source) {
+			told.TakeServers(&link.Servers{Reset: true, Present: serversNamed("b")})
 			whole, err := told.Servers(t.Context())
 			if err != nil {
 				t.Fatal(err)
 			}
-			time.AfterFunc(time.Second, told.silent)
+			time.AfterFunc(time.Second, told.Silent)
 			news, err := told.ServersAfter(t.Context(), whole.Cursor, 10*time.Second)
 			if err != nil || !slices.Equal(ids(news.Present), []string{"a"}) || !slices.Equal(news.Gone, []string{"b"}) {
 				t.Errorf("%v, gone %v, %v", ids(news.Present), news.Gone, err)
 			}
 		},
-		"news without the whole before is passed over": func(t *testing.T, _ *countingStore, told *Told) {
-			told.takeServers(&link.Servers{Present: serversNamed("c")})
-			if told.tells() {
+		"news without the whole before is passed over": func(t *testing.T, _ *countingStore, told *Source) {
+			told.TakeServers(&link.Servers{Present: serversNamed("c")})
+			if told.Tells() {
 				t.Error("an entry counts as telling")
 			}
 		},
@@ -128,7 +128,7 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				store := &countingStore{servers: view.Servers{Present: serversNamed("a"), Cursor: 7}}
-				test(t, store, NewTold(store))
+				test(t, store, New(store))
 			})
 		})
 	}
@@ -136,9 +136,9 @@
 
 func TestToldConfiguration(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		told := NewTold(&countingStore{})
-		told.takeServers(&link.Servers{Reset: true})
-		told.takeDeclared(&link.Declared{Revision: 3, Services: []contract.Service{{Name: "o", Origin: "h:1"}}})
+		told := New(&countingStore{})
+		told.TakeServers(&link.Servers{Reset: true})
+		told.TakeDeclared(&link.Declared{Revision: 3, Services: []contract.Service{{Name: "o", Origin: "h:1"}}})
 		declared, err := told.Declared(t.Context())
 		if err != nil || declared.Config.Revision != 3 || len(declared.Config.Origins()) != 1 {
 			t.Fatalf("%+v, %v", declared, err)
--- a/view/follow.go
+++ b/view/follow.go
@@ -56,6 +56,7 @@
 			return 0, err
 		}
 		v.takeServers(servers, !known)
+		v.confirmList()
 		cursor, known = servers.Cursor, true
 		if len(servers.Present)+len(servers.Gone) == 0 {
 			return 0, nil
--- a/view/view.go
+++ b/view/view.go
@@ -45,6 +45,8 @@
 	awayLately = 3 * time.Second
 	// drainMargin is kept from the time for which a server that leaves may get requests: its entry may go without a word.
 	drainMargin = 500 * time.Millisecond
+	// settleShare is the part of the drain bound, one in so many, that news of the list may be late.
+	settleShare = 5
 	// leastWait bounds the wait of a call on a feed from below.
 	leastWait = time.Second
 )
@@ -67,6 +69,8 @@
 	away     time.Time
 	// confirmed is when the store last answered what is declared.
 	confirmed time.Time
+	// listConfirmed is when the store, or who tells what it holds, last answered what servers there are.
+	listConfirmed time.Time
 	// lost counts the feeds on which the store does not answer.
 	lost int
 }
@@ -81,6 +85,12 @@
 	return max(bound-2*insistAfter, leastWait)
 }
 
+// SettleWithin returns how long after a change of the list of servers the next is read, by how long a server that leaves may get
+// requests: while servers start or load the list changes all the time, and each daemon that reads it makes a call a pause.
+func SettleWithin(drain time.Duration) time.Duration {
+	return max(drain/settleShare, DefaultServersSettle)
+}
+
 // New returns a view that knows nothing yet.
 func New(source Source, opts Options) *View {
 	if opts.Log == nil {
@@ -142,6 +152,20 @@
 	v.confirmed = v.now()
 }
 
+// ListAge returns how long ago the store last answered what servers there are.
+func (v *View) ListAge() time.Duration {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	return v.now().Sub(v.listConfirmed)
+}
+
+// confirmList notes that the store has answered what servers there are.
+func (v *View) confirmList() {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.listConfirmed = v.now()
+}
+
 // lapse is since when a server is no longer listed, and until when that may be the list's fault.
 type lapse struct{ since, until time.Time }
 
