--- a/fill/box.go
+++ b/fill/box.go
@@ -46,7 +46,7 @@
 	log    log.Interface
 	server *http.Server
 	links  *links
-	giver  *giver
+	giver  *uploader
 	pacer  *pace.Pacer
 	woken  chan struct{}
 	// aimed wakes the loader when a version is aimed at.
@@ -76,7 +76,7 @@
 		pacer: pace.New(int64(cfg.Machine.LinkRate)).WithShare(pieceShare),
 	}
 	b.links = newLinks(b)
-	b.giver = newGiver(b)
+	b.giver = newUploader(b)
 	b.server = &http.Server{Handler: http.HandlerFunc(b.links.accept), ReadHeaderTimeout: headerTime}
 	return b
 }
@@ -160,8 +160,8 @@
 	return swarm.Member{ID: b.cfg.Machine.Address, Site: b.cfg.Machine.Site}
 }
 
-// mates returns the boxes of this site among some.
-func (b *Box) mates(of []swarm.Member) []swarm.Member {
+// sitePeers returns the boxes of this site among some.
+func (b *Box) sitePeers(of []swarm.Member) []swarm.Member {
 	return slices.DeleteFunc(slices.Clone(of), func(m swarm.Member) bool { return m.Site != b.cfg.Machine.Site })
 }
 
--- a/fill/fetch.go
+++ b/fill/fetch.go
@@ -51,7 +51,7 @@
 	}
 	members := b.siblings()
 	homes := swarm.NewOrder(f.model, 1, members).Homes(0)
-	b.links.want(f.ctx, append(b.mates(homes), swarm.Neighbours(b.self(), members)...))
+	b.links.want(f.ctx, append(b.sitePeers(homes), swarm.Neighbours(b.self(), members)...))
 	b.links.rejoin(f)
 	wait := manifestWait
 	if slices.Contains(homes, b.self()) {
--- a/fill/links.go
+++ b/fill/links.go
@@ -98,7 +98,7 @@
 	ls.mu.Unlock()
 	if l.entry {
 		ls.box.sendReport()
-		ls.chooseTeller()
+		ls.chooseRelay()
 	}
 }
 
@@ -108,7 +108,7 @@
 	delete(ls.in, l)
 	ls.countEntries()
 	ls.mu.Unlock()
-	ls.chooseTeller()
+	ls.chooseRelay()
 }
 
 // weigh notes for how many entries an entry stands now.
--- a/fill/reporter.go
+++ b/fill/reporter.go
@@ -41,7 +41,7 @@
 		if ok && (urgent(report, last) || report != last && age >= reportEvery-reportSlack || age >= quietEvery) {
 			b.links.tell(&report)
 			last, sent = report, time.Now()
-			b.links.chooseTeller()
+			b.links.chooseRelay()
 			b.links.tellEntries()
 		}
 		timer.Reset(b.nextLook())
--- a/fill/teller.go
+++ b/fill/teller.go
@@ -11,9 +11,9 @@
 // awayRest is how long an entry that had lost the store is not chosen to tell what it holds.
 const awayRest = 3 * time.Second
 
-// chooseTeller has one of the linked entries tell what the store holds: one of the own site first, each box by an order of
+// chooseRelay has one of the linked entries tell what the store holds: one of the own site first, each box by an order of
 // its own, so that entries share the work.
-func (ls *links) chooseTeller() {
+func (ls *links) chooseRelay() {
 	if ls.box.cfg.Told == nil {
 		return
 	}
@@ -74,7 +74,7 @@
 		l.links.mu.Lock()
 		l.awayAt = time.Now()
 		l.links.mu.Unlock()
-		l.links.chooseTeller()
+		l.links.chooseRelay()
 	default:
 		l.links.box.cfg.Told.TakeDeclared(m)
 	}
--- a/fill/giver.go
+++ b/fill/uploader.go
@@ -30,7 +30,7 @@
 	given time.Duration
 }
 
-// giving is for how long pieces have been on their way to one box; guarded by the giver's mutex.
+// giving is for how long pieces have been on their way to one box; guarded by the uploader's mutex.
 type giving struct {
 	pieces int
 	since  time.Time
@@ -64,9 +64,9 @@
 	return a.turn < b.turn
 }
 
-// giver hands out pieces: those to other sites first, since a whole site waits for them, then those to boxes whose servers
+// uploader hands out pieces: those to other sites first, since a whole site waits for them, then those to boxes whose servers
 // load first: if all were filled at the same time, many would load at once.
-type giver struct {
+type uploader struct {
 	box   *Box
 	woken chan struct{}
 
@@ -75,12 +75,12 @@
 	busy  int
 }
 
-func newGiver(b *Box) *giver {
-	return &giver{box: b, woken: make(chan struct{}, givesAtOnce)}
+func newUploader(b *Box) *uploader {
+	return &uploader{box: b, woken: make(chan struct{}, givesAtOnce)}
 }
 
 // serve hands out pieces until ctx ends.
-func (g *giver) serve(ctx context.Context) error {
+func (g *uploader) serve(ctx context.Context) error {
 	for range givesAtOnce {
 		go func() {
 			for g.giveNext(ctx) {
@@ -93,7 +93,7 @@
 }
 
 // add queues a piece unless it waits already.
-func (g *giver) add(next ask) {
+func (g *uploader) add(next ask) {
 	g.mu.Lock()
 	known := slices.ContainsFunc(g.queue, func(queued ask) bool { return queued.link == next.link && queued.piece == next.piece })
 	if !known {
@@ -105,7 +105,7 @@
 	g.wake()
 }
 
-func (g *giver) wake() {
+func (g *uploader) wake() {
 	select {
 	case g.woken <- struct{}{}:
 	default:
@@ -113,7 +113,7 @@
 }
 
 // drop takes out what a box no longer wants: the pieces named, and all of other versions.
-func (g *giver) drop(l *inLink, key uint64, pieces []uint32) {
+func (g *uploader) drop(l *inLink, key uint64, pieces []uint32) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.queue = slices.DeleteFunc(g.queue, func(queued ask) bool {
@@ -122,21 +122,21 @@
 }
 
 // leave takes out all that a link asked for.
-func (g *giver) leave(l *inLink) {
+func (g *uploader) leave(l *inLink) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.queue = slices.DeleteFunc(g.queue, func(queued ask) bool { return queued.link == l })
 }
 
 // waiting returns how many pieces wait or are on their way out.
-func (g *giver) waiting() int {
+func (g *uploader) waiting() int {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return len(g.queue) + g.busy
 }
 
 // take returns the next piece to give.
-func (g *giver) take() (next ask, ok bool) {
+func (g *uploader) take() (next ask, ok bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if len(g.queue) == 0 {
@@ -156,7 +156,7 @@
 
 // begin notes that a piece leaves, and returns how long it waited for pieces to others: while others of its own were on their
 // way, what held it up is the box's link.
-func (g *giver) begin(next ask) time.Duration {
+func (g *uploader) begin(next ask) time.Duration {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := time.Now()
@@ -166,14 +166,14 @@
 }
 
 // end notes that a piece has left, or will not.
-func (g *giver) end(next ask) {
+func (g *uploader) end(next ask) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	next.link.giving.end(time.Now())
 }
 
 // giveNext gives the next piece, or waits for one; false once ctx has ended.
-func (g *giver) giveNext(ctx context.Context) bool {
+func (g *uploader) giveNext(ctx context.Context) bool {
 	next, ok := g.take()
 	if !ok {
 		select {
@@ -206,7 +206,7 @@
 }
 
 // read reads a piece back; nil when it is not held or turned bad, and then it is fetched again.
-func (g *giver) read(ctx context.Context, next ask) []byte {
+func (g *uploader) read(ctx context.Context, next ask) []byte {
 	b := g.box
 	f := b.filling(next.key)
 	if f == nil {
--- a/fill/giver_test.go
+++ b/fill/uploader_test.go
@@ -9,7 +9,7 @@
 func TestWaitedCountsOthersOnly(t *testing.T) {
 	const other, own = 300 * time.Millisecond, 700 * time.Millisecond
 	synctest.Test(t, func(t *testing.T) {
-		g := &giver{woken: make(chan struct{}, 1)}
+		g := &uploader{woken: make(chan struct{}, 1)}
 		slow, quick := &inLink{}, &inLink{}
 		g.add(ask{link: quick, piece: 1})
 		g.add(ask{link: slow, piece: 2})
@@ -39,7 +39,7 @@
 		"of one box the first":      {[]ask{{piece: 4, turn: 3}, {piece: 6, turn: 3}}, 4},
 	} {
 		t.Run(name, func(t *testing.T) {
-			g := &giver{queue: test.queue}
+			g := &uploader{queue: test.queue}
 			if next, ok := g.take(); !ok || next.piece != test.want {
 				t.Errorf("gives piece %d, want %d", next.piece, test.want)
 			}
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -41,9 +41,9 @@
 	// listens says that something has to come from the server in time.
 	listens atomic.Bool
 	rank    int
-	// beside is the attempt that goes on until this one's server has begun to answer; after is the last event that the caller
+	// hedges is the attempt that goes on until this one's server has begun to answer; after is the last event that the caller
 	// had when this one was sent.
-	beside *attempt
+	hedges *attempt
 	after  string
 	// fresh says that it takes a new connection.
 	fresh  bool
--- a/forward/call.go
+++ b/forward/call.go
@@ -47,11 +47,11 @@
 
 	// mu guards what follows: attempts end, and are asked beside others, while the call's own goroutine waits or passes on.
 	mu sync.Mutex
-	// holder is the attempt whose server has begun to answer, asked are those whose servers have not, fallen those that ended
+	// winner is the attempt whose server has begun to answer, asked are those whose servers have not, failed those that ended
 	// without an answer and that the call's goroutine has not looked at yet.
-	holder *attempt
+	winner *attempt
 	asked  []*attempt
-	fallen []fall
+	failed []failure
 	over   bool
 	// changed tells the call's goroutine that one of these did.
 	changed chan struct{}
@@ -78,8 +78,8 @@
 	story   []string
 }
 
-// fall is how an attempt ended without an answer.
-type fall struct {
+// failure is how an attempt ended without an answer.
+type failure struct {
 	kept   *answer
 	result step
 	err    error
@@ -115,7 +115,7 @@
 			return
 		}
 		var held *attempt
-		var falls []fall
+		var falls []failure
 		for held == nil && c.asking() {
 			held, falls = c.await()
 			for _, f := range falls {
@@ -151,7 +151,7 @@
 	if c.offered+c.refused > 0 && !c.entry.budget.Again(c.service.Name, time.Now()) {
 		return errNoBudget
 	}
-	c.offer(ch)
+	c.begin(ch)
 	return nil
 }
 
@@ -176,11 +176,11 @@
 	if c.offered == 0 {
 		return c.refused < c.route.Attempts+notRunTries
 	}
-	return c.mayAskBeside()
+	return c.mayHedge()
 }
 
-// mayAskBeside reports whether a request that may have run may go to one more server; mu is held.
-func (c *call) mayAskBeside() bool {
+// mayHedge reports whether a request that may have run may go to one more server; mu is held.
+func (c *call) mayHedge() bool {
 	return c.route.Repeatable() && c.offered < c.route.Attempts && c.refused < maxRefusals
 }
 
@@ -252,15 +252,15 @@
 	case c.unknown:
 		c.refuse(http.StatusBadGateway, "unknown", "no whole answer came; it may have run", 0, err)
 	case errors.Is(err, errLeaving):
-		c.refuse(http.StatusServiceUnavailable, "leaving", "the entry ends before it would be answered", leaveComeBack, err)
+		c.refuse(http.StatusServiceUnavailable, "leaving", "the entry ends before it would be answered", leaveRetryAfter, err)
 	default:
-		c.refuse(http.StatusServiceUnavailable, "not-run", "no server took it", c.comeBack(), err)
+		c.refuse(http.StatusServiceUnavailable, "not-run", "no server took it", c.retryAfter(), err)
 	}
 }
 
-// comeBack says when the request is likely to be served.
-func (c *call) comeBack() time.Duration {
-	return c.entry.comeBack(c.service, c.route, time.Now())
+// retryAfter says when the request is likely to be served.
+func (c *call) retryAfter() time.Duration {
+	return c.entry.retryAfter(c.service, c.route, time.Now())
 }
 
 // priority returns the rank of the request: that of its team before that of its route, the first one when it goes on at another
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -31,7 +31,7 @@
 	}
 	cfg := e.cfg.View.Config()
 	if cfg == nil {
-		e.deny(w, r, ask, http.StatusServiceUnavailable, "no-configuration", "no configuration is known yet", loadComeBack)
+		e.deny(w, r, ask, http.StatusServiceUnavailable, "no-configuration", "no configuration is known yet", loadRetryAfter)
 		return
 	}
 	route := cfg.Route(r.Host, r.URL.Path)
@@ -59,7 +59,7 @@
 	}
 	c.service = cfg.Service(route.Service(rand.Float64()))
 	if c.service == nil {
-		c.refuse(http.StatusServiceUnavailable, "no-service", "the route's service is not known", plainComeBack, nil)
+		c.refuse(http.StatusServiceUnavailable, "no-service", "the route's service is not known", plainRetryAfter, nil)
 		return
 	}
 	c.run(r.Context())
@@ -118,7 +118,7 @@
 // caller is told to come back.
 func (e *Entry) denyUnlessInDoubt(w http.ResponseWriter, r *http.Request, ask Ask, status int, slug, detail string) {
 	if e.cfg.View.Doubtful() {
-		e.deny(w, r, ask, http.StatusServiceUnavailable, "configuration-in-doubt", detail+" as far as is known; the store is away", loadComeBack)
+		e.deny(w, r, ask, http.StatusServiceUnavailable, "configuration-in-doubt", detail+" as far as is known; the store is away", loadRetryAfter)
 		return
 	}
 	e.deny(w, r, ask, status, slug, detail, 0)
--- a/forward/handover.go
+++ b/forward/handover.go
@@ -24,9 +24,9 @@
 	boundMargin = 100 * time.Millisecond
 )
 
-// offer sends the request to a server; mu is held.
-func (c *call) offer(ch choice) *attempt {
-	a := &attempt{call: c, choice: ch, ticket: ch.up.take(c.ask.Prompt, ch.first, time.Now()), rank: c.priority(), beside: c.holder, fresh: c.silence}
+// begin sends the request to a server; mu is held.
+func (c *call) begin(ch choice) *attempt {
+	a := &attempt{call: c, choice: ch, ticket: ch.up.take(c.ask.Prompt, ch.first, time.Now()), rank: c.priority(), hedges: c.winner, fresh: c.silence}
 	a.ctx, a.cancel = context.WithCancelCause(c.ctx)
 	c.offered++
 	c.not[ch.server.ID] = true
@@ -62,7 +62,7 @@
 // patience returns how long the server may be silent: as long as events of another one are kept back for it, not much longer
 // than a pause that is in time.
 func (a *attempt) patience() time.Duration {
-	if a.beside == nil {
+	if a.hedges == nil {
 		return a.choice.silence()
 	}
 	return max(a.call.route.PauseGoal, a.choice.first*3/2)
@@ -72,13 +72,13 @@
 func (a *attempt) run() {
 	result, err := a.begin()
 	if err == nil {
-		if a.takeOver() {
+		if a.win() {
 			return
 		}
 		// Its server has run it, though nobody gets the answer.
 		result, err = stepLost, context.Cause(a.ctx)
 	}
-	a.fall(result, err)
+	a.fail(result, err)
 	a.finish()
 }
 
@@ -90,18 +90,18 @@
 	return c.passage, !c.over && slices.Contains(c.asked, a)
 }
 
-// takeOver makes the attempt the one that answers, in place of all others; false when the call goes on without it.
-func (a *attempt) takeOver() bool {
+// win makes the attempt the one that answers, in place of all others; false when the call goes on without it.
+func (a *attempt) win() bool {
 	c := a.call
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.over || a.ctx.Err() != nil || c.holder != nil && c.holder != a.beside {
+	if c.over || a.ctx.Err() != nil || c.winner != nil && c.winner != a.hedges {
 		return false
 	}
 	c.asked = slices.DeleteFunc(c.asked, func(other *attempt) bool { return other == a })
 	others := c.asked
-	if c.holder != nil {
-		others = append(others, c.holder)
+	if c.winner != nil {
+		others = append(others, c.winner)
 	}
 	for _, other := range others {
 		other.cancel(&HandedOnError{Server: other.choice.server.ID, To: a.choice.server.ID})
@@ -109,13 +109,13 @@
 	if len(others) > 0 {
 		handovers("taken").Inc()
 	}
-	c.asked, c.holder, c.last = nil, a, a.choice
+	c.asked, c.winner, c.last = nil, a, a.choice
 	c.tell()
 	return true
 }
 
-// fall notes that the attempt came to nothing; what was asked beside it goes on.
-func (a *attempt) fall(result step, err error) {
+// fail notes that the attempt came to nothing; what was asked beside it goes on.
+func (a *attempt) fail(result step, err error) {
 	c := a.call
 	c.mu.Lock()
 	if c.over {
@@ -128,7 +128,7 @@
 		c.refused++
 		c.refusals[a.choice.server.ID] = time.Now()
 	}
-	c.fallen = append(c.fallen, fall{kept: a.got, result: result, err: err})
+	c.failed = append(c.failed, failure{kept: a.got, result: result, err: err})
 	p, stays := c.passage, c.stays()
 	c.mu.Unlock()
 	c.noteStep(a, result, err)
@@ -147,8 +147,8 @@
 // the request's line names; mu is held.
 func (c *call) stays() bool {
 	switch {
-	case c.holder != nil:
-		c.last = c.holder.choice
+	case c.winner != nil:
+		c.last = c.winner.choice
 	case len(c.asked) > 0:
 		c.last = c.asked[0].choice
 	default:
@@ -169,15 +169,15 @@
 func (c *call) asking() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.holder != nil || len(c.asked) > 0 || len(c.fallen) > 0
+	return c.winner != nil || len(c.asked) > 0 || len(c.failed) > 0
 }
 
 // await waits until an attempt has begun to answer or has ended without; all end when the call's time does.
-func (c *call) await() (held *attempt, falls []fall) {
+func (c *call) await() (held *attempt, falls []failure) {
 	<-c.changed
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	held, falls, c.fallen = c.holder, c.fallen, nil
+	held, falls, c.failed = c.winner, c.failed, nil
 	return held, falls
 }
 
@@ -221,10 +221,10 @@
 		a.cancel(err)
 		return
 	}
-	c.askBeside(a, err)
+	c.hedge(a, err)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if a.listens.Load() && !c.over && (c.holder == a || slices.Contains(c.asked, a)) {
+	if a.listens.Load() && !c.over && (c.winner == a || slices.Contains(c.asked, a)) {
 		a.quiet.Reset(askAgain << min(c.refused, maxRefusals))
 	}
 }
@@ -233,7 +233,7 @@
 func (a *attempt) heldUpFor() bool {
 	c := a.call
 	c.mu.Lock()
-	p, atWork := c.passage, a.beside != nil && c.holder == a.beside
+	p, atWork := c.passage, a.hedges != nil && c.winner == a.hedges
 	c.mu.Unlock()
 	return p != nil && atWork && p.waitsFor(a)
 }
@@ -247,22 +247,22 @@
 	return first
 }
 
-// askBeside sends the request to another server beside the attempt, when that one is the only one and the other will begin in
+// hedge sends the request to another server beside the attempt, when that one is the only one and the other will begin in
 // time.
-func (c *call) askBeside(a *attempt, cause error) {
+func (c *call) hedge(a *attempt, cause error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	p := c.passage
-	if c.over || !c.mayAskBeside() || !c.only(a) || c.holder != nil && (p == nil || !p.resumable()) {
+	if c.over || !c.mayHedge() || !c.only(a) || c.winner != nil && (p == nil || !p.resumable()) {
 		return
 	}
 	_, closes := cause.(*ClosingError)
-	ch, ok := c.chooseBeside(a, closes)
+	ch, ok := c.chooseHedge(a, closes)
 	if !ok || !c.entry.budget.Again(c.service.Name, time.Now()) {
 		return
 	}
 	c.urgent = c.urgent || closes || p != nil
-	b := c.offer(ch)
+	b := c.begin(ch)
 	c.entry.log.WithFields(log.Fields{
 		"id": c.ask.ID, "server": a.choice.server.ID, "to": b.choice.server.ID, "cause": cause.Error(), "begun": p != nil,
 	}).Info("forward: another server is asked")
@@ -270,15 +270,15 @@
 
 // only reports whether the attempt is the only one in progress; mu is held.
 func (c *call) only(a *attempt) bool {
-	if c.holder != nil {
-		return c.holder == a && len(c.asked) == 0
+	if c.winner != nil {
+		return c.winner == a && len(c.asked) == 0
 	}
 	return len(c.asked) == 1 && c.asked[0] == a
 }
 
-// forgive lets servers be asked again that have refused the request a while ago: what they had no room for may fit now. mu is
+// readmit lets servers be asked again that have refused the request a while ago: what they had no room for may fit now. mu is
 // held.
-func (c *call) forgive(now time.Time) {
+func (c *call) readmit(now time.Time) {
 	for id, at := range c.refusals {
 		if now.Sub(at) >= askAgain {
 			delete(c.refusals, id)
@@ -287,10 +287,10 @@
 	}
 }
 
-// chooseBeside chooses the server that is asked beside an attempt; mu is held.
-func (c *call) chooseBeside(a *attempt, closes bool) (choice, bool) {
+// chooseHedge chooses the server that is asked beside an attempt; mu is held.
+func (c *call) chooseHedge(a *attempt, closes bool) (choice, bool) {
 	if !closes {
-		c.forgive(time.Now())
+		c.readmit(time.Now())
 	}
 	want := c.wanted()
 	want.moves = false
--- a/forward/leave.go
+++ b/forward/leave.go
@@ -26,8 +26,8 @@
 	// An answer may take leaveFactor times as long as predicted, and leaveMargin more, for its request to be begun in a leave.
 	leaveFactor = 2
 	leaveMargin = 500 * time.Millisecond
-	// leaveComeBack is when a caller whose request is not begun is told to come back; its next connection leads to another entry.
-	leaveComeBack = 100 * time.Millisecond
+	// leaveRetryAfter is when a caller whose request is not begun is told to come back; its next connection leads to another entry.
+	leaveRetryAfter = 100 * time.Millisecond
 )
 
 // Leave takes the entry out of service. The balancer is told, and each answer tells its caller to go elsewhere; requests are
--- a/forward/move.go
+++ b/forward/move.go
@@ -91,7 +91,7 @@
 // move has another server asked because the attempt's is closing: the same request from its begin, or a stream from where it
 // is, on the same version.
 func (a *attempt) move() {
-	a.call.askBeside(a, &ClosingError{Server: a.choice.server.ID})
+	a.call.hedge(a, &ClosingError{Server: a.choice.server.ID})
 }
 
 // few reports whether so many servers are too few to take over what others hand on.
--- a/forward/reader_test.go
+++ b/forward/reader_test.go
@@ -99,7 +99,7 @@
 	store := &countedStore{fixedSource: fixedSource{declared: view.Declared{Config: cfg}}}
 	store.have("1", "2")
 	m := machine.Machine{ID: host, Address: host, Site: "z", LinkPort: port, Bounds: machine.Bounds{Drain: 2 * time.Second}}
-	source := told.NewForEntry(view.Insist(store), ListWait(m.Bounds.Drain))
+	source := told.NewForEntry(view.Reissue(store), ListWait(m.Bounds.Drain))
 	v := view.New(source, view.Options{Log: logger})
 	links, err := net.Listen("tcp", m.LinkAt(host))
 	if err != nil {
--- a/forward/comeback.go
+++ b/forward/retryafter.go
@@ -10,12 +10,12 @@
 )
 
 const (
-	// comeBack is when a caller is told to come back at the earliest, comeBackSpread how much later at most, loadComeBack how
-	// much later where no server takes requests, plainComeBack the time where nothing is predicted.
-	comeBack       = 400 * time.Millisecond
-	comeBackSpread = 900 * time.Millisecond
-	loadComeBack   = 600 * time.Millisecond
-	plainComeBack  = 300 * time.Millisecond
+	// leastRetryAfter is when a caller is told to come back at the earliest, retryAfterSpread how much later at most, loadRetryAfter how
+	// much later where no server takes requests, plainRetryAfter the time where nothing is predicted.
+	leastRetryAfter       = 400 * time.Millisecond
+	retryAfterSpread = 900 * time.Millisecond
+	loadRetryAfter   = 600 * time.Millisecond
+	plainRetryAfter  = 300 * time.Millisecond
 	// enoughShare is the part of a service's servers, one in so many, that has to be back before callers are.
 	enoughShare = 4
 )
@@ -35,19 +35,19 @@
 	return wait, ok
 }
 
-// comeBack says when a request is likely to be served in time: when what waits at the best server has been read, or when
+// retryAfter says when a request is likely to be served in time: when what waits at the best server has been read, or when
 // the servers that load now are back. Callers are spread over some time more, since they would all meet again.
-func (e *Entry) comeBack(service *contract.Service, route *contract.Route, now time.Time) time.Duration {
+func (e *Entry) retryAfter(service *contract.Service, route *contract.Route, now time.Time) time.Duration {
 	if service.Engine == nil {
-		return plainComeBack
+		return plainRetryAfter
 	}
 	after, known := e.readyIn(service.Name, now)
 	if wait, ok := e.soonest(service, now); ok {
 		after = max(wait-route.Goal, 0)
 	} else if !known {
-		after = loadComeBack
+		after = loadRetryAfter
 	}
-	return after + comeBack + rand.N(comeBackSpread)
+	return after + leastRetryAfter + rand.N(retryAfterSpread)
 }
 
 // readyIn returns how soon enough servers of a service are likely to run what they should, by what their boxes report; known
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -84,8 +84,8 @@
 func (p *passage) next(ctx context.Context, gone *attempt) (*attempt, error) {
 	c := p.call
 	c.mu.Lock()
-	if c.holder == gone {
-		c.holder = nil
+	if c.winner == gone {
+		c.winner = nil
 	}
 	c.mu.Unlock()
 	for until := time.Now().Add(resumeTime); ; p.pause(ctx) {
@@ -136,7 +136,7 @@
 		return errNoResume
 	}
 	c.urgent = true
-	c.forgive(time.Now())
+	c.readmit(time.Now())
 	want := c.wanted()
 	want.exact = p.version
 	ch, ok := c.entry.choose(want, time.Now())
@@ -147,7 +147,7 @@
 		return errNoBudget
 	}
 	resumes.Inc()
-	c.offer(ch)
+	c.begin(ch)
 	return nil
 }
 
@@ -178,7 +178,7 @@
 func (p *passage) complete(a *attempt) error {
 	c := p.call
 	c.mu.Lock()
-	if c.holder != a {
+	if c.winner != a {
 		c.mu.Unlock()
 		return context.Cause(a.ctx)
 	}
--- a/internal/daemoncmd/daemon.go
+++ b/internal/daemoncmd/daemon.go
@@ -63,7 +63,7 @@
 		Log: logger, Drain: m.Bounds.Drain, VersionBound: m.Bounds.Version, Wait: view.WaitWithin(m.Bounds.Contact),
 		ServersSettle: view.SettleWithin(m.Bounds.Drain),
 	}
-	store := view.Insist(platform.NewStore(m.StoreAt, newClient()))
+	store := view.Reissue(platform.NewStore(m.StoreAt, newClient()))
 	if !of.told {
 		source := told.NewForEntry(store, forward.ListWait(m.Bounds.Drain))
 		return view.New(source, opts), sources{entry: source}
--- a/view/insist.go
+++ b/view/reissue.go
@@ -6,41 +6,41 @@
 )
 
 const (
-	// insistAfter is how long the answer to a small call may be overdue before the call is made anew beside it, readAfter the
+	// reissueAfter is how long the answer to a small call may be overdue before the call is made anew beside it, readAfter the
 	// same for a whole read, whose answer is long. A connection may fall silent for good while new ones work: without the
 	// second call an entry knew of a configuration 12 s late, with it and waits of 1.5 s 2.1 s at most (virtual time, tests here).
-	insistAfter = 500 * time.Millisecond
+	reissueAfter = 500 * time.Millisecond
 	readAfter   = 1200 * time.Millisecond
 	// mostCalls is how many calls for the same thing are made at most.
 	mostCalls = 4
 )
 
-// Insist returns a source that makes a call anew, beside the first one, when its answer is overdue; the first answer counts.
-func Insist(source Source) Source { return insistent{source} }
+// Reissue returns a source that makes a call anew, beside the first one, when its answer is overdue; the first answer counts.
+func Reissue(source Source) Source { return reissuing{source} }
 
-// insistent is a source whose calls do not hang on one connection.
-type insistent struct{ source Source }
+// reissuing is a source whose calls do not hang on one connection.
+type reissuing struct{ source Source }
 
 // Declared reads the whole of what is declared.
-func (s insistent) Declared(ctx context.Context) (Declared, error) {
-	return insist(ctx, 0, readAfter, func(ctx context.Context, _ time.Duration) (Declared, error) { return s.source.Declared(ctx) })
+func (s reissuing) Declared(ctx context.Context) (Declared, error) {
+	return reissue(ctx, 0, readAfter, func(ctx context.Context, _ time.Duration) (Declared, error) { return s.source.Declared(ctx) })
 }
 
 // DeclaredAfter waits for a change of what is declared.
-func (s insistent) DeclaredAfter(ctx context.Context, cursor Cursor, wait time.Duration) (Declared, error) {
-	return insist(ctx, wait, insistAfter, func(ctx context.Context, wait time.Duration) (Declared, error) {
+func (s reissuing) DeclaredAfter(ctx context.Context, cursor Cursor, wait time.Duration) (Declared, error) {
+	return reissue(ctx, wait, reissueAfter, func(ctx context.Context, wait time.Duration) (Declared, error) {
 		return s.source.DeclaredAfter(ctx, cursor, wait)
 	})
 }
 
 // Servers reads the whole list of servers.
-func (s insistent) Servers(ctx context.Context) (Servers, error) {
-	return insist(ctx, 0, readAfter, func(ctx context.Context, _ time.Duration) (Servers, error) { return s.source.Servers(ctx) })
+func (s reissuing) Servers(ctx context.Context) (Servers, error) {
+	return reissue(ctx, 0, readAfter, func(ctx context.Context, _ time.Duration) (Servers, error) { return s.source.Servers(ctx) })
 }
 
 // ServersAfter waits for a change of the list of servers.
-func (s insistent) ServersAfter(ctx context.Context, cursor Cursor, wait time.Duration) (Servers, error) {
-	return insist(ctx, wait, insistAfter, func(ctx context.Context, wait time.Duration) (Servers, error) {
+func (s reissuing) ServersAfter(ctx context.Context, cursor Cursor, wait time.Duration) (Servers, error) {
+	return reissue(ctx, wait, reissueAfter, func(ctx context.Context, wait time.Duration) (Servers, error) {
 		return s.source.ServersAfter(ctx, cursor, wait)
 	})
 }
@@ -63,9 +63,9 @@
 	first bool
 }
 
-// insist makes a call, and makes it again without waiting each time an answer is overdue, until one has begun. It fails when
+// reissue makes a call, and makes it again without waiting each time an answer is overdue, until one has begun. It fails when
 // the first call fails before another has begun to be answered, or when all have failed.
-func insist[T any](
+func reissue[T any](
 	ctx context.Context, wait, after time.Duration, call func(ctx context.Context, wait time.Duration) (T, error),
 ) (T, error) {
 	ctx, cancel := context.WithCancel(ctx)
--- a/view/insist_test.go
+++ b/view/reissue_test.go
@@ -126,7 +126,7 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				s := &fakeStore{revision: 1, changed: make(chan struct{}), hangs: test.hangs, slow: test.slow, began: time.Now()}
-				v := New(Insist(s), Options{Log: &log.Logger{Handler: discard.Default, Level: log.InfoLevel}})
+				v := New(Reissue(s), Options{Log: &log.Logger{Handler: discard.Default, Level: log.InfoLevel}})
 				ctx, cancel := context.WithCancel(t.Context())
 				go func() { _ = v.ServeDeclared(ctx) }()
 				time.Sleep(test.declared)
@@ -150,7 +150,7 @@
 		silent := false
 		s := &fakeStore{revision: 1, changed: make(chan struct{}), began: time.Now()}
 		s.hangs = func(int, time.Duration) bool { return silent }
-		v := New(Insist(s), Options{Log: &log.Logger{Handler: discard.Default, Level: log.InfoLevel}})
+		v := New(Reissue(s), Options{Log: &log.Logger{Handler: discard.Default, Level: log.InfoLevel}})
 		ctx, cancel := context.WithCancel(t.Context())
 		go func() { _ = v.ServeDeclared(ctx) }()
 		time.Sleep(time.Minute)
@@ -187,7 +187,7 @@
 // storeFollowed returns a store and a view that follows it.
 func storeFollowed(t *testing.T, s *fakeStore) *View {
 	s.revision, s.changed, s.began = 1, make(chan struct{}), time.Now()
-	v := New(Insist(s), Options{Log: &log.Logger{Handler: discard.Default, Level: log.InfoLevel}})
+	v := New(Reissue(s), Options{Log: &log.Logger{Handler: discard.Default, Level: log.InfoLevel}})
 	ctx, cancel := context.WithCancel(t.Context())
 	go func() { _ = v.ServeDeclared(ctx) }()
 	t.Cleanup(func() {
--- a/view/view.go
+++ b/view/view.go
@@ -82,7 +82,7 @@
 	if bound <= 0 {
 		return DefaultWait
 	}
-	return max(bound-2*insistAfter, leastWait)
+	return max(bound-2*reissueAfter, leastWait)
 }
 
 // SettleWithin returns how long after a change of the list of servers the next is read, by how long a server that leaves may get
@@ -142,7 +142,7 @@
 	v.mu.RLock()
 	defer v.mu.RUnlock()
 	// A feed that works is answered sooner.
-	return v.now().Sub(v.confirmed) > v.opts.Wait+2*insistAfter
+	return v.now().Sub(v.confirmed) > v.opts.Wait+2*reissueAfter
 }
 
 // confirm notes that the store has answered what is declared.
