--- a/forward/retryafter.go
+++ b/forward/retryafter.go
@@ -12,7 +12,7 @@
 const (
 	// leastRetryAfter is when a caller is told to come back at the earliest, retryAfterSpread how much later at most, loadRetryAfter how
 	// much later where no server takes requests, plainRetryAfter the time where nothing is predicted.
-	leastRetryAfter       = 400 * time.Millisecond
+	leastRetryAfter  = 400 * time.Millisecond
 	retryAfterSpread = 900 * time.Millisecond
 	loadRetryAfter   = 600 * time.Millisecond
 	plainRetryAfter  = 300 * time.Millisecond
--- a/view/reissue.go
+++ b/view/reissue.go
@@ -10,7 +10,7 @@
 	// same for a whole read, whose answer is long. A connection may fall silent for good while new ones work: without the
 	// second call an entry knew of a configuration 12 s late, with it and waits of 1.5 s 2.1 s at most (virtual time, tests here).
 	reissueAfter = 500 * time.Millisecond
-	readAfter   = 1200 * time.Millisecond
+	readAfter    = 1200 * time.Millisecond
 	// mostCalls is how many calls for the same thing are made at most.
 	mostCalls = 4
 )
