An entry that starts does not take itself for one of few

Cause: until boxes tell how many entries hear them an entry believed that it is the only one, so its share of all boxes was all of them: each entry of the large deployment linked to every box at its start, and let most go seconds later. Found by TestLeavingServersAreHeardToTheEnd, written for something else.

Ruled out: the largest count seen so far (after a loss of many entries it would be wrong for good).

Change: for 5 s after its start an entry keeps to the least number of boxes.

--- a/forward/entry.go
+++ b/forward/entry.go
@@ -58,6 +58,7 @@
 	// closes is when a leaving entry closes the connections that rest at the latest; it is set before leaving is.
 	closes  atomic.Pointer[time.Time]
 	leaving atomic.Bool
+	began   time.Time
 }
 
 // New returns an entry that does not run yet.
@@ -65,7 +66,7 @@
 	bounds := cfg.Machine.Bounds
 	e := &Entry{
 		cfg: cfg, log: cfg.Log, transport: newTransport(), fresh: newTransport(),
-		budget: NewBudget(bounds.RetryRatio, bounds.RetrySlack, bounds.RetryWindow),
+		budget: NewBudget(bounds.RetryRatio, bounds.RetrySlack, bounds.RetryWindow), began: time.Now(),
 	}
 	e.fresh.DisableKeepAlives = true
 	e.upstreams.weigh = e.weigh
--- a/forward/keep.go
+++ b/forward/keep.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"time"
 
 	"github.com/coralstair/coralstair/contract"
 	"github.com/coralstair/coralstair/subset"
@@ -12,6 +13,18 @@
 // its own can take a request. What a link costs is the same for both ends, so that each has a bounded number of them (204 boxes
 // and 53 entries had 10,812, which took three quarters of all processor time).
 
+// countTime is how long after its start an entry does not go by how many entries boxes hear: while all of them start each would
+// take itself for one of few, and link to all boxes.
+const countTime = 5 * time.Second
+
+// countedEntries returns how many entries there are, 0 while that is not known.
+func (e *Entry) countedEntries() int {
+	if time.Since(e.began) < countTime {
+		return 0
+	}
+	return e.budget.Entries()
+}
+
 // weigh returns the servers that the entry keeps to, by id, with for how many entries it stands there.
 func (e *Entry) weigh(servers []view.Listed) map[string]float64 {
 	cfg := e.cfg.View.Config()
@@ -34,7 +47,7 @@
 		}
 	}
 	for service, of := range boxes {
-		for _, chosen := range subset.Choose(e.cfg.Machine.ID, e.cfg.Machine.Site, of, e.budget.Entries()) {
+		for _, chosen := range subset.Choose(e.cfg.Machine.ID, e.cfg.Machine.Site, of, e.countedEntries()) {
 			for _, id := range ids[service+"/"+chosen.Host] {
 				weights[id] = chosen.Weight
 			}
--- a/swarm/feedfixture_test.go
+++ b/swarm/feedfixture_test.go
@@ -33,6 +33,8 @@
 	draws   int
 	crossed int
 	twice   int
+	// news is how many messages told a partner of pieces.
+	news int
 }
 
 // feedWant is a piece that a box asked for.
@@ -162,6 +164,9 @@
 	queue := len(w.asks[to])
 	for _, other := range w.order.members {
 		if other.ID != to && (other.Site == f.self.Site || f.Drawer(piece) || from == "" || f.Complete()) {
+			if w.feeds[other.ID].peers[to] != nil {
+				w.news++
+			}
 			w.after(newsTime, func() { w.feeds[other.ID].PeerHas(to, false, pieces, queue, w.now) })
 		}
 	}
