--- a/forward/reader.go
+++ b/forward/reader.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/apex/log"
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/coralstair/coralstair/contract"
@@ -112,12 +113,15 @@
 			}
 			continue
 		}
-		if lr.follow(ctx, host) {
+		lr.entry.log.WithField("reader", host).Info("entry: the list of servers is heard from another entry")
+		failed := lr.follow(ctx, host)
+		if failed {
 			lr.mu.Lock()
 			lr.resting[host] = time.Now().Add(readerRest)
 			lr.mu.Unlock()
 		}
 		lr.entry.cfg.Told.Silent()
+		lr.entry.log.WithFields(log.Fields{"reader": host, "failed": failed}).Info("entry: the list of servers is read from the store")
 	}
 	return ctx.Err()
 }
