A request taken away from its server looks for another place before it is given up

Cause: each had waited at a server of an older version and was taken away before the bound on it; the next server refused it, all others were about to load, and the request, which may have run, was given up at once, though its caller had five seconds left.

Ruled out: load as the cause (the stories show the decision); taking requests away later (VERSION).

Change: a request that may have run and may run again looks for a place for 1.5 s, as streams that broke off do already. TestRequestTakenAwayWaitsForAPlace: 502 after 0.7 s before, the whole answer after.

--- a/forward/call.go
+++ b/forward/call.go
@@ -110,7 +110,7 @@
 	var kept *answer
 	var err error
 	for {
-		if err := c.askNext(); err != nil {
+		if err := c.askNextInTime(ctx); err != nil {
 			c.giveUp(ctx, kept, err)
 			return
 		}
@@ -137,6 +137,26 @@
 	}
 }
 
+// askNextInTime sends the request to the next server. One that may have run already, and may run again, looks for a place for some
+// time: given up at once its caller would be told that nobody knows (two of 2,087 requests beside planned work, when all other
+// servers were about to load as well).
+func (c *call) askNextInTime(ctx context.Context) error {
+	for until := time.Now().Add(resumeTime); ; {
+		err := c.askNext()
+		if !errors.As(err, new(*NoServerError)) || !c.unknown || !c.route.Repeatable() || time.Now().After(until) {
+			return err
+		}
+		select {
+		case <-ctx.Done():
+			return err
+		case <-time.After(askAgain):
+		}
+		c.mu.Lock()
+		c.readmit(time.Now())
+		c.mu.Unlock()
+	}
+}
+
 // askNext sends the request to the next server.
 func (c *call) askNext() error {
 	c.mu.Lock()
