An entry that starts does not send what its earlier life has sent already

Cause: entries that are killed forget what they sent a second time in the window, and until boxes tell them of the others each takes itself for the only one that shares the slack.

Ruled out: no slack at all in the first window (an entry with few requests could repeat nothing); the spent budget in the store (a write a second send).

Change: until told an entry is one of twenty, and in its first window it uses a quarter of its share of the slack, where it uses 0.7 later.

--- a/forward/budget.go
+++ b/forward/budget.go
@@ -11,6 +11,9 @@
 	slack  int
 	window time.Duration
 
+	// began is when the entry started; zero for long ago.
+	began time.Time
+
 	mu      sync.Mutex
 	entries int
 	of      map[string]*windowed
@@ -29,9 +32,17 @@
 // safetyShare is the part of the budget that is used: entries see their number late.
 const safetyShare = 0.7
 
+// startShare is the part of the slack that is used in the first window after a start: what the entry sent in an earlier life is
+// forgotten, and still counts. With the whole of it, and each entry for itself until it knew of the others, four of five entries
+// that were killed while servers refused a third of all requests sent more than all may together.
+const startShare = 0.25
+
+// unknownEntries is how many entries are taken to share the slack until boxes tell.
+const unknownEntries = 20
+
 // NewBudget returns a budget of ratio times the requests and slack more in a window, over all entries.
 func NewBudget(ratio float64, slack int, window time.Duration) *Budget {
-	return &Budget{ratio: ratio, slack: slack, window: window, entries: 1, of: make(map[string]*windowed)}
+	return &Budget{ratio: ratio, slack: slack, window: window, entries: unknownEntries, of: make(map[string]*windowed)}
 }
 
 // First counts a request of a service.
@@ -65,7 +76,11 @@
 		first += w.first[i]
 		again += w.again[i]
 	}
-	allowed := safetyShare * (b.ratio*float64(first) + float64(b.slack)/float64(b.entries))
+	slack := float64(b.slack) / float64(b.entries)
+	if now.Sub(b.began) < b.window {
+		slack *= startShare / safetyShare
+	}
+	allowed := safetyShare * (b.ratio*float64(first) + slack)
 	if float64(again+1) > allowed {
 		noBudget.Inc()
 		return false
--- a/forward/entry.go
+++ b/forward/entry.go
@@ -68,6 +68,7 @@
 		cfg: cfg, log: cfg.Log, transport: newTransport(), fresh: newTransport(),
 		budget: NewBudget(bounds.RetryRatio, bounds.RetrySlack, bounds.RetryWindow), began: time.Now(),
 	}
+	e.budget.began = e.began
 	e.fresh.DisableKeepAlives = true
 	e.upstreams.weigh = e.weigh
 	e.reports = newReports(e)
--- a/forward/fixture_test.go
+++ b/forward/fixture_test.go
@@ -146,6 +146,9 @@
 	for deadline := time.Now().Add(2 * time.Second); !v.Ready() && time.Now().Before(deadline); {
 		time.Sleep(time.Millisecond)
 	}
+	// The entry has run for long, and is the only one.
+	e.budget.began = time.Time{}
+	e.budget.SetEntries(1)
 	e.upstreams.update(v.Servers())
 	server := httptest.NewServer(e)
 	t.Cleanup(func() {
