--- a/forward/call.go
+++ b/forward/call.go
@@ -13,6 +13,7 @@
 	"github.com/coralstair/coralstair/admission"
 	"github.com/coralstair/coralstair/contract"
 	"github.com/coralstair/coralstair/engine"
+	"github.com/coralstair/coralstair/quarantine"
 )
 
 const (
@@ -76,6 +77,11 @@
 	last    choice
 	first   time.Duration
 	story   []string
+
+	// print tells the request when it comes again; it is made when it is needed first. lost says that a server broke off under it.
+	print     quarantine.Fingerprint
+	printOnce sync.Once
+	lost      bool
 }
 
 // failure is how an attempt ended without an answer.
@@ -309,11 +315,16 @@
 		return
 	}
 	reason, pause := a.choice.up.after(result, err, time.Now())
+	lost := a.brokenOff(result, err)
+	if lost {
+		c.entry.noteBroken(a, err)
+	}
 	if err != nil {
 		reason += ": " + err.Error()
 	}
 	c.mu.Lock()
 	c.story = append(c.story, a.choice.server.ID+" "+reason)
+	c.lost = c.lost || lost
 	c.mu.Unlock()
 	c.leftAlone(a, pause, reason)
 }
@@ -373,5 +384,8 @@
 	if c.offered+c.refused > 1 {
 		fields["tries"] = c.story
 	}
+	if c.lost {
+		fields["fingerprint"] = c.fingerprint().String()
+	}
 	c.entry.log.WithFields(fields).Info("request")
 }
--- a/forward/fixture_test.go
+++ b/forward/fixture_test.go
@@ -193,10 +193,22 @@
 
 // fake is a server of the test's own that answers with raw bytes.
 type fake struct {
-	address string
-	mu      sync.Mutex
-	got     []*http.Request
-	bodies  []string
+	address  string
+	listener net.Listener
+	mu       sync.Mutex
+	got      []*http.Request
+	bodies   []string
+	conns    []net.Conn
+}
+
+// end ends the server: nothing listens there any more, and its connections break off.
+func (f *fake) end() {
+	_ = f.listener.Close()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, conn := range f.conns {
+		_ = conn.Close()
+	}
 }
 
 // newFake starts a server; answer writes what it likes for each request, and false ends the connection.
@@ -207,13 +219,16 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = listener.Close() })
-	f := &fake{address: listener.Addr().String()}
+	f := &fake{address: listener.Addr().String(), listener: listener}
 	go func() {
 		for {
 			conn, err := listener.Accept()
 			if err != nil {
 				return
 			}
+			f.mu.Lock()
+			f.conns = append(f.conns, conn)
+			f.mu.Unlock()
 			go f.serve(conn, answer)
 		}
 	}()
--- a/forward/leavefixture_test.go
+++ b/forward/leavefixture_test.go
@@ -103,11 +103,7 @@
 }
 
 // line returns the latest line of the entry's log with a message; nil when there is none.
-func (w *leavingWorld) line(message string) *log.Entry {
-	w.lines.mu.Lock()
-	defer w.lines.mu.Unlock()
-	return w.lines.latest[message]
-}
+func (w *leavingWorld) line(message string) *log.Entry { return w.lines.of(message) }
 
 // lines keeps the latest line of a log for each message.
 type lines struct {
@@ -115,6 +111,13 @@
 	latest map[string]*log.Entry
 }
 
+// of returns the latest line with a message; nil when there is none.
+func (l *lines) of(message string) *log.Entry {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.latest[message]
+}
+
 // HandleLog takes one line.
 func (l *lines) HandleLog(line *log.Entry) error {
 	l.mu.Lock()
--- a/forward/metrics.go
+++ b/forward/metrics.go
@@ -8,6 +8,7 @@
 	repeats      = metrics.NewCounter("coralstair_repeats_total")
 	noBudget     = metrics.NewCounter("coralstair_repeats_without_budget_total")
 	panics       = metrics.NewCounter("coralstair_panics_total")
+	serversEnded = metrics.NewCounter("coralstair_servers_ended_total")
 	firstEvent   = metrics.NewHistogram("coralstair_first_event_seconds")
 	answerTime   = metrics.NewHistogram("coralstair_answer_seconds")
 	reportsTaken = metrics.NewCounter("coralstair_reports_taken_total")
--- a/forward/upstream.go
+++ b/forward/upstream.go
@@ -70,6 +70,12 @@
 	until    time.Time
 	// denied is when the server itself said that it is not what the list and its box say; zero once these say something new.
 	denied time.Time
+
+	// broken are the requests whose connections ended of late, checking says that it is being found out whether the server has;
+	// endedAt is when it was found that it had.
+	broken   []broken
+	checking bool
+	endedAt  time.Time
 }
 
 // ticket is one request at a server, from its sending to its end.
