--- a/lab/standin/answer.go
+++ b/lab/standin/answer.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
@@ -36,7 +37,7 @@
 // request answers a request, as far as the server is not harmed.
 func (s *Server) request(w http.ResponseWriter, r *http.Request) {
 	// Only with the body read does the server hear of a caller that has gone.
-	_, _ = io.Copy(io.Discard, r.Body)
+	body, _ := io.ReadAll(r.Body)
 	w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
 	run, refused := s.begin(r)
 	if refused != 0 {
@@ -50,6 +51,10 @@
 	harm, count := s.harm, s.requests
 	s.mu.Unlock()
 	switch {
+	case bytes.HasPrefix(body, []byte(DeadlyBody)):
+		time.Sleep(workTime)
+		go s.die(run.ID)
+		<-r.Context().Done()
 	case harm.Hang:
 		<-r.Context().Done()
 	case every(harm.Lose, count):
--- a/lab/standin/caller.go
+++ b/lab/standin/caller.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -23,6 +24,8 @@
 	Prompt int
 	Tokens int
 	Wait   time.Duration
+	// Body is what is sent; empty for a usual one.
+	Body string
 }
 
 // Answer is what a caller got. Cut says that the connection ended before the answer did, Wrong what must not be.
@@ -53,6 +56,9 @@
 	return a.Status == http.StatusUnauthorized || a.Status == http.StatusForbidden || a.Status == http.StatusNotFound
 }
 
+// DeadlyBody is what the body of a request begins with that ends each server that runs it.
+const DeadlyBody = "deadly"
+
 // askBody is what a caller sends: net/http would repeat a request without a body by itself.
 const askBody = `{"soak":true}`
 
@@ -72,11 +78,12 @@
 
 // request returns the request as it goes to an entry.
 func (a Ask) request(ctx context.Context, entry string) (*http.Request, error) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+entry+a.Path, io.NopCloser(strings.NewReader(askBody)))
+	body := cmp.Or(a.Body, askBody)
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+entry+a.Path, io.NopCloser(strings.NewReader(body)))
 	if err != nil {
 		return nil, err
 	}
-	req.ContentLength = int64(len(askBody))
+	req.ContentLength = int64(len(body))
 	req.Host = a.Host
 	req.Header.Set("X-Request-Id", a.ID)
 	req.Header.Set("X-Deadline-Ms", strconv.FormatInt(a.Wait.Milliseconds(), 10))
--- a/lab/standin/server.go
+++ b/lab/standin/server.go
@@ -46,6 +46,8 @@
 	Slots   int
 	Store   *Store
 	Runs    *Runs
+	// Died is called when a request has ended the server; nil for nothing.
+	Died func(request string)
 
 	mu       sync.Mutex
 	id       string
@@ -109,6 +111,14 @@
 	_ = server.Close()
 }
 
+// die ends the server under a request.
+func (s *Server) die(request string) {
+	s.Crash()
+	if s.Died != nil {
+		s.Died(request)
+	}
+}
+
 // Forget takes the server's row away.
 func (s *Server) Forget() { s.Store.Put(TableServers, s.ID(), nil) }
 
--- a/soak/judge.go
+++ b/soak/judge.go
@@ -25,6 +25,7 @@
 	arrivals []standin.Arrival
 	spans    []span
 	calm     calm
+	deaths   []death
 	asked    map[string]outcome
 	broken   []string
 	lost     []string
@@ -54,9 +55,12 @@
 	j.runsOnce()
 	j.revisions()
 	j.budget()
-	if j.rig.opts.planned != nil {
+	switch {
+	case j.rig.opts.planned != nil:
 		j.nothingLost()
-	} else {
+	case j.rig.opts.Deadly > 0:
+		j.deadlyHeld()
+	default:
 		j.plannedStops()
 		j.calmBounds()
 	}
--- a/soak/rig.go
+++ b/soak/rig.go
@@ -66,6 +66,7 @@
 	toBox    []*hop
 	toOrigin *hop
 	closers  []func()
+	deaths   deaths
 
 	mu       sync.Mutex
 	revision int64
@@ -152,6 +153,9 @@
 			Address: hostPort(ip, hopPort), Listen: hostPort(ip, serverPort),
 			Service: service, Zone: sites[i%len(sites)], Slots: r.size().slots, Store: r.store, Runs: r.runs,
 		}
+		if r.opts.Deadly > 0 {
+			r.mayDie(s)
+		}
 		if service == modelService {
 			s.Model = model
 			r.engines = append(r.engines, s)
@@ -159,7 +163,7 @@
 			r.plain = append(r.plain, s)
 		}
 		var h *hop
-		errs = append(errs, r.hop(&h, "server-"+ip, s.Address, s.Listen), s.Start(runs))
+		errs = append(errs, r.hop(&h, "server-"+ip, hostPort(ip, hopPort), s.Listen), s.Start(runs))
 		r.toServer = append(r.toServer, h)
 		r.closers = append(r.closers, s.Crash)
 	}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -25,6 +25,8 @@
 	Trouble time.Duration
 	// Lives adds servers that start again under their ids, and entries of other writers, twice as often as any other fault.
 	Lives bool
+	// Deadly is how many requests come again and again that end each server that runs them, beside restarts of all entries.
+	Deadly int
 	// planned returns planned work beside which nothing may be lost; nil has faults go on.
 	planned func(r *rig) []fault
 }
@@ -89,17 +91,20 @@
 	}
 	var on spans
 	var c calm
-	if opts.planned != nil {
+	switch {
+	case opts.planned != nil:
 		on.run(opts.planned(r))
 		tick(ctx, startTime)
-	} else {
+	case opts.Deadly > 0:
+		on.run(r.deadlyPlan(&out))
+	default:
 		on.run(r.plan())
 		c = r.beCalm(ctx, &on)
 	}
 	cancel()
 	wait()
 	j := &judge{
-		rig: r, outcomes: out.list(), runs: r.runs.All(), arrivals: r.runs.Arrivals(), spans: on.list(), calm: c,
+		rig: r, outcomes: out.list(), runs: r.runs.All(), arrivals: r.runs.Arrivals(), spans: on.list(), calm: c, deaths: r.deaths.list(),
 	}
 	return j.result(opts.Seed), nil
 }
