--- a/forward/call.go
+++ b/forward/call.go
@@ -112,6 +112,12 @@
 	defer c.end()
 	c.ctx, c.changed, c.refusals = ctx, make(chan struct{}, 1), make(map[string]time.Time)
 	c.entry.budget.First(c.service.Name, c.started)
+	if c.held() {
+		c.giveUp(ctx, nil, &HeldError{})
+		return
+	}
+	c.entry.calls.add(c)
+	defer c.entry.calls.remove(c)
 	c.waited = c.entry.admission.Of(c.service.Name).Waited(c.admissionAsk(), c.started)
 	var kept *answer
 	var err error
@@ -170,6 +176,9 @@
 	if c.offered == 0 && !c.endsInTime(time.Now()) {
 		return errLeaving
 	}
+	if c.held() {
+		return &HeldError{}
+	}
 	ch, err := c.next()
 	if err != nil {
 		return err
@@ -207,7 +216,7 @@
 
 // mayHedge reports whether a request that may have run may go to one more server; mu is held.
 func (c *call) mayHedge() bool {
-	return c.route.Repeatable() && c.offered < c.route.Attempts && c.refused < maxRefusals
+	return c.route.Repeatable() && c.offered < c.route.Attempts && c.refused < maxRefusals && !c.held()
 }
 
 // next chooses the next server; mu is held.
@@ -277,6 +286,8 @@
 		c.refuse(http.StatusGatewayTimeout, "out-of-time", "the time is over; it may have run", 0, err)
 	case c.unknown:
 		c.refuse(http.StatusBadGateway, "unknown", "no whole answer came; it may have run", 0, err)
+	case errors.As(err, new(*HeldError)):
+		c.refuse(http.StatusServiceUnavailable, "held", "servers have ended under this request; it is not sent to more", quarantine.KeepTime, err)
 	case errors.Is(err, errLeaving):
 		c.refuse(http.StatusServiceUnavailable, "leaving", "the entry ends before it would be answered", leaveRetryAfter, err)
 	default:
@@ -316,8 +327,11 @@
 	}
 	reason, pause := a.choice.up.after(result, err, time.Now())
 	lost := a.brokenOff(result, err)
-	if lost {
+	switch {
+	case lost:
 		c.entry.noteBroken(a, err)
+	case result == stepFailed, result == stepDone && err == nil:
+		c.noteAnswered()
 	}
 	if err != nil {
 		reason += ": " + err.Error()
@@ -351,7 +365,8 @@
 	case result == stepDone:
 		u.succeeded()
 		return "done", 0
-	case errors.As(err, new(*HandedOnError)), errors.As(err, new(*SilentError)), errors.As(err, new(*OverdueError)):
+	case errors.As(err, new(*HandedOnError)), errors.As(err, new(*SilentError)), errors.As(err, new(*OverdueError)),
+		errors.As(err, new(*HeldError)):
 		return "left", 0
 	default:
 		return "lost", u.failed(now)
--- a/forward/ended.go
+++ b/forward/ended.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"slices"
+	"strconv"
 	"syscall"
 	"time"
 
@@ -18,9 +19,11 @@
 // again. A connection alone that breaks off says nothing: links are reset too.
 
 const (
-	// endCheckTime is how long it may take to find out whether a server has ended: a dead port refuses at once.
+	// endCheckTime is how long it may take to find out whether a server has ended: a dead port refuses at once. endWait is how long a
+	// request waits for that before it goes to another server, which may end under it as well: some round trips.
 	endCheckTime = 400 * time.Millisecond
-	// endGather is how long after a server ended its broken connections are gathered: they break within milliseconds.
+	endWait      = 100 * time.Millisecond
+	// endGather is how long after a server ended its broken connections are gathered for the log: they break within milliseconds.
 	endGather = 20 * time.Millisecond
 	// endLife is how long an end that was found counts for connections that break off later.
 	endLife = time.Second
@@ -39,50 +42,57 @@
 	return result == stepLost && (a.ctx.Err() == nil || errors.As(err, new(*RestartedError)))
 }
 
-// fingerprint tells the request when it comes again.
-func (c *call) fingerprint() quarantine.Fingerprint {
-	c.printOnce.Do(func() {
-		caller := c.teamName()
-		if caller == "" {
-			caller = c.ask.Key
-		}
-		c.print = quarantine.FingerprintOf(caller, c.r.Method, c.r.Host, c.r.RequestURI, c.body)
-	})
-	return c.print
-}
-
-// noteBroken notes that a request's connection to a server has ended, and finds out whether the server has.
+// noteBroken notes that a request's connection to a server has ended, and finds out whether the server has; it returns once that
+// is known.
 func (e *Entry) noteBroken(a *attempt, err error) {
 	up, request, now := a.choice.up, a.call.fingerprint(), time.Now()
-	ended := errors.As(err, new(*RestartedError))
 	up.mu.Lock()
-	defer up.mu.Unlock()
 	up.broken = append(up.broken, broken{request: request, at: now})
-	if ended {
+	if errors.As(err, new(*RestartedError)) {
 		up.endedAt = now
 	}
-	if !up.checking {
-		up.checking = true
-		go e.checkEnded(up)
+	if up.checked == nil {
+		up.checked = make(chan struct{})
+		go e.checkEnded(up, up.checked)
+	}
+	checked := up.checked
+	up.mu.Unlock()
+	select {
+	case <-checked:
+	case <-time.After(endWait):
 	}
 }
 
-// checkEnded finds out whether a server has ended, and notes the requests that were there.
-func (e *Entry) checkEnded(up *upstream) {
+// checkEnded finds out whether a server has ended, and tells which requests were there.
+func (e *Entry) checkEnded(up *upstream, checked chan struct{}) {
 	ended := up.endedLately(time.Now()) || refuses(up.address())
-	if ended {
-		time.Sleep(endGather)
+	life, requests := up.takeBroken(ended, time.Now())
+	if len(requests) > 0 {
+		e.cfg.Quarantine.Ended(life, requests)
 	}
-	server, born, requests := up.takeBroken(ended, time.Now())
-	if len(requests) == 0 {
-		return
+	close(checked)
+	if len(requests) > 0 && up.logsEnd(requests) {
+		time.Sleep(endGather)
+		e.logEnd(life, up.loggedEnd())
 	}
+}
+
+// logEnd writes the line of a server that has ended.
+func (e *Entry) logEnd(life string, requests []quarantine.Fingerprint) {
 	serversEnded.Inc()
 	names := make([]string, len(requests))
 	for i, request := range requests {
 		names[i] = request.String()
 	}
-	e.log.WithFields(log.Fields{"server": server, "born": born, "requests": names}).Warn("forward: a server ended under requests")
+	e.log.WithFields(log.Fields{"life": life, "requests": names}).Warn("forward: a server ended under requests")
+}
+
+// lifeName names a life of a server alike at all entries.
+func lifeName(server string, born int64) string {
+	if born == 0 {
+		return server
+	}
+	return server + "@" + strconv.FormatInt(born, 10)
 }
 
 // refuses reports whether nothing listens at an address.
@@ -110,13 +120,13 @@
 
 // takeBroken ends a check: with the requests whose connections broke off, each once, when the server has ended; else these wait
 // for a while.
-func (u *upstream) takeBroken(ended bool, now time.Time) (server string, born int64, requests []quarantine.Fingerprint) {
+func (u *upstream) takeBroken(ended bool, now time.Time) (life string, requests []quarantine.Fingerprint) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.checking = false
+	u.checked = nil
 	u.broken = slices.DeleteFunc(u.broken, func(b broken) bool { return now.Sub(b.at) > brokenLife })
 	if !ended {
-		return "", 0, nil
+		return "", nil
 	}
 	if u.endedAt.IsZero() || now.Sub(u.endedAt) >= endLife {
 		u.endedAt = now
@@ -127,5 +137,24 @@
 		}
 	}
 	u.broken = nil
-	return u.server.ID, u.born, requests
+	return lifeName(u.server.ID, u.born), requests
+}
+
+// logsEnd adds requests to those of the line about the server's end; it reports whether they are the first, so that the line is
+// to be written.
+func (u *upstream) logsEnd(requests []quarantine.Fingerprint) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	first := len(u.toLog) == 0
+	u.toLog = append(u.toLog, requests...)
+	return first
+}
+
+// loggedEnd returns the requests of the line about the server's end.
+func (u *upstream) loggedEnd() []quarantine.Fingerprint {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	requests := u.toLog
+	u.toLog = nil
+	return requests
 }
--- a/forward/ended_test.go
+++ b/forward/ended_test.go
@@ -34,7 +34,7 @@
 			if (line != nil) != ends {
 				t.Fatalf("noted: %t, want %t", line != nil, ends)
 			}
-			if ends && (line.Fields["server"] != serverName(0) || len(line.Fields["requests"].([]string)) != 1) {
+			if ends && (line.Fields["life"] != serverName(0) || len(line.Fields["requests"].([]string)) != 1) {
 				t.Errorf("the line says %v", line.Fields)
 			}
 			if told := said.of("request").Fields["fingerprint"]; told == nil {
--- a/forward/entry.go
+++ b/forward/entry.go
@@ -12,6 +12,7 @@
 
 	"github.com/coralstair/coralstair/admission"
 	"github.com/coralstair/coralstair/machine"
+	"github.com/coralstair/coralstair/quarantine"
 	"github.com/coralstair/coralstair/supervise"
 	"github.com/coralstair/coralstair/told"
 	"github.com/coralstair/coralstair/view"
@@ -38,6 +39,8 @@
 	// entry of a site tells it to the others. Nil where each entry reads it.
 	Links net.Listener
 	Told  *told.EntrySource
+	// Quarantine knows the requests under which servers end; without one the entry keeps one of its own.
+	Quarantine *quarantine.Quarantine
 }
 
 // Entry takes callers' requests and calls upstreams directly.
@@ -55,6 +58,7 @@
 	callers   *http.Server
 	ready     *http.Server
 	conns     callerConns
+	calls     calls
 	// closes is when a leaving entry closes the connections that rest at the latest; it is set before leaving is.
 	closes  atomic.Pointer[time.Time]
 	leaving atomic.Bool
@@ -69,6 +73,10 @@
 		budget: NewBudget(bounds.RetryRatio, bounds.RetrySlack, bounds.RetryWindow), began: time.Now(),
 	}
 	e.budget.began = e.began
+	if e.cfg.Quarantine == nil {
+		e.cfg.Quarantine = quarantine.New(quarantine.Options{Entry: cfg.Machine.ID, Log: cfg.Log})
+	}
+	e.cfg.Quarantine.OnHeld(e.takeBackHeld)
 	e.fresh.DisableKeepAlives = true
 	e.upstreams.weigh = e.weigh
 	e.reports = newReports(e)
@@ -92,6 +100,8 @@
 		{Name: "upstreams", Run: e.followServers},
 		{Name: "reports", Run: e.reports.serve},
 		{Name: "ways", Run: e.reports.measureWays},
+		{Name: "quarantine", Run: e.cfg.Quarantine.ServeReads},
+		{Name: "quarantine writes", Run: e.cfg.Quarantine.ServeWrites},
 	}
 	if e.cfg.Told != nil && e.cfg.Links != nil {
 		parts = append(parts, supervise.Part{Name: "links", Run: e.reader.serveLinks}, supervise.Part{Name: "list", Run: e.reader.serve})
--- a/forward/errors.go
+++ b/forward/errors.go
@@ -45,6 +45,12 @@
 	return fmt.Sprintf("server %s runs a version that may begin nothing any more", e.Server)
 }
 
+// HeldError says that servers have ended under a request, so that it goes to no more of them.
+type HeldError struct{}
+
+// Error says so.
+func (*HeldError) Error() string { return "servers end under the request" }
+
 // NoServerError says that no server can take a request now.
 type NoServerError struct{ Service, Reason string }
 
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -132,7 +132,7 @@
 	c := p.call
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !p.resumable() || c.offered >= max(c.route.Attempts, 2) {
+	if !p.resumable() || c.offered >= max(c.route.Attempts, 2) || c.held() {
 		return errNoResume
 	}
 	c.urgent = true
--- a/forward/upstream.go
+++ b/forward/upstream.go
@@ -10,6 +10,7 @@
 	"github.com/coralstair/coralstair/contract"
 	"github.com/coralstair/coralstair/engine"
 	"github.com/coralstair/coralstair/link"
+	"github.com/coralstair/coralstair/quarantine"
 	"github.com/coralstair/coralstair/view"
 )
 
@@ -71,11 +72,12 @@
 	// denied is when the server itself said that it is not what the list and its box say; zero once these say something new.
 	denied time.Time
 
-	// broken are the requests whose connections ended of late, checking says that it is being found out whether the server has;
-	// endedAt is when it was found that it had.
-	broken   []broken
-	checking bool
-	endedAt  time.Time
+	// broken are the requests whose connections ended of late, checked is closed once it is found out whether the server has, nil
+	// while nobody asks; endedAt is when it was found that it had, toLog are the requests of the line that says so.
+	broken  []broken
+	checked chan struct{}
+	endedAt time.Time
+	toLog   []quarantine.Fingerprint
 }
 
 // ticket is one request at a server, from its sending to its end.
--- a/internal/daemoncmd/daemon.go
+++ b/internal/daemoncmd/daemon.go
@@ -35,7 +35,9 @@
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	defer signal.Stop(signals)
-	v, from := newView(of, m, logger)
+	store := platform.NewStore(m.StoreAt, newClient())
+	v, from := newView(of, m, store, logger)
+	from.store = store
 	d, err := of.build(m, v, from, logger)
 	if err != nil {
 		return err
@@ -58,12 +60,12 @@
 }
 
 // newView returns what a daemon believes, by the store and by what entries tell of it.
-func newView(of role, m machine.Machine, logger log.Interface) (*view.View, sources) {
+func newView(of role, m machine.Machine, platformStore *platform.Store, logger log.Interface) (*view.View, sources) {
 	opts := view.Options{
 		Log: logger, Drain: m.Bounds.Drain, VersionBound: m.Bounds.Version, Wait: view.WaitWithin(m.Bounds.Contact),
 		ServersSettle: view.SettleWithin(m.Bounds.Drain),
 	}
-	store := view.Reissue(platform.NewStore(m.StoreAt, newClient()))
+	store := view.Reissue(platformStore)
 	if !of.told {
 		source := told.NewForEntry(store, forward.ListWait(m.Bounds.Drain))
 		return view.New(source, opts), sources{entry: source}
--- a/internal/daemoncmd/role.go
+++ b/internal/daemoncmd/role.go
@@ -11,6 +11,7 @@
 	"github.com/coralstair/coralstair/forward"
 	"github.com/coralstair/coralstair/machine"
 	"github.com/coralstair/coralstair/platform"
+	"github.com/coralstair/coralstair/quarantine"
 	"github.com/coralstair/coralstair/supervise"
 	"github.com/coralstair/coralstair/told"
 	"github.com/coralstair/coralstair/view"
@@ -37,8 +38,9 @@
 	build func(m machine.Machine, v *view.View, sources sources, logger log.Interface) (daemon, error)
 }
 
-// sources are what a daemon's view reads, each nil where the daemon has another.
+// sources are what a daemon reads; of box and entry, which its view reads, one is nil.
 type sources struct {
+	store *platform.Store
 	box   *told.Source
 	entry *told.EntrySource
 }
@@ -63,6 +65,7 @@
 	}
 	return forward.New(forward.Config{
 		Machine: m, View: v, Wire: platform.Wire{}, Log: logger, Callers: callers, Ready: ready, Links: links, Told: from.entry,
+		Quarantine: quarantine.New(quarantine.Options{Entry: m.ID, Store: from.store, Log: logger, Wait: view.WaitWithin(m.Bounds.Contact)}),
 	}), nil
 }
 
--- a/lab/standin/store.go
+++ b/lab/standin/store.go
@@ -28,6 +28,9 @@
 	Deleted   bool   `json:"deleted,omitempty"`
 }
 
+// mostInTx is how many rows a transaction may hold.
+const mostInTx = 100
+
 type rowsBody struct {
 	Rows      []Row `json:"rows"`
 	HasMore   bool  `json:"hasMore"`
@@ -64,18 +67,51 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.change([]Row{{Table: table, Key: key, Value: data, Deleted: value == nil}})
+}
+
+// change writes and removes rows in one transaction; mu is held.
+func (s *Store) change(rows []Row) {
 	s.version++
-	row := Row{Table: table, Key: key, Value: data, SchemaVer: s.version, Deleted: value == nil}
-	if row.Deleted {
-		delete(s.rows, table+"/"+key)
-	} else {
-		s.rows[table+"/"+key] = row
+	for _, row := range rows {
+		row.SchemaVer = s.version
+		if row.Deleted {
+			delete(s.rows, row.Table+"/"+row.Key)
+		} else {
+			s.rows[row.Table+"/"+row.Key] = row
+		}
+		s.changes = append(s.changes, row)
 	}
-	s.changes = append(s.changes, row)
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
 
+// transact takes a daemon's transaction: rows that are written and rows that are removed.
+func (s *Store) transact(w http.ResponseWriter, r *http.Request) {
+	var tx struct {
+		Writes []Row `json:"writes"`
+		Remove []Row `json:"remove"`
+	}
+	if err := json.NewDecoder(r.Body).Decode(&tx); err != nil || len(tx.Writes)+len(tx.Remove) > mostInTx {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	for i := range tx.Remove {
+		tx.Remove[i].Deleted = true
+	}
+	rows := slices.Concat(tx.Writes, tx.Remove)
+	if slices.ContainsFunc(rows, func(row Row) bool { return row.Table == TableServers }) {
+		w.WriteHeader(http.StatusForbidden)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.change(rows)
+	body := s.body()
+	body.Rows = nil
+	writeJSON(w, body)
+}
+
 // Refuse has all calls answered with a status; 0 ends that.
 func (s *Store) Refuse(status int) {
 	s.mu.Lock()
@@ -90,7 +126,7 @@
 	s.forgot, s.changes = s.version, nil
 }
 
-// ServeHTTP answers the store's reading calls.
+// ServeHTTP answers the store's calls.
 func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	refuse := s.refuse
@@ -102,6 +138,8 @@
 		s.get(w, r)
 	case r.URL.Path == "/rows-feed":
 		s.feed(w, r)
+	case r.URL.Path == "/rows-tx" && r.Method == http.MethodPost:
+		s.transact(w, r)
 	default:
 		w.WriteHeader(http.StatusNotFound)
 	}
--- /dev/null
+++ b/quarantine/quarantine.go
@@ -0,0 +1,299 @@
+package quarantine
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/coralstair/coralstair/view"
+)
+
+const (
+	// KeepTime is how long an end is held against a request: long enough for an operator to see it, short enough for a request to
+	// be tried again once its engine has been mended.
+	KeepTime = time.Hour
+	// keepSpread is how much longer an entry keeps records at most, so that one entry removes them for all.
+	keepSpread = 10 * time.Minute
+	// gatherTime is how long what one end brings is gathered into one call: its connections break within milliseconds.
+	gatherTime = 20 * time.Millisecond
+	// writeTime bounds a call that writes: one on a connection that has fallen silent is made again on another.
+	writeTime  = time.Second
+	leastPause = 100 * time.Millisecond
+	mostPause  = 800 * time.Millisecond
+	sweepEvery = time.Minute
+	// mostRequests bounds the requests that are told of one end, by the places of a server; each takes 34 bytes at the store.
+	mostRequests = 128
+	// answersFrom is how many ends an answer has to explain for other entries to hear of it.
+	answersFrom = endsToHold - 1
+)
+
+// Store keeps records for all entries.
+type Store interface {
+	// Records returns all records, RecordsAfter what has changed after a place in the store's history, at the latest after wait.
+	Records(ctx context.Context) (Records, view.Cursor, error)
+	RecordsAfter(ctx context.Context, cursor view.Cursor, wait time.Duration) (Records, view.Cursor, error)
+	// WriteRecords stores records and removes those that are gone, all or none.
+	WriteRecords(ctx context.Context, records Records) error
+}
+
+// Options are those of a quarantine; without a store it knows what its own entry tells alone.
+type Options struct {
+	Entry string
+	Store Store
+	Log   log.Interface
+	// Wait is how long a call for changes waits.
+	Wait time.Duration
+}
+
+// Quarantine tells which requests are held; it is safe for concurrent use.
+type Quarantine struct {
+	opts  Options
+	keep  time.Duration
+	woken chan struct{}
+
+	mu      sync.Mutex
+	ledger  Ledger
+	pending map[string]bool
+	onHeld  func()
+}
+
+// New returns a quarantine that knows nothing yet.
+func New(opts Options) *Quarantine {
+	if opts.Log == nil {
+		opts.Log = log.Log
+	}
+	opts.Wait = cmp.Or(opts.Wait, view.DefaultWait)
+	return &Quarantine{
+		opts: opts, keep: KeepTime + rand.N(keepSpread), woken: make(chan struct{}, 1), pending: make(map[string]bool),
+	}
+}
+
+// OnHeld has a function called each time another request is held.
+func (q *Quarantine) OnHeld(call func()) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.onHeld = call
+}
+
+// Ended learns that a life of a server has ended with requests of this entry in progress.
+func (q *Quarantine) Ended(life string, requests []Fingerprint) {
+	q.mu.Lock()
+	end := q.ledger.End(life, q.opts.Entry)
+	end.Requests = slices.Clone(end.Requests)
+	for _, request := range requests {
+		if !slices.Contains(end.Requests, request) {
+			end.Requests = append(end.Requests, request)
+		}
+	}
+	end.Requests = end.Requests[:min(len(end.Requests), mostRequests)]
+	q.pending[end.Key()] = true
+	news := q.ledger.Take(Records{Ends: []End{end}}, time.Now())
+	q.mu.Unlock()
+	q.wake()
+	q.announce(news)
+}
+
+// Answered learns that a server has answered a request, which explains all ends that are known of it.
+func (q *Quarantine) Answered(request Fingerprint) {
+	q.mu.Lock()
+	lives := q.ledger.Lives(request)
+	if len(lives) == 0 {
+		q.mu.Unlock()
+		return
+	}
+	answer := q.ledger.Answer(request)
+	answer.Lives = append(slices.Clone(answer.Lives), lives...)
+	if len(lives) >= answersFrom {
+		q.pending[answer.Key()] = true
+	}
+	news := q.ledger.Take(Records{Answers: []Answer{answer}}, time.Now())
+	q.mu.Unlock()
+	q.wake()
+	q.announce(news)
+}
+
+// Held reports whether a request, of which the fingerprint is made only when it is needed, is kept from all servers.
+func (q *Quarantine) Held(request func() Fingerprint) bool {
+	q.mu.Lock()
+	some := q.ledger.AnyHeld()
+	q.mu.Unlock()
+	if !some {
+		return false
+	}
+	f := request()
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.ledger.Held(f)
+}
+
+// Empty reports whether no server is known to have ended with a request in progress.
+func (q *Quarantine) Empty() bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.ledger.Empty()
+}
+
+// take has the ledger learn what is stored; whole says that these are all records. What this entry has yet to store is newer.
+func (q *Quarantine) take(records Records, whole bool) {
+	q.mu.Lock()
+	own := q.pendingRecords()
+	records.Ends = append(slices.Clone(records.Ends), own.Ends...)
+	records.Answers = append(slices.Clone(records.Answers), own.Answers...)
+	learn := q.ledger.Take
+	if whole {
+		learn = q.ledger.Reset
+	}
+	news := learn(records, time.Now())
+	q.mu.Unlock()
+	q.announce(news)
+}
+
+// announce tells what is held, and of news those who asked for it.
+func (q *Quarantine) announce(news bool) {
+	q.mu.Lock()
+	call, held := q.onHeld, len(q.ledger.held)
+	q.mu.Unlock()
+	requestsHeld.Set(float64(held))
+	if !news {
+		return
+	}
+	q.opts.Log.WithField("held", held).Warn("quarantine: requests under which servers end are held")
+	if call != nil {
+		call()
+	}
+}
+
+// pendingRecords returns what is to be stored; mu is held.
+func (q *Quarantine) pendingRecords() Records {
+	var records Records
+	for key := range q.pending {
+		if end, ok := q.ledger.ends[key]; ok {
+			records.Ends = append(records.Ends, end)
+		}
+		if answer, ok := q.ledger.answers[key]; ok {
+			records.Answers = append(records.Answers, answer)
+		}
+	}
+	return records
+}
+
+func (q *Quarantine) wake() {
+	select {
+	case q.woken <- struct{}{}:
+	default:
+	}
+}
+
+// ServeReads follows what other entries store until ctx ends.
+func (q *Quarantine) ServeReads(ctx context.Context) error {
+	if q.opts.Store == nil {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	cursor, known, pause, wait := view.Cursor(0), false, leastPause, q.opts.Wait
+	for ctx.Err() == nil {
+		records, next, err := q.read(ctx, known, cursor, wait)
+		if err != nil {
+			// A call that waits at a store that is away may hang long after it is back.
+			wait = 0
+			known = known && !errors.As(err, new(*view.HistoryGoneError))
+			sleep(ctx, pause/2+rand.N(pause))
+			pause = min(2*pause, mostPause)
+			continue
+		}
+		q.take(records, !known)
+		cursor, known, pause, wait = next, true, leastPause, q.opts.Wait
+	}
+	return ctx.Err()
+}
+
+// read makes one call; it is made anew when its answer is overdue.
+func (q *Quarantine) read(ctx context.Context, known bool, cursor view.Cursor, wait time.Duration) (Records, view.Cursor, error) {
+	if !known {
+		return q.opts.Store.Records(ctx)
+	}
+	type news struct {
+		records Records
+		cursor  view.Cursor
+	}
+	got, err := view.Reissued(ctx, wait, func(ctx context.Context, wait time.Duration) (news, error) {
+		records, next, err := q.opts.Store.RecordsAfter(ctx, cursor, wait)
+		return news{records, next}, err
+	})
+	return got.records, got.cursor, err
+}
+
+// ServeWrites stores what this entry tells, and removes what is too old, until ctx ends.
+func (q *Quarantine) ServeWrites(ctx context.Context) error {
+	sweep := time.NewTicker(sweepEvery)
+	defer sweep.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-q.woken:
+			sleep(ctx, gatherTime)
+			q.writePending(ctx)
+		case <-sweep.C:
+			q.sweep(ctx)
+		}
+	}
+}
+
+// writePending stores what is pending, however often it takes.
+func (q *Quarantine) writePending(ctx context.Context) {
+	for pause := leastPause; ctx.Err() == nil; pause = min(2*pause, mostPause) {
+		q.mu.Lock()
+		records := q.pendingRecords()
+		clear(q.pending)
+		q.mu.Unlock()
+		err := q.write(ctx, records)
+		if err == nil {
+			return
+		}
+		q.opts.Log.WithField("cause", err.Error()).Warn("quarantine: what ended is not stored yet")
+		q.mu.Lock()
+		for _, end := range records.Ends {
+			q.pending[end.Key()] = true
+		}
+		for _, answer := range records.Answers {
+			q.pending[answer.Key()] = true
+		}
+		q.mu.Unlock()
+		sleep(ctx, pause/2+rand.N(pause))
+	}
+}
+
+// write stores records; there is nothing to do without a store.
+func (q *Quarantine) write(ctx context.Context, records Records) error {
+	if q.opts.Store == nil || records.Size() == 0 {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, writeTime)
+	defer cancel()
+	return q.opts.Store.WriteRecords(ctx, records)
+}
+
+// sweep removes records that have been kept long enough; one that is not removed now is the next time.
+func (q *Quarantine) sweep(ctx context.Context) {
+	q.mu.Lock()
+	old := q.ledger.Older(time.Now().Add(-q.keep))
+	q.mu.Unlock()
+	if len(old) == 0 || q.write(ctx, Records{Gone: old}) != nil {
+		return
+	}
+	q.take(Records{Gone: old}, false)
+}
+
+func sleep(ctx context.Context, pause time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(pause):
+	}
+}
--- /dev/null
+++ b/quarantine/record.go
@@ -0,0 +1,36 @@
+package quarantine
+
+// End is a life of a server that has ended, with the requests that were in progress there from one entry.
+type End struct {
+	Life     string
+	Entry    string
+	Requests []Fingerprint
+}
+
+// Answer is a request that was answered though servers had ended with it in progress: these lives ended by another cause.
+type Answer struct {
+	Request Fingerprint
+	Lives   []string
+}
+
+const (
+	endPrefix    = "end/"
+	answerPrefix = "answer/"
+)
+
+// Key returns the key under which the end is stored; an entry that learns more of it stores it anew.
+func (e End) Key() string { return endPrefix + e.Life + "/" + e.Entry }
+
+// Key returns the key under which the answer is stored.
+func (a Answer) Key() string { return answerPrefix + a.Request.String() }
+
+// Records are what entries tell one another.
+type Records struct {
+	Ends    []End
+	Answers []Answer
+	// Gone are the keys of records that are no longer stored.
+	Gone []string
+}
+
+// Size returns how many records there are.
+func (r Records) Size() int { return len(r.Ends) + len(r.Answers) + len(r.Gone) }
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -7,6 +7,9 @@
 	"strconv"
 	"strings"
 	"testing"
+
+	// The daemon under test is built by hand: with its package imported, a change of it has the tests run again.
+	_ "github.com/coralstair/coralstair/internal/daemoncmd"
 )
 
 // seeds run in CI; each that ever failed stays here, with its cause.
--- a/view/reissue.go
+++ b/view/reissue.go
@@ -45,6 +45,12 @@
 	})
 }
 
+// Reissued makes a call that waits for a change, and makes it anew beside the first one when its answer is overdue; the first
+// answer counts.
+func Reissued[T any](ctx context.Context, wait time.Duration, call func(ctx context.Context, wait time.Duration) (T, error)) (T, error) {
+	return reissue(ctx, wait, reissueAfter, call)
+}
+
 // begunKey is the key of the context's value that Begun calls.
 type begunKey struct{}
 
