--- a/fill/aim.go
+++ b/fill/aim.go
@@ -6,6 +6,7 @@
 
 	"github.com/apex/log"
 
+	"github.com/coralstair/coralstair/clock"
 	"github.com/coralstair/coralstair/contract"
 	"github.com/coralstair/coralstair/swarm"
 )
@@ -48,7 +49,7 @@
 		return b.fill
 	}
 	b.replace(model)
-	f := &filling{model: model, version: target, began: time.Now()}
+	f := &filling{model: model, version: target, began: clock.Now()}
 	_, f.named = b.cfg.View.Target(model)
 	f.ctx, f.cancel = context.WithCancel(ctx)
 	b.fill = f
@@ -75,7 +76,7 @@
 	if drawn == 0 {
 		drawn = mostlyFilled
 	}
-	return named.Sub(old.named) >= drawn && time.Since(named) < finishTime
+	return named.Sub(old.named) >= drawn && clock.Since(named) < finishTime
 }
 
 // replace ends the filling of the version that was aimed at before, unless its pieces are complete and only its turn has
--- a/fill/box.go
+++ b/fill/box.go
@@ -10,6 +10,7 @@
 
 	"github.com/apex/log"
 
+	"github.com/coralstair/coralstair/clock"
 	"github.com/coralstair/coralstair/contract"
 	"github.com/coralstair/coralstair/machine"
 	"github.com/coralstair/coralstair/pace"
@@ -171,8 +172,8 @@
 	changed := b.cfg.View.Changed()
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.known.changed != changed || time.Since(b.known.at) > siblingsAge {
-		b.known = known{siblings: b.listSiblings(), changed: changed, at: time.Now()}
+	if b.known.changed != changed || clock.Since(b.known.at) > siblingsAge {
+		b.known = known{siblings: b.listSiblings(), changed: changed, at: clock.Now()}
 	}
 	return b.known.siblings
 }
--- a/fill/fetch.go
+++ b/fill/fetch.go
@@ -7,6 +7,7 @@
 
 	"github.com/apex/log"
 
+	"github.com/coralstair/coralstair/clock"
 	"github.com/coralstair/coralstair/contract"
 	"github.com/coralstair/coralstair/swarm"
 )
@@ -22,9 +23,9 @@
 func (b *Box) askNewest(ctx context.Context, model string) {
 	origin := b.origin()
 	b.mu.Lock()
-	due := len(b.state.Loaded) == 0 && !b.stateAt.IsZero() && origin != nil && time.Since(b.newestAsked) > newestPause
+	due := len(b.state.Loaded) == 0 && !b.stateAt.IsZero() && origin != nil && clock.Since(b.newestAsked) > newestPause
 	if due {
-		b.newestAsked = time.Now()
+		b.newestAsked = clock.Now()
 	}
 	b.mu.Unlock()
 	if !due {
@@ -58,7 +59,7 @@
 		wait = 0
 	}
 	origin := b.origin()
-	if asking || time.Since(f.began) < wait || origin == nil {
+	if asking || clock.Since(f.began) < wait || origin == nil {
 		return false
 	}
 	b.mu.Lock()
@@ -96,15 +97,15 @@
 	}
 	f.manifest, f.key = m, m.Key()
 	b.mu.Unlock()
-	began := time.Now()
+	began := clock.Now()
 	have := b.heldPieces(f.ctx, m)
 	members := b.siblings()
 	b.mu.Lock()
-	f.feed = swarm.NewFeed(b.feedParams(m), b.self(), b.orderOf(f, members), have, time.Now())
+	f.feed = swarm.NewFeed(b.feedParams(m), b.self(), b.orderOf(f, members), have, clock.Now())
 	b.mu.Unlock()
 	b.log.WithFields(log.Fields{
 		"model": m.Model, "version": int64(m.Version), "from": from, "held": len(have), "pieces": len(m.Digests),
-		"read_ms": time.Since(began).Milliseconds(),
+		"read_ms": clock.Since(began).Milliseconds(),
 	}).Info("fill: manifest taken")
 	b.links.begin(f)
 	b.wake()
--- a/fill/filler.go
+++ b/fill/filler.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/coralstair/coralstair/clock"
 	"github.com/coralstair/coralstair/swarm"
 )
 
@@ -85,7 +86,7 @@
 		f.feed.Reorder(b.orderOf(f, members))
 	}
 	partners := f.partners
-	actions := f.feed.Next(time.Now())
+	actions := f.feed.Next(clock.Now())
 	complete := f.feed.Complete()
 	b.mu.Unlock()
 	if !complete {
--- a/fill/links.go
+++ b/fill/links.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"github.com/coralstair/coralstair/clock"
 	"github.com/coralstair/coralstair/link"
 	"github.com/coralstair/coralstair/swarm"
 )
@@ -179,7 +180,7 @@
 func (ls *links) want(ctx context.Context, members []swarm.Member) {
 	ls.mu.Lock()
 	defer ls.mu.Unlock()
-	now := time.Now()
+	now := clock.Now()
 	for _, member := range members {
 		switch {
 		case member.ID == ls.box.cfg.Machine.Address:
@@ -213,7 +214,7 @@
 	ls.mu.Lock()
 	defer ls.mu.Unlock()
 	for _, l := range ls.out {
-		if time.Since(l.used) > restTime {
+		if clock.Since(l.used) > restTime {
 			l.conn.Close()
 		}
 	}
@@ -225,7 +226,7 @@
 		ls.mu.Lock()
 		defer ls.mu.Unlock()
 		delete(ls.dialing, member.ID)
-		ls.after[member.ID] = time.Now().Add(dialPause)
+		ls.after[member.ID] = clock.Now().Add(dialPause)
 	}()
 	dialCtx, cancel := context.WithTimeout(ctx, dialTime)
 	defer cancel()
@@ -238,7 +239,7 @@
 	if err := conn.Send(dialCtx, hello); err != nil {
 		return
 	}
-	now := time.Now()
+	now := clock.Now()
 	l := &outLink{links: ls, conn: conn, member: member, used: now, heard: now}
 	ls.mu.Lock()
 	ls.out[member.ID] = l
@@ -288,7 +289,7 @@
 func (ls *links) giveUp(f *filling, peer string, piece int) {
 	ls.mu.Lock()
 	l := ls.out[peer]
-	silent := l != nil && time.Since(l.heard) > linkSilence
+	silent := l != nil && clock.Since(l.heard) > linkSilence
 	ls.mu.Unlock()
 	if silent {
 		l.conn.Close()
--- a/fill/loader.go
+++ b/fill/loader.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/apex/log"
+
+	"github.com/coralstair/coralstair/clock"
 )
 
 const (
@@ -81,20 +83,20 @@
 // load gives the order to run the version once all pieces are held and it is this server's turn.
 func (b *Box) load(ctx context.Context, f *filling) {
 	b.mu.Lock()
-	ready := f.feed != nil && f.feed.Complete() && len(f.memory) == 0 && !f.given && !b.state.Busy && time.Since(f.ordered) > orderPause
+	ready := f.feed != nil && f.feed.Complete() && len(f.memory) == 0 && !f.given && !b.state.Busy && clock.Since(f.ordered) > orderPause
 	old := b.state.Loaded[f.model]
 	b.mu.Unlock()
 	if !ready {
 		return
 	}
-	turn := time.Now()
+	turn := clock.Now()
 	if due, late := b.cfg.View.Due(f.model, old); old != 0 && late {
 		turn = b.turn(f.named, due)
 	}
 	b.mu.Lock()
 	b.closes = turn
 	b.mu.Unlock()
-	left := time.Until(turn)
+	left := clock.Until(turn)
 	if left > closeTime {
 		return
 	}
@@ -124,9 +126,9 @@
 	b.mu.Lock()
 	was := b.closing
 	if !was {
-		b.closing, b.closedAt = true, time.Now()
+		b.closing, b.closedAt = true, clock.Now()
 	}
-	heard := time.Since(b.closedAt) >= closeTime
+	heard := clock.Since(b.closedAt) >= closeTime
 	b.mu.Unlock()
 	if !was {
 		b.sendReport()
@@ -142,7 +144,7 @@
 
 // check reads all pieces back and makes sure that they still fit; those that do not are fetched again.
 func (b *Box) check(ctx context.Context, f *filling) bool {
-	if time.Since(f.checked) < freshCheck {
+	if clock.Since(f.checked) < freshCheck {
 		return true
 	}
 	ctx, cancel := context.WithTimeout(ctx, originTime)
@@ -170,7 +172,7 @@
 		b.wake()
 		return false
 	}
-	f.checked = time.Now()
+	f.checked = clock.Now()
 	return true
 }
 
@@ -184,13 +186,13 @@
 		return
 	}
 	b.mu.Lock()
-	f.ordered = time.Now()
+	f.ordered = clock.Now()
 	b.mu.Unlock()
 	err = b.cfg.Engine.Start(ctx, Order{Model: f.model, Version: f.version, Seq: state.Seq})
 	ordersGiven.Inc()
 	fields := log.Fields{
 		"model": f.model, "version": int64(f.version), "seq": state.Seq, "running": state.Running, "waiting": state.Waiting,
-		"ms": time.Since(f.began).Milliseconds(), "cause": "",
+		"ms": clock.Since(f.began).Milliseconds(), "cause": "",
 	}
 	if err != nil {
 		ordersFailed.Inc()
--- a/fill/outlink.go
+++ b/fill/outlink.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/coralstair/coralstair/clock"
 	"github.com/coralstair/coralstair/contract"
 	"github.com/coralstair/coralstair/link"
 	"github.com/coralstair/coralstair/swarm"
@@ -38,7 +39,7 @@
 			return
 		}
 		l.links.mu.Lock()
-		l.heard = time.Now()
+		l.heard = clock.Now()
 		l.links.mu.Unlock()
 		l.handle(msg)
 	}
@@ -52,7 +53,7 @@
 		return
 	}
 	if _, named := b.cfg.View.Target(f.model); !named.IsZero() {
-		l.send(&link.Target{Model: f.model, Version: int64(f.version), Ago: time.Since(named)})
+		l.send(&link.Target{Model: f.model, Version: int64(f.version), Ago: clock.Since(named)})
 	}
 	l.join(f)
 }
@@ -89,7 +90,7 @@
 	case *link.Have:
 		if f := b.filling(m.Manifest); f != nil {
 			b.mu.Lock()
-			f.feed.PeerHas(l.member.ID, m.Reset, m.Chunks, m.Queue, time.Now())
+			f.feed.PeerHas(l.member.ID, m.Reset, m.Chunks, m.Queue, clock.Now())
 			b.mu.Unlock()
 			b.wake()
 		}
@@ -125,7 +126,7 @@
 	if f := b.filling(key); f != nil {
 		b.mu.Lock()
 		if piece < len(f.manifest.Digests) {
-			f.feed.Failed(piece, l.member.ID, time.Now())
+			f.feed.Failed(piece, l.member.ID, clock.Now())
 		}
 		b.mu.Unlock()
 		b.wake()
--- a/fill/piece.go
+++ b/fill/piece.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/apex/log"
+
+	"github.com/coralstair/coralstair/clock"
 )
 
 const (
@@ -45,7 +47,7 @@
 	b.log.WithField("piece", piece).WithField("cause", err.Error()).Warn("fill: a piece was not drawn")
 	if unreached(err) {
 		b.mu.Lock()
-		f.feed.DrawUnreached(piece, time.Now())
+		f.feed.DrawUnreached(piece, clock.Now())
 		b.mu.Unlock()
 		return
 	}
@@ -94,14 +96,14 @@
 		b.mu.Unlock()
 		return nil
 	}
-	asked := f.feed.Got(piece, from, waited, time.Now())
+	asked := f.feed.Got(piece, from, waited, clock.Now())
 	complete, drawer := f.feed.Complete(), f.feed.Drawer(piece)
 	f.misfits = 0
 	b.mu.Unlock()
 	b.links.got(f, piece, asked, complete, drawer || from == "")
 	if complete {
 		b.log.WithFields(log.Fields{
-			"version": int64(f.version), "ms": time.Since(f.began).Milliseconds(),
+			"version": int64(f.version), "ms": clock.Since(f.began).Milliseconds(),
 			"site": piecesNear.Get(), "far": piecesFar.Get(), "drawn": piecesDrawn.Get(), "bad": piecesBad.Get(), "twice": piecesTwice.Get(),
 		}).Info("fill: all pieces are held")
 	}
--- a/fill/reporter.go
+++ b/fill/reporter.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/coralstair/coralstair/clock"
 	"github.com/coralstair/coralstair/link"
 )
 
@@ -37,10 +38,10 @@
 		cancel()
 		b.setState(state, err)
 		report, ok := b.newReport()
-		age := time.Since(sent)
+		age := clock.Since(sent)
 		if ok && (urgent(report, last) || report != last && age >= reportEvery-reportSlack || age >= quietEvery) {
 			b.links.tell(&report)
-			last, sent = report, time.Now()
+			last, sent = report, clock.Now()
 			b.links.chooseRelay()
 			b.links.tellEntries()
 		}
@@ -89,7 +90,7 @@
 			b.log.WithField("model", model).WithField("version", int64(version)).Info("fill: the server runs a version")
 		}
 	}
-	b.state, b.stateAt = state, time.Now()
+	b.state, b.stateAt = state, clock.Now()
 	b.mu.Unlock()
 	if state.Running+state.Waiting > 0 {
 		b.pacer.Live(1)
@@ -104,7 +105,7 @@
 	id := b.serverID()
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if id == "" || time.Since(b.stateAt) > stateTime {
+	if id == "" || clock.Since(b.stateAt) > stateTime {
 		return link.Report{}, false
 	}
 	report = link.Report{
@@ -113,9 +114,9 @@
 	}
 	report.Entries, report.Standing = b.links.entries()
 	if !b.closes.IsZero() {
-		report.Closes = closesIn(time.Until(b.closes))
+		report.Closes = closesIn(clock.Until(b.closes))
 	}
-	report.Ready = b.readyIn(time.Now()).Round(readyStep)
+	report.Ready = b.readyIn(clock.Now()).Round(readyStep)
 	report.Filled = b.pending != nil || b.fill != nil && b.fill.feed != nil && b.fill.feed.Complete()
 	for model, version := range b.state.Loaded {
 		report.Model, report.Version = model, int64(version)
--- a/fill/teller.go
+++ b/fill/teller.go
@@ -5,6 +5,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/coralstair/coralstair/clock"
 	"github.com/coralstair/coralstair/link"
 )
 
@@ -43,7 +44,7 @@
 
 // mayTell reports whether a link is to an entry that has not lost the store; mu is held.
 func (ls *links) mayTell(l *inLink) bool {
-	return ls.in[l] && l.entry && time.Since(l.awayAt) > awayRest
+	return ls.in[l] && l.entry && clock.Since(l.awayAt) > awayRest
 }
 
 // tellsBefore orders entries that may tell.
@@ -72,7 +73,7 @@
 	case !l.links.isTeller(l):
 	case m.Away:
 		l.links.mu.Lock()
-		l.awayAt = time.Now()
+		l.awayAt = clock.Now()
 		l.links.mu.Unlock()
 		l.links.chooseRelay()
 	default:
--- a/fill/uploader.go
+++ b/fill/uploader.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/coralstair/coralstair/clock"
 	"github.com/coralstair/coralstair/link"
 )
 
@@ -97,7 +98,7 @@
 	g.mu.Lock()
 	known := slices.ContainsFunc(g.queue, func(queued ask) bool { return queued.link == next.link && queued.piece == next.piece })
 	if !known {
-		next.since = time.Now()
+		next.since = clock.Now()
 		next.given = next.link.giving.total(next.since)
 		g.queue = append(g.queue, next)
 	}
@@ -159,7 +160,7 @@
 func (g *uploader) begin(next ask) time.Duration {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	now := time.Now()
+	now := clock.Now()
 	waited := now.Sub(next.since) - (next.link.giving.total(now) - next.given)
 	next.link.giving.begin(now)
 	return max(waited, 0)
@@ -169,7 +170,7 @@
 func (g *uploader) end(next ask) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	next.link.giving.end(time.Now())
+	next.link.giving.end(clock.Now())
 }
 
 // giveNext gives the next piece, or waits for one; false once ctx has ended.
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/coralstair/coralstair/clock"
 	"github.com/coralstair/coralstair/contract"
 )
 
@@ -151,7 +152,7 @@
 	if cause := context.Cause(a.ctx); cause != nil && !errors.Is(cause, context.Canceled) {
 		err = cause
 	}
-	now := time.Now()
+	now := clock.Now()
 	if a.conn == nil {
 		if a.ctx.Err() == nil {
 			a.choice.up.unreachable(now)
@@ -169,7 +170,7 @@
 func (a *attempt) notRun() (step, error) {
 	_, _ = io.Copy(io.Discard, io.LimitReader(a.resp.Body, connBuffer))
 	if a.resp.StatusCode == http.StatusMisdirectedRequest {
-		a.choice.up.deny(time.Now())
+		a.choice.up.deny(clock.Now())
 	}
 	return stepNotRun, &BrokenAnswerError{Reason: a.resp.Status + ", not run"}
 }
@@ -213,7 +214,7 @@
 	if a.got.status >= http.StatusInternalServerError {
 		return stepFailed, &BrokenAnswerError{Reason: a.resp.Status}
 	}
-	a.ticket.begun(time.Now())
+	a.ticket.begun(clock.Now())
 	return stepDone, nil
 }
 
@@ -237,7 +238,7 @@
 			return stepLost, &BrokenAnswerError{Reason: "its version changes"}
 		}
 		a.heard()
-		a.ticket.begun(time.Now())
+		a.ticket.begun(clock.Now())
 		return stepDone, nil
 	}
 }
--- a/forward/budget.go
+++ b/forward/budget.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 	"time"
+
+	"github.com/coralstair/coralstair/clock"
 )
 
 // Budget bounds the second sends of one entry to its share of what all entries may make together.
@@ -29,6 +31,10 @@
 	part  int64
 }
 
+// epoch is from when on parts of windows are counted: the time of day may be set, and a window that ended too soon would allow
+// second sends twice.
+var epoch = clock.Now()
+
 // safetyShare is the part of the budget that is used: entries see their number late.
 const safetyShare = 0.7
 
@@ -97,7 +103,7 @@
 		w = &windowed{}
 		b.of[service] = w
 	}
-	part := now.UnixNano() / int64(b.window/buckets)
+	part := int64(now.Sub(epoch) / (b.window / buckets))
 	if w.part == 0 {
 		w.part = part
 	}
--- a/forward/call.go
+++ b/forward/call.go
@@ -11,6 +11,7 @@
 	"github.com/apex/log"
 
 	"github.com/coralstair/coralstair/admission"
+	"github.com/coralstair/coralstair/clock"
 	"github.com/coralstair/coralstair/contract"
 	"github.com/coralstair/coralstair/engine"
 	"github.com/coralstair/coralstair/quarantine"
@@ -40,6 +41,7 @@
 	body    []byte
 
 	ctx     context.Context
+	cancel  context.CancelFunc
 	started time.Time
 	ends    time.Time
 	config  contract.Revision
@@ -107,8 +109,8 @@
 
 // run sends the request until it is answered or nothing more may be tried.
 func (c *call) run(ctx context.Context) {
-	ctx, cancel := context.WithDeadline(ctx, c.ends)
-	defer cancel()
+	ctx, c.cancel = context.WithTimeout(ctx, clock.Until(c.ends))
+	defer c.cancel()
 	defer c.end()
 	c.ctx, c.changed, c.refusals = ctx, make(chan struct{}, 1), make(map[string]time.Time)
 	c.entry.budget.First(c.service.Name, c.started)
@@ -153,9 +155,9 @@
 // time: given up at once its caller would be told that nobody knows (two of 2,087 requests beside planned work, when all other
 // servers were about to load as well).
 func (c *call) askNextInTime(ctx context.Context) error {
-	for until := time.Now().Add(resumeTime); ; {
+	for until := clock.Now().Add(resumeTime); ; {
 		err := c.askNext()
-		if !errors.As(err, new(*NoServerError)) || !c.unknown || !c.route.Repeatable() || time.Now().After(until) {
+		if !errors.As(err, new(*NoServerError)) || !c.unknown || !c.route.Repeatable() || clock.Now().After(until) {
 			return err
 		}
 		select {
@@ -164,7 +166,7 @@
 		case <-time.After(askAgain):
 		}
 		c.mu.Lock()
-		c.readmit(time.Now())
+		c.readmit(clock.Now())
 		c.mu.Unlock()
 	}
 }
@@ -173,7 +175,7 @@
 func (c *call) askNext() error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.offered == 0 && !c.endsInTime(time.Now()) {
+	if c.offered == 0 && !c.endsInTime(clock.Now()) {
 		return errLeaving
 	}
 	if c.held() {
@@ -183,7 +185,7 @@
 	if err != nil {
 		return err
 	}
-	if c.offered+c.refused > 0 && !c.entry.budget.Again(c.service.Name, time.Now()) {
+	if c.offered+c.refused > 0 && !c.entry.budget.Again(c.service.Name, clock.Now()) {
 		return errNoBudget
 	}
 	c.begin(ch)
@@ -197,7 +199,7 @@
 		return
 	}
 	defer a.finish()
-	c.first = time.Since(c.started)
+	c.first = clock.Since(c.started)
 	a.got.deliver(c.w, c.entry.leaving.Load())
 	c.noteStep(a, stepDone, nil)
 	c.outcome("answered", a.got.status, nil)
@@ -221,7 +223,7 @@
 
 // next chooses the next server; mu is held.
 func (c *call) next() (choice, error) {
-	ch, ok := c.entry.choose(c.wanted(), time.Now())
+	ch, ok := c.entry.choose(c.wanted(), clock.Now())
 	if !ok {
 		return choice{}, &NoServerError{Service: c.service.Name, Reason: "none can take it now"}
 	}
@@ -297,7 +299,7 @@
 
 // retryAfter says when the request is likely to be served.
 func (c *call) retryAfter() time.Duration {
-	return c.entry.retryAfter(c.service, c.route, time.Now())
+	return c.entry.retryAfter(c.service, c.route, clock.Now())
 }
 
 // priority returns the rank of the request: that of its team before that of its route, the first one when it goes on at another
@@ -325,7 +327,7 @@
 		// The caller has gone; that says nothing of the server.
 		return
 	}
-	reason, pause := a.choice.up.after(result, err, time.Now())
+	reason, pause := a.choice.up.after(result, err, clock.Now())
 	lost := a.brokenOff(result, err)
 	switch {
 	case lost:
@@ -381,7 +383,7 @@
 
 // outcome writes the request's line in the log and counts it.
 func (c *call) outcome(outcome string, status int, cause error) {
-	took := time.Since(c.started)
+	took := clock.Since(c.started)
 	countOutcome(c.route.Name, outcome)
 	answerTime.Update(took.Seconds())
 	c.mu.Lock()
--- a/forward/callers.go
+++ b/forward/callers.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/coralstair/coralstair/clock"
 )
 
 // running is a request in progress.
@@ -54,7 +56,7 @@
 		known.closes = false
 		_ = conn.SetReadDeadline(time.Time{})
 	}
-	known.state, known.since = state, time.Now()
+	known.state, known.since = state, clock.Now()
 	if state != http.StateIdle {
 		c.came = known.since
 	}
--- a/forward/conn.go
+++ b/forward/conn.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"github.com/coralstair/coralstair/clock"
 )
 
 const (
@@ -110,7 +112,7 @@
 				return nil, err
 			}
 			connections.Inc()
-			return &conn{Conn: c, opened: time.Now()}, nil
+			return &conn{Conn: c, opened: clock.Now()}, nil
 		},
 		DisableCompression:  true,
 		MaxIdleConnsPerHost: idlePerHost,
--- a/forward/ended.go
+++ b/forward/ended.go
@@ -11,6 +11,7 @@
 
 	"github.com/apex/log"
 
+	"github.com/coralstair/coralstair/clock"
 	"github.com/coralstair/coralstair/quarantine"
 )
 
@@ -45,7 +46,7 @@
 // noteBroken notes that a request's connection to a server has ended, and finds out whether the server has; it returns once that
 // is known.
 func (e *Entry) noteBroken(a *attempt, err error) {
-	up, request, now := a.choice.up, a.call.fingerprint(), time.Now()
+	up, request, now := a.choice.up, a.call.fingerprint(), clock.Now()
 	up.mu.Lock()
 	up.broken = append(up.broken, broken{request: request, at: now})
 	if errors.As(err, new(*RestartedError)) {
@@ -65,8 +66,11 @@
 
 // checkEnded finds out whether a server has ended, and tells which requests were there.
 func (e *Entry) checkEnded(up *upstream, checked chan struct{}) {
-	ended := up.endedLately(time.Now()) || refuses(up.address())
-	life, requests := up.takeBroken(ended, time.Now())
+	ended := up.endedLately(clock.Now()) || refuses(up.address())
+	life, requests := up.takeBroken(ended, clock.Now())
+	if ended {
+		up.unreachable(clock.Now())
+	}
 	if len(requests) > 0 {
 		e.cfg.Quarantine.Ended(life, requests)
 	}
--- a/forward/entry.go
+++ b/forward/entry.go
@@ -11,6 +11,7 @@
 	"github.com/apex/log"
 
 	"github.com/coralstair/coralstair/admission"
+	"github.com/coralstair/coralstair/clock"
 	"github.com/coralstair/coralstair/machine"
 	"github.com/coralstair/coralstair/quarantine"
 	"github.com/coralstair/coralstair/supervise"
@@ -70,7 +71,7 @@
 	bounds := cfg.Machine.Bounds
 	e := &Entry{
 		cfg: cfg, log: cfg.Log, transport: newTransport(), fresh: newTransport(),
-		budget: NewBudget(bounds.RetryRatio, bounds.RetrySlack, bounds.RetryWindow), began: time.Now(),
+		budget: NewBudget(bounds.RetryRatio, bounds.RetrySlack, bounds.RetryWindow), began: clock.Now(),
 	}
 	e.budget.began = e.began
 	if e.cfg.Quarantine == nil {
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -9,6 +9,7 @@
 
 	"github.com/apex/log"
 
+	"github.com/coralstair/coralstair/clock"
 	"github.com/coralstair/coralstair/contract"
 	"github.com/coralstair/coralstair/problem"
 )
@@ -24,7 +25,7 @@
 
 // ServeHTTP takes one request of a caller.
 func (e *Entry) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	started := time.Now()
+	started := clock.Now()
 	ask := e.cfg.Wire.Ask(r)
 	if e.leaving.Load() {
 		w.Header().Set("Connection", "close")
--- a/forward/handover.go
+++ b/forward/handover.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/apex/log"
+
+	"github.com/coralstair/coralstair/clock"
 )
 
 // A request that may run again goes on elsewhere when its server is about to load, silent or broken. While the server is at
@@ -26,7 +28,7 @@
 
 // begin sends the request to a server; mu is held.
 func (c *call) begin(ch choice) *attempt {
-	a := &attempt{call: c, choice: ch, ticket: ch.up.take(c.ask.Prompt, ch.first, time.Now()), rank: c.priority(), hedges: c.winner, fresh: c.silence}
+	a := &attempt{call: c, choice: ch, ticket: ch.up.take(c.ask.Prompt, ch.first, clock.Now()), rank: c.priority(), hedges: c.winner, fresh: c.silence}
 	a.ctx, a.cancel = context.WithCancelCause(c.ctx)
 	c.offered++
 	c.not[ch.server.ID] = true
@@ -52,7 +54,7 @@
 	if !older {
 		return
 	}
-	a.bound = time.AfterFunc(time.Until(due)-boundMargin, func() {
+	a.bound = time.AfterFunc(clock.Until(due)-boundMargin, func() {
 		if _, waits := a.live(); waits {
 			a.cancel(&OverdueError{Server: a.choice.server.ID})
 		}
@@ -126,7 +128,7 @@
 	if result == stepNotRun {
 		c.offered--
 		c.refused++
-		c.refusals[a.choice.server.ID] = time.Now()
+		c.refusals[a.choice.server.ID] = clock.Now()
 	}
 	c.failed = append(c.failed, failure{kept: a.got, result: result, err: err})
 	p, stays := c.passage, c.stays()
@@ -215,7 +217,7 @@
 	}
 	err := &SilentError{Server: a.choice.server.ID}
 	if a.firstSilence() {
-		c.leftAlone(a, a.choice.up.silent(time.Now()), err.Error())
+		c.leftAlone(a, a.choice.up.silent(clock.Now()), err.Error())
 	}
 	if a.heldUpFor() {
 		a.cancel(err)
@@ -258,7 +260,7 @@
 	}
 	_, closes := cause.(*ClosingError)
 	ch, ok := c.chooseHedge(a, closes)
-	if !ok || !c.entry.budget.Again(c.service.Name, time.Now()) {
+	if !ok || !c.entry.budget.Again(c.service.Name, clock.Now()) {
 		return
 	}
 	c.urgent = c.urgent || closes || p != nil
@@ -290,7 +292,7 @@
 // chooseHedge chooses the server that is asked beside an attempt; mu is held.
 func (c *call) chooseHedge(a *attempt, closes bool) (choice, bool) {
 	if !closes {
-		c.readmit(time.Now())
+		c.readmit(clock.Now())
 	}
 	want := c.wanted()
 	want.moves = false
@@ -301,7 +303,7 @@
 	if c.passage != nil && closes {
 		want.stays = turnMargin
 	}
-	ch, ok := c.entry.choose(want, time.Now())
+	ch, ok := c.entry.choose(want, clock.Now())
 	if !ok || closes && (ch.first > a.moveLimit() || c.passage != nil && c.few(ch.among)) {
 		return choice{}, false
 	}
--- a/forward/keep.go
+++ b/forward/keep.go
@@ -4,6 +4,7 @@
 	"net"
 	"time"
 
+	"github.com/coralstair/coralstair/clock"
 	"github.com/coralstair/coralstair/contract"
 	"github.com/coralstair/coralstair/subset"
 	"github.com/coralstair/coralstair/view"
@@ -19,7 +20,7 @@
 
 // countedEntries returns how many entries there are, 0 while that is not known.
 func (e *Entry) countedEntries() int {
-	if time.Since(e.began) < countTime {
+	if clock.Since(e.began) < countTime {
 		return 0
 	}
 	return e.budget.Entries()
--- a/forward/leave.go
+++ b/forward/leave.go
@@ -6,6 +6,7 @@
 
 	"github.com/apex/log"
 
+	"github.com/coralstair/coralstair/clock"
 	"github.com/coralstair/coralstair/engine"
 )
 
@@ -33,7 +34,7 @@
 // Leave takes the entry out of service. The balancer is told, and each answer tells its caller to go elsewhere; requests are
 // taken until no more come or the time is over, and only then the connections that callers keep are closed.
 func (e *Entry) Leave(ctx context.Context) {
-	began := time.Now()
+	began := clock.Now()
 	deadline := began.Add(e.cfg.Machine.Bounds.Grace - graceMargin)
 	closes := deadline.Add(-closingTime)
 	e.closes.Store(&closes)
@@ -42,7 +43,7 @@
 	until(ctx, closes, func(now time.Time) bool {
 		return now.Sub(began) >= lameTime && e.conns.settled(now, e.keptTime())
 	})
-	early := e.conns.kept(time.Now(), e.keptTime())
+	early := e.conns.kept(clock.Now(), e.keptTime())
 	until(ctx, deadline, e.conns.closeResting)
 	e.sayLeft(began, early)
 	_ = e.callers.Close()
@@ -52,7 +53,7 @@
 func until(ctx context.Context, limit time.Time, done func(now time.Time) bool) {
 	ticker := time.NewTicker(leaveTick)
 	defer ticker.Stop()
-	for now := time.Now(); now.Before(limit) && ctx.Err() == nil && !done(now); now = time.Now() {
+	for now := clock.Now(); now.Before(limit) && ctx.Err() == nil && !done(now); now = clock.Now() {
 		select {
 		case <-ctx.Done():
 		case <-ticker.C:
@@ -71,7 +72,7 @@
 
 // sayLeft writes what the end of the leave cuts, request by request, and how many connections were closed early.
 func (e *Entry) sayLeft(began time.Time, early int) {
-	now := time.Now()
+	now := clock.Now()
 	cut := e.conns.inProgress()
 	for _, r := range cut {
 		e.log.WithFields(log.Fields{"id": r.id, "route": r.route, "ms": now.Sub(r.started).Milliseconds()}).
--- a/forward/move.go
+++ b/forward/move.go
@@ -1,6 +1,10 @@
 package forward
 
-import "time"
+import (
+	"time"
+
+	"github.com/coralstair/coralstair/clock"
+)
 
 const (
 	// moveAfter is how long after a server closes to load another version what still runs there is moved: the server loads once
@@ -58,7 +62,7 @@
 func (u *upstream) moveOn() {
 	u.mu.Lock()
 	var moves []func()
-	if u.closing(time.Now()) {
+	if u.closing(clock.Now()) {
 		for t := range u.tickets {
 			if t.move != nil {
 				moves = append(moves, t.move)
--- a/forward/reader.go
+++ b/forward/reader.go
@@ -9,6 +9,7 @@
 	"github.com/apex/log"
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/coralstair/coralstair/clock"
 	"github.com/coralstair/coralstair/contract"
 	"github.com/coralstair/coralstair/link"
 	"github.com/coralstair/coralstair/supervise"
@@ -105,7 +106,7 @@
 // serve follows the site's reader until ctx ends.
 func (lr *listReader) serve(ctx context.Context) error {
 	for ctx.Err() == nil {
-		host := lr.reader(time.Now())
+		host := lr.reader(clock.Now())
 		if host == "" {
 			select {
 			case <-ctx.Done():
@@ -117,7 +118,7 @@
 		failed := lr.follow(ctx, host)
 		if failed {
 			lr.mu.Lock()
-			lr.resting[host] = time.Now().Add(readerRest)
+			lr.resting[host] = clock.Now().Add(readerRest)
 			lr.mu.Unlock()
 		}
 		lr.entry.cfg.Told.Silent()
@@ -155,7 +156,7 @@
 		case *link.Declared:
 			return true
 		}
-		if lr.reader(time.Now()) != host {
+		if lr.reader(clock.Now()) != host {
 			return false
 		}
 	}
@@ -205,7 +206,7 @@
 func (rs *reports) tellListFollowers() {
 	v, source := rs.entry.cfg.View, rs.entry.cfg.Told
 	reads := v.Ready() && v.InTouch() && (source == nil || !source.Tells()) && v.ListAge() < ListWait(rs.entry.cfg.Machine.Bounds.Drain)+answerSlack
-	now := time.Now()
+	now := clock.Now()
 	rs.mu.Lock()
 	defer rs.mu.Unlock()
 	var listed map[string]contract.Server
--- a/forward/reports.go
+++ b/forward/reports.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"github.com/coralstair/coralstair/clock"
 	"github.com/coralstair/coralstair/contract"
 	"github.com/coralstair/coralstair/link"
 	"github.com/coralstair/coralstair/view"
@@ -197,7 +198,7 @@
 		silence.Reset(reportSilence)
 		switch msg := msg.(type) {
 		case *link.Report:
-			rs.entry.upstreams.heard(*msg, time.Now())
+			rs.entry.upstreams.heard(*msg, clock.Now())
 			rs.count(address, msg)
 		case *link.Follow:
 			rs.follow(conn, msg.Service)
@@ -247,7 +248,7 @@
 
 // tell tells of a target; a box whose link is full hears of it from others.
 func tell(conn *link.Conn, target view.Named) {
-	_ = tellNow(conn, &link.Target{Model: target.Model, Version: int64(target.Version), Ago: time.Since(target.At)})
+	_ = tellNow(conn, &link.Target{Model: target.Model, Version: int64(target.Version), Ago: clock.Since(target.At)})
 }
 
 // tellNow queues a message; it reports whether there was room.
--- a/forward/request.go
+++ b/forward/request.go
@@ -8,7 +8,8 @@
 	"net/textproto"
 	"net/url"
 	"strings"
-	"time"
+
+	"github.com/coralstair/coralstair/clock"
 )
 
 // hopHeaders concern one connection only.
@@ -20,7 +21,7 @@
 // request builds the request to the server: the caller's own, with what the platform has the entry set.
 func (a *attempt) request(extra Send) *http.Request {
 	c := a.call
-	extra.Left = time.Until(c.ends) - answerMargin
+	extra.Left = clock.Until(c.ends) - answerMargin
 	extra.Server = a.choice.server.ID
 	extra.Team = c.teamName()
 	extra.Priority = a.rank
--- /dev/null
+++ b/forward/resume_test.go
@@ -0,0 +1,60 @@
+package forward
+
+import (
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/coralstair/coralstair/clock"
+)
+
+// TestSuspendedRequestsEndInTime proves that a request ends at its time by the caller's clock when the machine was suspended.
+func TestSuspendedRequestsEndInTime(t *testing.T) {
+	for name, test := range map[string]struct{ suspended, most time.Duration }{
+		"its time is over":    {3 * time.Second, 100 * time.Millisecond},
+		"some time is left":   {time.Second, 1100 * time.Millisecond},
+		"it is hardly missed": {0, 2100 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			server := newFake(t, func(net.Conn, int, *http.Request) bool { time.Sleep(4 * time.Second); return false })
+			w := newWorld(t, false, server.address)
+			time.AfterFunc(200*time.Millisecond, func() {
+				clock.Skip(test.suspended)
+				t.Cleanup(func() { clock.Skip(-test.suspended) })
+				w.entry.Resumed()
+			})
+			began := time.Now()
+			got := w.ask(http.MethodPost, "/once/a", "x", nil)
+			if took := time.Since(began); got.status != http.StatusGatewayTimeout || took > 200*time.Millisecond+test.most {
+				t.Errorf("status %d after %s", got.status, took)
+			}
+		})
+	}
+}
+
+// TestSecondSendsHaveTheTimeThatIsLeft proves that a server is given no more time than the caller waits, when the machine was
+// suspended between two sends.
+func TestSecondSendsHaveTheTimeThatIsLeft(t *testing.T) {
+	lost := func(conn net.Conn, _ int, _ *http.Request) bool {
+		time.Sleep(100 * time.Millisecond)
+		clock.Skip(time.Second)
+		t.Cleanup(func() { clock.Skip(-time.Second) })
+		return reset(conn)
+	}
+	both := firstThen(lost, good)
+	one, two := newFake(t, both), newFake(t, both)
+	w := newWorld(t, false, one.address, two.address)
+	if got := w.ask(http.MethodPost, "/safe/a", "x", map[string]string{"Wait": "2500"}); got.status != http.StatusOK {
+		t.Fatalf("status %d", got.status)
+	}
+	var waits []string
+	for _, server := range []*fake{one, two} {
+		for _, r := range server.got {
+			waits = append(waits, r.Header.Get("Wait"))
+		}
+	}
+	if len(waits) != 2 || len(waits[0]) != 4 || len(waits[1]) != 4 || min(waits[0], waits[1]) > "1400" {
+		t.Errorf("servers are given %q ms", waits)
+	}
+}
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/coralstair/coralstair/clock"
 	"github.com/coralstair/coralstair/contract"
 )
 
@@ -88,7 +89,7 @@
 		c.winner = nil
 	}
 	c.mu.Unlock()
-	for until := time.Now().Add(resumeTime); ; p.pause(ctx) {
+	for until := clock.Now().Add(resumeTime); ; p.pause(ctx) {
 		if held := c.awaitHolder(); held != nil {
 			return held, nil
 		}
@@ -100,7 +101,7 @@
 			return nil, context.Canceled
 		}
 		err := p.resume()
-		if errors.Is(err, errNoResume) || err != nil && time.Now().After(until) {
+		if errors.Is(err, errNoResume) || err != nil && clock.Now().After(until) {
 			return nil, err
 		}
 		if held := c.awaitHolder(); held != nil {
@@ -136,14 +137,14 @@
 		return errNoResume
 	}
 	c.urgent = true
-	c.readmit(time.Now())
+	c.readmit(clock.Now())
 	want := c.wanted()
 	want.exact = p.version
-	ch, ok := c.entry.choose(want, time.Now())
+	ch, ok := c.entry.choose(want, clock.Now())
 	if !ok {
 		return &NoServerError{Service: c.service.Name, Reason: "none can go on with the stream"}
 	}
-	if !c.entry.budget.Again(c.service.Name, time.Now()) {
+	if !c.entry.budget.Again(c.service.Name, clock.Now()) {
 		return errNoBudget
 	}
 	resumes.Inc()
@@ -289,7 +290,7 @@
 // begin sends the head, that of the first server whose events are passed on.
 func (p *passage) begin(a *attempt) {
 	p.begun = true
-	p.call.first = time.Since(p.call.started)
+	p.call.first = clock.Since(p.call.started)
 	firstEvent.Update(p.call.first.Seconds())
 	copyHead(p.call.w.Header(), a.resp.Header, p.call.entry.leaving.Load())
 	p.call.w.WriteHeader(a.resp.StatusCode)
--- a/forward/way.go
+++ b/forward/way.go
@@ -4,6 +4,8 @@
 	"context"
 	"slices"
 	"time"
+
+	"github.com/coralstair/coralstair/clock"
 )
 
 const (
@@ -69,7 +71,7 @@
 			return ctx.Err()
 		case <-ticker.C:
 		}
-		for l, up := range rs.filling(time.Now()) {
+		for l, up := range rs.filling(clock.Now()) {
 			go rs.measure(ctx, l, up)
 		}
 	}
@@ -102,15 +104,15 @@
 }
 
 func (rs *reports) measure(ctx context.Context, l *reportLink, up *upstream) {
-	began := time.Now()
+	began := clock.Now()
 	up.setWay(func(w *way) { w.asked = began })
 	ctx, cancel := context.WithTimeout(ctx, wayLimit)
 	defer cancel()
 	took, err := l.conn.RoundTrip(ctx)
 	if err != nil {
-		took = time.Since(began)
+		took = clock.Since(began)
 	}
-	up.setWay(func(w *way) { *w = w.with(took, time.Now()) })
+	up.setWay(func(w *way) { *w = w.with(took, clock.Now()) })
 	rs.mu.Lock()
 	defer rs.mu.Unlock()
 	l.asking = false
--- a/internal/daemoncmd/daemon.go
+++ b/internal/daemoncmd/daemon.go
@@ -51,6 +51,7 @@
 	parts := append([]supervise.Part{
 		{Name: "declared", Run: v.ServeDeclared},
 		{Name: "servers", Run: v.ServeServers},
+		{Name: "clock", Run: lookForSuspensions(logger, d)},
 		{Name: "metrics", Run: serveMetrics(m.Address)},
 	}, d.Parts()...)
 	logger.WithFields(log.Fields{"role": of.name, "id": m.ID, "site": m.Site, "pid": os.Getpid()}).Info("daemon: started")
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -11,6 +11,7 @@
 
 	"github.com/apex/log"
 
+	"github.com/coralstair/coralstair/clock"
 	"github.com/coralstair/coralstair/view"
 )
 
@@ -93,7 +94,7 @@
 	}
 	end.Requests = end.Requests[:min(len(end.Requests), mostRequests)]
 	q.pending[end.Key()] = true
-	news := q.ledger.Take(Records{Ends: []End{end}}, time.Now())
+	news := q.ledger.Take(Records{Ends: []End{end}}, clock.Now())
 	q.mu.Unlock()
 	q.wake()
 	q.announce(news)
@@ -112,7 +113,7 @@
 	if len(lives) >= answersFrom {
 		q.pending[answer.Key()] = true
 	}
-	news := q.ledger.Take(Records{Answers: []Answer{answer}}, time.Now())
+	news := q.ledger.Take(Records{Answers: []Answer{answer}}, clock.Now())
 	q.mu.Unlock()
 	q.wake()
 	q.announce(news)
@@ -149,7 +150,7 @@
 	if whole {
 		learn = q.ledger.Reset
 	}
-	news := learn(records, time.Now())
+	news := learn(records, clock.Now())
 	q.mu.Unlock()
 	q.announce(news)
 }
@@ -283,7 +284,7 @@
 // sweep removes records that have been kept long enough; one that is not removed now is the next time.
 func (q *Quarantine) sweep(ctx context.Context) {
 	q.mu.Lock()
-	old := q.ledger.Older(time.Now().Add(-q.keep))
+	old := q.ledger.Older(clock.Now().Add(-q.keep))
 	q.mu.Unlock()
 	if len(old) == 0 || q.write(ctx, Records{Gone: old}) != nil {
 		return
--- a/told/source.go
+++ b/told/source.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/coralstair/coralstair/clock"
 	"github.com/coralstair/coralstair/contract"
 	"github.com/coralstair/coralstair/link"
 	"github.com/coralstair/coralstair/view"
@@ -52,7 +53,7 @@
 func New(store view.Source) *Source {
 	return &Source{
 		store: store, patience: patience + rand.N(spread), listPause: listPause, declaredPause: declaredPause,
-		changed: make(chan struct{}), silentSince: time.Now(),
+		changed: make(chan struct{}), silentSince: clock.Now(),
 	}
 }
 
@@ -60,7 +61,7 @@
 // Only the list of servers is told to entries; its calls wait for a time at most, so that a channel that has fallen silent is
 // noticed sooner than by the others, who hear of no change meanwhile.
 func NewForEntry(store view.Source, mostWait time.Duration) *EntrySource {
-	return &EntrySource{Source: &Source{store: store, changed: make(chan struct{}), silentSince: time.Now()}, mostWait: mostWait}
+	return &EntrySource{Source: &Source{store: store, changed: make(chan struct{}), silentSince: clock.Now()}, mostWait: mostWait}
 }
 
 // EntrySource is the source of an entry's view.
@@ -194,7 +195,7 @@
 func (t *Source) await(
 	ctx context.Context, wait time.Duration, last *time.Time, pause time.Duration, news func() bool, read func(context.Context) error,
 ) error {
-	deadline := time.Now().Add(wait)
+	deadline := clock.Now().Add(wait)
 	for {
 		t.mu.Lock()
 		if news() {
@@ -209,7 +210,7 @@
 			}
 		}
 		t.mu.Unlock()
-		if alone && !time.Now().Before(until) {
+		if alone && !clock.Now().Before(until) {
 			if err := t.readAlone(ctx, last, read); ctx.Err() != nil || !t.Tells() {
 				return err
 			}
@@ -218,7 +219,7 @@
 		if err := waitFor(ctx, changed, until); err != nil {
 			return err
 		}
-		if t.Tells() && !time.Now().Before(deadline) {
+		if t.Tells() && !clock.Now().Before(deadline) {
 			return nil
 		}
 	}
@@ -226,7 +227,7 @@
 
 // waitFor waits for a change, until a time at most; it fails when ctx ends.
 func waitFor(ctx context.Context, changed <-chan struct{}, until time.Time) error {
-	timer := time.NewTimer(time.Until(until))
+	timer := time.NewTimer(clock.Until(until))
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
@@ -244,7 +245,7 @@
 	defer func() {
 		t.mu.Lock()
 		defer t.mu.Unlock()
-		*last = time.Now()
+		*last = clock.Now()
 	}()
 	go func() {
 		for ctx.Err() == nil && !t.Tells() {
@@ -273,7 +274,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.silentSince.IsZero() {
-		t.silentSince = time.Now()
+		t.silentSince = clock.Now()
 	}
 	t.declared, t.servers = nil, nil
 	t.wake()
--- a/view/view.go
+++ b/view/view.go
@@ -9,6 +9,7 @@
 
 	"github.com/apex/log"
 
+	"github.com/coralstair/coralstair/clock"
 	"github.com/coralstair/coralstair/contract"
 )
 
@@ -101,7 +102,7 @@
 	opts.Settle = cmp.Or(opts.Settle, DefaultSettle)
 	opts.ServersSettle = cmp.Or(opts.ServersSettle, DefaultServersSettle)
 	return &View{
-		source: source, opts: opts, now: time.Now,
+		source: source, opts: opts, now: clock.Now,
 		targets: make(map[string]*history),
 		servers: make(map[string]contract.Server),
 		missing: make(map[string]lapse), replaced: make(map[string]string),
--- a/view/view_test.go
+++ b/view/view_test.go
@@ -11,6 +11,7 @@
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/discard"
 
+	"github.com/coralstair/coralstair/clock"
 	"github.com/coralstair/coralstair/contract"
 )
 
@@ -325,3 +326,19 @@
 		})
 	}
 }
+
+// TestBoundsComeDuringSuspensions proves that the bound on an older version comes when it does for all others, though the machine
+// was suspended meanwhile.
+func TestBoundsComeDuringSuspensions(t *testing.T) {
+	v := New(nil, Options{VersionBound: 8 * time.Second})
+	v.OfferTarget(contract.Target{Model: "m", Version: 1}, time.Minute)
+	v.OfferTarget(contract.Target{Model: "m", Version: 2}, 0)
+	before, _ := v.Due("m", 1)
+	left := clock.Until(before)
+	clock.Skip(5 * time.Second)
+	t.Cleanup(func() { clock.Skip(-5 * time.Second) })
+	after, older := v.Due("m", 1)
+	if now := clock.Until(after); !older || now > left-5*time.Second {
+		t.Errorf("%s left before the suspension of 5 s, %s after it", left, now)
+	}
+}
