--- a/box/box.go
+++ b/box/box.go
@@ -27,6 +27,7 @@
 
 // Box is the daemon beside one upstream.
 type Box struct {
+	lives    upstreamLives
 	cfg      Config
 	log      *log.Entry
 	gate     Gate
--- a/box/session.go
+++ b/box/session.go
@@ -233,7 +233,7 @@
 			break
 		}
 		if err != nil {
-			return link.End{Outcome: link.OutcomeUnknown, Reason: "the upstream broke off: " + err.Error()}
+			return b.lost("the upstream broke off: " + err.Error())
 		}
 	}
 	now, _ := b.gate.State()
@@ -248,5 +248,5 @@
 		b.loader.suspect()
 		return link.End{Outcome: link.OutcomeNotRun, Reason: err.Error()}
 	}
-	return link.End{Outcome: link.OutcomeUnknown, Reason: err.Error()}
+	return b.lost(err.Error())
 }
--- a/entry/deliver.go
+++ b/entry/deliver.go
@@ -43,7 +43,7 @@
 		body, whole, err := gather(ctx, a)
 		if err != nil {
 			t.failed(ctx, err)
-			if t.req.repeatable && ctx.Err() == nil && e.budget.Spend() && t.next(ctx) {
+			if t.req.repeatable && ctx.Err() == nil && !t.held() && e.budget.Spend() && t.next(ctx) {
 				continue
 			}
 			return err
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -18,6 +18,7 @@
 	"github.com/coralstair/coralstair/operate"
 
 	"github.com/coralstair/coralstair/problem"
+	"github.com/coralstair/coralstair/quarantine"
 	"github.com/coralstair/coralstair/route"
 	"github.com/coralstair/coralstair/supervise"
 )
@@ -34,17 +35,18 @@
 
 // Entry is the daemon of a thin entry box.
 type Entry struct {
-	cfg      Config
-	log      *log.Entry
-	follower *follower.Follower
-	members  *membership.Watcher
-	boxes    *boxes
-	executor *operate.Executor
-	claims   *claim.Claims
-	health   route.Health
-	budget   route.Budget
-	leaving  atomic.Bool
-	active   sync.WaitGroup
+	cfg        Config
+	log        *log.Entry
+	follower   *follower.Follower
+	members    *membership.Watcher
+	boxes      *boxes
+	executor   *operate.Executor
+	claims     *claim.Claims
+	health     route.Health
+	budget     route.Budget
+	quarantine *quarantine.Quarantine
+	leaving    atomic.Bool
+	active     sync.WaitGroup
 
 	mu          sync.Mutex
 	controllers map[string]*admit.Controller
@@ -60,6 +62,7 @@
 		members:     membership.New(cfg.List, cfg.Fleet, cfg.ListInterval),
 		claims:      &claim.Claims{Table: cfg.Claims},
 		controllers: make(map[string]*admit.Controller),
+		quarantine:  quarantine.New(quarantine.Options{Entry: cfg.ID}),
 	}
 	e.boxes = newBoxes(e)
 	e.executor = &operate.Executor{Fleet: cfg.Fleet, Ledger: cfg.Ledger, View: e, Accept: e.accept}
@@ -116,6 +119,7 @@
 			{Name: "boxes", Run: e.boxes.Serve},
 			{Name: "queues", Run: e.serveQueues},
 			{Name: "spread", Run: e.serveSpread},
+			{Name: "quarantine", Run: e.quarantine.ServeWrites},
 		},
 	}
 	return daemon.Run(ctx)
--- a/entry/run.go
+++ b/entry/run.go
@@ -55,6 +55,10 @@
 	ctx, cancel := context.WithDeadline(whole, req.deadline)
 	defer cancel()
 	t := &turn{entry: e, whole: whole, req: req, controller: e.controller(req.service.Name), tried: make(map[string]time.Time)}
+	if t.held() {
+		e.finish(w, t, &heldError{})
+		return
+	}
 	if err := t.acquire(ctx); err != nil {
 		e.refuse(w, t.refusal(err))
 		return
@@ -71,6 +75,7 @@
 // finish answers a request that got no answer so far.
 func (e *Entry) finish(w http.ResponseWriter, t *turn, err error) {
 	if err == nil {
+		t.noteAnswered()
 		metrics.GetOrCreateCounter(`coralstair_requests_total{outcome="ran"}`).Inc()
 		return
 	}
@@ -92,9 +97,12 @@
 func outcomeProblem(err error, id string) problem.Problem {
 	var notRunErr *relay.NotRunError
 	var refused *admit.RefusedError
+	var held *heldError
 	switch {
 	case errors.As(err, &refused):
 		return refusedProblem(refused, id)
+	case errors.As(err, &held):
+		return heldProblem(held, id)
 	case errors.As(err, &notRunErr):
 		return notRun(http.StatusServiceUnavailable, "no-box", notRunErr.Reason, id).WithRetryAfter(time.Second)
 	default:
@@ -124,7 +132,7 @@
 		var notRunErr *relay.NotRunError
 		if !errors.As(err, &notRunErr) {
 			lost++
-			if !t.req.repeatable || lost == maxTurns || !t.entry.budget.Spend() {
+			if !t.req.repeatable || lost == maxTurns || t.held() || !t.entry.budget.Spend() {
 				return nil, err
 			}
 		}
@@ -173,6 +181,7 @@
 		return
 	}
 	t.mayHaveRun = true
+	t.noteEnd(err)
 	if ctx.Err() == nil {
 		t.entry.health.Failed(t.box, time.Now())
 	}
--- a/entry/stream.go
+++ b/entry/stream.go
@@ -129,7 +129,7 @@
 	var lost *relay.LostError
 	t, digest := s.turn, s.from.call.Head().Digest
 	t.failed(ctx, cause)
-	if !errors.As(cause, &lost) || ctx.Err() != nil || !s.resumable() || !s.entry.budget.Spend() {
+	if !errors.As(cause, &lost) || ctx.Err() != nil || !s.resumable() || t.held() || !s.entry.budget.Spend() {
 		return cause
 	}
 	t.pin = digest
--- a/link/request.go
+++ b/link/request.go
@@ -41,13 +41,15 @@
 	Body []byte `cbor:"2,keyasint"`
 }
 
-// End closes an answer with its outcome; Load is the box's requests in progress then.
+// End closes an answer with its outcome; Load is the box's requests in progress then, Ended names the life of the upstream when it
+// has ended under the request.
 type End struct {
 	ID      uint64  `cbor:"1,keyasint"`
 	Outcome Outcome `cbor:"2,keyasint"`
 	Reason  string  `cbor:"3,keyasint,omitempty"`
 	Digest  string  `cbor:"4,keyasint,omitempty"`
 	Load    int     `cbor:"5,keyasint,omitempty"`
+	Ended   string  `cbor:"6,keyasint,omitempty"`
 }
 
 // Outcome says what became of a request.
--- a/relay/errors.go
+++ b/relay/errors.go
@@ -12,6 +12,8 @@
 type LostError struct {
 	Reason string
 	Err    error
+	// Ended names the life of the upstream that has ended under the request; empty when none has.
+	Ended string
 }
 
 // Error gives the reason.
