--- a/forward/entry.go
+++ b/forward/entry.go
@@ -77,10 +77,15 @@
 	if e.cfg.Quarantine == nil {
 		e.cfg.Quarantine = quarantine.New(quarantine.Options{Entry: cfg.Machine.ID, Log: cfg.Log})
 	}
-	e.cfg.Quarantine.OnHeld(e.takeBackHeld)
 	e.fresh.DisableKeepAlives = true
 	e.upstreams.weigh = e.weigh
 	e.reports = newReports(e)
+	e.cfg.Quarantine.OnNews(func(held bool) {
+		if held {
+			e.takeBackHeld()
+		}
+		e.reports.wake()
+	})
 	e.reader = newListReader(e)
 	e.callers = &http.Server{
 		Handler: countPanics(e), ReadHeaderTimeout: headerTime, IdleTimeout: idleCallerTime, MaxHeaderBytes: headerRoom,
--- a/forward/followers.go
+++ b/forward/followers.go
@@ -16,9 +16,11 @@
 	services []contract.Service
 	servers  map[string]contract.Server
 	away     bool
-	// list says that it is an entry that is told the servers of all services, the last time at told.
+	// list says that it is an entry that is told the servers of all services, the last time at told, and what ended: ends are the
+	// records that it has, nil before the first time.
 	list bool
 	told time.Time
+	ends map[string]int
 }
 
 // follow takes a box's ask to be told, or its end.
--- a/forward/reader.go
+++ b/forward/reader.go
@@ -12,6 +12,7 @@
 	"github.com/coralstair/coralstair/clock"
 	"github.com/coralstair/coralstair/contract"
 	"github.com/coralstair/coralstair/link"
+	"github.com/coralstair/coralstair/quarantine"
 	"github.com/coralstair/coralstair/supervise"
 	"github.com/coralstair/coralstair/told"
 	"github.com/coralstair/coralstair/view"
@@ -153,6 +154,8 @@
 		switch msg := msg.(type) {
 		case *link.Servers:
 			lr.entry.cfg.Told.TakeServers(msg)
+		case *link.Ends:
+			lr.entry.cfg.Quarantine.Take(msg.Records, msg.Reset)
 		case *link.Declared:
 			return true
 		}
@@ -220,7 +223,11 @@
 			if listed == nil {
 				listed = present(v.Servers())
 			}
-			if msg := f.listNews(listed, now); msg != nil && !tellNow(conn, msg) {
+			msgs := []link.Message{f.endNews(rs.entry.cfg.Quarantine)}
+			if msg := f.listNews(listed, now); msg != nil {
+				msgs = append(msgs, msg)
+			}
+			if !tellAll(conn, msgs) {
 				delete(rs.followers, conn)
 				conn.Close()
 			}
@@ -228,6 +235,29 @@
 	}
 }
 
+// tellAll queues messages, passing over those that are nil; it reports whether there was room for all.
+func tellAll(conn *link.Conn, msgs []link.Message) bool {
+	for _, msg := range msgs {
+		if msg != nil && !tellNow(conn, msg) {
+			return false
+		}
+	}
+	return true
+}
+
+// endNews returns what an entry has not been told of ends of servers; nil when there is nothing to tell.
+func (f *follower) endNews(q *quarantine.Quarantine) link.Message {
+	msg := &link.Ends{Reset: f.ends == nil}
+	if msg.Reset {
+		f.ends = make(map[string]int)
+	}
+	msg.Records = q.Changes(f.ends)
+	if !msg.Reset && msg.Records.Size() == 0 {
+		return nil
+	}
+	return msg
+}
+
 // present returns the servers that are listed now, by id.
 func present(servers []view.Listed) map[string]contract.Server {
 	listed := make(map[string]contract.Server, len(servers))
--- a/forward/reader_test.go
+++ b/forward/reader_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/coralstair/coralstair/contract"
 	"github.com/coralstair/coralstair/machine"
+	"github.com/coralstair/coralstair/quarantine"
 	"github.com/coralstair/coralstair/told"
 	"github.com/coralstair/coralstair/view"
 )
@@ -221,3 +222,37 @@
 		t.Errorf("%s reads for a small fleet", host)
 	}
 }
+
+// TestReaderTellsWhatEnds proves that what the store holds of ends of servers reaches the entries that do not read it.
+func TestReaderTellsWhatEnds(t *testing.T) {
+	rs := newReaders(t, 3)
+	first := rs.first()
+	rs.settle(first)
+	request := quarantine.FingerprintOf("team", "POST", "h", "/a", nil)
+	held := func(e *Entry) bool { return e.cfg.Quarantine.Held(func() quarantine.Fingerprint { return request }) }
+	ends := func(lives ...string) (records quarantine.Records) {
+		for _, life := range lives {
+			records.Ends = append(records.Ends, quarantine.End{Life: life, Entry: "e", Requests: []quarantine.Fingerprint{request}})
+		}
+		return records
+	}
+	await := func(want bool) {
+		t.Helper()
+		for deadline := time.Now().Add(2 * time.Second); time.Now().Before(deadline); time.Sleep(10 * time.Millisecond) {
+			all := true
+			for _, e := range rs.entries {
+				all = all && held(e) == want
+			}
+			if all {
+				return
+			}
+		}
+		t.Errorf("not all entries hold it: %t", want)
+	}
+	reader := rs.entries[first].cfg.Quarantine
+	reader.Take(ends("1", "2"), true)
+	reader.Take(ends("3"), false)
+	await(true)
+	reader.Take(quarantine.Records{Gone: []string{ends("3").Ends[0].Key()}}, false)
+	await(false)
+}
--- a/internal/daemoncmd/role.go
+++ b/internal/daemoncmd/role.go
@@ -65,7 +65,9 @@
 	}
 	return forward.New(forward.Config{
 		Machine: m, View: v, Wire: platform.Wire{}, Log: logger, Callers: callers, Ready: ready, Links: links, Told: from.entry,
-		Quarantine: quarantine.New(quarantine.Options{Entry: m.ID, Store: from.store, Log: logger, Wait: view.WaitWithin(m.Bounds.Contact)}),
+		Quarantine: quarantine.New(quarantine.Options{
+			Entry: m.ID, Store: from.store, Log: logger, Wait: view.WaitWithin(m.Bounds.Contact), Told: from.entry.Tells,
+		}),
 	}), nil
 }
 
--- a/link/follow.go
+++ b/link/follow.go
@@ -1,6 +1,9 @@
 package link
 
-import "github.com/coralstair/coralstair/contract"
+import (
+	"github.com/coralstair/coralstair/contract"
+	"github.com/coralstair/coralstair/quarantine"
+)
 
 // Follow asks an entry to tell, from now on, what a box of a service needs of what the store holds, so that boxes need not
 // read it themselves; an empty service ends that. List is asked by another entry, for the servers of all services.
@@ -29,6 +32,16 @@
 	Gone    []string          `cbor:"3,keyasint,omitempty"`
 }
 
+// Ends tells an entry what entries told of ends of servers and of requests under which they ended: all of it when Reset, else what
+// changed or is gone.
+type Ends struct {
+	Reset   bool               `cbor:"1,keyasint,omitempty"`
+	Records quarantine.Records `cbor:"2,keyasint"`
+}
+
+// Kind returns KindEnds.
+func (*Ends) Kind() Kind { return KindEnds }
+
 // Kind returns KindFollow.
 func (*Follow) Kind() Kind { return KindFollow }
 
--- a/link/message.go
+++ b/link/message.go
@@ -26,6 +26,7 @@
 	KindDeclared
 	KindServers
 	KindEntries
+	KindEnds
 )
 
 // Message is one typed message.
@@ -54,6 +55,7 @@
 	KindDeclared:     func() Message { return new(Declared) },
 	KindServers:      func() Message { return new(Servers) },
 	KindEntries:      func() Message { return new(Entries) },
+	KindEnds:         func() Message { return new(Ends) },
 }
 
 // newMessage returns an empty message of a kind; nil when the kind is not known.
--- a/quarantine/ledger.go
+++ b/quarantine/ledger.go
@@ -16,6 +16,8 @@
 	answers map[string]Answer
 	// since is when each record was learned, by its key.
 	since map[string]time.Time
+	// versions tell how often each record has changed, by its key.
+	versions map[string]int
 	// lives are those that ended with a request in progress and that no answer explains.
 	lives map[Fingerprint]map[string]bool
 	held  map[Fingerprint]bool
@@ -25,16 +27,17 @@
 func (l *Ledger) Take(records Records, now time.Time) bool {
 	if l.ends == nil {
 		l.ends, l.answers, l.since = make(map[string]End), make(map[string]Answer), make(map[string]time.Time)
+		l.versions = make(map[string]int)
 	}
 	for _, end := range records.Ends {
+		l.learned(end.Key(), !slices.Equal(end.Requests, l.ends[end.Key()].Requests), now)
 		l.ends[end.Key()] = end
-		l.learned(end.Key(), now)
 	}
 	for _, answer := range records.Answers {
 		// Entries write it independently of one another.
 		answer.Lives = slices.Compact(slices.Sorted(slices.Values(slices.Concat(answer.Lives, l.answers[answer.Key()].Lives))))
+		l.learned(answer.Key(), !slices.Equal(answer.Lives, l.answers[answer.Key()].Lives), now)
 		l.answers[answer.Key()] = answer
-		l.learned(answer.Key(), now)
 	}
 	for _, key := range records.Gone {
 		l.forget(key)
@@ -100,16 +103,45 @@
 	return keys
 }
 
-func (l *Ledger) learned(key string, now time.Time) {
+func (l *Ledger) learned(key string, changed bool, now time.Time) {
 	if _, known := l.since[key]; !known {
 		l.since[key] = now
+		changed = true
 	}
+	if changed {
+		l.versions[key]++
+	}
+}
+
+// Changes returns the records that have changed since others were told, and notes in told that they are.
+func (l *Ledger) Changes(told map[string]int) Records {
+	var records Records
+	for key := range told {
+		if _, known := l.versions[key]; !known {
+			records.Gone = append(records.Gone, key)
+			delete(told, key)
+		}
+	}
+	for key, version := range l.versions {
+		if told[key] == version {
+			continue
+		}
+		told[key] = version
+		if end, ok := l.ends[key]; ok {
+			records.Ends = append(records.Ends, end)
+		}
+		if answer, ok := l.answers[key]; ok {
+			records.Answers = append(records.Answers, answer)
+		}
+	}
+	return records
 }
 
 func (l *Ledger) forget(key string) {
 	delete(l.ends, key)
 	delete(l.answers, key)
 	delete(l.since, key)
+	delete(l.versions, key)
 }
 
 // bound forgets the oldest records beyond the most that are kept.
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -28,6 +28,8 @@
 	leastPause = 100 * time.Millisecond
 	mostPause  = 800 * time.Millisecond
 	sweepEvery = time.Minute
+	// toldCheck is how often it is looked whether another entry still tells what is stored.
+	toldCheck = 500 * time.Millisecond
 	// mostRequests bounds the requests that are told of one end, by the places of a server; each takes 34 bytes at the store.
 	mostRequests = 128
 	// answersFrom is how many ends an answer has to explain for other entries to hear of it.
@@ -50,6 +52,8 @@
 	Log   log.Interface
 	// Wait is how long a call for changes waits.
 	Wait time.Duration
+	// Told reports whether another entry tells what is stored, so that it need not be read; nil where none does.
+	Told func() bool
 }
 
 // Quarantine tells which requests are held; it is safe for concurrent use.
@@ -61,7 +65,7 @@
 	mu      sync.Mutex
 	ledger  Ledger
 	pending map[string]bool
-	onHeld  func()
+	onNews  func(held bool)
 }
 
 // New returns a quarantine that knows nothing yet.
@@ -75,11 +79,21 @@
 	}
 }
 
-// OnHeld has a function called each time another request is held.
-func (q *Quarantine) OnHeld(call func()) {
+// OnNews has a function called each time something is learned; held says that another request is held by it.
+func (q *Quarantine) OnNews(call func(held bool)) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.onHeld = call
+	q.onNews = call
+}
+
+// Take learns what another entry tells of what is stored; whole says that these are all records.
+func (q *Quarantine) Take(records Records, whole bool) { q.take(records, whole) }
+
+// Changes returns the records that have changed since another entry was told, and notes in told that it is.
+func (q *Quarantine) Changes(told map[string]int) Records {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.ledger.Changes(told)
 }
 
 // Ended learns that a life of a server has ended with requests of this entry in progress.
@@ -158,15 +172,14 @@
 // announce tells what is held, and of news those who asked for it.
 func (q *Quarantine) announce(news bool) {
 	q.mu.Lock()
-	call, held := q.onHeld, len(q.ledger.held)
+	call, held := q.onNews, len(q.ledger.held)
 	q.mu.Unlock()
 	requestsHeld.Set(float64(held))
-	if !news {
-		return
+	if news {
+		q.opts.Log.WithField("held", held).Warn("quarantine: requests under which servers end are held")
 	}
-	q.opts.Log.WithField("held", held).Warn("quarantine: requests under which servers end are held")
 	if call != nil {
-		call()
+		call(news)
 	}
 }
 
@@ -199,6 +212,11 @@
 	}
 	cursor, known, pause, wait := view.Cursor(0), false, leastPause, q.opts.Wait
 	for ctx.Err() == nil {
+		if q.opts.Told != nil && q.opts.Told() {
+			known = false
+			sleep(ctx, toldCheck)
+			continue
+		}
 		records, next, err := q.read(ctx, known, cursor, wait)
 		if err != nil {
 			// A call that waits at a store that is away may hang long after it is back.
@@ -208,7 +226,9 @@
 			pause = min(2*pause, mostPause)
 			continue
 		}
-		q.take(records, !known)
+		if !known || records.Size() > 0 {
+			q.take(records, !known)
+		}
 		cursor, known, pause, wait = next, true, leastPause, q.opts.Wait
 	}
 	return ctx.Err()
--- a/quarantine/record.go
+++ b/quarantine/record.go
@@ -2,15 +2,15 @@
 
 // End is a life of a server that has ended, with the requests that were in progress there from one entry.
 type End struct {
-	Life     string
-	Entry    string
-	Requests []Fingerprint
+	Life     string        `cbor:"1,keyasint"`
+	Entry    string        `cbor:"2,keyasint"`
+	Requests []Fingerprint `cbor:"3,keyasint"`
 }
 
 // Answer is a request that was answered though servers had ended with it in progress: these lives ended by another cause.
 type Answer struct {
-	Request Fingerprint
-	Lives   []string
+	Request Fingerprint `cbor:"1,keyasint"`
+	Lives   []string    `cbor:"2,keyasint"`
 }
 
 const (
@@ -26,10 +26,10 @@
 
 // Records are what entries tell one another.
 type Records struct {
-	Ends    []End
-	Answers []Answer
+	Ends    []End    `cbor:"1,keyasint,omitempty"`
+	Answers []Answer `cbor:"2,keyasint,omitempty"`
 	// Gone are the keys of records that are no longer stored.
-	Gone []string
+	Gone []string `cbor:"3,keyasint,omitempty"`
 }
 
 // Size returns how many records there are.
