--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -27,6 +27,7 @@
 	changed chan struct{}
 	away    bool
 	lose    int
+	hang    int
 	writes  int
 }
 
@@ -51,6 +52,14 @@
 }
 
 func (s *sharedStore) RecordsAfter(ctx context.Context, cursor view.Cursor, wait time.Duration) (Records, view.Cursor, error) {
+	s.mu.Lock()
+	hangs := s.hang > 0
+	s.hang--
+	s.mu.Unlock()
+	if hangs {
+		<-ctx.Done()
+		return Records{}, 0, ctx.Err()
+	}
 	for deadline := time.After(wait); ; {
 		s.mu.Lock()
 		records, at, away, gone, changed := s.after(cursor), s.cursor, s.away, cursor < s.forgot, s.changed
@@ -161,9 +170,10 @@
 		trouble func(s *sharedStore)
 		within  time.Duration
 	}{
-		"all is well":            {func(*sharedStore) {}, 100 * time.Millisecond},
-		"answers to writes lost": {func(s *sharedStore) { s.lose = 2 }, time.Second},
-		"the history is gone":    {func(s *sharedStore) { s.forgot = s.cursor + 10 }, time.Second},
+		"all is well":             {func(*sharedStore) {}, 100 * time.Millisecond},
+		"answers to writes lost":  {func(s *sharedStore) { s.lose = 2 }, time.Second},
+		"connections fall silent": {func(s *sharedStore) { s.hang = 2 }, 3 * time.Second},
+		"the history is gone":     {func(s *sharedStore) { s.forgot = s.cursor + 10 }, time.Second},
 		"the store was away": {func(s *sharedStore) {
 			s.away = true
 			time.AfterFunc(2*time.Second, func() { s.set(func() { s.away = false }) })
