--- a/forward/choose.go
+++ b/forward/choose.go
@@ -76,7 +76,7 @@
 
 // chooseOf chooses among some servers. Those that failed lately come in only when they are the most of them.
 func (e *Entry) chooseOf(ups []*upstream, want wanted, now time.Time) (best choice, ok bool) {
-	usable, resting := make([]choice, 0, len(ups)), []choice(nil)
+	usable, ejected := make([]choice, 0, len(ups)), []choice(nil)
 	var at shares
 	for _, up := range ups {
 		c, until, fits := e.consider(up, want, now)
@@ -84,13 +84,13 @@
 		switch {
 		case !fits:
 		case now.Before(until):
-			resting = append(resting, c)
+			ejected = append(ejected, c)
 		default:
 			usable = append(usable, c)
 		}
 	}
-	if len(resting) > len(usable) {
-		usable = append(usable, resting...)
+	if len(ejected) > len(usable) {
+		usable = append(usable, ejected...)
 	}
 	if len(usable) == 0 {
 		return choice{}, false
@@ -105,7 +105,7 @@
 }
 
 // consider predicts what a request costs at a server; fits is false when it may not take it, until is when it is no longer
-// left alone after failures.
+// ejected after failures.
 func (e *Entry) consider(up *upstream, want wanted, now time.Time) (c choice, until time.Time, fits bool) {
 	up.mu.Lock()
 	defer up.mu.Unlock()
@@ -127,7 +127,7 @@
 	if up.missing {
 		c.cost += missingTime
 	}
-	return c, up.until, true
+	return c, up.ejectedUntil, true
 }
 
 // predict fills in a choice of an engine's server; it reports whether the server may take the request. The server's mutex
--- a/forward/ended.go
+++ b/forward/ended.go
@@ -1,17 +1,15 @@
 package forward
 
 import (
-	"context"
 	"errors"
-	"net"
 	"slices"
 	"strconv"
-	"syscall"
 	"time"
 
 	"github.com/apex/log"
 
 	"github.com/coralstair/coralstair/clock"
+	"github.com/coralstair/coralstair/probe"
 	"github.com/coralstair/coralstair/quarantine"
 )
 
@@ -20,10 +18,9 @@
 // again. A connection alone that breaks off says nothing: links are reset too.
 
 const (
-	// endCheckTime is how long it may take to find out whether a server has ended: a dead port refuses at once. endWait is how long a
-	// request waits for that before it goes to another server, which may end under it as well: some round trips.
-	endCheckTime = 400 * time.Millisecond
-	endWait      = 100 * time.Millisecond
+	// endWait is how long a request waits for word whether its server has ended before it goes to another, which may end under it as
+	// well: some round trips.
+	endWait = 100 * time.Millisecond
 	// endGather is how long after a server ended its broken connections are gathered for the log: they break within milliseconds.
 	endGather = 20 * time.Millisecond
 	// endLife is how long an end that was found counts for connections that break off later.
@@ -66,7 +63,7 @@
 
 // checkEnded finds out whether a server has ended, and tells which requests were there.
 func (e *Entry) checkEnded(up *upstream, checked chan struct{}) {
-	ended := up.endedLately(clock.Now()) || refuses(up.address())
+	ended := up.endedLately(clock.Now()) || probe.Refuses(up.address())
 	life, requests := up.takeBroken(ended, clock.Now())
 	if ended {
 		up.unreachable(clock.Now())
@@ -99,17 +96,6 @@
 	return server + "@" + strconv.FormatInt(born, 10)
 }
 
-// refuses reports whether nothing listens at an address.
-func refuses(address string) bool {
-	ctx, cancel := context.WithTimeout(context.Background(), endCheckTime)
-	defer cancel()
-	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
-	if err == nil {
-		_ = conn.Close()
-	}
-	return errors.Is(err, syscall.ECONNREFUSED)
-}
-
 func (u *upstream) address() string {
 	u.mu.Lock()
 	defer u.mu.Unlock()
--- a/forward/ended_test.go
+++ b/forward/ended_test.go
@@ -29,7 +29,7 @@
 			if got.status != http.StatusBadGateway {
 				t.Errorf("status %d, want 502", got.status)
 			}
-			time.Sleep(endCheckTime)
+			time.Sleep(4 * endWait)
 			line := said.of(message)
 			if (line != nil) != ends {
 				t.Fatalf("noted: %t, want %t", line != nil, ends)
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -222,7 +222,7 @@
 	up := w.entry.upstreams.of("s")[0]
 	up.mu.Lock()
 	defer up.mu.Unlock()
-	if up.failures != 0 || !up.until.IsZero() {
+	if up.failures != 0 || !up.ejectedUntil.IsZero() {
 		t.Errorf("%d failures of a healthy server whose callers left", up.failures)
 	}
 }
--- a/forward/handover.go
+++ b/forward/handover.go
@@ -37,7 +37,7 @@
 	c.asked = append(c.asked, a)
 	if c.route.Repeatable() {
 		a.listens.Store(true)
-		a.quiet = time.AfterFunc(a.patience(), a.silent)
+		a.quiet = time.AfterFunc(a.silenceTimeout(), a.silent)
 		if c.service.Engine != nil {
 			a.ticket.whenClosing(a.move)
 			a.boundVersion()
@@ -61,9 +61,9 @@
 	})
 }
 
-// patience returns how long the server may be silent: as long as events of another one are kept back for it, not much longer
+// silenceTimeout returns how long the server may be silent: as long as events of another one are kept back for it, not much longer
 // than a pause that is in time.
-func (a *attempt) patience() time.Duration {
+func (a *attempt) silenceTimeout() time.Duration {
 	if a.hedges == nil {
 		return a.choice.silence()
 	}
@@ -217,7 +217,7 @@
 	}
 	err := &SilentError{Server: a.choice.server.ID}
 	if a.firstSilence() {
-		c.leftAlone(a, a.choice.up.silent(clock.Now()), err.Error())
+		c.logEjection(a, a.choice.up.silent(clock.Now()), err.Error())
 	}
 	if a.heldUpFor() {
 		a.cancel(err)
--- a/forward/handover_faults_test.go
+++ b/forward/handover_faults_test.go
@@ -136,7 +136,7 @@
 	up := w.entry.upstreams.of("s")[0]
 	up.mu.Lock()
 	defer up.mu.Unlock()
-	if !up.until.IsZero() {
+	if !up.ejectedUntil.IsZero() {
 		t.Errorf("left alone with %d failures since its caller reads slowly", up.failures)
 	}
 }
--- a/forward/upstream.go
+++ b/forward/upstream.go
@@ -27,11 +27,11 @@
 	// stuckUsual is how long a first event may be overdue before its server counts as stuck, stuckFactor how dearly.
 	stuckUsual  = 200 * time.Millisecond
 	stuckFactor = 4
-	// firstPause and maxPause bound how long a server is left alone after failures, longer for each in a row.
-	firstPause = 500 * time.Millisecond
-	maxPause   = 4 * time.Second
-	// failuresBeforePause is how many failures in a row leave a server alone.
-	failuresBeforePause = 2
+	// firstEjection and maxEjection bound how long a server is ejected after failures, longer for each in a row.
+	firstEjection = 500 * time.Millisecond
+	maxEjection   = 4 * time.Second
+	// failuresToEject is how many failures in a row eject a server.
+	failuresToEject = 2
 )
 
 // upstream is one server as this entry sees it.
@@ -67,8 +67,9 @@
 	othersReading int
 
 	failures int
-	pause    time.Duration
-	until    time.Time
+	// ejection is how long the server was ejected last, until ejectedUntil.
+	ejection     time.Duration
+	ejectedUntil time.Time
 	// denied is when the server itself said that it is not what the list and its box say; zero once these say something new.
 	denied time.Time
 
@@ -249,23 +250,23 @@
 	return u.report.Closes - now.Sub(u.reportAt)
 }
 
-// failed notes a failure; after several in a row the server is left alone for the time returned.
+// failed notes a failure; after several in a row the server is ejected for the time returned.
 func (u *upstream) failed(now time.Time) time.Duration {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.failures++
-	if u.failures < failuresBeforePause {
+	if u.failures < failuresToEject {
 		return 0
 	}
-	u.pause = min(max(2*u.pause, firstPause), maxPause)
-	u.until = now.Add(u.pause)
-	return u.pause
+	u.ejection = min(max(2*u.ejection, firstEjection), maxEjection)
+	u.ejectedUntil = now.Add(u.ejection)
+	return u.ejection
 }
 
 // silent notes that nothing came from the server for too long, which counts as all failures at once.
 func (u *upstream) silent(now time.Time) time.Duration {
 	u.mu.Lock()
-	u.failures = max(u.failures, failuresBeforePause)
+	u.failures = max(u.failures, failuresToEject)
 	u.learn(minSilence, now)
 	u.mu.Unlock()
 	return u.failed(now)
@@ -274,7 +275,7 @@
 // unreachable notes that no connection came about, which counts as all failures at once.
 func (u *upstream) unreachable(now time.Time) {
 	u.mu.Lock()
-	u.failures = max(u.failures, failuresBeforePause)
+	u.failures = max(u.failures, failuresToEject)
 	u.mu.Unlock()
 	u.failed(now)
 }
@@ -290,5 +291,5 @@
 func (u *upstream) succeeded() {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.failures, u.pause, u.until = 0, 0, time.Time{}
+	u.failures, u.ejection, u.ejectedUntil = 0, 0, time.Time{}
 }
--- /dev/null
+++ b/probe/doc.go
@@ -0,0 +1,3 @@
+// Package probe finds out whether a process has ended, by whether anything listens
+// at its port.
+package probe
--- a/report/report.go
+++ b/report/report.go
@@ -163,7 +163,7 @@
 		d.stops++
 	case "view: the store is lost":
 		d.storeLost++
-	case "forward: server left alone":
+	case "forward: server ejected":
 		d.leftAlone++
 	}
 }
--- a/report/report_test.go
+++ b/report/report_test.go
@@ -99,7 +99,7 @@
 		logLine(3, `"msg":"request","route":"cards","outcome":"not-run","status":503,"cause":"no server of s is free in time: 310ms at the best, writing 16, reading 2"`) +
 		logLine(4, `"msg":"fill: a version is aimed at","version":2`) + logLine(6, `"msg":"fill: all pieces are held","version":2`) +
 		logLine(8, `"msg":"fill: the server runs a version","version":2`) +
-		logLine(9, `"msg":"view: the store is lost","feed":"declared"`) + logLine(9, `"msg":"forward: server left alone","server":"i-1"`)
+		logLine(9, `"msg":"view: the store is lost","feed":"declared"`) + logLine(9, `"msg":"forward: server ejected","server":"i-1"`)
 }
 
 func TestText(t *testing.T) {
