--- a/forward/ended.go
+++ b/forward/ended.go
@@ -63,9 +63,10 @@
 
 // checkEnded finds out whether a server has ended, and tells which requests were there.
 func (e *Entry) checkEnded(up *upstream, checked chan struct{}) {
-	ended := up.endedLately(clock.Now()) || probe.Refuses(up.address())
+	known := up.endedLately(clock.Now())
+	ended := known || probe.Refuses(up.address())
 	life, requests := up.takeBroken(ended, clock.Now())
-	if ended {
+	if ended && !known {
 		up.unreachable(clock.Now())
 	}
 	if len(requests) > 0 {
--- a/forward/held.go
+++ b/forward/held.go
@@ -1,43 +1,10 @@
 package forward
 
-import (
-	"maps"
-	"slices"
-	"sync"
-
-	"github.com/coralstair/coralstair/quarantine"
-)
+import "github.com/coralstair/coralstair/quarantine"
 
 // A request under which servers have ended goes to no more of them: 20 servers ended 41 times under one caller's request that came
 // again at all entries, and with them up to 15 other requests each time.
 
-// calls are the requests that the entry has let in.
-type calls struct {
-	mu  sync.Mutex
-	all map[*call]struct{}
-}
-
-func (cs *calls) add(c *call) {
-	cs.mu.Lock()
-	defer cs.mu.Unlock()
-	if cs.all == nil {
-		cs.all = make(map[*call]struct{})
-	}
-	cs.all[c] = struct{}{}
-}
-
-func (cs *calls) remove(c *call) {
-	cs.mu.Lock()
-	defer cs.mu.Unlock()
-	delete(cs.all, c)
-}
-
-func (cs *calls) list() []*call {
-	cs.mu.Lock()
-	defer cs.mu.Unlock()
-	return slices.Collect(maps.Keys(cs.all))
-}
-
 // fingerprint tells the request when it comes again.
 func (c *call) fingerprint() quarantine.Fingerprint {
 	c.printOnce.Do(func() {
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -28,6 +28,7 @@
 	away    bool
 	lose    int
 	hang    int
+	slow    time.Duration
 	writes  int
 }
 
@@ -104,6 +105,10 @@
 }
 
 func (s *sharedStore) WriteRecords(_ context.Context, records Records) error {
+	s.mu.Lock()
+	slow := s.slow
+	s.mu.Unlock()
+	time.Sleep(slow)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.away {
@@ -263,3 +268,28 @@
 		})
 	})
 }
+
+// TestPendingRecordsAreNewer proves that what an entry has yet to store is not lost to what the store tells meanwhile.
+func TestPendingRecordsAreNewer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newSharedStore()
+		a, _ := member(t, "a", store)
+		time.Sleep(time.Second)
+		a.Ended("1", []Fingerprint{named("x")})
+		time.Sleep(time.Second)
+		store.set(func() { store.away, store.slow = true, 500*time.Millisecond })
+		a.Ended("1", []Fingerprint{named("y")})
+		time.Sleep(100 * time.Millisecond)
+		// The entry hears its older record once more, and that there are no others.
+		a.Take(Records{Ends: []End{atEnd("1", "a", "x")}}, false)
+		a.Take(Records{}, true)
+		time.Sleep(time.Second)
+		store.set(func() { store.away = false })
+		time.Sleep(3 * time.Second)
+		store.set(func() {
+			if stored := store.ends[atEnd("1", "a").Key()].Requests; len(stored) != 2 {
+				t.Errorf("%d requests are stored, want 2", len(stored))
+			}
+		})
+	})
+}
--- a/quarantine/sync.go
+++ b/quarantine/sync.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"math/rand/v2"
 	"time"
 
@@ -98,23 +99,29 @@
 func (q *Quarantine) writePending(ctx context.Context) {
 	for pause := leastPause; ctx.Err() == nil; pause = min(2*pause, mostPause) {
 		q.mu.Lock()
-		records := q.pendingRecords()
-		clear(q.pending)
+		records, versions := q.pendingRecords(), maps.Clone(q.ledger.versions)
 		q.mu.Unlock()
-		err := q.write(ctx, records)
-		if err == nil {
+		if records.Size() == 0 {
 			return
 		}
-		q.opts.Log.WithField("cause", err.Error()).Warn("quarantine: what ended is not stored yet")
-		q.mu.Lock()
-		for _, end := range records.Ends {
-			q.pending[end.Key()] = true
+		if err := q.write(ctx, records); err != nil {
+			q.opts.Log.WithField("cause", err.Error()).Warn("quarantine: what ended is not stored yet")
+			sleep(ctx, pause/2+rand.N(pause))
+			continue
 		}
-		for _, answer := range records.Answers {
-			q.pending[answer.Key()] = true
+		q.stored(versions)
+	}
+}
+
+// stored notes that records are stored in versions. What has changed since is still pending; until it is stored, what the store
+// tells of it is older than what this entry knows.
+func (q *Quarantine) stored(versions map[string]int) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for key := range q.pending {
+		if version, known := q.ledger.versions[key]; !known || version == versions[key] {
+			delete(q.pending, key)
 		}
-		q.mu.Unlock()
-		sleep(ctx, pause/2+rand.N(pause))
 	}
 }
 
