--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -202,7 +202,7 @@
 
 // whole reads the answer to its end before any of it is passed on; a failure of the server's own is kept.
 func (a *attempt) whole() (step, error) {
-	body, err := io.ReadAll(io.LimitReader(a.resp.Body, maxWhole+1))
+	body, err := io.ReadAll(io.LimitReader(&progressReader{a: a, r: a.resp.Body}, maxWhole+1))
 	if err == nil && len(body) > maxWhole {
 		err = &BrokenAnswerError{Reason: "it is too long"}
 	}
@@ -218,6 +218,22 @@
 	return stepDone, nil
 }
 
+// progressReader reads an answer whose server is silent only while nothing comes: one that is long may take longer to come than a
+// server may be silent, 15 MB 0.9 s on a busy machine.
+type progressReader struct {
+	a *attempt
+	r io.Reader
+}
+
+// Read reads what has come and grants the rest as much time again.
+func (p *progressReader) Read(b []byte) (int, error) {
+	n, err := p.r.Read(b)
+	if n > 0 {
+		p.a.listen(p.a.silenceTimeout())
+	}
+	return n, err
+}
+
 // firstEvent reads a stream until an event that the caller does not have, or its end.
 func (a *attempt) firstEvent() (step, error) {
 	a.events = bufio.NewReaderSize(a.resp.Body, connBuffer)
--- a/forward/handover_faults_test.go
+++ b/forward/handover_faults_test.go
@@ -141,6 +141,37 @@
 	}
 }
 
+// TestLongAnswerIsNotSilence proves that a server whose whole answer takes longer to come than it may be silent keeps the request,
+// and is not ejected, as long as something comes.
+func TestLongAnswerIsNotSilence(t *testing.T) {
+	t.Parallel()
+	const pieces, pause = 8, 300 * time.Millisecond
+	slow := func(conn net.Conn, _ int, _ *http.Request) bool {
+		raw(conn, fmt.Sprintf("HTTP/1.1 200 OK\nId: r1\nSeal: s\nContent-Length: %d\n\n", pieces))
+		for range pieces {
+			time.Sleep(pause)
+			if !raw(conn, "x") {
+				return false
+			}
+		}
+		return true
+	}
+	one, two := newFake(t, slow), newFake(t, slow)
+	w := newWorld(t, false, one.address, two.address)
+	got := w.ask(http.MethodPost, "/safe/a", "x", nil)
+	if got.status != http.StatusOK || len(got.body) != pieces {
+		t.Errorf("status %d, %d of %d bytes", got.status, len(got.body), pieces)
+	}
+	if n := one.arrivals() + two.arrivals(); n != 1 {
+		t.Errorf("%d sends, want 1", n)
+	}
+	for _, up := range w.entry.upstreams.of("s") {
+		if up.failures > 0 {
+			t.Errorf("its server counts %d failures", up.failures)
+		}
+	}
+}
+
 // TestTheOnlyOneLeftIsNotGivenUp proves that a server that was asked beside another one is not given up as silent once the
 // other one has broken off: nothing else holds the answer then.
 func TestTheOnlyOneLeftIsNotGivenUp(t *testing.T) {
