--- a/box/box.go
+++ b/box/box.go
@@ -39,6 +39,7 @@
 	loader   *loader
 	peers    *peers
 	leaving  atomic.Bool
+	began    time.Time
 
 	mu       sync.Mutex
 	sessions map[*session]bool
@@ -55,6 +56,7 @@
 		follower: follower.New(cfg.Ledger, cfg.Fleet, follower.Options{Checks: cfg.Checks}),
 		members:  membership.New(cfg.List, cfg.Fleet, cfg.ListInterval),
 		sessions: make(map[*session]bool),
+		began:    time.Now(),
 	}
 	holder := cfg.ID + "/" + cfg.Incarnation
 	b.transfer = transfer.New(transfer.Config{
@@ -145,8 +147,15 @@
 // Transfer returns the box's part in the spread of weights.
 func (b *Box) Transfer() *transfer.Transfer { return b.transfer }
 
-// swarmMembers returns the live boxes of the own service.
+// listPatience is how long a box waits for the list of live boxes before it takes itself for the only one of its service. Without
+// it a box that starts before it has read the list draws from the origin what its neighbours hold.
+const listPatience = swarm.DefaultRankWait
+
+// swarmMembers returns the live boxes of the own service; none while it is not known which there are.
 func (b *Box) swarmMembers() []swarm.Member {
+	if !b.members.Read() && time.Since(b.began) < listPatience {
+		return nil
+	}
 	stopped := b.follower.Config().Stopped
 	var members []swarm.Member
 	self := false
--- a/membership/watcher.go
+++ b/membership/watcher.go
@@ -26,6 +26,7 @@
 
 	mu      sync.Mutex
 	members []Member
+	read    bool
 	changed chan struct{}
 }
 
@@ -62,10 +63,17 @@
 	return w.members
 }
 
+// Read reports whether the list has been read at all.
+func (w *Watcher) Read() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.read
+}
+
 // Serve reads the list again and again until ctx ends.
 func (w *Watcher) Serve(ctx context.Context) error {
 	for {
-		w.read(ctx)
+		w.refresh(ctx)
 		wait := w.interval/2 + rand.N(w.interval)
 		select {
 		case <-ctx.Done():
@@ -75,7 +83,7 @@
 	}
 }
 
-func (w *Watcher) read(ctx context.Context) {
+func (w *Watcher) refresh(ctx context.Context) {
 	all, err := w.list.Members(ctx)
 	if err != nil {
 		log.WithError(err).Debug("membership: list not read")
@@ -89,9 +97,10 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if reflect.DeepEqual(members, w.members) {
+	if w.read && reflect.DeepEqual(members, w.members) {
 		return
 	}
+	w.read = true
 	w.members = members
 	close(w.changed)
 	w.changed = make(chan struct{})
--- a/swarm/choose.go
+++ b/swarm/choose.go
@@ -93,10 +93,19 @@
 	return n.copies[chunk] == 0 && (n.planned(rank) || n.waited(rank, now))
 }
 
-// knows reports whether this box knows enough of the others to draw: it has heard what one of them holds, there is
-// none, or it has waited for long. A box that is replaced would otherwise draw what its neighbours hold.
+// knows reports whether this box knows enough of the others to draw: one to which it has a link has told what it holds, there is
+// none, or it has waited for long. A box that is replaced would otherwise draw what its neighbours hold, also in the moment in
+// which the link on which it was told gives way to another.
 func (n *Node) knows(now time.Time) bool {
-	return n.heard || len(n.order.members) < 2 || now.Sub(n.began) >= n.params.RankWait
+	if len(n.order.members) < 2 || now.Sub(n.began) >= n.params.RankWait {
+		return true
+	}
+	for _, p := range n.peers {
+		if p.told {
+			return true
+		}
+	}
+	return false
 }
 
 // planned reports whether a box of that rank draws a group without waiting.
--- a/swarm/node.go
+++ b/swarm/node.go
@@ -25,7 +25,6 @@
 	usual   time.Duration
 	news    time.Time
 	began   time.Time
-	heard   bool
 	salt    uint64
 }
 
--- a/swarm/peer.go
+++ b/swarm/peer.go
@@ -14,6 +14,8 @@
 	given  int
 	asked  int
 	faults int
+	// told says that the box has told what it holds.
+	told bool
 	// pause is until when the box is left alone, retry until when even for chunks that no other box holds.
 	pause time.Time
 	retry time.Time
@@ -52,7 +54,7 @@
 	if p == nil {
 		return
 	}
-	n.heard = true
+	p.told = true
 	if reset {
 		n.forget(p)
 	}
