--- a/fill/reporter.go
+++ b/fill/reporter.go
@@ -116,6 +116,9 @@
 	if !b.closes.IsZero() {
 		report.Closes = closesIn(clock.Until(b.closes))
 	}
+	if cfg := b.cfg.View.Config(); cfg != nil {
+		report.Revision = cfg.Revision
+	}
 	report.Ready = b.readyIn(clock.Now()).Round(readyStep)
 	report.Filled = b.pending != nil || b.fill != nil && b.fill.feed != nil && b.fill.feed.Complete()
 	for model, version := range b.state.Loaded {
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -31,7 +31,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	cfg := e.cfg.View.Config()
-	if cfg == nil {
+	if cfg == nil || e.cfg.View.Outdated() {
 		e.deny(w, r, ask, http.StatusServiceUnavailable, "no-configuration", "no configuration is known yet", loadRetryAfter)
 		return
 	}
--- a/forward/reader.go
+++ b/forward/reader.go
@@ -155,7 +155,7 @@
 		case *link.Servers:
 			lr.entry.cfg.Told.TakeServers(msg)
 		case *link.Ends:
-			lr.entry.cfg.Quarantine.Take(msg.Records, msg.Reset)
+			lr.entry.cfg.Quarantine.Take(msg.Records)
 		case *link.Declared:
 			return true
 		}
--- a/forward/reader_test.go
+++ b/forward/reader_test.go
@@ -56,7 +56,7 @@
 
 // have makes servers the list.
 func (s *countedStore) have(ids ...string) {
-	list := &view.Servers{Cursor: view.Cursor(len(ids))}
+	list := &view.Servers{Cursor: view.Cursor{Place: int64(len(ids))}}
 	for _, id := range ids {
 		list.Present = append(list.Present, contract.Server{ID: id, Service: "s", Address: "h:" + id, Slots: 1})
 	}
@@ -250,9 +250,9 @@
 		t.Errorf("not all entries hold it: %t", want)
 	}
 	reader := rs.entries[first].cfg.Quarantine
-	reader.Take(ends("1", "2"), true)
-	reader.Take(ends("3"), false)
+	reader.Take(ends("1", "2"))
+	reader.Take(ends("3"))
 	await(true)
-	reader.Take(quarantine.Records{Gone: []string{ends("3").Ends[0].Key()}}, false)
+	reader.Take(quarantine.Records{Gone: []string{ends("3").Ends[0].Key()}})
 	await(false)
 }
--- a/forward/reports.go
+++ b/forward/reports.go
@@ -199,6 +199,7 @@
 		switch msg := msg.(type) {
 		case *link.Report:
 			rs.entry.upstreams.heard(*msg, clock.Now())
+			rs.entry.cfg.View.OfferRevision(msg.Revision)
 			rs.count(address, msg)
 		case *link.Follow:
 			rs.follow(conn, msg.Service)
--- a/invariant/recorder.go
+++ b/invariant/recorder.go
@@ -19,6 +19,7 @@
 	RevisionGrows     Name = "revision_never_falls"
 	FenceGrows        Name = "fence_never_falls"
 	VerifiedBeforeUse Name = "weights_verified_before_load"
+	CursorOfItsEpoch  Name = "cursor_of_its_epoch"
 )
 
 // Broken is the fact of one broken invariant.
--- a/lab/standin/store.go
+++ b/lab/standin/store.go
@@ -36,6 +36,7 @@
 	HasMore   bool  `json:"hasMore"`
 	SchemaVer int64 `json:"schemaVer"`
 	NowMs     int64 `json:"nowMs"`
+	epoch     int64
 }
 
 // Store is the platform's store; it keeps every change, until Compact forgets them.
@@ -49,6 +50,9 @@
 	changes []Row
 	changed chan struct{}
 	refuse  int
+	// epoch counts how often the store came back from a copy, past holds all changes with their times.
+	epoch int64
+	past  []pastChange
 }
 
 // NewStore returns an empty store.
@@ -81,6 +85,7 @@
 			s.rows[row.Table+"/"+row.Key] = row
 		}
 		s.changes = append(s.changes, row)
+		s.past = append(s.past, pastChange{at: time.Now(), row: row})
 	}
 	close(s.changed)
 	s.changed = make(chan struct{})
@@ -109,7 +114,7 @@
 	s.change(rows)
 	body := s.body()
 	body.Rows = nil
-	writeJSON(w, body)
+	writeRows(w, body)
 }
 
 // Refuse has all calls answered with a status; 0 ends that.
@@ -130,6 +135,7 @@
 func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	refuse := s.refuse
+	w.Header().Set(headerEpoch, strconv.FormatInt(s.epoch, 10))
 	s.mu.Unlock()
 	switch {
 	case refuse != 0:
@@ -160,7 +166,7 @@
 	if limit > 0 && len(body.Rows) > limit {
 		body.Rows, body.HasMore = body.Rows[:limit], true
 	}
-	writeJSON(w, body)
+	writeRows(w, body)
 }
 
 func (s *Store) feed(w http.ResponseWriter, r *http.Request) {
@@ -171,7 +177,7 @@
 	for {
 		s.mu.Lock()
 		body, changed := s.body(), s.changed
-		gone := after < s.forgot
+		gone := after < s.forgot || after > s.version
 		for _, row := range s.changes {
 			if row.Table == query.Get("table") && row.SchemaVer > after {
 				body.Rows = append(body.Rows, row)
@@ -179,17 +185,18 @@
 		}
 		s.mu.Unlock()
 		if gone {
+			w.Header().Set(headerEpoch, strconv.FormatInt(body.epoch, 10))
 			w.WriteHeader(http.StatusGone)
 			return
 		}
 		if len(body.Rows) > 0 {
-			writeJSON(w, body)
+			writeRows(w, body)
 			return
 		}
 		select {
 		case <-changed:
 		case <-deadline:
-			writeJSON(w, body)
+			writeRows(w, body)
 			return
 		case <-r.Context().Done():
 			return
@@ -199,7 +206,13 @@
 
 // body returns an answer without rows; mu is held.
 func (s *Store) body() rowsBody {
-	return rowsBody{Rows: []Row{}, SchemaVer: s.version, NowMs: time.Since(s.began).Milliseconds()}
+	return rowsBody{Rows: []Row{}, SchemaVer: s.version, NowMs: time.Since(s.began).Milliseconds(), epoch: s.epoch}
+}
+
+// writeRows writes an answer of the epoch in which it was made.
+func writeRows(w http.ResponseWriter, body rowsBody) {
+	w.Header().Set(headerEpoch, strconv.FormatInt(body.epoch, 10))
+	writeJSON(w, body)
 }
 
 func writeJSON(w http.ResponseWriter, body any) {
--- a/link/daemon.go
+++ b/link/daemon.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/coralstair/coralstair/contract"
 	"github.com/coralstair/coralstair/fleet"
 )
 
@@ -91,6 +92,8 @@
 	Born int64 `cbor:"13,keyasint,omitempty"`
 	// Standing is for how many entries those stand that hear the box; it varies from box to box, its mean does not.
 	Standing float64 `cbor:"14,keyasint,omitempty"`
+	// Revision is the newest configuration that the box knows of.
+	Revision contract.Revision `cbor:"15,keyasint,omitempty"`
 }
 
 // Target tells which version of a model should run, and how long ago that was named.
--- a/quarantine/ledger.go
+++ b/quarantine/ledger.go
@@ -228,3 +228,16 @@
 	}
 	return false
 }
+
+// tells reports whether a ledger knows as much of a record as another does.
+func (l *Ledger) tells(key string, other *Ledger) bool {
+	if _, known := l.since[key]; !known {
+		return false
+	}
+	return containsAll(l.ends[key].Requests, other.ends[key].Requests) && containsAll(l.answers[key].Lives, other.answers[key].Lives)
+}
+
+// containsAll reports whether all of some things are among others.
+func containsAll[T comparable](all, some []T) bool {
+	return !slices.ContainsFunc(some, func(one T) bool { return !slices.Contains(all, one) })
+}
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -45,7 +45,9 @@
 	mu      sync.Mutex
 	ledger  Ledger
 	pending map[string]bool
-	onNews  func(held bool)
+	// lost holds the keys of records of other entries that a copy of the store lacks and that have not come back yet.
+	lost   map[string]bool
+	onNews func(held bool)
 }
 
 // New returns a quarantine that knows nothing yet.
@@ -56,6 +58,7 @@
 	opts.Wait = cmp.Or(opts.Wait, view.DefaultWait)
 	return &Quarantine{
 		opts: opts, keep: KeepTime + rand.N(keepSpread), woken: make(chan struct{}, 1), pending: make(map[string]bool),
+		lost: make(map[string]bool),
 	}
 }
 
@@ -66,8 +69,9 @@
 	q.onNews = call
 }
 
-// Take learns what another entry tells of what is stored; whole says that these are all records.
-func (q *Quarantine) Take(records Records, whole bool) { q.take(records, whole) }
+// Take learns what another entry tells of what is stored. Nothing is forgotten because another entry does not know it: it may have
+// started after the store came back from a copy.
+func (q *Quarantine) Take(records Records) { q.take(records, false) }
 
 // Changes returns the records that have changed since another entry was told, and notes in told that it is.
 func (q *Quarantine) Changes(told map[string]int) Records {
@@ -137,6 +141,12 @@
 // take has the ledger learn what is stored; whole says that these are all records. What this entry has yet to store is newer.
 func (q *Quarantine) take(records Records, whole bool) {
 	q.mu.Lock()
+	for _, end := range records.Ends {
+		delete(q.lost, end.Key())
+	}
+	for _, answer := range records.Answers {
+		delete(q.lost, answer.Key())
+	}
 	own := q.pendingRecords()
 	records.Ends = append(slices.Clone(records.Ends), own.Ends...)
 	records.Answers = append(slices.Clone(records.Answers), own.Answers...)
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -13,14 +13,16 @@
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/discard"
 
+	"github.com/coralstair/coralstair/store"
 	"github.com/coralstair/coralstair/view"
 )
 
 // sharedStore is a store that two entries share; it may be away, forget its history and lose answers.
 type sharedStore struct {
 	mu      sync.Mutex
-	cursor  view.Cursor
-	forgot  view.Cursor
+	epoch   store.Epoch
+	cursor  int64
+	forgot  int64
 	ends    map[string]End
 	answers map[string]Answer
 	changes []change
@@ -33,7 +35,7 @@
 }
 
 type change struct {
-	at  view.Cursor
+	at  int64
 	key string
 }
 
@@ -47,9 +49,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.away {
-		return Records{}, 0, errAway
+		return Records{}, view.Cursor{}, errAway
 	}
-	return Records{Ends: slices.Collect(maps.Values(s.ends)), Answers: slices.Collect(maps.Values(s.answers))}, s.cursor, nil
+	return Records{Ends: slices.Collect(maps.Values(s.ends)), Answers: slices.Collect(maps.Values(s.answers))}, view.Cursor{Epoch: s.epoch, Place: s.cursor}, nil
 }
 
 func (s *sharedStore) RecordsAfter(ctx context.Context, cursor view.Cursor, wait time.Duration) (Records, view.Cursor, error) {
@@ -59,23 +61,24 @@
 	s.mu.Unlock()
 	if hangs {
 		<-ctx.Done()
-		return Records{}, 0, ctx.Err()
+		return Records{}, view.Cursor{}, ctx.Err()
 	}
 	for deadline := time.After(wait); ; {
 		s.mu.Lock()
-		records, at, away, gone, changed := s.after(cursor), s.cursor, s.away, cursor < s.forgot, s.changed
+		records, at, away, changed := s.after(cursor.Place), view.Cursor{Epoch: s.epoch, Place: s.cursor}, s.away, s.changed
+		gone := cursor.Place < s.forgot || cursor.Epoch != s.epoch
 		s.mu.Unlock()
 		switch {
 		case away:
-			return Records{}, 0, errAway
+			return Records{}, view.Cursor{}, errAway
 		case gone:
-			return Records{}, 0, &view.HistoryGoneError{}
+			return Records{}, view.Cursor{}, &view.HistoryGoneError{}
 		case records.Size() > 0:
 			return records, at, nil
 		}
 		select {
 		case <-ctx.Done():
-			return Records{}, 0, ctx.Err()
+			return Records{}, view.Cursor{}, ctx.Err()
 		case <-changed:
 		case <-deadline:
 			return Records{}, at, nil
@@ -84,7 +87,7 @@
 }
 
 // after returns what has changed after a place in the history; mu is held.
-func (s *sharedStore) after(cursor view.Cursor) Records {
+func (s *sharedStore) after(cursor int64) Records {
 	var records Records
 	for _, c := range s.changes {
 		if c.at <= cursor {
@@ -281,8 +284,8 @@
 		a.Ended("1", []Fingerprint{named("y")})
 		time.Sleep(100 * time.Millisecond)
 		// The entry hears its older record once more, and that there are no others.
-		a.Take(Records{Ends: []End{atEnd("1", "a", "x")}}, false)
-		a.Take(Records{}, true)
+		a.Take(Records{Ends: []End{atEnd("1", "a", "x")}})
+		a.take(Records{}, true)
 		time.Sleep(time.Second)
 		store.set(func() { store.away = false })
 		time.Sleep(3 * time.Second)
--- a/quarantine/record.go
+++ b/quarantine/record.go
@@ -1,5 +1,7 @@
 package quarantine
 
+import "slices"
+
 // End is a life of a server that has ended, with the requests that were in progress there from one entry.
 type End struct {
 	Life     string        `cbor:"1,keyasint"`
@@ -34,3 +36,10 @@
 
 // Size returns how many records there are.
 func (r Records) Size() int { return len(r.Ends) + len(r.Answers) + len(r.Gone) }
+
+// without returns the records but for those with some keys.
+func (r Records) without(keys []string) Records {
+	r.Ends = slices.DeleteFunc(slices.Clone(r.Ends), func(e End) bool { return slices.Contains(keys, e.Key()) })
+	r.Answers = slices.DeleteFunc(slices.Clone(r.Answers), func(a Answer) bool { return slices.Contains(keys, a.Key()) })
+	return r
+}
--- a/quarantine/sync.go
+++ b/quarantine/sync.go
@@ -38,7 +38,7 @@
 		<-ctx.Done()
 		return ctx.Err()
 	}
-	cursor, known, pause, wait := view.Cursor(0), false, leastPause, q.opts.Wait
+	cursor, known, pause, wait := view.Cursor{}, false, leastPause, q.opts.Wait
 	for ctx.Err() == nil {
 		if q.opts.Told != nil && q.opts.Told() {
 			known = false
@@ -54,7 +54,10 @@
 			pause = min(2*pause, mostPause)
 			continue
 		}
-		if !known || records.Size() > 0 {
+		switch {
+		case !known && next.Epoch > cursor.Epoch && cursor != view.Cursor{}:
+			q.takeCopy(ctx, records)
+		case !known || records.Size() > 0:
 			q.take(records, !known)
 		}
 		cursor, known, pause, wait = next, true, leastPause, q.opts.Wait
--- a/soak/fault.go
+++ b/soak/fault.go
@@ -83,6 +83,9 @@
 	kinds := slices.Concat(
 		r.processFaults(turns.IntN), r.wayFaults(turns.IntN), r.platformFaults(turns.IntN), r.serverFaults(turns.IntN),
 	)
+	if r.opts.Copies {
+		kinds = append(kinds, slices.Repeat([]func() fault{r.copyFault(turns.IntN)}, copyWeight)...)
+	}
 	if r.opts.Lives {
 		kinds = append(kinds, r.lifeFaults(turns.IntN)...)
 		kinds = append(kinds, r.lifeFaults(turns.IntN)...)
--- a/soak/rig.go
+++ b/soak/rig.go
@@ -69,6 +69,7 @@
 	deaths   deaths
 
 	mu       sync.Mutex
+	ready    time.Time
 	revision int64
 	version  int64
 	declared []declaration
@@ -89,6 +90,7 @@
 	}
 	r.nameVersion()
 	r.declare()
+	r.ready = time.Now()
 	return r, nil
 }
 
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -25,6 +25,8 @@
 	Trouble time.Duration
 	// Lives adds servers that start again under their ids, and entries of other writers, twice as often as any other fault.
 	Lives bool
+	// Copies adds a store that comes back from a copy of itself, as often as all other faults of a kind together.
+	Copies bool
 	// Deadly is how many requests come again and again that end each server that runs them, beside restarts of all entries.
 	Deadly int
 	// planned returns planned work beside which nothing may be lost; nil has faults go on.
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -52,6 +52,24 @@
 	}
 }
 
+// copiesSeeds are those of runs with a store that comes back from copies that run in CI.
+var copiesSeeds = []uint64{1}
+
+// TestCopies proves the same promises while the store comes back from copies of itself.
+func TestCopies(t *testing.T) {
+	daemon := build(t)
+	more := moreSeeds(t)
+	for _, seed := range copiesSeeds {
+		more[seed] = true
+	}
+	for seed := range more {
+		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
+			t.Parallel()
+			run(t, Options{Seed: seed, Daemon: daemon, Dir: logs(t, "copies", seed), Copies: true})
+		})
+	}
+}
+
 // build returns the daemon's program.
 func build(t *testing.T) string {
 	t.Helper()
--- a/told/source.go
+++ b/told/source.go
@@ -22,10 +22,11 @@
 	// listPause and declaredPause are how long after it read the store itself a box does so again: the list grows old sooner.
 	listPause     = 1500 * time.Millisecond
 	declaredPause = 5 * time.Second
-	// noCursor is the place in the store's history of what entries told: none.
-	noCursor view.Cursor = -1
 )
 
+// noCursor is the place in the store's history of what entries told: none.
+var noCursor = view.Cursor{Place: -1}
+
 // Source is the source of a view: what an entry tells, and the store while none does.
 type Source struct {
 	store view.Source
--- a/told/source_test.go
+++ b/told/source_test.go
@@ -127,7 +127,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				store := &countingStore{servers: view.Servers{Present: serversNamed("a"), Cursor: 7}}
+				store := &countingStore{servers: view.Servers{Present: serversNamed("a"), Cursor: view.Cursor{Place: 7}}}
 				test(t, store, New(store))
 			})
 		})
@@ -169,7 +169,7 @@
 // the one server that had come last, in 3 of 180 starts of four entries on a busy machine.
 func TestTellingBeginsBesideARead(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		store := &tellingStore{countingStore: countingStore{servers: view.Servers{Present: serversNamed("a", "b"), Cursor: 1}}}
+		store := &tellingStore{countingStore: countingStore{servers: view.Servers{Present: serversNamed("a", "b"), Cursor: view.Cursor{Place: 1}}}}
 		store.told = NewForEntry(store, time.Second)
 		time.AfterFunc(500*time.Millisecond, func() { store.told.TakeServers(&link.Servers{Present: serversNamed("c")}) })
 		whole, err := store.told.Servers(t.Context())
--- a/view/follow.go
+++ b/view/follow.go
@@ -16,7 +16,7 @@
 
 // ServeDeclared follows what operators declare until ctx ends.
 func (v *View) ServeDeclared(ctx context.Context) error {
-	cursor, known, first := Cursor(0), false, true
+	cursor, known, first := Cursor{}, false, true
 	return v.follow(ctx, "declared", func(ctx context.Context, wait time.Duration) (time.Duration, error) {
 		var declared Declared
 		var err error
@@ -30,6 +30,7 @@
 			known = false
 			return 0, err
 		}
+		v.checkEpoch(known, cursor, declared.Cursor)
 		changed := v.takeDeclared(declared, first)
 		v.confirm()
 		cursor, known, first = declared.Cursor, !changed || first || !v.opts.Reread, false
@@ -42,7 +43,7 @@
 
 // ServeServers follows the list of servers until ctx ends.
 func (v *View) ServeServers(ctx context.Context) error {
-	cursor, known := Cursor(0), false
+	cursor, known := Cursor{}, false
 	return v.follow(ctx, "servers", func(ctx context.Context, wait time.Duration) (time.Duration, error) {
 		var servers Servers
 		var err error
@@ -55,6 +56,7 @@
 			known = known && !gone(err)
 			return 0, err
 		}
+		v.checkEpoch(known, cursor, servers.Cursor)
 		v.takeServers(servers, !known)
 		v.confirmList()
 		cursor, known = servers.Cursor, true
--- a/view/reissue_test.go
+++ b/view/reissue_test.go
@@ -59,7 +59,7 @@
 		s.mu.Lock()
 		revision, changed := s.revision, s.changed
 		s.mu.Unlock()
-		if Cursor(revision) > cursor {
+		if int64(revision) > cursor.Place {
 			Begun(ctx)
 			time.Sleep(s.body)
 			return revision, nil
@@ -78,7 +78,7 @@
 	s.mu.Lock()
 	s.whole++
 	s.mu.Unlock()
-	return s.DeclaredAfter(ctx, 0, 0)
+	return s.DeclaredAfter(ctx, Cursor{}, 0)
 }
 
 func (s *fakeStore) DeclaredAfter(ctx context.Context, cursor Cursor, wait time.Duration) (Declared, error) {
@@ -86,10 +86,12 @@
 	if err != nil {
 		return Declared{}, err
 	}
-	return Declared{Config: config(revision), Cursor: Cursor(revision)}, nil
+	return Declared{Config: config(revision), Cursor: Cursor{Place: int64(revision)}}, nil
 }
 
-func (s *fakeStore) Servers(ctx context.Context) (Servers, error) { return s.ServersAfter(ctx, 0, 0) }
+func (s *fakeStore) Servers(ctx context.Context) (Servers, error) {
+	return s.ServersAfter(ctx, Cursor{}, 0)
+}
 
 func (s *fakeStore) ServersAfter(ctx context.Context, _ Cursor, _ time.Duration) (Servers, error) {
 	<-ctx.Done()
--- a/view/source.go
+++ b/view/source.go
@@ -5,10 +5,14 @@
 	"time"
 
 	"github.com/coralstair/coralstair/contract"
+	"github.com/coralstair/coralstair/store"
 )
 
-// Cursor is a place in the store's history.
-type Cursor int64
+// Cursor is a place in the store's history in one epoch of the store.
+type Cursor struct {
+	Epoch store.Epoch
+	Place int64
+}
 
 // Declared is what operators declared, whole or as far as it changed.
 type Declared struct {
@@ -43,7 +47,7 @@
 	ServersAfter(ctx context.Context, cursor Cursor, wait time.Duration) (Servers, error)
 }
 
-// HistoryGoneError says that the store no longer has the history after a cursor.
+// HistoryGoneError says that the store no longer has the history after a cursor, or has come back from a copy since.
 type HistoryGoneError struct{}
 
 // Error says so.
--- a/view/take.go
+++ b/view/take.go
@@ -31,6 +31,7 @@
 func (v *View) takeDeclared(declared Declared, first bool) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	v.enterEpoch(declared.Cursor)
 	for _, fault := range declared.Faults {
 		configFaults.Inc()
 		v.opts.Log.WithField("cause", fault.Error()).Error("view: what was declared cannot be read; the last known stays")
@@ -55,6 +56,9 @@
 	if cfg == nil || v.config != nil && cfg.Revision <= v.config.Revision {
 		return false
 	}
+	if v.config == nil {
+		v.configured = v.now()
+	}
 	v.config = cfg
 	configRevision.Set(float64(cfg.Revision))
 	v.opts.Log.WithFields(log.Fields{"revision": int64(cfg.Revision), "routes": cfg.Routes()}).Info("view: configuration taken")
@@ -75,7 +79,7 @@
 	return true
 }
 
-// takeServers takes entries that changed; whole says that they are all there are.
+// takeServers takes entries that changed; whole says that they are all there are. The first whole of an epoch may be a copy.
 func (v *View) takeServers(servers Servers, whole bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -84,10 +88,16 @@
 		listFaults.Inc()
 		v.opts.Log.WithField("cause", fault.Error()).Error("view: an entry of the list names no server to use")
 	}
+	v.enterEpoch(servers.Cursor)
+	if whole {
+		servers.Present = v.ofWhole(servers.Present, servers.Cursor.Epoch > v.listEpoch && v.listed, now)
+	}
+	v.listEpoch = max(v.listEpoch, servers.Cursor.Epoch)
 	present := make(map[string]bool, len(servers.Present))
-	for _, server := range servers.Present {
+	for _, server := range append(v.settleGhosts(now), servers.Present...) {
 		present[server.ID] = true
 		delete(v.missing, server.ID)
+		delete(v.ghosts, server.ID)
 		v.noteServer(server)
 		v.replace(server)
 		v.servers[server.ID] = server
@@ -96,6 +106,7 @@
 		v.forget(id)
 	}
 	for _, id := range servers.Gone {
+		delete(v.ghosts, id)
 		v.miss(id, now)
 	}
 	if whole {
@@ -114,6 +125,7 @@
 func (v *View) dropMissing(now time.Time) {
 	for id, gap := range v.missing {
 		if now.After(gap.until) {
+			v.depart(id, now)
 			v.forget(id)
 		}
 	}
--- a/view/view.go
+++ b/view/view.go
@@ -11,11 +11,15 @@
 
 	"github.com/coralstair/coralstair/clock"
 	"github.com/coralstair/coralstair/contract"
+	"github.com/coralstair/coralstair/invariant"
+	"github.com/coralstair/coralstair/store"
 )
 
 // Options are the settings of a view; a zero field takes its default.
 type Options struct {
 	Log log.Interface
+	// Checks takes what must always hold.
+	Checks *invariant.Recorder
 	// Wait is how long a call on a feed waits for a change; WaitWithin tells one that fits a bound.
 	Wait time.Duration
 	// Retry is the least pause after a call that failed.
@@ -58,16 +62,27 @@
 	opts   Options
 	now    func() time.Time
 
-	mu      sync.RWMutex
-	config  *contract.Config
-	targets map[string]*history
-	servers map[string]contract.Server
-	missing map[string]lapse
+	mu     sync.RWMutex
+	config *contract.Config
+	// configured is when the first configuration was taken.
+	configured time.Time
+	offered    offer
+	targets    map[string]*history
+	servers    map[string]contract.Server
+	missing    map[string]lapse
 	// replaced holds for a server the one that took its address: of the two only the newer one lives.
 	replaced map[string]string
-	listed   bool
-	changed  chan struct{}
-	away     time.Time
+	// departed are servers that left of late, ghosts those of them that a copy of the store lists again.
+	departed map[string]departed
+	ghosts   map[string]ghost
+	// epoch is the store's as last heard; heard says that it was.
+	epoch store.Epoch
+	heard bool
+	// listEpoch is the epoch of the last whole list.
+	listEpoch store.Epoch
+	listed    bool
+	changed   chan struct{}
+	away      time.Time
 	// confirmed is when the store last answered what is declared.
 	confirmed time.Time
 	// listConfirmed is when the store, or who tells what it holds, last answered what servers there are.
@@ -106,6 +121,7 @@
 		targets: make(map[string]*history),
 		servers: make(map[string]contract.Server),
 		missing: make(map[string]lapse), replaced: make(map[string]string),
+		departed: make(map[string]departed), ghosts: make(map[string]ghost),
 		changed: make(chan struct{}),
 	}
 }
@@ -138,12 +154,13 @@
 	return v.lost == 0
 }
 
-// Doubtful reports whether something newer may be in force than what is known: the store has not answered for too long.
+// Doubtful reports whether something newer may be in force than what is known: the store has not answered for too long, or others
+// know a newer configuration.
 func (v *View) Doubtful() bool {
 	v.mu.RLock()
 	defer v.mu.RUnlock()
 	// A feed that works is answered sooner.
-	return v.now().Sub(v.confirmed) > v.opts.Wait+2*reissueAfter
+	return v.behind() || v.now().Sub(v.confirmed) > v.opts.Wait+2*reissueAfter
 }
 
 // confirm notes that the store has answered what is declared.
