--- a/admission/policy.go
+++ b/admission/policy.go
@@ -18,8 +18,6 @@
 	fullPressure = 0.1
 	// pressureWeight is the weight of the newest first try in the pressure.
 	pressureWeight = 0.05
-	// returnAfter is how much less a caller still waits than others of its kind that returns.
-	returnAfter = 50 * time.Millisecond
 	// kindLife is how long a kind of request counts that does not come any more.
 	kindLife = 30 * time.Second
 )
@@ -29,8 +27,6 @@
 	// Kind is the request's route, Goal the time within which its answer is in time.
 	Kind string
 	Goal time.Duration
-	// Wait is how long its caller still waits; 0 when it does not say.
-	Wait time.Duration
 }
 
 // Policy lets the requests of one service in; the zero Policy is ready to use, from several goroutines.
@@ -41,29 +37,21 @@
 	pressure float64
 }
 
-// kind is what is seen of one kind of request: the longest wait of its callers is that of first tries.
+// kind is what is seen of one kind of request.
 type kind struct {
-	goal    time.Duration
-	longest time.Duration
-	seen    time.Time
+	goal time.Duration
+	seen time.Time
 }
 
-// Waited returns how long ago a request was tried first, as far as the time tells that its caller still waits: 0 for a first
-// try.
-func (p *Policy) Waited(ask Ask, now time.Time) time.Duration {
+// Note notes that a request of a kind came.
+func (p *Policy) Note(ask Ask, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	maps.DeleteFunc(p.kinds, func(_ string, k kind) bool { return now.Sub(k.seen) > kindLife })
 	if p.kinds == nil {
 		p.kinds = make(map[string]kind)
 	}
-	k := p.kinds[ask.Kind]
-	k.goal, k.longest, k.seen = ask.Goal, max(k.longest, ask.Wait), now
-	p.kinds[ask.Kind] = k
-	if waited := k.longest - ask.Wait; ask.Wait > 0 && waited > returnAfter {
-		return waited
-	}
-	return 0
+	p.kinds[ask.Kind] = kind{goal: ask.Goal, seen: now}
 }
 
 // LetIn reports whether a request that was tried first so long ago is let in when so much is read before it.
--- a/admission/policy_test.go
+++ b/admission/policy_test.go
@@ -11,15 +11,10 @@
 
 // kinds are two kinds of request of one service.
 var (
-	long  = Ask{Kind: "long", Goal: ms(400), Wait: ms(6000)}
-	short = Ask{Kind: "short", Goal: ms(300), Wait: ms(6000)}
+	long  = Ask{Kind: "long", Goal: ms(400)}
+	short = Ask{Kind: "short", Goal: ms(300)}
 )
 
-func (a Ask) withWait(wait time.Duration) Ask {
-	a.Wait = wait
-	return a
-}
-
 // refuse has so many of a hundred first tries be refused, for as long as it takes to be known.
 func refuse(p *Policy, percent int) {
 	for i := range 400 {
@@ -27,44 +22,15 @@
 		if i*percent%100 < percent {
 			ahead = time.Hour
 		}
-		p.LetIn(long, p.Waited(long, start), ahead)
-	}
-}
-
-func TestWaitedTellsReturns(t *testing.T) {
-	for name, test := range map[string]struct {
-		before []time.Duration
-		wait   time.Duration
-		want   time.Duration
-	}{
-		"the first of its kind":                   {nil, ms(6000), 0},
-		"as long as others":                       {[]time.Duration{ms(6000)}, ms(6000), 0},
-		"a little shorter: the way took that":     {[]time.Duration{ms(6000)}, ms(5970), 0},
-		"shorter by the time since its refusal":   {[]time.Duration{ms(6000)}, ms(5100), ms(900)},
-		"longer than any before":                  {[]time.Duration{ms(3000)}, ms(6000), 0},
-		"one that does not say is none":           {[]time.Duration{ms(6000)}, 0, 0},
-		"after one that does not say nothing new": {[]time.Duration{0}, ms(6000), 0},
-	} {
-		t.Run(name, func(t *testing.T) {
-			var p Policy
-			for _, wait := range test.before {
-				p.Waited(long.withWait(wait), start)
-			}
-			if got := p.Waited(long.withWait(test.wait), start); got != test.want {
-				t.Errorf("waited %s, want %s", got, test.want)
-			}
-		})
+		p.Note(long, start)
+		p.LetIn(long, 0, ahead)
 	}
 }
 
 func TestKindsThatNoLongerComeAreForgotten(t *testing.T) {
 	var p Policy
-	p.Waited(short, start)
-	later := start.Add(kindLife + time.Second)
-	if waited := p.Waited(short.withWait(ms(2000)), later); waited != 0 {
-		t.Errorf("%s taken for the time since a first try of long ago", waited)
-	}
-	p.Waited(long, later.Add(kindLife+time.Second))
+	p.Note(short, start)
+	p.Note(long, start.Add(kindLife+time.Second))
 	if !p.LetIn(long, 0, ms(310)) {
 		t.Error("the goal of a kind that no longer comes binds others")
 	}
@@ -91,7 +57,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			var p Policy
-			p.Waited(short, start)
+			p.Note(short, start)
 			refuse(&p, test.refused)
 			if got := p.LetIn(test.ask, test.waited, test.ahead); got != test.want {
 				t.Errorf("let in %t, want %t; pressure %.3f", got, test.want, p.Pressure())
--- a/forward/call.go
+++ b/forward/call.go
@@ -118,7 +118,8 @@
 	}
 	c.entry.calls.add(c)
 	defer c.entry.calls.remove(c)
-	c.waited = c.entry.admission.Of(c.service.Name).Waited(c.admissionAsk(), c.started)
+	c.entry.admission.Of(c.service.Name).Note(c.admissionAsk(), c.started)
+	c.waited = c.sinceFirstTry()
 	var kept *answer
 	var err error
 	for {
@@ -252,7 +253,7 @@
 
 // admissionAsk returns what the request tells that asks to be let in.
 func (c *call) admissionAsk() admission.Ask {
-	return admission.Ask{Kind: c.route.Name, Goal: c.route.Goal, Wait: c.ask.Wait}
+	return admission.Ask{Kind: c.route.Name, Goal: c.route.Goal}
 }
 
 // model returns the model that the request asks for, or the service's only one.
--- a/forward/entry.go
+++ b/forward/entry.go
@@ -54,6 +54,8 @@
 	upstreams upstreams
 	budget    *Budget
 	admission admission.Services
+	returns   admission.Returns
+	siblings  *siblings
 	reports   *reports
 	reader    *listReader
 	callers   *http.Server
@@ -87,6 +89,7 @@
 		e.reports.wake()
 	})
 	e.reader = newListReader(e)
+	e.siblings = newSiblings(e)
 	e.callers = &http.Server{
 		Handler: countPanics(e), ReadHeaderTimeout: headerTime, IdleTimeout: idleCallerTime, MaxHeaderBytes: headerRoom,
 		ErrorLog: e.errorLog("entry: the callers' server says"), ConnState: e.conns.note,
@@ -110,7 +113,10 @@
 		{Name: "quarantine writes", Run: e.cfg.Quarantine.ServeWrites},
 	}
 	if e.cfg.Told != nil && e.cfg.Links != nil {
-		parts = append(parts, supervise.Part{Name: "links", Run: e.reader.serveLinks}, supervise.Part{Name: "list", Run: e.reader.serve})
+		parts = append(parts,
+			supervise.Part{Name: "links", Run: e.reader.serveLinks}, supervise.Part{Name: "list", Run: e.reader.serve},
+			supervise.Part{Name: "siblings", Run: e.siblings.serve},
+		)
 	}
 	return parts
 }
--- a/forward/outcome.go
+++ b/forward/outcome.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"net/http"
 	"time"
 
 	"github.com/apex/log"
@@ -65,6 +66,9 @@
 
 // refuse answers with a problem of the entry's own.
 func (c *call) refuse(status int, slug, detail string, after time.Duration, cause error) {
+	if status == http.StatusServiceUnavailable {
+		c.noteRefused()
+	}
 	c.entry.refuse(c.w, c.ask.ID, status, slug, detail, after)
 	c.outcome(slug, status, cause)
 }
--- a/forward/reader.go
+++ b/forward/reader.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -98,6 +99,21 @@
 	return first
 }
 
+// siblings returns the hosts of the other entries of the site, as far as boxes tell.
+func (lr *listReader) siblings() []string {
+	lr.mu.Lock()
+	defer lr.mu.Unlock()
+	var all []string
+	for _, hosts := range lr.hosts {
+		for _, host := range hosts {
+			if host != lr.entry.cfg.Machine.Address && !slices.Contains(all, host) {
+				all = append(all, host)
+			}
+		}
+	}
+	return all
+}
+
 // readsBefore orders the entries of a site.
 func readsBefore(a, b string) bool {
 	scoreA, scoreB := xxhash.Sum64String(a), xxhash.Sum64String(b)
@@ -184,8 +200,13 @@
 		if err != nil {
 			return
 		}
-		if follow, ok := msg.(*link.Follow); ok && follow.List {
-			rs.followList(conn)
+		switch msg := msg.(type) {
+		case *link.Follow:
+			if msg.List {
+				rs.followList(conn)
+			}
+		case *link.Refused:
+			lr.entry.siblings.take(msg)
 		}
 	}
 }
--- a/lab/shortage/play.go
+++ b/lab/shortage/play.go
@@ -29,7 +29,9 @@
 	// For is how long callers come; from BusyFrom to BusyTo they come Busy times as often.
 	For, BusyFrom, BusyTo time.Duration
 	Busy                  float64
-	Seed                  uint64
+	// Patience is by what part callers' waits differ: between the kind's and that much less.
+	Patience float64
+	Seed     uint64
 }
 
 // The times of entries and callers.
@@ -62,12 +64,14 @@
 
 // caller is one request, from its first try.
 type caller struct {
-	kind    *Kind
-	entry   int
-	prompt  int
-	answer  int
-	began   time.Duration
-	returns bool
+	kind   *Kind
+	entry  int
+	prompt int
+	answer int
+	began  time.Duration
+	// patience is how long it waits from its first try on.
+	patience time.Duration
+	returns  bool
 }
 
 type event struct {
@@ -153,6 +157,7 @@
 		kind: kind, entry: r.IntN(w.params.Entries), began: w.now,
 		prompt: 1 + int(size*float64(kind.Prompt)), answer: 1 + int(size*float64(kind.Answer)),
 	}
+	c.patience = kind.Wait - time.Duration(w.params.Patience*r.Float64()*float64(kind.Wait))
 	w.tally[kind.Name].Asked++
 	w.tally[kind.Name].owed += kind.Worth
 	w.try(c)
@@ -235,7 +240,7 @@
 	if took := w.now - j.caller.began; took <= j.caller.kind.Goal {
 		t.InTime++
 		t.earned += j.caller.kind.Worth
-	} else if took < j.caller.kind.Wait {
+	} else if took < j.caller.patience {
 		t.Late++
 		t.earned += lateWorth * j.caller.kind.Worth
 	}
--- a/lab/shortage/play_test.go
+++ b/lab/shortage/play_test.go
@@ -11,15 +11,22 @@
 		params func(seed uint64) Params
 		// gain is by how much the policy has to beat letting in by the own goal, over all kinds and of the worst served.
 		gain, gainWorst float64
+		// gainLongest is the same over all kinds against taking the longest wait for that of first tries.
+		gainLongest float64
 	}{
-		"room for all":            {func(seed uint64) Params { return Usual(seed, 0.6) }, -0.005, -0.005},
-		"a shortage that lasts":   {func(seed uint64) Params { return Usual(seed, 1) }, 0.05, 0.05},
-		"a shortage of a quarter": {func(seed uint64) Params { return Usual(seed, 1.3) }, 0.05, 0.05},
+		"room for all":            {func(seed uint64) Params { return Usual(seed, 0.6) }, -0.005, -0.005, -0.005},
+		"a shortage that lasts":   {func(seed uint64) Params { return Usual(seed, 1) }, 0.05, 0.05, -0.005},
+		"a shortage of a quarter": {func(seed uint64) Params { return Usual(seed, 1.3) }, 0.05, 0.05, -0.005},
 		"a short jam": {func(seed uint64) Params {
 			p := Usual(seed, 0.6)
 			p.BusyFrom, p.BusyTo, p.Busy = 10*time.Second, 12*time.Second, 2.5
 			return p
-		}, -0.01, -0.02},
+		}, -0.01, -0.02, -0.01},
+		"a shortage, callers' patience differs": {func(seed uint64) Params {
+			p := Usual(seed, 1)
+			p.Patience = 0.15
+			return p
+		}, 0.05, 0.05, 0.03},
 	} {
 		t.Run(name, func(t *testing.T) {
 			of := make(map[string]Mean)
@@ -30,6 +37,9 @@
 			if gain := of["admission"].All - of["own goal"].All; gain < test.gain {
 				t.Errorf("worth %+.3f against the own goal, want at least %+.3f", gain, test.gain)
 			}
+			if gain := of["admission"].All - of["longest wait"].All; gain < test.gainLongest {
+				t.Errorf("worth %+.3f against the longest wait, want at least %+.3f", gain, test.gainLongest)
+			}
 			if gain := of["admission"].Worst - of["own goal"].Worst; gain < test.gainWorst {
 				t.Errorf("worth of the worst kind %+.3f against the own goal, want at least %+.3f", gain, test.gainWorst)
 			}
--- a/lab/shortage/way.go
+++ b/lab/shortage/way.go
@@ -32,6 +32,7 @@
 	"least in flight": func() Way { return leastInFlight{} },
 	"own goal":        func() Way { return ownGoal{} },
 	"admission":       func() Way { return &byPolicy{} },
+	"longest wait":    func() Way { return &byLongestWait{} },
 }
 
 // leastInFlight takes the server with the fewest requests, and lets in what finds room in its queue.
@@ -74,7 +75,7 @@
 	return o.ahead(e, c.prompt) <= time.Duration(ownShare*float64(c.kind.Goal))
 }
 
-// byPolicy lets tries in as entries do.
+// byPolicy lets tries in as entries do, which know the requests that were refused.
 type byPolicy struct {
 	ownGoal
 	policy admission.Policy
@@ -84,7 +85,16 @@
 var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
 func (w *byPolicy) letIn(e *contract.Engine, c *caller, o offer, now time.Duration) bool {
-	ask := admission.Ask{Kind: c.kind.Name, Goal: c.kind.Goal, Wait: c.kind.Wait - (now - c.began)}
-	waited := w.policy.Waited(ask, epoch.Add(now))
+	waited := time.Duration(0)
+	if c.returns {
+		waited = now - c.began
+	}
+	return w.judge(e, c, o, waited, now)
+}
+
+// judge lets a try in that was tried first so long ago, 0 for a first try.
+func (w *byPolicy) judge(e *contract.Engine, c *caller, o offer, waited, now time.Duration) bool {
+	ask := admission.Ask{Kind: c.kind.Name, Goal: c.kind.Goal}
+	w.policy.Note(ask, epoch.Add(now))
 	return w.policy.LetIn(ask, waited, o.ahead(e, c.prompt))
 }
--- a/link/message.go
+++ b/link/message.go
@@ -27,6 +27,7 @@
 	KindServers
 	KindEntries
 	KindEnds
+	KindRefused
 )
 
 // Message is one typed message.
@@ -56,6 +57,7 @@
 	KindServers:      func() Message { return new(Servers) },
 	KindEntries:      func() Message { return new(Entries) },
 	KindEnds:         func() Message { return new(Ends) },
+	KindRefused:      func() Message { return new(Refused) },
 }
 
 // newMessage returns an empty message of a kind; nil when the kind is not known.
