--- a/forward/choose.go
+++ b/forward/choose.go
@@ -6,6 +6,7 @@
 
 	"github.com/coralstair/coralstair/contract"
 	"github.com/coralstair/coralstair/engine"
+	"github.com/coralstair/coralstair/spread"
 )
 
 const (
@@ -97,9 +98,9 @@
 	}
 	priceOverrun(usable, want.moves)
 	if want.service.Engine == nil || want.service.Engine.ReadRate <= 0 {
-		return usable[cheapest(usable)], true
+		return usable[spread.Cheapest(costs(usable))], true
 	}
-	best = pick(usable, at.unseen(want.service.Engine), addedWait(want.service.Engine))
+	best = pick(usable, at.sent(want.service.Engine), addedWait(want.service.Engine))
 	best.among = len(usable)
 	return best, true
 }
--- a/forward/pick_test.go
+++ b/forward/pick_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/coralstair/coralstair/contract"
+	"github.com/coralstair/coralstair/spread"
 )
 
 func TestPick(t *testing.T) {
@@ -31,7 +32,7 @@
 		t.Run(name, func(t *testing.T) {
 			taken := 0
 			for range 1000 {
-				if pick(test.offers, test.unseen, adds).server.ID == serverName(0) {
+				if pick(test.offers, spread.Sent{Unseen: test.unseen, Over: test.unseen}, adds).server.ID == serverName(0) {
 					taken++
 				}
 			}
@@ -56,7 +57,7 @@
 		"little is there":                     {shares{servers: 12, own: 2, others: 4}, 1, 2},
 	} {
 		t.Run(name, func(t *testing.T) {
-			if got := test.at.unseen(usual); got < test.least || got > test.most {
+			if got := test.at.sent(usual).Unseen; got < test.least || got > test.most {
 				t.Errorf("%.2f unseen, want %.0f to %.0f", got, test.least, test.most)
 			}
 		})
--- a/lab/shortage/usual.go
+++ b/lab/shortage/usual.go
@@ -31,6 +31,20 @@
 	return Params{Engine: usualEngine, Servers: 12, Entries: 5, For: 30 * time.Second, Seed: seed, Busy: 1, Kinds: kinds}
 }
 
+// Many returns what is played with many entries: 45 servers of 12 slots, 13 entries and three kinds of request for 20 s, 584 requests a
+// second times load, of which the servers can do some 450; callers' patience differs by 15 in 100.
+func Many(seed uint64, load float64) Params {
+	engine := *usualEngine
+	engine.Slots, engine.Stride = 12, 7
+	p := Params{Engine: &engine, Servers: 45, Entries: 13, For: 20 * time.Second, Seed: seed, Busy: 1, Patience: 0.15}
+	p.Kinds = []Kind{
+		{Name: "long", Goal: 400 * time.Millisecond, Wait: usualWait, Worth: 2.5, Prompt: 1290, Answer: 147, PerSecond: 191 * load},
+		{Name: "middle", Goal: 400 * time.Millisecond, Wait: usualWait, Worth: 2.2, Prompt: 787, Answer: 147, PerSecond: 230 * load},
+		{Name: "short", Goal: 400 * time.Millisecond, Wait: usualWait, Worth: 1.3, Prompt: 607, Answer: 70, PerSecond: 163 * load},
+	}
+	return p
+}
+
 // Mean is what a way earned over several seeds.
 type Mean struct {
 	Way string
--- a/lab/shortage/way.go
+++ b/lab/shortage/way.go
@@ -27,12 +27,17 @@
 	letIn(e *contract.Engine, c *caller, o offer, now time.Duration) bool
 }
 
+// errorTime is how much more time than the age of reports a wide choice is spread over, as entries do.
+const errorTime = 200 * time.Millisecond
+
 // Ways are the ways that can be compared, by name, as functions that give an entry its own.
 var Ways = map[string]func() Way{
 	"least in flight": func() Way { return leastInFlight{} },
 	"own goal":        func() Way { return ownGoal{} },
 	"admission":       func() Way { return &byPolicy{} },
 	"longest wait":    func() Way { return &byLongestWait{} },
+	"spread":          func() Way { return newBySpread(0) },
+	"spread wider":    func() Way { return newBySpread(errorTime) },
 }
 
 // leastInFlight takes the server with the fewest requests, and lets in what finds room in its queue.
