--- a/soak/deadly_test.go
+++ b/soak/deadly_test.go
@@ -1,7 +1,6 @@
 package soak
 
 import (
-	"strconv"
 	"testing"
 	"time"
 )
@@ -18,17 +17,8 @@
 // requests at each ended server logged by fingerprint, the same few stand at nearly every end, at first sends as at second ones, and
 // at all entries alike.
 func TestDeadlyRequests(t *testing.T) {
-	daemon := build(t)
-	more := moreSeeds(t)
-	for _, seed := range deadlySeeds {
-		more[seed] = true
-	}
-	for seed := range more {
-		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
-			t.Parallel()
-			run(t, Options{
-				Seed: seed, Daemon: daemon, Dir: logs(t, "deadly", seed), Entries: 4, Boxes: 12, Deadly: 2, Trouble: 15 * time.Second,
-			})
-		})
-	}
+	eachSeed(t, "deadly", deadlySeeds, func(t *testing.T, opts Options) {
+		opts.Entries, opts.Boxes, opts.Deadly, opts.Trouble = 4, 12, 2, 15*time.Second
+		run(t, opts)
+	})
 }
--- a/soak/planned_test.go
+++ b/soak/planned_test.go
@@ -6,7 +6,6 @@
 	"math/rand/v2"
 	"os"
 	"path/filepath"
-	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -22,24 +21,16 @@
 
 // TestPlannedWork proves that no request is lost beside planned work alone.
 func TestPlannedWork(t *testing.T) {
-	daemon := build(t)
-	more := moreSeeds(t)
-	for _, seed := range plannedSeeds {
-		more[seed] = true
-	}
-	for seed := range more {
-		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
-			t.Parallel()
-			dir := logs(t, "planned", seed)
-			result := run(t, Options{Seed: seed, Daemon: daemon, Dir: dir, planned: plannedWork, Callers: 32, Trouble: 16 * time.Second})
-			for _, id := range result.Lost {
-				t.Log(traced(t, dir, id))
-			}
-			if result.Served < 500 || result.Refused == 0 {
-				t.Errorf("%d served and %d refused are no full load", result.Served, result.Refused)
-			}
-		})
-	}
+	eachSeed(t, "planned", plannedSeeds, func(t *testing.T, opts Options) {
+		opts.planned, opts.Callers, opts.Trouble = plannedWork, 32, 16*time.Second
+		result := run(t, opts)
+		for _, id := range result.Lost {
+			t.Log(traced(t, opts.Dir, id))
+		}
+		if result.Served < 500 || result.Refused == 0 {
+			t.Errorf("%d served and %d refused are no full load", result.Served, result.Refused)
+		}
+	})
 }
 
 // traced returns what the entries' logs say of a request.
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -39,17 +39,10 @@
 
 // TestLives proves the same promises while servers start again under their ids and another writer leaves entries on the list.
 func TestLives(t *testing.T) {
-	daemon := build(t)
-	more := moreSeeds(t)
-	for _, seed := range livesSeeds {
-		more[seed] = true
-	}
-	for seed := range more {
-		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
-			t.Parallel()
-			run(t, Options{Seed: seed, Daemon: daemon, Dir: logs(t, "lives", seed), Lives: true})
-		})
-	}
+	eachSeed(t, "lives", livesSeeds, func(t *testing.T, opts Options) {
+		opts.Lives = true
+		run(t, opts)
+	})
 }
 
 // copiesSeeds are those of runs with a store that comes back from copies that run in CI.
@@ -57,15 +50,24 @@
 
 // TestCopies proves the same promises while the store comes back from copies of itself.
 func TestCopies(t *testing.T) {
+	eachSeed(t, "copies", copiesSeeds, func(t *testing.T, opts Options) {
+		opts.Copies = true
+		run(t, opts)
+	})
+}
+
+// eachSeed has a test play some seeds, and those that the environment asks for, beside each other.
+func eachSeed(t *testing.T, kind string, seeds []uint64, play func(t *testing.T, opts Options)) {
+	t.Helper()
 	daemon := build(t)
 	more := moreSeeds(t)
-	for _, seed := range copiesSeeds {
+	for _, seed := range seeds {
 		more[seed] = true
 	}
 	for seed := range more {
 		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
 			t.Parallel()
-			run(t, Options{Seed: seed, Daemon: daemon, Dir: logs(t, "copies", seed), Copies: true})
+			play(t, Options{Seed: seed, Daemon: daemon, Dir: logs(t, kind, seed)})
 		})
 	}
 }
