--- a/forward/siblings.go
+++ b/forward/siblings.go
@@ -19,6 +19,8 @@
 const (
 	// gatherRefusals is how long refusals are gathered into one message: no caller is told to come back so soon.
 	gatherRefusals = 50 * time.Millisecond
+	// siblingDialTime bounds the opening of a link within the site: one that is gone must not keep others from being told.
+	siblingDialTime = 200 * time.Millisecond
 	// siblingIdle is how long a link rests before it is closed, siblingRest how long an entry that was not reached is left alone.
 	siblingIdle = 10 * time.Second
 	siblingRest = time.Second
@@ -131,7 +133,7 @@
 
 // dial opens a link to another entry; nil when that is not reached.
 func (s *siblings) dial(ctx context.Context, host string) *link.Conn {
-	ctx, cancel := context.WithTimeout(ctx, reportDialTime)
+	ctx, cancel := context.WithTimeout(ctx, siblingDialTime)
 	defer cancel()
 	conn, err := link.Dial(ctx, s.entry.reports.client, s.entry.cfg.Machine.LinkAt(host), nil)
 	if err != nil {
