--- a/swarm/feedabsence_test.go
+++ b/swarm/feedabsence_test.go
@@ -30,6 +30,7 @@
 						continue
 					}
 					t.Run(fmt.Sprintf("%s/%d boxes/%d left/%s", name, n, left, absence), func(t *testing.T) {
+						t.Parallel()
 						w := newFeedWorld(testMembers(n, min(3, n/2)), feedPieces, nothing)
 						w.gone = testStart.Add(DefaultGreet + time.Duration(feedPieces-left)*drawTime)
 						w.until, w.silent = w.gone.Add(absence), silent
