--- a/view/view_test.go
+++ b/view/view_test.go
@@ -171,6 +171,7 @@
 					s.servers <- answer[Servers]{value: change}
 				}
 				time.Sleep(test.after)
+				synctest.Wait()
 				servers := v.Servers()
 				if (len(servers) == 1) != test.listed {
 					t.Fatalf("%d servers, want listed %t", len(servers), test.listed)
