--- a/view/copy.go
+++ b/view/copy.go
@@ -49,18 +49,19 @@
 func (v *View) ofWhole(servers []contract.Server, isCopy bool, now time.Time) []contract.Server {
 	ghosts := v.ghosts
 	v.ghosts = make(map[string]ghost)
+	lapsed := isCopy && v.hadLapsed(servers)
 	believed := make([]contract.Server, 0, len(servers))
 	for _, server := range servers {
 		left, hasLeft := v.departed[server.ID]
 		old, known := v.servers[server.ID]
-		_, lapsed := v.missing[server.ID]
+		_, missing := v.missing[server.ID]
 		g, isGhost := ghosts[server.ID]
 		switch {
 		case isGhost && !contract.IsAnotherLife(g.server.Born, server.Born):
 			v.ghosts[server.ID] = ghost{server: server, until: g.until}
 			continue
 		case !isCopy:
-		case (lapsed || !known && hasLeft) && !contract.IsAnotherLife(left.born, server.Born):
+		case !lapsed && (missing || !known && hasLeft) && !contract.IsAnotherLife(left.born, server.Born):
 			v.ghosts[server.ID] = ghost{server: server, until: now.Add(ghostTime)}
 			v.opts.Log.WithField("server", server.ID).Info("view: a copy lists a server that left; it is not used yet")
 			continue
@@ -74,6 +75,21 @@
 	return believed
 }
 
+// hadLapsed reports whether most of the servers that a copy lists had gone from the list before: then the list had lapsed, not the
+// servers left, and to pass over all of them would leave none to take requests (3 s without any in a run of the fault soak). mu is
+// held.
+func (v *View) hadLapsed(servers []contract.Server) bool {
+	gone := 0
+	for _, server := range servers {
+		_, missing := v.missing[server.ID]
+		_, left := v.departed[server.ID]
+		if _, known := v.servers[server.ID]; missing || left && !known {
+			gone++
+		}
+	}
+	return 2*gone > len(servers)
+}
+
 // depart remembers a server that left; mu is held.
 func (v *View) depart(id string, now time.Time) {
 	if server, known := v.servers[id]; known {
--- a/view/copy_test.go
+++ b/view/copy_test.go
@@ -53,6 +53,9 @@
 		"one whose entry went a moment before does too": {
 			[]step{{listOf(1, a, b), 0}, {goneIn(1, "2"), time.Second}, {cameBack, 0}, {listOf(2, a, b), 2 * time.Second}}, false,
 		},
+		"a list that had lapsed as a whole is believed": {
+			[]step{{listOf(1, a, b), 0}, {goneIn(1, "1", "2"), 3 * time.Second}, {listOf(1), 0}, {cameBack, 0}, {listOf(2, a, b), time.Second}}, true,
+		},
 		"and lapses": {
 			[]step{
 				{listOf(1, a, b), 0},
