forward: a line for each retry taken and for the number of entries believed in

Cause: the lines of an entry tell that a request was tried more than once and that a budget was empty, but not when a retry was taken, by how many requests, how much was allowed and by how many entries it was divided. Ruled out: a line each second with sums, since the last second of a killed entry is the one that counts. Change: the lines 'forward: retry taken' and 'forward: the number of entries has changed', the metric coralstair_retry_budget_entries. Budget has Usage, by which TakeRetry decides; what it decides is unchanged. The counting of entries moves from boxlinks.go to retrybudget.go. Conclusion: a retry can be placed in its window without the request's own line, which a killed entry never writes.

--- a/forward/boxlinks.go
+++ b/forward/boxlinks.go
@@ -258,30 +258,3 @@
 func trySend(conn *link.Conn, msg link.Message) bool {
 	return conn.SendWithin(sendTimeout, msg) == nil
 }
-
-// updateEntryCount sets the number of entries that share the retry budget from a box's report: the most entries connected to one box
-// or the mean total weight per box, whichever is larger.
-func (bl *boxLinks) updateEntryCount(address string, report *link.Report) {
-	bl.mu.Lock()
-	defer bl.mu.Unlock()
-	if l := bl.links[address]; l != nil {
-		l.server = report.Server
-	}
-	count := entryCount{connected: report.Entries, weighted: report.EntryWeight}
-	if bl.entryCounts[address] == count {
-		return
-	}
-	bl.entryCounts[address] = count
-	most, sum := 1, 0.0
-	for _, count := range bl.entryCounts {
-		most = max(most, count.connected)
-		sum += count.weighted
-	}
-	bl.entry.budget.SetEntries(max(most, int(math.Round(sum/float64(len(bl.entryCounts))))))
-}
-
-// entryCount is the number of entries connected to a box, and the total weight of these.
-type entryCount struct {
-	connected int
-	weighted  float64
-}
--- a/forward/call.go
+++ b/forward/call.go
@@ -197,7 +197,7 @@
 		if err != nil {
 			return err
 		}
-		if !budgeted && !c.entry.budget.TakeRetry(c.service.Name, clock.Now()) {
+		if !budgeted && !c.takeRetry() {
 			return errRetryBudget
 		}
 		if c.start(ch) != nil {
--- a/forward/handover.go
+++ b/forward/handover.go
@@ -265,7 +265,7 @@
 	}
 	_, closing := cause.(*ClosingError)
 	ch, ok := c.chooseHedge(a, closing)
-	if !ok || !c.entry.budget.TakeRetry(c.service.Name, clock.Now()) {
+	if !ok || !c.takeRetry() {
 		return
 	}
 	c.urgent = c.urgent || closing || s != nil
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -144,7 +144,7 @@
 	if !ok {
 		return &NoServerError{Service: c.service.Name, Reason: "none can resume the stream"}
 	}
-	if !c.entry.budget.TakeRetry(c.service.Name, clock.Now()) {
+	if !c.takeRetry() {
 		return errRetryBudget
 	}
 	if c.start(ch) == nil {
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -21,6 +21,15 @@
 	byService map[string]*windowCounts
 }
 
+// Usage is how much of its share of a service's budget an entry has used in the current window.
+type Usage struct {
+	// Requests and Retries are those of this entry in the window, Allowed how many retries it may take.
+	Requests, Retries int
+	Allowed           float64
+	// Entries is how many entries are assumed to share the budget.
+	Entries int
+}
+
 // bucketsPerWindow is the number of buckets of a sliding window.
 const bucketsPerWindow = 10
 
@@ -47,6 +56,7 @@
 
 // NewBudget returns a budget that allows, over all entries and per window, ratio retries per request plus slack.
 func NewBudget(ratio float64, slack int, window time.Duration) *Budget {
+	entriesAssumed.Set(DefaultEntries)
 	return &Budget{ratio: ratio, slack: slack, window: window, entries: DefaultEntries, byService: make(map[string]*windowCounts)}
 }
 
@@ -65,6 +75,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.entries = max(n, 1)
+	entriesAssumed.Set(float64(b.entries))
 }
 
 // Entries returns how many entries are assumed to share the budget.
@@ -78,24 +89,36 @@
 func (b *Budget) TakeRetry(service string, now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if u := b.usage(service, now); float64(u.Retries+1) > u.Allowed {
+		retriesRefused.Inc()
+		return false
+	}
+	b.counts(service, now).retries[0]++
+	retriesTaken.Inc()
+	return true
+}
+
+// Usage returns what this entry has counted and may use of a service's budget.
+func (b *Budget) Usage(service string, now time.Time) Usage {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.usage(service, now)
+}
+
+// usage returns the usage of a service's budget; mu is held.
+func (b *Budget) usage(service string, now time.Time) Usage {
+	u := Usage{Entries: b.entries}
 	w := b.counts(service, now)
-	requests, retries := 0, 0
 	for i := range w.requests {
-		requests += w.requests[i]
-		retries += w.retries[i]
+		u.Requests += w.requests[i]
+		u.Retries += w.retries[i]
 	}
 	slack := float64(b.slack) / float64(b.entries)
 	if now.Sub(b.startedAt) < b.window {
 		slack *= startupSlackFraction / usableFraction
 	}
-	allowed := usableFraction * (b.ratio*float64(requests) + slack)
-	if float64(retries+1) > allowed {
-		retriesRefused.Inc()
-		return false
-	}
-	w.retries[0]++
-	retriesTaken.Inc()
-	return true
+	u.Allowed = usableFraction * (b.ratio*float64(u.Requests) + slack)
+	return u
 }
 
 // counts returns a service's counts, advanced to now; mu is held.
