--- a/soak/checker.go
+++ b/soak/checker.go
@@ -31,6 +31,7 @@
 	violations  []string
 	lost        []string
 	limitUse    float64
+	budgetUse   float64
 }
 
 // recoveryPhase is the period after all faults, in which time bounds are checked too.
@@ -64,6 +65,7 @@
 		c.checkDeadly()
 	case c.rig.opts.pushback != noPushback:
 		c.checkPushback()
+	case c.rig.opts.FailingServers:
 	default:
 		c.checkPlannedStops()
 		c.checkRecovery()
@@ -184,45 +186,6 @@
 	}
 }
 
-// checkRetryBudget checks the retries of all entries together in every window.
-func (c *checker) checkRetryBudget() {
-	seen := make(map[string]bool)
-	var first, retries []time.Time
-	for _, a := range c.arrivals {
-		if a.Service != modelService {
-			continue
-		}
-		if seen[a.ID] {
-			retries = append(retries, a.At)
-		}
-		seen[a.ID] = true
-	}
-	for _, o := range c.outcomes {
-		if o.kind == kindStream {
-			first = append(first, o.sent)
-		}
-	}
-	for i, from := range retries {
-		to := from.Add(bounds.Window)
-		n := 0
-		for _, at := range retries[i:] {
-			if at.Before(to) {
-				n++
-			}
-		}
-		sent := 0
-		for _, at := range first {
-			if !at.Before(from) && at.Before(to) {
-				sent++
-			}
-		}
-		if allowed := bounds.Ratio*float64(sent) + float64(bounds.Slack); float64(n) > allowed {
-			c.reportf("budget: %d retries in a window that allows %.0f", n, allowed)
-			return
-		}
-	}
-}
-
 // checkRecovery checks the time bounds that hold after all faults have ended.
 func (c *checker) checkRecovery() {
 	served, sent := 0, 0
--- a/soak/planned.go
+++ b/soak/planned.go
@@ -21,13 +21,19 @@
 	shortStreams = workload{slots: 16, tokens: 10, tokenSpread: 80, timeout: callerTimeout, grace: bounds.Grace}
 	// longStreams has streams of seconds and few slots, so that stops overlap with many streams.
 	longStreams = workload{slots: 6, tokens: 500, tokenSpread: 500, timeout: 8 * time.Second, grace: 8 * time.Second}
+	// quickStreams take hardly longer than a failure, so that callers do not send more requests while servers fail.
+	quickStreams = workload{slots: 16, tokens: 1, tokenSpread: 4, timeout: callerTimeout, grace: bounds.Grace}
 )
 
 func (r *rig) workload() workload {
-	if r.opts.planned != nil {
+	switch {
+	case r.opts.planned != nil:
 		return longStreams
+	case r.opts.FailingServers:
+		return quickStreams
+	default:
+		return shortStreams
 	}
-	return shortStreams
 }
 
 // dialFailed reports whether no connection was established.
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -29,6 +29,8 @@
 	StoreRestores bool
 	// Deadly is the number of distinct requests that crash each server that runs them.
 	Deadly int
+	// FailingServers makes all model servers fail their requests while all entries are killed again and again.
+	FailingServers bool
 	// Unreachable is the number of additional list entries of servers that do not run.
 	Unreachable int
 	// pushback is the kind of signal that servers send, while entries are killed and stopped.
@@ -68,6 +70,8 @@
 	Violations  []string
 	// LimitUse is the fraction of the rate limits that entries used.
 	LimitUse float64
+	// BudgetUse is the largest fraction of the retry budget that was used in any window.
+	BudgetUse float64
 	// Lost are the IDs of requests without a complete response or a refusal with Retry-After, in a planned run.
 	Lost []string
 }
@@ -107,6 +111,8 @@
 		faults.run(r.deadlyPlan(&out))
 	case opts.pushback != noPushback:
 		faults.run(r.pushbackPlan())
+	case opts.FailingServers:
+		faults.run(r.failingPlan())
 	default:
 		faults.run(r.planFaults())
 		recovery = r.runRecovery(ctx, &faults)
@@ -193,6 +199,6 @@
 			s.from.Format("15:04:05.000"), s.name, s.to.Sub(s.from).Round(time.Millisecond)))
 	}
 	result.Violations = c.check()
-	result.Lost, result.LimitUse = c.lost, c.limitUse
+	result.Lost, result.LimitUse, result.BudgetUse = c.lost, c.limitUse, c.budgetUse
 	return result
 }
