retry: a restarted entry uses a small, growing part of the retry budget

What callers saw: with servers failing and entries restarting, more repeats reached the servers than the service allows (BUDGET), which is the load that the budget is there to keep away from a service in trouble. Cause: the budget of a window is kept in memory. A new run knows neither the requests nor the retries of the one before, and might take its full ratio of its own requests and a quarter of the slack at each start: 0.7 of the budget by the earlier run, 0.7 of the ratio by the later ones, and 0.25 of the slack for each start. Why this works: in the first window after a start an entry uses 0.2 of the budget, and its slack grows with its age. Telling boxes or neighbours what was used was not tried: messages and state for what callers do not notice.

--- a/retry/budget.go
+++ b/retry/budget.go
@@ -47,9 +47,9 @@
 // usableFraction is the fraction of the budget that is used, since entries learn of changes in their number late.
 const usableFraction = 0.7
 
-// startupSlackFraction is the fraction of the slack that is used in the first window after a start: retries before a restart
-// still count, but are not known any more.
-const startupSlackFraction = 0.25
+// startupFraction is the fraction of the budget that is used in the first window after a start: an earlier run of the entry
+// may have used all of its share in the same window.
+const startupFraction = 0.2
 
 // DefaultEntries is the number of entries assumed to share a budget until the real number is known.
 const DefaultEntries = 20
@@ -60,7 +60,7 @@
 	return &Budget{ratio: ratio, slack: slack, window: window, entries: DefaultEntries, byService: make(map[string]*windowCounts)}
 }
 
-// StartedAt sets when the entry started; an earlier run may have used part of the first window's budget.
+// StartedAt sets when the entry started; an earlier run may have used the first window's budget.
 func (b *Budget) StartedAt(at time.Time) { b.startedAt = at }
 
 // CountRequest counts the first attempt of a request to a service.
@@ -113,11 +113,12 @@
 		u.Requests += w.requests[i]
 		u.Retries += w.retries[i]
 	}
-	slack := float64(b.slack) / float64(b.entries)
-	if now.Sub(b.startedAt) < b.window {
-		slack *= startupSlackFraction / usableFraction
+	fraction, slack := usableFraction, float64(b.slack)/float64(b.entries)
+	if age := now.Sub(b.startedAt); age < b.window {
+		// The slack grows with age: entries that restart again and again get no more of it than one that runs on.
+		fraction, slack = startupFraction, slack*age.Seconds()/b.window.Seconds()
 	}
-	u.Allowed = usableFraction * (b.ratio*float64(u.Requests) + slack)
+	u.Allowed = fraction * (b.ratio*float64(u.Requests) + slack)
 	return u
 }
 
