retry: fewer entries raise an entry's slack only after a window

Cause: an entry divides the slack by the number of entries that boxes report. The number counts what is linked right now, and a lower one raised the allowance of the whole window at once, also of the part that the others had used. Why this works: an entry divides by the largest number of the last window, so what the others used has left the window before it takes over their part. A larger number counts at once, as before. The number itself, by which entries choose boxes, is unchanged. Ruled out: a delay after each start as for the choice of boxes; the number falls long after starts too. Change: SetEntries takes the time; the sliding windows have a type, buckets. Tests pass the time and are otherwise unchanged.

--- a/forward/fixture_test.go
+++ b/forward/fixture_test.go
@@ -17,6 +17,7 @@
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/discard"
 
+	"github.com/coralstair/coralstair/clock"
 	"github.com/coralstair/coralstair/contract"
 	"github.com/coralstair/coralstair/discovery"
 	"github.com/coralstair/coralstair/machine"
@@ -156,7 +157,7 @@
 	}
 	// The entry has been running for long, and is the only one.
 	e.budget.StartedAt(time.Time{})
-	e.budget.SetEntries(1)
+	e.budget.SetEntries(1, clock.Now())
 	e.upstreams.update(v.Servers())
 	server := httptest.NewServer(e)
 	t.Cleanup(func() {
--- a/forward/reader_test.go
+++ b/forward/reader_test.go
@@ -11,6 +11,7 @@
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/discard"
 
+	"github.com/coralstair/coralstair/clock"
 	"github.com/coralstair/coralstair/contract"
 	"github.com/coralstair/coralstair/discovery"
 	"github.com/coralstair/coralstair/machine"
@@ -88,7 +89,7 @@
 		env.startEntry(hosts[i], port)
 	}
 	for _, e := range env.entries {
-		e.budget.SetEntries(minEntriesForReader)
+		e.budget.SetEntries(minEntriesForReader, clock.Now())
 		e.reader.setHosts("box", hosts)
 	}
 	return env
@@ -242,7 +243,7 @@
 func TestSmallFleetsHaveNoReader(t *testing.T) {
 	e := New(Config{Machine: machine.Machine{ID: "a", Address: "127.0.8.1"}})
 	e.reader.setHosts("box", []string{"127.0.8.1", "127.0.8.2", "127.0.8.3", "127.0.8.4"})
-	e.budget.SetEntries(minEntriesForReader - 1)
+	e.budget.SetEntries(minEntriesForReader-1, clock.Now())
 	if host := e.reader.currentReader(time.Now()); host != "" {
 		t.Errorf("%s is the reader of a small fleet", host)
 	}
--- a/forward/retrybudget.go
+++ b/forward/retrybudget.go
@@ -47,7 +47,7 @@
 // setEntryCount sets the number of entries that share the retry budget and logs a change; mu is held.
 func (bl *boxLinks) setEntryCount(n int) {
 	before := bl.entry.budget.Entries()
-	bl.entry.budget.SetEntries(n)
+	bl.entry.budget.SetEntries(n, clock.Now())
 	if n == before {
 		return
 	}
--- a/forward/size_test.go
+++ b/forward/size_test.go
@@ -8,6 +8,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"github.com/coralstair/coralstair/clock"
 	"github.com/coralstair/coralstair/contract"
 	"github.com/coralstair/coralstair/discovery"
 )
@@ -28,7 +29,7 @@
 	cfg := contract.NewConfig(1, contract.Limits{}, nil, []contract.Service{{Name: "s", Engine: &contract.Engine{}}, {Name: "plain"}}, nil)
 	v := discovery.New(fixedSource{declared: discovery.Declared{Config: cfg}}, discovery.Options{})
 	e := New(Config{View: v})
-	e.budget.SetEntries(60)
+	e.budget.SetEntries(60, clock.Now())
 	e.startedAt = time.Now().Add(-time.Hour)
 	return e, servers
 }
--- a/forward/subset_test.go
+++ b/forward/subset_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/coralstair/coralstair/clock"
 	"github.com/coralstair/coralstair/contract"
 	"github.com/coralstair/coralstair/discovery"
 	"github.com/coralstair/coralstair/link"
@@ -43,7 +44,7 @@
 				t.Errorf("subset of %d servers before other entries are known, want %d", n, test.size)
 			}
 			w.entry.startedAt = w.entry.startedAt.Add(-entryCountDelay)
-			w.entry.budget.SetEntries(test.servers)
+			w.entry.budget.SetEntries(test.servers, clock.Now())
 			w.entry.upstreams.update(listed)
 			preferred := w.entry.upstreams.preferred("s")
 			if len(preferred) != test.size {
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -1,6 +1,7 @@
 package retry
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -16,9 +17,12 @@
 	// startedAt is when the entry started; zero means long ago.
 	startedAt time.Time
 
-	mu        sync.Mutex
-	entries   int
-	byService map[string]*windowCounts
+	mu      sync.Mutex
+	entries int
+	// entriesBefore are the larger numbers of entries that were replaced within the window.
+	entriesBefore buckets
+	entriesKnown  bool
+	byService     map[string]*windowCounts
 }
 
 // Usage is how much of its share of a service's budget an entry has used in the current window.
@@ -26,18 +30,13 @@
 	// Requests and Retries are those of this entry in the window, Allowed how many retries it may take.
 	Requests, Retries int
 	Allowed           float64
-	// Entries is how many entries are assumed to share the budget.
+	// Entries is how many entries are assumed to share the budget, the most within the window.
 	Entries int
 }
 
-// bucketsPerWindow is the number of buckets of a sliding window.
-const bucketsPerWindow = 10
-
-// windowCounts counts the requests and retries of one service by bucket, the current one first.
+// windowCounts counts the requests and retries of one service in a sliding window.
 type windowCounts struct {
-	requests [bucketsPerWindow + 1]int
-	retries  [bucketsPerWindow + 1]int
-	bucket   int64
+	requests, retries buckets
 }
 
 // timeOrigin is the time from which buckets are numbered. Wall-clock time would not do: setting it could end a window early
@@ -67,14 +66,19 @@
 func (b *Budget) CountRequest(service string, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.counts(service, now).requests[0]++
+	b.counts(service, now).requests.values[0]++
 }
 
-// SetEntries sets how many entries share the budget, at least 1.
-func (b *Budget) SetEntries(n int) {
+// SetEntries sets how many entries share the budget, at least 1. A smaller number lets an entry use more retries only after a
+// window: until then those used by the entries that are gone still count, and they may come back.
+func (b *Budget) SetEntries(n int, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.entries = max(n, 1)
+	if b.entriesKnown {
+		b.entriesBefore.advance(b.bucketAt(now))
+		b.entriesBefore.values[0] = max(b.entriesBefore.values[0], b.entries)
+	}
+	b.entries, b.entriesKnown = max(n, 1), true
 	entriesAssumed.Set(float64(b.entries))
 }
 
@@ -93,7 +97,7 @@
 		retriesRefused.Inc()
 		return false
 	}
-	b.counts(service, now).retries[0]++
+	b.counts(service, now).retries.values[0]++
 	retriesTaken.Inc()
 	return true
 }
@@ -107,13 +111,10 @@
 
 // usage returns the usage of a service's budget; mu is held.
 func (b *Budget) usage(service string, now time.Time) Usage {
-	u := Usage{Entries: b.entries}
 	w := b.counts(service, now)
-	for i := range w.requests {
-		u.Requests += w.requests[i]
-		u.Retries += w.retries[i]
-	}
-	fraction, slack := usableFraction, float64(b.slack)/float64(b.entries)
+	b.entriesBefore.advance(b.bucketAt(now))
+	u := Usage{Requests: w.requests.sum(), Retries: w.retries.sum(), Entries: max(b.entries, slices.Max(b.entriesBefore.values[:]))}
+	fraction, slack := usableFraction, float64(b.slack)/float64(u.Entries)
 	if age := now.Sub(b.startedAt); age < b.window {
 		// The slack grows with age: entries that restart again and again get no more of it than one that runs on.
 		fraction, slack = startupFraction, slack*age.Seconds()/b.window.Seconds()
@@ -129,17 +130,13 @@
 		w = &windowCounts{}
 		b.byService[service] = w
 	}
-	bucket := int64(now.Sub(timeOrigin) / (b.window / bucketsPerWindow))
-	if w.bucket == 0 {
-		w.bucket = bucket
-	}
-	for ; w.bucket < bucket; w.bucket++ {
-		if bucket-w.bucket > bucketsPerWindow+1 {
-			w.bucket = bucket - bucketsPerWindow - 1
-		}
-		copy(w.requests[1:], w.requests[:bucketsPerWindow])
-		copy(w.retries[1:], w.retries[:bucketsPerWindow])
-		w.requests[0], w.retries[0] = 0, 0
-	}
+	bucket := b.bucketAt(now)
+	w.requests.advance(bucket)
+	w.retries.advance(bucket)
 	return w
 }
+
+// bucketAt returns the number of the bucket at a time.
+func (b *Budget) bucketAt(now time.Time) int64 {
+	return int64(now.Sub(timeOrigin) / (b.window / bucketsPerWindow))
+}
--- a/retry/budget_test.go
+++ b/retry/budget_test.go
@@ -30,12 +30,12 @@
 			}
 			for range entries {
 				before := NewBudget(0.2, slack, window)
-				before.SetEntries(entries)
+				before.SetEntries(entries, start)
 				spend(before, start)
 				restarted := NewBudget(0.2, slack, window)
 				restarted.StartedAt(start)
 				if test.known {
-					restarted.SetEntries(entries)
+					restarted.SetEntries(entries, start.Add(test.age))
 				}
 				spend(restarted, start.Add(test.age))
 			}
@@ -63,7 +63,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			b := NewBudget(0.2, 100, 10*time.Second)
-			b.SetEntries(test.entries)
+			b.SetEntries(test.entries, start)
 			take := func(at time.Time) int {
 				n := 0
 				for range test.retries {
--- a/retry/fleet_test.go
+++ b/retry/fleet_test.go
@@ -36,7 +36,7 @@
 	budgets := make([]*Budget, fleetEntries)
 	for i := range budgets {
 		budgets[i] = NewBudget(fleetRatio, fleetSlack, fleetWindow)
-		budgets[i].SetEntries(fleetEntries)
+		budgets[i].SetEntries(fleetEntries, begin)
 	}
 	left := f.restarts
 	for n := 0; ; n++ {
@@ -57,9 +57,10 @@
 			continue
 		}
 		b := budgets[entry]
-		b.SetEntries(fleetEntries)
-		if f.count != nil {
-			b.SetEntries(f.count(at))
+		if f.count == nil {
+			b.SetEntries(fleetEntries, now)
+		} else {
+			b.SetEntries(f.count(at), now)
 		}
 		b.CountRequest(service, now)
 		for range f.tries {
@@ -123,3 +124,45 @@
 		})
 	}
 }
+
+// TestFewerEntriesDoNotRaiseTheBudget guards against entries that take the slack of others while the number of entries is
+// too low or has just fallen.
+func TestFewerEntriesDoNotRaiseTheBudget(t *testing.T) {
+	const s = time.Second
+	dips := func(n int, length, interval time.Duration) func(time.Duration) int {
+		return func(at time.Duration) int {
+			if at > 20*s && at%interval < length {
+				return n
+			}
+			return fleetEntries
+		}
+	}
+	failing := fleet{rate: 20, tries: 2, failsFrom: 20 * s, until: 40 * s}
+	for name, test := range map[string]struct {
+		count func(at time.Duration) int
+		down  func(entry int, at time.Duration) bool
+	}{
+		"one entry for a moment":           {count: dips(1, 500*time.Millisecond, 5*s)},
+		"one entry for a moment, repeated": {count: dips(1, 300*time.Millisecond, s)},
+		"two entries for some seconds":     {count: dips(2, 4*s, 8*s)},
+		"three of five entries end": {
+			count: func(at time.Duration) int {
+				if at > 22*s+100*time.Millisecond {
+					return 2
+				}
+				return fleetEntries
+			},
+			down: func(entry int, at time.Duration) bool { return entry > 1 && at > 22*s },
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := failing
+			f.count, f.down = test.count, test.down
+			use := largestUse(f.run())
+			t.Logf("%.2f of the budget used", use)
+			if use > 1 || use < 0.5 {
+				t.Errorf("%.2f of the budget used, want 0.5 to 1", use)
+			}
+		})
+	}
+}
