forward: a server's limit is divided by the most entries of the last window

A server's limit on its callers' rate is divided by the number of entries that boxes report at this moment; while links come back one by one each entry may believe that it is alone and sends at the rate of all of them. Evidence: TestFewerEntriesDoNotRaiseALimitsShare on the code before: 1 and 2 entries where five ran a moment ago. By arithmetic, not by a run: five entries that each assume one for 2 s of 4 s send 9 times a limit where 6 times the limit plus 5 are allowed, too many from a limit of 2 a second on. Why this works: the number falls only after a window of 10 s, in which what the others sent has left the limit's window of 4 s. Ruled out: the choice of boxes by the number of entries (subset), which has a delay of its own and is no allowance; the readers of a site's list, for which a wrong number costs reads and no rule. Change: limitSharers uses Budget.MostEntries.

--- a/forward/pushback.go
+++ b/forward/pushback.go
@@ -79,13 +79,14 @@
 	return min(u.weight/float64(max(entries, 1)), 1)
 }
 
-// limitSharers returns the number of entries that share a server's limit. During start-up, when entries don't
-// know all others yet, it is at least the default.
+// limitSharers returns the number of entries that share a server's limit, the most of the last window: what those that are
+// gone have sent still counts. During start-up, when entries don't know all others yet, it is at least the default.
 func (e *Entry) limitSharers() int {
+	entries := e.budget.MostEntries(clock.Now())
 	if clock.Since(e.startedAt) < entryCountDelay {
-		return max(e.budget.Entries(), retry.DefaultEntries)
+		return max(entries, retry.DefaultEntries)
 	}
-	return e.budget.Entries()
+	return entries
 }
 
 // availableIn returns the time until some server of a service, other than the excluded ones, accepts a request of this
--- a/forward/pushback_test.go
+++ b/forward/pushback_test.go
@@ -44,6 +44,19 @@
 	return got
 }
 
+// TestFewerEntriesDoNotRaiseALimitsShare guards against entries that each use all of a server's limit while links to boxes
+// come back one by one and the number of entries is too low.
+func TestFewerEntriesDoNotRaiseALimitsShare(t *testing.T) {
+	w := newModelTestEnv(t, "10.0.0.1:1")
+	w.asSoleEntry()
+	for _, linked := range []int{5, 1, 2} {
+		w.entry.boxLinks.updateEntryCount("box", &link.Report{Entries: linked, EntryWeight: float64(linked)})
+		if got := w.entry.limitSharers(); got != 5 {
+			t.Errorf("%d entries share a limit while the box reports %d, want 5", got, linked)
+		}
+	}
+}
+
 func TestLimitedServersGetWhatTheyTake(t *testing.T) {
 	for name, test := range map[string]struct {
 		limit       string
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -89,6 +89,19 @@
 	return b.entries
 }
 
+// MostEntries returns the largest number of entries assumed within the window.
+func (b *Budget) MostEntries(now time.Time) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.mostEntries(now)
+}
+
+// mostEntries returns the largest number of entries assumed within the window; mu is held.
+func (b *Budget) mostEntries(now time.Time) int {
+	b.entriesBefore.advance(b.bucketAt(now))
+	return max(b.entries, slices.Max(b.entriesBefore.values[:]))
+}
+
 // TakeRetry takes one retry from a service's budget and reports whether one was left.
 func (b *Budget) TakeRetry(service string, now time.Time) bool {
 	b.mu.Lock()
@@ -112,8 +125,7 @@
 // usage returns the usage of a service's budget; mu is held.
 func (b *Budget) usage(service string, now time.Time) Usage {
 	w := b.counts(service, now)
-	b.entriesBefore.advance(b.bucketAt(now))
-	u := Usage{Requests: w.requests.sum(), Retries: w.retries.sum(), Entries: max(b.entries, slices.Max(b.entriesBefore.values[:]))}
+	u := Usage{Requests: w.requests.sum(), Retries: w.retries.sum(), Entries: b.mostEntries(now)}
 	fraction, slack := usableFraction, float64(b.slack)/float64(u.Entries)
 	if age := now.Sub(b.startedAt); age < b.window {
 		// The slack grows with age: entries that restart again and again get no more of it than one that runs on.
