retry: a tenth of the budget is kept for requests that would otherwise fail

Cause: all retries drew on the budget alike: hedges, whose request stays with its server, requests that were refused, whose callers may be told so, and requests that were lost, whose callers otherwise get an unknown outcome. Why this works: hedges and requests that certainly did not run, or got a server's own answer, use 0.9 of what is allowed at most; lost requests and broken streams may use all of it.

--- a/forward/call.go
+++ b/forward/call.go
@@ -197,7 +197,7 @@
 		if err != nil {
 			return err
 		}
-		if !budgeted && !c.takeRetry() {
+		if !budgeted && !c.takeRetry(!c.mayHaveRun) {
 			return errRetryBudget
 		}
 		if c.start(ch) != nil {
--- a/forward/handover.go
+++ b/forward/handover.go
@@ -265,7 +265,7 @@
 	}
 	_, closing := cause.(*ClosingError)
 	ch, ok := c.chooseHedge(a, closing)
-	if !ok || !c.takeRetry() {
+	if !ok || !c.takeRetry(true) {
 		return
 	}
 	c.urgent = c.urgent || closing || s != nil
--- a/forward/retrybudget.go
+++ b/forward/retrybudget.go
@@ -9,10 +9,14 @@
 	"github.com/coralstair/coralstair/link"
 )
 
-// takeRetry takes one more attempt of the request from the service's retry budget and reports whether one was left; mu is held.
-func (c *call) takeRetry() bool {
-	now := clock.Now()
-	if !c.entry.budget.TakeRetry(c.service.Name, now) {
+// takeRetry takes one more attempt of the request from the service's retry budget and reports whether one was left. It is optional
+// for a request that is still in progress, or that may be refused as not run; mu is held.
+func (c *call) takeRetry(optional bool) bool {
+	now, take := clock.Now(), c.entry.budget.TakeRetry
+	if optional {
+		take = c.entry.budget.TakeOptionalRetry
+	}
+	if !take(c.service.Name, now) {
 		return false
 	}
 	usage := c.entry.budget.Usage(c.service.Name, now)
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -144,7 +144,7 @@
 	if !ok {
 		return &NoServerError{Service: c.service.Name, Reason: "none can resume the stream"}
 	}
-	if !c.takeRetry() {
+	if !c.takeRetry(false) {
 		return errRetryBudget
 	}
 	if c.start(ch) == nil {
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -53,6 +53,9 @@
 // DefaultEntries is the number of entries assumed to share a budget until the real number is known.
 const DefaultEntries = 20
 
+// optionalFraction is the fraction of the allowed retries that optional ones may use.
+const optionalFraction = 0.9
+
 // NewBudget returns a budget that allows, over all entries and per window, ratio retries per request plus slack.
 func NewBudget(ratio float64, slack int, window time.Duration) *Budget {
 	entriesAssumed.Set(DefaultEntries)
@@ -103,10 +106,18 @@
 }
 
 // TakeRetry takes one retry from a service's budget and reports whether one was left.
-func (b *Budget) TakeRetry(service string, now time.Time) bool {
+func (b *Budget) TakeRetry(service string, now time.Time) bool { return b.take(service, 1, now) }
+
+// TakeOptionalRetry is like TakeRetry, for a request that would do without: it leaves a reserve for others.
+func (b *Budget) TakeOptionalRetry(service string, now time.Time) bool {
+	return b.take(service, optionalFraction, now)
+}
+
+// take takes one retry unless a fraction of the allowed ones is used.
+func (b *Budget) take(service string, fraction float64, now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if u := b.usage(service, now); float64(u.Retries+1) > u.Allowed {
+	if u := b.usage(service, now); float64(u.Retries+1) > fraction*u.Allowed {
 		retriesRefused.Inc()
 		return false
 	}
--- a/retry/budget_test.go
+++ b/retry/budget_test.go
@@ -86,3 +86,24 @@
 		})
 	}
 }
+
+// TestOptionalRetriesLeaveAReserve guards against optional retries that use up what requests in need of one are allowed.
+func TestOptionalRetriesLeaveAReserve(t *testing.T) {
+	const most = 100
+	now := time.Unix(1000, 0)
+	b := NewBudget(0.2, most, 10*time.Second)
+	b.SetEntries(1, now)
+	count := func(take func(string, time.Time) bool) int {
+		n := 0
+		for range most {
+			if take("s", now) {
+				n++
+			}
+		}
+		return n
+	}
+	optional, reserve := count(b.TakeOptionalRetry), count(b.TakeRetry)
+	if optional != 63 || optional+reserve != 70 {
+		t.Errorf("%d optional retries and %d others, want 63 and 70 together", optional, reserve)
+	}
+}
