--- a/forward/retrybudget.go
+++ b/forward/retrybudget.go
@@ -10,7 +10,7 @@
 )
 
 // takeRetry takes one more attempt of the request from the service's retry budget and reports whether one was left. It is optional
-// for a request that is still in progress, or that may be refused as not run; mu is held.
+// for a request that is in progress elsewhere, or whose caller would get a definite answer without it; mu is held.
 func (c *call) takeRetry(optional bool) bool {
 	now, take := clock.Now(), c.entry.budget.TakeRetry
 	if optional {
