soak: the retry budget counts the requests that the rule counts

Cause: the soak's check counted only the requests of the window itself. The users' rule counts those of the window, of the one before it or of the one half a window before it, whichever are most. After the kill 40 entries start at once, beside other load, and 320 requests a second fall to some 30. By the rule some 620 retries are allowed there. Change: requestsAround counts as the rule does. The bound is the rule's.

--- a/soak/retrybudget.go
+++ b/soak/retrybudget.go
@@ -54,8 +54,7 @@
 	}
 	var violation string
 	for i, from := range retries {
-		to := from.Add(bounds.Window)
-		n, allowed := countBetween(retries[i:], from, to), bounds.Ratio*float64(countBetween(first, from, to))+float64(bounds.Slack)
+		n, allowed := countWithin(retries[i:], from), bounds.Ratio*float64(requestsAround(first, from))+float64(bounds.Slack)
 		if use := float64(n) / allowed; use > c.budgetUse {
 			c.budgetUse = use
 			violation = fmt.Sprintf("budget: %d retries in a window that allows %.0f", n, allowed)
@@ -66,9 +65,15 @@
 	}
 }
 
-// countBetween returns how many of the times are in the window [from, to).
-func countBetween(times []time.Time, from, to time.Time) int {
-	n := 0
+// requestsAround returns how many requests count for the window from a time on: those of that window, of the one before it or
+// of the one half a window before it, whichever are most.
+func requestsAround(times []time.Time, from time.Time) int {
+	return max(countWithin(times, from), countWithin(times, from.Add(-bounds.Window/2)), countWithin(times, from.Add(-bounds.Window)))
+}
+
+// countWithin returns how many of the times are in the window from a time on.
+func countWithin(times []time.Time, from time.Time) int {
+	n, to := 0, from.Add(bounds.Window)
 	for _, at := range times {
 		if !at.Before(from) && at.Before(to) {
 			n++
