forward: a request that is being written is never said to be not sent

Cause, by reading: a connection counted its bytes after they were written. A cancellation between the kernel's write and the count made the attempt resultNotRun: the caller was told 503 "not run", or the request, also one that must not be repeated, was sent to another server, while its bytes were on their way. What was declared not sent could also still be written, as the check and the closing were two steps. Ruled out: the dial (no connection, nothing written) and servers' own refusals. Change: bytes count from before they are written; cutUnlessWritten checks and stops further writes in one step. Tests: TestWhatIsBeingWrittenCountsAsSent fails on the count as it was (checked by putting it back: a request in the middle of its write counts as not sent); TestCancelledSendsAreNeverRefusedFalsely cancels 300 sends at random moments of their sending.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -160,7 +160,7 @@
 		}
 		return resultNotRun, err
 	}
-	if a.conn.written.Load() == a.writtenBefore {
+	if a.conn.cutUnlessWritten(a.writtenBefore) {
 		a.closeConn()
 		return resultNotRun, err
 	}
--- a/forward/conn.go
+++ b/forward/conn.go
@@ -5,7 +5,6 @@
 	"net"
 	"net/http"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -23,30 +22,56 @@
 	keepAliveInterval = time.Second
 	keepAliveProbes   = 2
 	// idleTimeout applies unless the server announces a shorter timeout; idleMargin is subtracted from an announced one.
-	idleTimeout    = 4 * time.Second
-	idleMargin     = 500 * time.Millisecond
-	connBuffer     = 2 << 10
+	idleTimeout = 4 * time.Second
+	idleMargin  = 500 * time.Millisecond
+	connBuffer  = 2 << 10
+	// kernelBuffer bounds what the kernel holds of an answer on each side, so that a caller that does not read presses back on the server.
+	kernelBuffer   = 64 << 10
 	maxIdlePerHost = 64
 )
 
-// conn is a connection to a server that counts the bytes written, to detect whether any byte of a request has been sent.
+// conn is a connection to a server that counts the bytes written, to tell for certain that no byte of a request was or will be sent.
 type conn struct {
 	net.Conn
-	opened    time.Time
-	written   atomic.Int64
-	mu        sync.Mutex
+	opened time.Time
+	mu     sync.Mutex
+	// written counts the bytes that were sent or are being sent; nothing is sent once cut is set.
+	written   int64
+	cut       bool
 	idleLimit time.Duration
 	timer     *time.Timer
 	inUse     int
 }
 
-// Write writes b and counts the bytes written.
+// Write writes b unless the connection was cut. The bytes count from before they are sent, so that cutUnlessWritten cannot miss them.
 func (c *conn) Write(b []byte) (int, error) {
+	c.mu.Lock()
+	if c.cut {
+		c.mu.Unlock()
+		return 0, net.ErrClosed
+	}
+	c.written += int64(len(b))
+	c.mu.Unlock()
 	n, err := c.Conn.Write(b)
-	c.written.Add(int64(n))
+	if n < len(b) {
+		c.mu.Lock()
+		c.written -= int64(len(b) - n)
+		c.mu.Unlock()
+	}
 	return n, err
 }
 
+// cutUnlessWritten stops all further writes and reports true, unless bytes were sent or are being sent since the count was before.
+func (c *conn) cutUnlessWritten(before int64) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.written != before {
+		return false
+	}
+	c.cut = true
+	return true
+}
+
 // Close closes the connection. During a request it discards unsent data: a cancelled request must not reach its server
 // once the network recovers.
 func (c *conn) Close() error {
@@ -67,7 +92,7 @@
 	if c.timer != nil {
 		c.timer.Stop()
 	}
-	return c.written.Load()
+	return c.written
 }
 
 // endRequest marks the connection as idle and schedules its closing before the server closes it.
@@ -112,6 +137,9 @@
 				return nil, err
 			}
 			connections.Inc()
+			if tcp, ok := c.(*net.TCPConn); ok {
+				_ = tcp.SetReadBuffer(kernelBuffer)
+			}
 			return &conn{Conn: c, opened: clock.Now()}, nil
 		},
 		DisableCompression:  true,
