Homes, evacuations and cold servers; slow readers; SIGHUP

Cause: nothing in the product knew homeRegions, op/evacuate, coldLeftMs, coldStartS, coldPerS, X-Cold-Ms. Ruled out, by reading: bodies that cross otherwise. Entries and boxes hand on no bodies; what is kept of a request is a hash (docs/design/homes-and-evacuations.md). Change: - contract.HomesOf: where a request may be served, a pure function of route and team; forward.Entry.mayServe is the one place that asks it and whether a site is evacuated. Choice, retries, hedges, moves, resumptions, waits, Retry-After, admission (by homes) go by it, and a send that would break it is not made and counted (request_stays_in_its_homes). An entry's subset holds boxes of each region where homes exist. - discovery.Evacuations: the set of evacuated sites as of a position in the store's history; the later one holds. Entries and boxes tell each other; a copy of the store that lacks one does not end it for 30 s. - forward/cold.go: cold servers are limited as servers are that announce a limit: pushback.Limit, shares by the most entries of a window. - What is held for callers is bounded (kernel buffers, bodies, answers, events during a move); unread answers end 5 s after their time. - SIGHUP applies changed bounds and names what waits for the next start. Tests, new with the change, so that they cannot be run on the code before: TestNoRequestLeavesItsHomes (random configurations and faults), TestEvacuations, TestBoxTellsEvacuations, TestEvacuatedSitesGetNothingNew, TestColdServersGetWhatTheyBear (3 to 300 entries, restarts, freezes, late sends, wrong counts), TestRefusedRequestsNeverRun, TestSlowReadersHoldLittle, TestUnreadAnswersEnd, TestHeldBytesAreBounded, TestBoundsChangeAtRunTime, TestFixedDifferences.

--- a/contract/config.go
+++ b/contract/config.go
@@ -19,12 +19,15 @@
 	services   map[string]*Service
 	teams      map[string]*Team
 	routeCount int
+	// bound is set if a route or a team has homes.
+	bound bool
 }
 
 // NewConfig returns a configuration of the given parts, which must not be modified afterwards.
 func NewConfig(revision Revision, limits Limits, routes []Route, services []Service, teams []Team) *Config {
 	c := &Config{
 		Revision: revision, Limits: limits, Keyed: len(teams) > 0, routeCount: len(routes),
+		bound:    slices.ContainsFunc(routes, func(r Route) bool { return len(r.Homes) > 0 }) || slices.ContainsFunc(teams, func(t Team) bool { return len(t.Homes) > 0 }),
 		routes:   make(map[string][]*Route),
 		services: make(map[string]*Service, len(services)),
 		teams:    make(map[string]*Team),
@@ -59,6 +62,9 @@
 	return origins
 }
 
+// BoundToRegions reports whether some requests may be served in some regions only.
+func (c *Config) BoundToRegions() bool { return c.bound }
+
 // Route returns the route of a host with the longest prefix that matches a path, or nil.
 func (c *Config) Route(host, path string) *Route {
 	host = strings.ToLower(host)
--- a/contract/route.go
+++ b/contract/route.go
@@ -39,6 +39,8 @@
 	Attempts  int
 	Public    bool
 	Resumable bool
+	// Homes are the regions that may serve the route's requests; none means all.
+	Homes []string
 }
 
 // Repeatable reports whether a request of the route may run again.
--- a/contract/server.go
+++ b/contract/server.go
@@ -1,6 +1,9 @@
 package contract
 
-import "maps"
+import (
+	"maps"
+	"time"
+)
 
 // Version numbers the weights of a model; 0 means none.
 type Version int64
@@ -24,6 +27,8 @@
 	Site    string
 	Slots   int
 	Leaving bool
+	// ColdLeft is how much longer the server stays cold, as of its latest heartbeat.
+	ColdLeft time.Duration `cbor:",omitempty"`
 	// Loaded maps the models that the server runs to their versions.
 	Loaded map[string]Version
 }
@@ -42,7 +47,7 @@
 // Equal reports whether two entries of the list are equal in all fields.
 func (s Server) Equal(other Server) bool {
 	return s.ID == other.ID && s.Born == other.Born && s.Service == other.Service && s.Address == other.Address && s.Site == other.Site &&
-		s.Slots == other.Slots && s.Leaving == other.Leaving && maps.Equal(s.Loaded, other.Loaded)
+		s.Slots == other.Slots && s.Leaving == other.Leaving && s.ColdLeft == other.ColdLeft && maps.Equal(s.Loaded, other.Loaded)
 }
 
 // DifferentIncarnations reports whether two start times are of different incarnations of a server; an unknown one matches any.
--- a/contract/service.go
+++ b/contract/service.go
@@ -13,6 +13,10 @@
 	Origin string
 	// LinkRate is the bandwidth of the origin's link in bytes a second.
 	LinkRate float64
+	// ColdStart is how long a server stays cold after its start, ColdRate how many requests a second it bears meanwhile from all entries
+	// together; 0 if the service's servers are never cold.
+	ColdStart time.Duration
+	ColdRate  float64
 }
 
 // Engine holds the performance parameters of a model engine.
@@ -50,12 +54,14 @@
 	return e.Models[0], true
 }
 
-// Team is a group of callers with its keys; Priority overrides that of routes if HasPriority is set.
+// Team is a group of callers with its keys; Priority overrides that of routes if HasPriority is set, and Homes are the regions that may
+// serve its requests, none meaning all.
 type Team struct {
 	Name        string
 	Keys        []string
 	Priority    int
 	HasPriority bool
+	Homes       []string
 }
 
 // Limits bound the size of requests, the time for sending a header and the idle time of connections.
--- a/discovery/apply.go
+++ b/discovery/apply.go
@@ -28,8 +28,8 @@
 	v.notify()
 }
 
-// applyDeclared applies what is newer and reports whether anything was; first marks the first read.
-func (v *View) applyDeclared(declared Declared, first bool) bool {
+// applyDeclared applies what is newer and reports whether anything was; first marks the first read, full one of all that is declared.
+func (v *View) applyDeclared(declared Declared, first, full bool) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.observeEpoch(declared.Cursor)
@@ -38,6 +38,7 @@
 		v.opts.Log.WithField("cause", fault.Error()).Error("view: what was declared cannot be read; the last known stays")
 	}
 	changed := v.applyConfig(declared.Config)
+	changed = v.applyEvacuations(declared, full) || changed
 	for _, target := range declared.Targets {
 		at := v.now()
 		if first && v.config != nil && v.targets[target.Model] == nil {
--- a/discovery/follow.go
+++ b/discovery/follow.go
@@ -30,7 +30,7 @@
 			return 0, err
 		}
 		v.checkEpoch(known, cursor, declared.Cursor)
-		changed := v.applyDeclared(declared, first)
+		changed := v.applyDeclared(declared, first, !known)
 		v.confirmDeclared()
 		cursor, known, first = declared.Cursor, !changed || first || !v.opts.FullReadOnChange, false
 		if !changed {
--- a/discovery/metrics.go
+++ b/discovery/metrics.go
@@ -6,4 +6,5 @@
 	configFaults   = metrics.NewCounter("coralstair_declared_faults_total")
 	listFaults     = metrics.NewCounter("coralstair_list_faults_total")
 	configRevision = metrics.NewGauge("coralstair_config_revision", nil)
+	evacuatedSites = metrics.NewGauge("coralstair_evacuated_sites", nil)
 )
--- a/discovery/restore_test.go
+++ b/discovery/restore_test.go
@@ -136,7 +136,7 @@
 			now := time.Now()
 			at := now.Add(-test.configuredAgo)
 			v.now = func() time.Time { return at }
-			v.applyDeclared(Declared{Config: config(test.own)}, true)
+			v.applyDeclared(Declared{Config: config(test.own)}, true, true)
 			at = now.Add(-test.offeredAgo)
 			v.ObservePeerRevision(test.offered)
 			at = now
--- a/discovery/view.go
+++ b/discovery/view.go
@@ -32,6 +32,8 @@
 	FullReadOnChange bool
 	// DrainTimeout is how long a leaving server may still get requests; 0 means no bound.
 	DrainTimeout time.Duration
+	// EvacuationBound is how long after an evacuation requests may still reach the site's servers.
+	EvacuationBound time.Duration
 	// VersionBound is how long after a new target requests may still start on an older version.
 	VersionBound time.Duration
 }
@@ -67,6 +69,7 @@
 	configuredAt time.Time
 	newestPeer   peerRevision
 	targets      map[string]*history
+	evacuations  evacuations
 	servers      map[string]contract.Server
 	// idsByAddress keeps applying a list linear in its length.
 	idsByAddress map[string][]string
@@ -126,6 +129,13 @@
 	}
 }
 
+// SetBounds changes the bounds on draining servers, older versions and evacuated sites.
+func (v *View) SetBounds(drain, version, evacuation time.Duration) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.opts.DrainTimeout, v.opts.VersionBound, v.opts.EvacuationBound = drain, version, evacuation
+}
+
 // Changed returns a channel that is closed at the next change.
 func (v *View) Changed() <-chan struct{} {
 	v.mu.RLock()
--- a/fill/box.go
+++ b/fill/box.go
@@ -87,6 +87,7 @@
 	return []supervise.Component{
 		{Name: "links", Run: b.serveLinks},
 		{Name: "reporter", Run: b.runReports},
+		{Name: "evacuations", Run: b.tellEvacuations},
 		{Name: "giver", Run: b.uploader.serve},
 		{Name: "filler", Run: b.runSteps},
 		{Name: "loader", Run: b.runLoads},
--- a/fill/engine.go
+++ b/fill/engine.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"time"
 
 	"github.com/coralstair/coralstair/contract"
 	"github.com/coralstair/coralstair/pushback"
@@ -22,6 +23,8 @@
 	PinnedTokens int
 	// Slowdown is the factor by which the server is slower than usual.
 	Slowdown float64
+	// ColdLeft is how much longer the server stays cold; 0 if it is not, or does not report it.
+	ColdLeft time.Duration
 	// Pushback is what the server asks of its callers.
 	Pushback pushback.Signal
 }
--- a/fill/inbound.go
+++ b/fill/inbound.go
@@ -62,6 +62,8 @@
 		l.links.setWeight(l, m.Weight)
 	case *link.Target:
 		b.cfg.View.ObservePeerTarget(contract.Target{Model: m.Model, Version: contract.Version(m.Version)}, m.Age)
+	case *link.Evacuations:
+		b.cfg.View.ObservePeerEvacuations(m.Known)
 	case *link.WantManifest:
 		l.handleWantManifest(m)
 	case *link.Have:
--- a/fill/links.go
+++ b/fill/links.go
@@ -98,6 +98,7 @@
 	ls.mu.Unlock()
 	if l.entry {
 		ls.box.sendReport()
+		l.sendEvacuations()
 		ls.chooseRelay()
 	}
 }
--- a/fill/reporter.go
+++ b/fill/reporter.go
@@ -23,6 +23,8 @@
 	// turnHorizon is how far ahead a load turn is reported, turnResolution to what precision.
 	turnHorizon    = 4 * time.Second
 	turnResolution = 50 * time.Millisecond
+	// coldResolution is the precision, rounded up, of the reported time for which the server stays cold.
+	coldResolution = 500 * time.Millisecond
 	// readyResolution is the precision of the reported time until the server runs the target version.
 	readyResolution = 250 * time.Millisecond
 )
@@ -72,7 +74,7 @@
 // urgent reports whether entries need a change at once.
 func urgent(report, last link.Report) bool {
 	return report.Closing != last.Closing || report.HasAllPieces != last.HasAllPieces || report.Leaving != last.Leaving || report.Limited != last.Limited ||
-		report.Version != last.Version || report.Server != last.Server || report.Born != last.Born
+		report.ColdLeft > last.ColdLeft || report.Version != last.Version || report.Server != last.Server || report.Born != last.Born
 }
 
 // setState records the server's state; a server that does not answer keeps its last known state.
@@ -115,7 +117,7 @@
 	}
 	report = link.Report{
 		Server: id, Born: b.state.Born, Running: b.state.Running, Waiting: b.state.Waiting, Used: b.state.PinnedTokens, Slowdown: b.state.Slowdown,
-		Closing: b.draining || b.state.Busy,
+		Closing: b.draining || b.state.Busy, ColdLeft: roundUp(b.state.ColdLeft, coldResolution),
 		Leaving: b.state.Pushback.Leaving, Limited: b.state.Pushback.Limited, Limit: b.state.Pushback.Limit,
 	}
 	report.Entries, report.EntryWeight = b.links.entries()
@@ -133,6 +135,11 @@
 	return report, true
 }
 
+// roundUp rounds a duration up to a multiple of the resolution.
+func roundUp(d, resolution time.Duration) time.Duration {
+	return (d + resolution - 1).Truncate(resolution)
+}
+
 // reportedTurn returns the time until a load turn as reported; 0 while it is far off. A turn that is due or has passed
 // is reported as turnResolution: with 0, entries would assume that the server stays open longest.
 func reportedTurn(left time.Duration) time.Duration {
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -55,6 +55,7 @@
 	// complete is a whole response. For a stream, events is the reader, nextEvent the first event the caller lacks,
 	// and streamEnded is set when there is none.
 	complete    *response
+	held        *heldBytes
 	events      *bufio.Reader
 	nextEvent   []byte
 	streamEnded bool
@@ -108,6 +109,7 @@
 		a.versionTimer.Stop()
 	}
 	a.inFlight.release()
+	a.held.release()
 	if a.resp != nil {
 		_ = a.resp.Body.Close()
 	}
@@ -126,6 +128,9 @@
 
 // send sends the request and checks the response header.
 func (a *attempt) send(extra AttemptInfo) (attemptResult, error) {
+	if !a.staysHome() {
+		return resultNotRun, &InvalidPlacementError{Server: a.choice.server.ID}
+	}
 	req := a.request(extra)
 	transport := a.call.entry.transport
 	if a.newConn {
@@ -204,7 +209,8 @@
 // readComplete reads the whole response before any of it is relayed. A 5xx response is kept in case no other server
 // answers.
 func (a *attempt) readComplete() (attemptResult, error) {
-	body, err := io.ReadAll(io.LimitReader(&progressReader{a: a, r: a.resp.Body}, maxComplete+1))
+	a.held = a.call.entry.responses.start()
+	body, err := io.ReadAll(io.LimitReader(a.held.reader(&progressReader{a: a, r: a.resp.Body}), maxComplete+1))
 	if err == nil && len(body) > maxComplete {
 		err = &InvalidResponseError{Reason: "body is too long"}
 	}
--- a/forward/boxlinks.go
+++ b/forward/boxlinks.go
@@ -39,6 +39,8 @@
 	entryCounts map[string]entryCount
 	links       map[string]*boxLink
 	sentTargets []discovery.ObservedTarget
+	// sentEvacuations are the evacuated sites that boxes were last told of.
+	sentEvacuations discovery.Evacuations
 	// followers are the boxes that receive configuration and the server list, listFollowers the entries of the site that receive the
 	// server list.
 	followers     map[*link.Conn]*follower
@@ -86,6 +88,7 @@
 	for {
 		bl.updateLinks(ctx)
 		bl.sendTargets()
+		bl.sendEvacuations()
 		bl.updateFollowers()
 		for woken := false; !woken; {
 			select {
@@ -205,13 +208,15 @@
 			bl.updateEntryCount(address, msg)
 		case *link.Follow:
 			bl.setFollower(conn, msg.Service)
+		case *link.Evacuations:
+			bl.entry.cfg.View.ObservePeerEvacuations(msg.Known)
 		case *link.Entries:
 			bl.entry.reader.setHosts(address, msg.Hosts)
 		}
 	}
 }
 
-// addLink registers the link to a box and sends the box the current target versions.
+// addLink registers the link to a box and sends the box the current target versions and evacuated sites.
 func (bl *boxLinks) addLink(address string, conn *link.Conn) {
 	bl.mu.Lock()
 	bl.links[address] = &boxLink{conn: conn}
@@ -219,6 +224,9 @@
 	for _, target := range bl.entry.cfg.View.Targets() {
 		sendTarget(conn, target)
 	}
+	if known, ok := bl.entry.cfg.View.Evacuations(); ok && len(known.Sites)+len(known.Lost) > 0 {
+		trySend(conn, &link.Evacuations{Known: known})
+	}
 }
 
 func (bl *boxLinks) removeLink(address string, conn *link.Conn) {
@@ -249,6 +257,22 @@
 	}
 }
 
+// sendEvacuations sends the evacuated sites to all boxes if they have changed: entries that the store does not serve hear of them there.
+func (bl *boxLinks) sendEvacuations() {
+	known, ok := bl.entry.cfg.View.Evacuations()
+	bl.mu.Lock()
+	if !ok || known.Equal(bl.sentEvacuations) {
+		bl.mu.Unlock()
+		return
+	}
+	bl.sentEvacuations = known
+	links := slices.Collect(maps.Values(bl.links))
+	bl.mu.Unlock()
+	for _, l := range links {
+		trySend(l.conn, &link.Evacuations{Known: known})
+	}
+}
+
 // sendTarget sends a target version. It is dropped if the link is full: the box receives it from other entries too.
 func sendTarget(conn *link.Conn, target discovery.ObservedTarget) {
 	_ = trySend(conn, &link.Target{Model: target.Model, Version: int64(target.Version), Age: clock.Since(target.At)})
--- a/forward/call.go
+++ b/forward/call.go
@@ -37,7 +37,9 @@
 	route   *contract.Route
 	service *contract.Service
 	team    *contract.Team
-	body    []byte
+	// homes are the regions that may serve the request, by the configuration that was in force when it came.
+	homes contract.Homes
+	body  []byte
 
 	ctx      context.Context
 	cancel   context.CancelFunc
@@ -119,7 +121,7 @@
 	}
 	c.entry.calls.add(c)
 	defer c.entry.calls.remove(c)
-	c.entry.admission.Of(c.service.Name).Record(c.admissionRequest(), c.started)
+	c.entry.admission.Of(c.pool()).Record(c.admissionRequest(), c.started)
 	c.sinceFirst = c.sinceFirstTry()
 	var kept *response
 	var err error
@@ -179,7 +181,7 @@
 		excluded[id] = c.refusedAt[id].IsZero()
 	}
 	c.mu.Unlock()
-	return now.Add(c.entry.availableIn(c.service.Name, excluded, now)).After(until)
+	return now.Add(c.entry.availableIn(c.service.Name, c.homes, excluded, now)).After(until)
 }
 
 // sendNext sends the request to the next server.
@@ -238,6 +240,9 @@
 // chooseNext chooses the next server; mu is held.
 func (c *call) chooseNext() (choice, error) {
 	ch, ok := c.entry.choose(c.requirements(), clock.Now())
+	if !ok && !c.entry.anySite(c.service.Name, c.homes) {
+		return choice{}, errNoSite
+	}
 	if !ok {
 		return choice{}, &NoServerError{Service: c.service.Name, Reason: "none accepts the request now"}
 	}
@@ -251,6 +256,7 @@
 func (c *call) requirements() requirements {
 	return requirements{
 		service: c.service, model: c.model(), promptTokens: c.info.PromptTokens, answerTokens: c.info.answerTokens(), excluded: c.excluded,
+		homes:  c.homes,
 		urgent: c.urgent, movable: c.route.Repeatable() && c.sends+1 < c.route.Attempts,
 	}
 }
@@ -262,7 +268,7 @@
 		return true
 	}
 	own := engine.TimeToFirstEvent(c.service.Engine, ch.load, c.info.PromptTokens) - engine.TimeToFirstEvent(c.service.Engine, ch.load, 1)
-	return c.entry.admission.Of(c.service.Name).Admit(c.admissionRequest(), c.sinceFirst, ch.first-own)
+	return c.entry.admission.Of(c.pool()).Admit(c.admissionRequest(), c.sinceFirst, ch.first-own)
 }
 
 // admissionRequest describes the request to admission control.
@@ -285,6 +291,7 @@
 var (
 	errRetryBudget = errors.New("retry budget is exhausted")
 	errLeaving     = errors.New("entry is leaving")
+	errNoSite      = errors.New("no site may serve the request")
 )
 
 // giveUp responds when no further attempt is allowed: with the server's 5xx response, or with an error of the entry's
@@ -303,6 +310,8 @@
 		c.refuse(http.StatusBadGateway, "unknown", "no complete response; the request may have run", 0, err)
 	case errors.As(err, new(*QuarantinedError)):
 		c.refuse(http.StatusServiceUnavailable, "held", "servers exited while running this request; it is sent to no more of them", quarantine.Retention, err)
+	case errors.Is(err, errNoSite):
+		c.refuse(http.StatusServiceUnavailable, "no-site", "all sites that may serve the request are being evacuated", evacuatedRetryAfter, err)
 	case errors.Is(err, errLeaving):
 		c.refuse(http.StatusServiceUnavailable, "leaving", "the entry is leaving and could not respond in time", leaveRetryAfter, err)
 	default:
@@ -312,7 +321,7 @@
 
 // retryAfter returns the value for Retry-After.
 func (c *call) retryAfter() time.Duration {
-	return c.entry.retryAfter(c.service, c.route, clock.Now())
+	return c.entry.retryAfter(c.service, c.route, c.homes, clock.Now())
 }
 
 // priority returns topPriority for urgent requests, else the team's priority, else the route's.
--- a/forward/choose.go
+++ b/forward/choose.go
@@ -45,6 +45,8 @@
 	// minOpen is the minimum time until the server closes to load another version.
 	minOpen  time.Duration
 	excluded map[string]bool
+	// homes are the regions that may serve the request.
+	homes contract.Homes
 	// entries is the number of entries that share a server's limit.
 	entries int
 }
@@ -117,8 +119,9 @@
 	up.mu.Lock()
 	defer up.mu.Unlock()
 	server := up.server
+	siteCost, may := e.mayServe(want.homes, server.Site)
 	gone := up.missing && now.After(up.unusableAt)
-	if up.isLeaving() || gone || want.excluded[server.ID] || now.Sub(up.misdirectedAt) < misdirectedBackoff || up.availableIn(want.entries, now) > 0 {
+	if !may || up.isLeaving() || gone || want.excluded[server.ID] || now.Sub(up.misdirectedAt) < misdirectedBackoff || up.availableIn(want.entries, now) > 0 {
 		return choice{}, time.Time{}, false
 	}
 	c = choice{upstream: up, server: server, entries: want.entries}
@@ -130,7 +133,7 @@
 	} else if !e.predict(&c, want, now) {
 		return choice{}, time.Time{}, false
 	}
-	c.cost += c.first + up.reportDelay(now) + e.siteCost(server.Site) + rand.N(costJitter)
+	c.cost += c.first + up.reportDelay(now) + e.siteCost(server.Site) + siteCost + rand.N(costJitter)
 	if up.missing {
 		c.cost += unlistedPenalty
 	}
--- a/forward/entry.go
+++ b/forward/entry.go
@@ -13,6 +13,7 @@
 	"github.com/coralstair/coralstair/admission"
 	"github.com/coralstair/coralstair/clock"
 	"github.com/coralstair/coralstair/discovery"
+	"github.com/coralstair/coralstair/invariant"
 	"github.com/coralstair/coralstair/machine"
 	"github.com/coralstair/coralstair/peersource"
 	"github.com/coralstair/coralstair/quarantine"
@@ -42,6 +43,8 @@
 	PeerSource *peersource.EntrySource
 	// Quarantine records requests under which servers exited; if nil, the entry creates one for itself.
 	Quarantine *quarantine.Quarantine
+	// Checks records violated invariants; nil only counts and logs them.
+	Checks *invariant.Recorder
 }
 
 // Entry accepts callers' requests and sends them to upstreams directly.
@@ -61,7 +64,12 @@
 	callers          *http.Server
 	ready            *http.Server
 	conns            callerConns
-	calls            calls
+	// bodies and responses bound the bodies of requests and the complete responses held in memory.
+	bodies    holdings
+	responses holdings
+	// changedBounds are the bounds that were set while the entry runs; nil while those of its start are in force.
+	changedBounds atomic.Pointer[machine.Bounds]
+	calls         calls
 	// closesIdleAt is when a leaving entry closes idle connections at the latest; it is set before leaving.
 	closesIdleAt atomic.Pointer[time.Time]
 	leaving      atomic.Bool
@@ -74,13 +82,18 @@
 	e := &Entry{
 		cfg: cfg, log: cfg.Log, transport: newTransport(), oneShotTransport: newTransport(),
 		budget: retry.NewBudget(bounds.RetryRatio, bounds.RetrySlack, bounds.RetryWindow), startedAt: clock.Now(),
+		bodies: newHoldings(cfg.Machine.Memory), responses: newHoldings(cfg.Machine.Memory),
 	}
 	e.budget.StartedAt(e.startedAt)
 	if e.cfg.Quarantine == nil {
 		e.cfg.Quarantine = quarantine.New(quarantine.Options{Entry: cfg.Machine.ID, Log: cfg.Log})
 	}
 	e.oneShotTransport.DisableKeepAlives = true
-	e.upstreams.subsetWeights, e.upstreams.limitSharers = e.subsetWeights, e.limitSharers
+	e.upstreams.subsetWeights, e.upstreams.limitSharers, e.upstreams.coldStart = e.subsetWeights, e.limitSharers, e.coldStart
+	e.upstreams.returnedAt = func(site string) time.Time {
+		_, returnedAt := e.cfg.View.Evacuation(site)
+		return returnedAt
+	}
 	e.boxLinks = newBoxLinks(e)
 	e.cfg.Quarantine.OnChange(func(added bool) {
 		if added {
@@ -92,7 +105,7 @@
 	e.peers = newPeerNotifier(e)
 	e.callers = &http.Server{
 		Handler: countPanics(e), ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ErrorLog: e.errorLog("entry: the callers' server says"), ConnState: e.conns.setState,
+		ErrorLog: e.errorLog("entry: the callers' server says"), ConnState: e.conns.setState, ConnContext: limitBuffer,
 	}
 	e.ready = &http.Server{
 		Handler: countPanics(http.HandlerFunc(e.serveReady)), ReadHeaderTimeout: headerTimeout,
@@ -155,3 +168,18 @@
 		}
 	}
 }
+
+// SetBounds changes the bounds of a running entry, but for the contact time and the retry window.
+func (e *Entry) SetBounds(bounds machine.Bounds) {
+	bounds.Contact, bounds.RetryWindow = e.cfg.Machine.Bounds.Contact, e.cfg.Machine.Bounds.RetryWindow
+	e.changedBounds.Store(&bounds)
+	e.budget.SetAllowance(bounds.RetryRatio, bounds.RetrySlack)
+}
+
+// bounds returns the bounds in force.
+func (e *Entry) bounds() *machine.Bounds {
+	if changed := e.changedBounds.Load(); changed != nil {
+		return changed
+	}
+	return &e.cfg.Machine.Bounds
+}
--- a/forward/errors.go
+++ b/forward/errors.go
@@ -45,6 +45,14 @@
 	return fmt.Sprintf("server %s runs a version that may start no more requests", e.Server)
 }
 
+// InvalidPlacementError means that a server must not get the request, so that nothing was sent to it.
+type InvalidPlacementError struct{ Server string }
+
+// Error names the server.
+func (e *InvalidPlacementError) Error() string {
+	return fmt.Sprintf("server %s must not get the request", e.Server)
+}
+
 // QuarantinedError means that servers exited while they ran the request, so that it is sent to no more of them.
 type QuarantinedError struct{}
 
--- a/forward/fixture_test.go
+++ b/forward/fixture_test.go
@@ -159,7 +159,9 @@
 	e.budget.StartedAt(time.Time{})
 	e.budget.SetEntries(1, clock.Now())
 	e.upstreams.update(v.Servers())
-	server := httptest.NewServer(e)
+	server := httptest.NewUnstartedServer(e)
+	server.Config.ConnContext = limitBuffer
+	server.Start()
 	t.Cleanup(func() {
 		server.CloseClientConnections()
 		server.Close()
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -27,6 +27,7 @@
 func (e *Entry) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	started := clock.Now()
 	info := e.cfg.Wire.ParseRequest(r)
+	limitWrites(w, callerTimeout(info))
 	if e.leaving.Load() {
 		w.Header().Set("Connection", "close")
 	}
@@ -46,16 +47,24 @@
 		e.denyOrRetryLater(w, r, info, http.StatusUnauthorized, "no-team", "the key is not known")
 		return
 	}
+	homes := contract.HomesOf(route, team)
+	if homes.Empty() {
+		// Without Retry-After: coming back helps only under another configuration.
+		e.deny(w, r, info, http.StatusServiceUnavailable, "no-home", "the homes of the route and of the team have no region in common", 0)
+		return
+	}
 	if limit := cfg.Limits.HeaderBytes; limit > 0 && headerBytes(r) > limit {
 		e.deny(w, r, info, http.StatusRequestHeaderFieldsTooLarge, "long-header", "the header is too long", 0)
 		return
 	}
-	body, ok := e.readBody(w, r, info, cfg.Limits.BodyBytes)
+	held := e.bodies.start()
+	defer held.release()
+	body, ok := e.readBody(w, r, info, held, cfg.Limits.BodyBytes)
 	if !ok {
 		return
 	}
 	c := &call{
-		entry: e, w: w, r: r, info: info, route: route, team: team, body: body,
+		entry: e, w: w, r: r, info: info, route: route, team: team, homes: homes, body: body,
 		started: started, deadline: started.Add(timeLimit(info, route)), config: cfg.Revision, excluded: make(map[string]bool),
 	}
 	c.service = cfg.Service(route.Service(rand.Float64()))
@@ -75,12 +84,17 @@
 	return team, team != nil
 }
 
+// callerTimeout returns how long the caller waits.
+func callerTimeout(info RequestInfo) time.Duration {
+	if info.Timeout <= 0 {
+		return defaultTimeout
+	}
+	return info.Timeout
+}
+
 // timeLimit returns the time limit of a request: that of the caller, capped by that of the route.
 func timeLimit(info RequestInfo, route *contract.Route) time.Duration {
-	limit := info.Timeout
-	if limit <= 0 {
-		limit = defaultTimeout
-	}
+	limit := callerTimeout(info)
 	if route.TimeLimit > 0 {
 		limit = min(limit, route.TimeLimit)
 	}
@@ -88,7 +102,7 @@
 }
 
 // readBody reads the whole body, which several attempts may send. On failure it answers the request and returns false.
-func (e *Entry) readBody(w http.ResponseWriter, r *http.Request, info RequestInfo, limit int64) ([]byte, bool) {
+func (e *Entry) readBody(w http.ResponseWriter, r *http.Request, info RequestInfo, held *heldBytes, limit int64) ([]byte, bool) {
 	if r.ContentLength == 0 {
 		return nil, true
 	}
@@ -101,10 +115,15 @@
 	if limit > 0 {
 		reader = http.MaxBytesReader(w, r.Body, limit)
 	}
-	body, err := io.ReadAll(reader)
+	body, err := io.ReadAll(held.reader(reader))
 	if err == nil {
 		return body, true
 	}
+	if errors.Is(err, errHeldFull) {
+		w.Header().Set("Connection", "close")
+		e.deny(w, r, info, http.StatusServiceUnavailable, "no-memory", "the entry holds too many requests", loadingRetryAfter)
+		return nil, false
+	}
 	var long *http.MaxBytesError
 	if errors.As(err, &long) {
 		e.deny(w, r, info, http.StatusRequestEntityTooLarge, "long-body", "the body is too long", 0)
--- a/forward/leave.go
+++ b/forward/leave.go
@@ -36,7 +36,7 @@
 // arrive or the time is up, and only then closes idle connections.
 func (e *Entry) Leave(ctx context.Context) {
 	began := clock.Now()
-	deadline := began.Add(e.cfg.Machine.Bounds.Grace - graceMargin)
+	deadline := began.Add(e.bounds().Grace - graceMargin)
 	closes := deadline.Add(-idleCloseMargin)
 	e.closesIdleAt.Store(&closes)
 	e.leaving.Store(true)
@@ -90,7 +90,7 @@
 // lameDuckEnd returns when the balancer has stopped sending connections, for a leave that closes idle connections at closes. Later
 // requests come from callers that other entries serve too; only those certain to end in time are started.
 func (e *Entry) lameDuckEnd(closes time.Time) time.Time {
-	return closes.Add(idleCloseMargin + graceMargin - e.cfg.Machine.Bounds.Grace + lameDuckTime)
+	return closes.Add(idleCloseMargin + graceMargin - e.bounds().Grace + lameDuckTime)
 }
 
 // finishesBeforeLeave reports whether the request ends before a leaving entry stops, by its own deadline or by the prediction for the
--- a/forward/metrics.go
+++ b/forward/metrics.go
@@ -3,6 +3,7 @@
 import "github.com/VictoriaMetrics/metrics"
 
 var (
+	heldRefused  = metrics.NewCounter("coralstair_held_bytes_refused_total")
 	connections  = metrics.NewCounter("coralstair_upstream_connections_total")
 	resumes      = metrics.NewCounter("coralstair_streams_resumed_total")
 	panics       = metrics.NewCounter("coralstair_panics_total")
--- a/forward/move.go
+++ b/forward/move.go
@@ -98,7 +98,7 @@
 // tooFewServers reports whether the given number of servers is too small to take over the requests of the service's
 // others.
 func (c *call) tooFewServers(servers int) bool {
-	return servers*takeoverDivisor < len(c.entry.upstreams.preferred(c.service.Name))
+	return servers*takeoverDivisor < len(c.entry.preferredFor(c.service.Name, c.homes))
 }
 
 // moveTimeLimit returns how long the first event may take at the new server; the call's mutex is held.
--- a/forward/pushback.go
+++ b/forward/pushback.go
@@ -8,6 +8,7 @@
 	"github.com/apex/log"
 
 	"github.com/coralstair/coralstair/clock"
+	"github.com/coralstair/coralstair/contract"
 	"github.com/coralstair/coralstair/link"
 	"github.com/coralstair/coralstair/pushback"
 	"github.com/coralstair/coralstair/retry"
@@ -24,6 +25,7 @@
 		return
 	}
 	signal, e := a.reply.Pushback, a.call.entry
+	a.choice.upstream.recordCold(a.reply.ColdLeft, clock.Now())
 	if !a.choice.upstream.applyPushback(signal, a.inFlight.sent, clock.Now(), e.limitSharers()) {
 		return
 	}
@@ -70,7 +72,8 @@
 // for a pause are skipped even when most do: idle as they are, they would look cheapest, and each refusal draws on the
 // retry budget. mu is held.
 func (u *upstream) availableIn(entries int, now time.Time) time.Duration {
-	return max(u.limit.Wait(now, u.limitShare(entries)), u.pausedUntil.Sub(now), 0)
+	share := u.limitShare(entries)
+	return max(u.limit.Wait(now, share), u.currentCold(entries, now).Wait(now, share), u.pausedUntil.Sub(now), 0)
 }
 
 // limitShare returns this entry's fraction of the server's limit; 0 outside its subset, so that other entries can use
@@ -90,14 +93,17 @@
 }
 
 // availableIn returns the time until some server of a service, other than the excluded ones, accepts a request of this
-// entry; 0 if there is none.
-func (e *Entry) availableIn(service string, excluded map[string]bool, now time.Time) time.Duration {
+// entry with these homes; 0 if there is none.
+func (e *Entry) availableIn(service string, homes contract.Homes, excluded map[string]bool, now time.Time) time.Duration {
 	soonest, entries := time.Duration(-1), e.limitSharers()
 	for _, ups := range [][]*upstream{e.upstreams.preferred(service), e.upstreams.fallback(service)} {
 		for _, up := range ups {
 			up.mu.Lock()
-			in, skip := up.availableIn(entries, now), up.isLeaving() || excluded[up.server.ID]
+			in, skip, site := up.availableIn(entries, now), up.isLeaving() || excluded[up.server.ID], up.server.Site
 			up.mu.Unlock()
+			if _, may := e.mayServe(homes, site); !may {
+				continue
+			}
 			if !skip && (soonest < 0 || in < soonest) {
 				soonest = in
 			}
--- a/forward/reader.go
+++ b/forward/reader.go
@@ -253,7 +253,7 @@
 		// notified that the store is lost.
 		return
 	}
-	reads := v.Ready() && v.StoreReachable() && (source == nil || !source.PeerActive()) && v.ListAge() < ListWait(bl.entry.cfg.Machine.Bounds.Drain)+listCallSlack
+	reads := v.Ready() && v.StoreReachable() && (source == nil || !source.PeerActive()) && v.ListAge() < ListWait(bl.entry.bounds().Drain)+listCallSlack
 	bl.mu.Lock()
 	defer bl.mu.Unlock()
 	if reads && len(bl.listFollowers) > 0 {
--- a/forward/retryafter.go
+++ b/forward/retryafter.go
@@ -20,11 +20,23 @@
 	readyDivisor = 4
 )
 
-// shortestWait returns the shortest predicted wait at a service's servers, including the wait for their limits; ok is
+// preferredFor returns the servers of a service in the entry's subset that may get a request with these homes.
+func (e *Entry) preferredFor(service string, homes contract.Homes) []*upstream {
+	ups := e.upstreams.preferred(service)
+	may := make([]*upstream, 0, len(ups))
+	for _, up := range ups {
+		if _, ok := e.mayServe(homes, up.site()); ok {
+			may = append(may, up)
+		}
+	}
+	return may
+}
+
+// shortestWait returns the shortest predicted wait at a service's servers that may get a request with these homes, including the wait for their limits; ok is
 // false when none takes requests.
-func (e *Entry) shortestWait(service *contract.Service, now time.Time) (wait time.Duration, ok bool) {
+func (e *Entry) shortestWait(service *contract.Service, homes contract.Homes, now time.Time) (wait time.Duration, ok bool) {
 	entries := e.limitSharers()
-	for _, up := range e.upstreams.preferred(service.Name) {
+	for _, up := range e.preferredFor(service.Name, homes) {
 		up.mu.Lock()
 		if up.version("", now) != 0 && !up.isLeaving() && !up.closing(now) {
 			total := up.availableIn(entries, now) + engine.TimeToFirstEvent(service.Engine, up.load(service.Engine, now), service.Engine.UsualPrompt)
@@ -39,12 +51,12 @@
 
 // retryAfter predicts when a request will be served in time: once the queue at the best server has shrunk, or the
 // servers that are loading are ready. A random spread keeps callers from returning all at once.
-func (e *Entry) retryAfter(service *contract.Service, route *contract.Route, now time.Time) time.Duration {
+func (e *Entry) retryAfter(service *contract.Service, route *contract.Route, homes contract.Homes, now time.Time) time.Duration {
 	if service.Engine == nil {
-		return e.plainRetryAfter(service.Name, now)
+		return e.plainRetryAfter(service.Name, homes, now)
 	}
-	after, known := e.readyIn(service.Name, now)
-	if wait, ok := e.shortestWait(service, now); ok {
+	after, known := e.readyIn(service.Name, homes, now)
+	if wait, ok := e.shortestWait(service, homes, now); ok {
 		after = max(wait-route.Goal, 0)
 	} else if !known {
 		after = loadingRetryAfter
@@ -53,8 +65,8 @@
 }
 
 // plainRetryAfter is retryAfter for a service without an engine.
-func (e *Entry) plainRetryAfter(service string, now time.Time) time.Duration {
-	if in := e.availableIn(service, nil, now); in > 0 {
+func (e *Entry) plainRetryAfter(service string, homes contract.Homes, now time.Time) time.Duration {
+	if in := e.availableIn(service, homes, nil, now); in > 0 {
 		return max(in, plainRetryAfter) + rand.N(retryAfterSpread)
 	}
 	return plainRetryAfter
@@ -62,9 +74,9 @@
 
 // readyIn returns the time until enough servers of a service are predicted to run their target version, by their
 // boxes' reports; known is false without any.
-func (e *Entry) readyIn(service string, now time.Time) (in time.Duration, known bool) {
+func (e *Entry) readyIn(service string, homes contract.Homes, now time.Time) (in time.Duration, known bool) {
 	var times []time.Duration
-	for _, up := range e.upstreams.preferred(service) {
+	for _, up := range e.preferredFor(service, homes) {
 		up.mu.Lock()
 		if age := now.Sub(up.reportAt); age < reportTTL && up.report.ReadyIn > 0 {
 			times = append(times, max(up.report.ReadyIn-age, 0))
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -22,6 +22,8 @@
 	// A stream that pauses for pauseFactor times the route's pause goal, at least minPause, is hedged.
 	pauseFactor = 2
 	minPause    = 800 * time.Millisecond
+	// maxBuffered bounds, in bytes, the events buffered for a successor; beyond it the successor is given up.
+	maxBuffered = 64 << 10
 )
 
 var (
@@ -46,8 +48,9 @@
 	lastEvent string
 	// successor is the attempt that may continue the stream after lastEvent. buffered are the events received since;
 	// they are written if the successor fails.
-	successor *attempt
-	buffered  [][]byte
+	successor     *attempt
+	buffered      [][]byte
+	bufferedBytes int
 }
 
 // relayStream relays events and continues at another server of the same version when the connection breaks.
@@ -232,7 +235,7 @@
 // flush writes the buffered events; a write error shows at the next event. mu is held.
 func (s *callerStream) flush() {
 	events := s.buffered
-	s.successor, s.buffered = nil, nil
+	s.successor, s.buffered, s.bufferedBytes = nil, nil, 0
 	for i, event := range events {
 		_ = s.write(event, i == len(events)-1)
 	}
@@ -242,7 +245,7 @@
 func (s *callerStream) discardBuffered() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.successor, s.buffered = nil, nil
+	s.successor, s.buffered, s.bufferedBytes = nil, nil, 0
 }
 
 // ensureHeader writes the response header if the stream had no events.
@@ -268,6 +271,10 @@
 	}
 	if s.successor != nil {
 		s.buffered = append(s.buffered, bytes.Clone(event))
+		if s.bufferedBytes += len(event); s.bufferedBytes > maxBuffered {
+			s.successor.cancel(&SupersededError{Server: s.successor.choice.server.ID, To: a.choice.server.ID})
+			s.flush()
+		}
 		return nil
 	}
 	return s.write(event, flush)
--- a/forward/subset.go
+++ b/forward/subset.go
@@ -41,13 +41,14 @@
 		default:
 			key := server.Service + "/" + host
 			if len(ids[key]) == 0 {
-				boxes[server.Service] = append(boxes[server.Service], subset.Box{Host: host, Site: server.Site})
+				boxes[server.Service] = append(boxes[server.Service], subset.Box{Host: host, Site: server.Site, Region: e.cfg.Machine.Region(server.Site)})
 			}
 			ids[key] = append(ids[key], server.ID)
 		}
 	}
+	fleet := subset.Fleet{Entries: e.knownEntryCount(), BoundToRegions: cfg != nil && cfg.BoundToRegions()}
 	for service, candidates := range boxes {
-		for _, chosen := range subset.Choose(e.cfg.Machine.ID, e.cfg.Machine.Site, candidates, e.knownEntryCount()) {
+		for _, chosen := range subset.Choose(e.cfg.Machine.ID, e.cfg.Machine.Site, candidates, fleet) {
 			for _, id := range ids[service+"/"+chosen.Host] {
 				weights[id] = chosen.Weight
 			}
--- a/forward/upstream.go
+++ b/forward/upstream.go
@@ -82,6 +82,10 @@
 	limit          pushback.Limit
 	announcedLeave bool
 	pausedUntil    time.Time
+	// The server is cold until coldUntil; from then on cold, its limit of coldRate requests a second, does not apply.
+	coldUntil time.Time
+	coldRate  float64
+	cold      pushback.Limit
 
 	// lostRequests are the requests whose connections broke recently; exitChecked is closed when the running exit check
 	// ends, nil if none runs. exitedAt is when an exit was detected, exitLogRequests the requests for its log line.
@@ -116,6 +120,7 @@
 		return nil
 	}
 	u.limit = u.limit.WithSent(now, u.limitShare(entries))
+	u.cold = u.cold.WithSent(now, u.limitShare(entries))
 	u.inFlight++
 	u.reading++
 	u.unread += prompt
@@ -173,6 +178,7 @@
 		u.misdirectedAt = time.Time{}
 	}
 	u.applyReportedPushback(report, entries, now)
+	u.extendCold(now.Add(report.ColdLeft))
 	u.report, u.reportAt = report, now
 	u.othersReading = max(0, report.Waiting-u.reading)
 	u.othersWriting = max(0, report.Running-(u.inFlight-u.reading))
--- a/forward/upstreams.go
+++ b/forward/upstreams.go
@@ -19,6 +19,10 @@
 	subsetWeights func(servers []discovery.ListedServer) map[string]float64
 	// limitSharers returns the number of entries that share a server's limit; nil means one.
 	limitSharers func() int
+	// coldStart returns the cold start of a service's servers, returnedAt when the evacuation of a site was last taken back; if nil, no
+	// server is ever cold.
+	coldStart  func(service string) coldStart
+	returnedAt func(site string) time.Time
 
 	mu   sync.RWMutex
 	byID map[string]*upstream
@@ -45,6 +49,7 @@
 	if us.subsetWeights != nil {
 		weights = us.subsetWeights(servers)
 	}
+	now := clock.Now()
 	us.mu.Lock()
 	defer us.mu.Unlock()
 	old := us.byID
@@ -52,11 +57,12 @@
 	us.preferredByService, us.fallbackByService = make(map[string][]*upstream), make(map[string][]*upstream)
 	for _, server := range servers {
 		up := cmp.Or(old[server.ID], us.unlisted[server.ID].up)
-		if up == nil {
-			up = &upstream{}
-		}
-		if up.isReplacedBy(server.Born) {
+		isNew := up == nil
+		if !isNew && up.isReplacedBy(server.Born) {
 			up.abortInFlight()
+			isNew = true
+		}
+		if isNew {
 			up = &upstream{}
 		}
 		weight := 1.0
@@ -64,10 +70,21 @@
 			weight = weights[server.ID]
 		}
 		up.applyListing(server, weight)
+		us.applyCold(up, isNew, now)
 		us.byID[server.ID] = up
 		us.add(up, server.Service, weight)
 	}
-	us.retainUnlisted(old, clock.Now())
+	us.retainUnlisted(old, now)
+}
+
+// applyCold applies what the list says of how long a server stays cold.
+func (us *upstreams) applyCold(up *upstream, isNew bool, now time.Time) {
+	if us.coldStart == nil {
+		return
+	}
+	up.mu.Lock()
+	defer up.mu.Unlock()
+	up.observeCold(us.coldStart(up.server.Service), isNew, us.returnedAt(up.server.Site), now)
 }
 
 // retainUnlisted remembers the servers that are no longer listed and drops expired ones; mu is held.
@@ -141,6 +158,7 @@
 	us.mu.Lock()
 	defer us.mu.Unlock()
 	up := old.successor(born)
+	us.applyCold(up, true, clock.Now())
 	us.byID[up.server.ID] = up
 	for _, byService := range []map[string][]*upstream{us.preferredByService, us.fallbackByService} {
 		ups := slices.Clone(byService[up.server.Service])
--- a/forward/wire.go
+++ b/forward/wire.go
@@ -52,6 +52,8 @@
 	Version contract.Version
 	// KeepAlive is how long the server keeps the connection open while idle; 0 if unset.
 	KeepAlive time.Duration
+	// ColdLeft is how much longer the server stays cold; 0 if it is not, or did not say.
+	ColdLeft time.Duration
 	// Pushback is the server's signal to its callers.
 	Pushback pushback.Signal
 }
--- a/internal/daemoncmd/daemon.go
+++ b/internal/daemoncmd/daemon.go
@@ -45,7 +45,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	go func() {
-		handleSignals(ctx, signals, path, logger, d)
+		handleSignals(ctx, signals, reloader{path: path, log: logger, view: v, daemon: d, running: m}, d)
 		cancel()
 	}()
 	components := append([]supervise.Component{
@@ -63,7 +63,7 @@
 // newView returns a daemon's view of configuration and servers, and the sources that it reads.
 func newView(r role, m machine.Machine, platformStore *platform.Store, logger log.Interface) (*discovery.View, sources) {
 	opts := discovery.Options{
-		Log: logger, DrainTimeout: m.Bounds.Drain, VersionBound: m.Bounds.Version, PollTimeout: discovery.PollTimeoutWithin(m.Bounds.Contact),
+		Log: logger, DrainTimeout: m.Bounds.Drain, VersionBound: m.Bounds.Version, EvacuationBound: m.Bounds.Evacuate, PollTimeout: discovery.PollTimeoutWithin(m.Bounds.Contact),
 		ServersCoalesceDelay: discovery.ServersCoalesceDelayWithin(m.Bounds.Drain),
 	}
 	store := discovery.Hedge(platformStore)
--- a/internal/daemoncmd/stop_test.go
+++ b/internal/daemoncmd/stop_test.go
@@ -43,7 +43,7 @@
 				start := time.Now()
 				signals <- syscall.SIGTERM
 				time.AfterFunc(time.Minute, func() { signals <- test.second })
-				handleSignals(t.Context(), signals, "", &log.Logger{Handler: discard.Default}, d)
+				handleSignals(t.Context(), signals, reloader{log: &log.Logger{Handler: discard.Default}}, d)
 				want := time.Hour
 				if test.cancelled {
 					want = time.Minute
--- a/invariant/recorder.go
+++ b/invariant/recorder.go
@@ -20,6 +20,7 @@
 	FenceGrows        Name = "fence_never_falls"
 	VerifiedBeforeUse Name = "weights_verified_before_load"
 	CursorOfItsEpoch  Name = "cursor_of_its_epoch"
+	StaysHome         Name = "request_stays_in_its_homes"
 )
 
 // Violation is a violation of an invariant.
--- a/link/daemon.go
+++ b/link/daemon.go
@@ -97,6 +97,8 @@
 	Leaving bool    `cbor:"16,keyasint,omitempty"`
 	Limited bool    `cbor:"17,keyasint,omitempty"`
 	Limit   float64 `cbor:"18,keyasint,omitempty"`
+	// ColdLeft is how much longer the server stays cold; 0 if it is not.
+	ColdLeft time.Duration `cbor:"19,keyasint,omitempty"`
 }
 
 // Target carries the target version of a model, and how long ago it was named.
--- a/link/frame_test.go
+++ b/link/frame_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/coralstair/coralstair/discovery"
 	"github.com/coralstair/coralstair/fleet"
 )
 
@@ -32,6 +33,7 @@
 		"manifest":        &Manifest{Model: "m", Version: 2, Size: 8, Digests: []byte("d")},
 		"entries":         &Entries{Hosts: []string{"10.0.0.1"}},
 		"follow the list": &Follow{List: true},
+		"evacuations":     &Evacuations{Known: discovery.Evacuations{AsOf: discovery.Cursor{Epoch: 1, Position: 7}, Sites: []string{"a"}, Lost: []string{"b"}, LostFor: time.Second}},
 		"target":          &Target{Model: "m", Version: 2, Age: time.Second},
 	}
 }
--- a/link/message.go
+++ b/link/message.go
@@ -28,6 +28,7 @@
 	KindEntries
 	KindQuarantineRecords
 	KindRefusedRequests
+	KindEvacuations
 )
 
 // Message is one typed message.
@@ -58,6 +59,7 @@
 	KindEntries:           func() Message { return new(Entries) },
 	KindQuarantineRecords: func() Message { return new(QuarantineRecords) },
 	KindRefusedRequests:   func() Message { return new(RefusedRequests) },
+	KindEvacuations:       func() Message { return new(Evacuations) },
 }
 
 // newMessage returns an empty message of a kind, or nil if the kind is unknown.
--- a/machine/machine.go
+++ b/machine/machine.go
@@ -25,7 +25,9 @@
 	Service         string
 	// LinkRate is the bandwidth of the machine's link in bytes per second.
 	LinkRate float64
-	Bounds   Bounds
+	// Memory is the memory of the daemon in bytes; 0 if not limited.
+	Memory int64
+	Bounds Bounds
 }
 
 // Bounds are the time and retry limits set by operators.
@@ -36,6 +38,8 @@
 	Grace time.Duration
 	// Contact is how long a machine must be free of faults before the other bounds apply to it; 0 if not set.
 	Contact time.Duration
+	// Evacuate is how long requests may still reach a site after its evacuation is declared; 0 if not set.
+	Evacuate time.Duration
 	// Version is how long requests may still start on an older version after a new one is named.
 	Version time.Duration
 	// RetryRatio of the requests, plus RetrySlack, may be retried within RetryWindow, summed over all entries.
--- a/pushback/limit.go
+++ b/pushback/limit.go
@@ -57,6 +57,9 @@
 	return Limit{active: true, rate: signal.Limit, receivedAt: receipt.Received, nextSend: receipt.Received.Add(wait)}
 }
 
+// Active reports whether the limit restricts anything.
+func (l Limit) Active() bool { return l.active }
+
 // Wait returns the delay until a request may be sent, 0 if it may be sent now.
 func (l Limit) Wait(now time.Time, share float64) time.Duration {
 	if !l.active {
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -62,6 +62,13 @@
 	return &Budget{ratio: ratio, slack: slack, window: window, entries: DefaultEntries, byService: make(map[string]*windowCounts)}
 }
 
+// SetAllowance changes the ratio and the slack that all entries share.
+func (b *Budget) SetAllowance(ratio float64, slack int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.ratio, b.slack = ratio, slack
+}
+
 // StartedAt sets when the entry started; an earlier run may have used the first window's budget.
 func (b *Budget) StartedAt(at time.Time) { b.startedAt = at }
 
--- a/subset/subset.go
+++ b/subset/subset.go
@@ -12,16 +12,27 @@
 	minLocalBoxes = 24
 	// minRemoteBoxes is the minimum number of boxes of other sites, used when the own site has no capacity.
 	minRemoteBoxes = 16
+	// minRegionBoxes is the minimum number of boxes of each other region where requests may be bound to regions.
+	minRegionBoxes = 8
 	// localShares and remoteShares are the minimum selections as multiples of boxes per entry. In a fleet with many boxes per
 	// entry each box then stays selected by several entries, even if some entries fail.
 	localShares  = 3
 	remoteShares = 1
 )
 
-// Box identifies a box by its host, and its site.
+// Box identifies a box by its host, its site and the site's region.
 type Box struct {
-	Host string
-	Site string
+	Host   string
+	Site   string
+	Region string
+}
+
+// Fleet describes what an entry knows of the fleet when it selects its boxes.
+type Fleet struct {
+	// Entries is the number of entries, 0 if unknown.
+	Entries int
+	// BoundToRegions says that some requests may be served in some regions only, so that each region must be selected from.
+	BoundToRegions bool
 }
 
 // Selected is a selected box with its weight, the inverse of the probability that an entry selects the box. Summed over the
@@ -31,23 +42,33 @@
 	Weight float64
 }
 
-// Choose selects the boxes of an entry at a site, in no particular order; entries is the number of entries, 0 if unknown.
+// Choose selects the boxes of an entry at a site, in no particular order.
 // It uses rendezvous hashing, so that entries need no coordination, a box that is added or removed changes at most one
 // selected box, and each box is selected by about the same number of entries.
-func Choose(entry, site string, boxes []Box, entries int) []Selected {
+func Choose(entry, site string, boxes []Box, fleet Fleet) []Selected {
 	var local, remote []Box
+	byRegion := make(map[string][]Box)
 	for _, box := range boxes {
 		if box.Site == site {
 			local = append(local, box)
-		} else {
-			remote = append(remote, box)
+			continue
 		}
+		remote = append(remote, box)
+		byRegion[box.Region] = append(byRegion[box.Region], box)
 	}
 	share := 0
-	if entries > 0 {
-		share = (len(boxes) + entries - 1) / entries
+	if fleet.Entries > 0 {
+		share = (len(boxes) + fleet.Entries - 1) / fleet.Entries
+	}
+	selected := selectTop(entry, local, max(minLocalBoxes, localShares*share))
+	if !fleet.BoundToRegions || len(remote) <= minRemoteBoxes {
+		return append(selected, selectTop(entry, remote, max(minRemoteBoxes, remoteShares*share))...)
+	}
+	perRegion := max(minRegionBoxes, max(minRemoteBoxes, remoteShares*share)/len(byRegion))
+	for _, group := range byRegion {
+		selected = append(selected, selectTop(entry, group, perRegion)...)
 	}
-	return append(selectTop(entry, local, max(minLocalBoxes, localShares*share)), selectTop(entry, remote, max(minRemoteBoxes, remoteShares*share))...)
+	return selected
 }
 
 // selectTop returns the boxes with the highest scores for an entry, at most limit.
--- a/subset/subset_test.go
+++ b/subset/subset_test.go
@@ -41,7 +41,7 @@
 			selections, weights := make(map[Box]int), 0.0
 			limit := max(minLocalBoxes+minRemoteBoxes, (localShares+remoteShares)*(test.boxes/test.entries+1))
 			for entry, site := range entries {
-				chosen := Choose(entry, site, boxes, test.entries)
+				chosen := Choose(entry, site, boxes, Fleet{Entries: test.entries})
 				if len(chosen) > limit || test.all != (len(chosen) == len(boxes)) {
 					t.Fatalf("%s selects %d boxes", entry, len(chosen))
 				}
@@ -68,10 +68,10 @@
 func TestChoiceChangesLittle(t *testing.T) {
 	boxes, _ := fleet(200, 0, 5)
 	before := make(map[Box]bool)
-	for _, box := range Choose("e", "site0", boxes, 50) {
+	for _, box := range Choose("e", "site0", boxes, Fleet{Entries: 50}) {
 		before[box.Box] = true
 	}
-	after, changed := Choose("e", "site0", append(boxes[:17:17], boxes[18:]...), 50), 0
+	after, changed := Choose("e", "site0", append(boxes[:17:17], boxes[18:]...), Fleet{Entries: 50}), 0
 	for _, box := range after {
 		if !before[box.Box] {
 			changed++
@@ -94,7 +94,7 @@
 	selections := make(map[Box]int)
 	for entry, site := range entries {
 		if site == "site0" {
-			for _, box := range Choose(entry, site, left, 53) {
+			for _, box := range Choose(entry, site, left, Fleet{Entries: 53}) {
 				selections[box.Box]++
 			}
 		}
