statement: evacuate site, return site, show sites

Cause: the product's own language knew no evacuation. Change: a site that operators evacuate is declared state of its fleet, under its revision, like stopped boxes; entries give its boxes nothing new from then on, what runs there is finished. show sites tells what is in progress there and how many boxes do not know the newest revision.

--- a/entry/boxes.go
+++ b/entry/boxes.go
@@ -108,14 +108,19 @@
 // anyAccepts reports whether any box accepts requests for a service; mu is held.
 func (b *boxes) anyAccepts(cfg fleet.Config, name string, now time.Time) bool {
 	service, allowed := cfg.Services[name], cfg.Digests(name)
-	for id, l := range b.links {
-		if !cfg.Stopped[id] && l.accepts(service, allowed, now) {
+	for _, l := range b.links {
+		if mayGet(cfg, l.member) && l.accepts(service, allowed, now) {
 			return true
 		}
 	}
 	return false
 }
 
+// mayGet reports whether operators let a box get new requests: it is not stopped, and its site is not evacuated.
+func mayGet(cfg fleet.Config, member membership.Member) bool {
+	return !cfg.Stopped[member.ID] && !cfg.Evacuated[member.Site]
+}
+
 // broadcast sends a message to all boxes without blocking.
 func (b *boxes) broadcast(msg link.Message) {
 	b.mu.Lock()
@@ -137,7 +142,7 @@
 	defer b.mu.Unlock()
 	var candidates []route.Candidate
 	for id, l := range b.links {
-		if cfg.Stopped[id] || !l.accepts(service, allowed, now) || pin != "" && !l.heartbeat.Resumes {
+		if !mayGet(cfg, l.member) || !l.accepts(service, allowed, now) || pin != "" && !l.heartbeat.Resumes {
 			continue
 		}
 		c := route.Candidate{ID: id, InFlight: l.inFlight, Reported: l.heartbeat.Load, ReportedOwn: l.ownAtHeartbeat}
--- a/fleet/config.go
+++ b/fleet/config.go
@@ -21,25 +21,29 @@
 	Teams    map[string]Team    `cbor:"6,keyasint,omitempty"`
 	Stopped  map[string]bool    `cbor:"7,keyasint,omitempty"`
 	Dropped  bool               `cbor:"8,keyasint,omitempty"`
+	// Evacuated are the sites whose boxes get nothing new.
+	Evacuated map[string]bool `cbor:"9,keyasint,omitempty"`
 }
 
 // Change is one accepted change of the declared state, with its operator and statement.
 type Change struct {
-	Fleet        string      `cbor:"1,keyasint"`
-	Revision     Revision    `cbor:"2,keyasint"`
-	Operation    string      `cbor:"3,keyasint"`
-	Operator     string      `cbor:"4,keyasint"`
-	Statement    string      `cbor:"5,keyasint"`
-	At           time.Time   `cbor:"6,keyasint"`
-	Prefer       *Preference `cbor:"7,keyasint,omitempty"`
-	PutServices  []Service   `cbor:"8,keyasint,omitempty"`
-	DropServices []string    `cbor:"9,keyasint,omitempty"`
-	PutVersions  []Version   `cbor:"10,keyasint,omitempty"`
-	DropVersions []string    `cbor:"11,keyasint,omitempty"`
-	PutTeams     []Team      `cbor:"12,keyasint,omitempty"`
-	StartBoxes   []string    `cbor:"13,keyasint,omitempty"`
-	StopBoxes    []string    `cbor:"14,keyasint,omitempty"`
-	DropFleet    bool        `cbor:"15,keyasint,omitempty"`
+	Fleet         string      `cbor:"1,keyasint"`
+	Revision      Revision    `cbor:"2,keyasint"`
+	Operation     string      `cbor:"3,keyasint"`
+	Operator      string      `cbor:"4,keyasint"`
+	Statement     string      `cbor:"5,keyasint"`
+	At            time.Time   `cbor:"6,keyasint"`
+	Prefer        *Preference `cbor:"7,keyasint,omitempty"`
+	PutServices   []Service   `cbor:"8,keyasint,omitempty"`
+	DropServices  []string    `cbor:"9,keyasint,omitempty"`
+	PutVersions   []Version   `cbor:"10,keyasint,omitempty"`
+	DropVersions  []string    `cbor:"11,keyasint,omitempty"`
+	PutTeams      []Team      `cbor:"12,keyasint,omitempty"`
+	StartBoxes    []string    `cbor:"13,keyasint,omitempty"`
+	StopBoxes     []string    `cbor:"14,keyasint,omitempty"`
+	DropFleet     bool        `cbor:"15,keyasint,omitempty"`
+	EvacuateSites []string    `cbor:"16,keyasint,omitempty"`
+	ReturnSites   []string    `cbor:"17,keyasint,omitempty"`
 }
 
 // DecodeChange decodes a change from CBOR.
@@ -103,7 +107,8 @@
 	next.Services = withPut(c.Services, change.PutServices, func(s Service) string { return s.Name }, change.DropServices)
 	next.Versions = withPut(c.Versions, change.PutVersions, Version.Key, change.DropVersions)
 	next.Teams = withPut(c.Teams, change.PutTeams, func(t Team) string { return t.Name }, nil)
-	next.Stopped = withStops(c.Stopped, change.StopBoxes, change.StartBoxes)
+	next.Stopped = withNames(c.Stopped, change.StopBoxes, change.StartBoxes)
+	next.Evacuated = withNames(c.Evacuated, change.EvacuateSites, change.ReturnSites)
 	return next
 }
 
@@ -129,16 +134,17 @@
 	return next
 }
 
-func withStops(old map[string]bool, stop, start []string) map[string]bool {
+// withNames returns a set of names with some added and some removed.
+func withNames(old map[string]bool, add, remove []string) map[string]bool {
 	next := maps.Clone(old)
 	if next == nil {
-		next = make(map[string]bool, len(stop))
+		next = make(map[string]bool, len(add))
 	}
-	for _, box := range stop {
-		next[box] = true
+	for _, name := range add {
+		next[name] = true
 	}
-	for _, box := range start {
-		delete(next, box)
+	for _, name := range remove {
+		delete(next, name)
 	}
 	return next
 }
--- a/lab/rig_test.go
+++ b/lab/rig_test.go
@@ -201,6 +201,49 @@
 	}
 }
 
+// TestEvacuatedSite evacuates the site of a box that serves a long stream: the stream must complete, and the site must get no new requests
+// until that is taken back.
+func TestEvacuatedSite(t *testing.T) {
+	rig := startRig(t, RigConfig{Boxes: 2, Sites: 2, TokenTime: 10 * time.Millisecond})
+	declareServices(t, rig, 2)
+	serveVersion(t, rig, "v1", 1, 2)
+	caller := rig.Caller(0, 0)
+	awaitAnswer(t, caller)
+	var answer Answer
+	var err error
+	var streaming sync.WaitGroup
+	streaming.Go(func() {
+		answer, err = caller.Chat(t.Context(), ChatCall{Service: RigService, Prompt: "long", MaxTokens: 150, Stream: true})
+	})
+	busy := busyBox(rig)
+	if err := rig.Do(t.Context(), fmt.Sprintf("evacuate site %s in %s", busy.Site, RigFleet)); err != nil {
+		t.Fatal(err)
+	}
+	elsewhere := 0
+	if !rig.Wait(testTimeout, func() bool {
+		other, err := caller.Chat(t.Context(), ChatCall{Service: RigService, Prompt: "probe", MaxTokens: 1})
+		if elsewhere++; err != nil || other.Box == busy.ID {
+			elsewhere = 0
+		}
+		return elsewhere > 10
+	}) {
+		t.Fatal("the evacuated site still gets requests")
+	}
+	streaming.Wait()
+	if err != nil || answer.Tokens != 151 || answer.Box != busy.ID {
+		t.Errorf("stream of %d tokens from %s: %v", answer.Tokens, answer.Box, err)
+	}
+	if err := rig.Do(t.Context(), fmt.Sprintf("return site %s in %s", busy.Site, RigFleet)); err != nil {
+		t.Fatal(err)
+	}
+	if !rig.Wait(testTimeout, func() bool {
+		other, err := caller.Chat(t.Context(), ChatCall{Service: RigService, Prompt: "probe", MaxTokens: 1})
+		return err == nil && other.Box == busy.ID
+	}) {
+		t.Error("the site gets no requests after its evacuation was taken back")
+	}
+}
+
 // TestStreamGoesOn kills the box that serves a long stream: another box of the same version must resume it, and the
 // caller must receive every token exactly once.
 func TestStreamGoesOn(t *testing.T) {
--- a/operate/executor.go
+++ b/operate/executor.go
@@ -150,8 +150,11 @@
 }
 
 func declaredName(cfg fleet.Config, box BoxReport) string {
-	if cfg.Stopped[box.ID] {
+	switch {
+	case cfg.Stopped[box.ID]:
 		return "stopped"
+	case cfg.Evacuated[box.Site]:
+		return "evacuated"
 	}
 	version, ok := cfg.Declared(box.Service)
 	if !ok {
--- a/operate/plan.go
+++ b/operate/plan.go
@@ -40,6 +40,10 @@
 		return planStart(cfg, change, stmt.Start.Name.Text)
 	case stmt.Stop != nil:
 		return planStop(cfg, change, stmt.Stop.Name.Text)
+	case stmt.Evacuate != nil:
+		return planEvacuate(cfg, change, stmt.Evacuate.Name.Text)
+	case stmt.Return != nil:
+		return planReturn(cfg, change, stmt.Return.Name.Text)
 	case stmt.Drop != nil:
 		return planDrop(cfg, change, stmt.Drop)
 	default:
@@ -52,7 +56,8 @@
 	return c.Prefer == nil && !c.DropFleet &&
 		len(c.PutServices) == 0 && len(c.DropServices) == 0 &&
 		len(c.PutVersions) == 0 && len(c.DropVersions) == 0 &&
-		len(c.PutTeams) == 0 && len(c.StartBoxes) == 0 && len(c.StopBoxes) == 0
+		len(c.PutTeams) == 0 && len(c.StartBoxes) == 0 && len(c.StopBoxes) == 0 &&
+		len(c.EvacuateSites) == 0 && len(c.ReturnSites) == 0
 }
 
 func planCreateFleet(change fleet.Change, exists bool) (fleet.Change, error) {
@@ -134,6 +139,23 @@
 	return change, nil
 }
 
+func planEvacuate(cfg fleet.Config, change fleet.Change, site string) (fleet.Change, error) {
+	if err := checkName(site); err != nil {
+		return change, err
+	}
+	if !cfg.Evacuated[site] {
+		change.EvacuateSites = []string{site}
+	}
+	return change, nil
+}
+
+func planReturn(cfg fleet.Config, change fleet.Change, site string) (fleet.Change, error) {
+	if cfg.Evacuated[site] {
+		change.ReturnSites = []string{site}
+	}
+	return change, nil
+}
+
 func planDrop(cfg fleet.Config, change fleet.Change, drop *statement.Drop) (fleet.Change, error) {
 	switch {
 	case drop.Service != nil:
--- a/operate/show.go
+++ b/operate/show.go
@@ -68,6 +68,8 @@
 	switch what {
 	case "services":
 		return e.servicesTable(cfg), nil
+	case "sites":
+		return e.sitesTable(cfg), nil
 	case "versions":
 		return versionsTable(cfg), nil
 	case "teams":
@@ -91,6 +93,33 @@
 	return table
 }
 
+// sitesTable returns the sites of a fleet, whether they are evacuated, and what is in progress there; it names the boxes that do not know
+// the newest revision yet.
+func (e *Executor) sitesTable(cfg fleet.Config) statement.Table {
+	table := statement.Table{Columns: []string{"site", "evacuated", "boxes", "in-progress", "behind"}}
+	type counts struct{ boxes, load, behind int }
+	sites := make(map[string]counts)
+	for site := range cfg.Evacuated {
+		sites[site] = counts{}
+	}
+	for _, box := range e.boxes(cfg.Fleet) {
+		n := sites[box.Site]
+		n.boxes, n.load = n.boxes+1, n.load+box.Load
+		if box.Revision < cfg.Revision {
+			n.behind++
+		}
+		sites[box.Site] = n
+	}
+	for _, site := range slices.Sorted(maps.Keys(sites)) {
+		n, evacuated := sites[site], "no"
+		if cfg.Evacuated[site] {
+			evacuated = "yes"
+		}
+		table.Rows = append(table.Rows, []string{site, evacuated, strconv.Itoa(n.boxes), strconv.Itoa(n.load), strconv.Itoa(n.behind)})
+	}
+	return table
+}
+
 func (e *Executor) fleetsTable(ctx context.Context) (statement.Table, error) {
 	table := statement.Table{Columns: []string{"fleet", "revision", "prefer", "services"}}
 	names, err := e.Ledger.Fleets(ctx)
--- a/statement/grammar.go
+++ b/statement/grammar.go
@@ -14,14 +14,16 @@
 
 // Statement is a parsed statement; exactly one of its pointers is set.
 type Statement struct {
-	Explain bool     `parser:"@'explain'?"`
-	Create  *Create  `parser:"( 'create' @@"`
-	Declare *Declare `parser:"| 'declare' @@"`
-	Set     *Set     `parser:"| 'set' @@"`
-	Start   *Box     `parser:"| 'start' @@"`
-	Stop    *Box     `parser:"| 'stop' @@"`
-	Drop    *Drop    `parser:"| 'drop' @@"`
-	Show    *Show    `parser:"| 'show' @@ ) ';'?"`
+	Explain  bool     `parser:"@'explain'?"`
+	Create   *Create  `parser:"( 'create' @@"`
+	Declare  *Declare `parser:"| 'declare' @@"`
+	Set      *Set     `parser:"| 'set' @@"`
+	Start    *Box     `parser:"| 'start' @@"`
+	Stop     *Box     `parser:"| 'stop' @@"`
+	Evacuate *Site    `parser:"| 'evacuate' @@"`
+	Return   *Site    `parser:"| 'return' @@"`
+	Drop     *Drop    `parser:"| 'drop' @@"`
+	Show     *Show    `parser:"| 'show' @@ ) ';'?"`
 }
 
 // Create creates a fleet or a service.
@@ -63,6 +65,12 @@
 	Fleet Name `parser:"'in' @@"`
 }
 
+// Site names a site of a fleet.
+type Site struct {
+	Name  Name `parser:"'site' @@"`
+	Fleet Name `parser:"'in' @@"`
+}
+
 // Drop removes a fleet without services, a service, or a version; a service whose declared version is dropped runs none.
 type Drop struct {
 	Fleet   *Name        `parser:"( 'fleet' @@"`
@@ -85,7 +93,7 @@
 
 // Show queries a table.
 type Show struct {
-	What  string      `parser:"@( 'fleets' | 'services' | 'versions' | 'boxes' | 'rollouts' | 'teams' | 'history' )"`
+	What  string      `parser:"@( 'fleets' | 'services' | 'versions' | 'boxes' | 'sites' | 'rollouts' | 'teams' | 'history' )"`
 	Fleet *Name       `parser:"( 'in' @@ )?"`
 	Where []Condition `parser:"( 'where' @@ ( 'and' @@ )* )?"`
 	Order *Order      `parser:"( 'order' 'by' @@ )?"`
@@ -176,6 +184,10 @@
 		return s.Start.Fleet.Text
 	case s.Stop != nil:
 		return s.Stop.Fleet.Text
+	case s.Evacuate != nil:
+		return s.Evacuate.Fleet.Text
+	case s.Return != nil:
+		return s.Return.Fleet.Text
 	case s.Drop != nil:
 		return s.Drop.fleetName()
 	case s.Show != nil && s.Show.Fleet != nil:
