--- a/lab/standin/caller.go
+++ b/lab/standin/caller.go
@@ -26,6 +26,8 @@
 	Timeout      time.Duration
 	// Body is the request body; empty means defaultBody.
 	Body string
+	// ReadDelay is the pause before each event of a stream is read; 0 for none.
+	ReadDelay time.Duration
 }
 
 // Response is what a caller received: Err is the error that ended the response early, Violation describes an invalid response.
@@ -142,6 +144,7 @@
 	reader := bufio.NewReader(resp.Body)
 	n := 0
 	for {
+		time.Sleep(r.ReadDelay)
 		event, err := readEvent(reader)
 		if errors.Is(err, io.EOF) && event == "" {
 			break
--- a/lab/standin/rows.go
+++ b/lab/standin/rows.go
@@ -11,18 +11,19 @@
 
 // Route is a route of a configuration.
 type Route struct {
-	Name        string `json:"name"`
-	Host        string `json:"host"`
-	PathPrefix  string `json:"pathPrefix"`
-	Kind        string `json:"kind"`
-	TimeoutMs   int    `json:"timeoutMs"`
-	GoalMs      int    `json:"goalMs"`
-	GapGoalMs   int    `json:"gapGoalMs,omitempty"`
-	Priority    int    `json:"priority"`
-	Service     string `json:"service"`
-	MaxAttempts int    `json:"maxAttempts"`
-	Public      bool   `json:"public"`
-	Resumable   bool   `json:"resumable"`
+	Name        string   `json:"name"`
+	Host        string   `json:"host"`
+	PathPrefix  string   `json:"pathPrefix"`
+	Kind        string   `json:"kind"`
+	TimeoutMs   int      `json:"timeoutMs"`
+	GoalMs      int      `json:"goalMs"`
+	GapGoalMs   int      `json:"gapGoalMs,omitempty"`
+	Priority    int      `json:"priority"`
+	Service     string   `json:"service"`
+	MaxAttempts int      `json:"maxAttempts"`
+	Public      bool     `json:"public"`
+	Resumable   bool     `json:"resumable"`
+	HomeRegions []string `json:"homeRegions,omitempty"`
 }
 
 // Kinds of routes.
@@ -39,6 +40,8 @@
 	MaxConns   int            `json:"maxConns"`
 	Origin     string         `json:"origin,omitempty"`
 	LinkMbps   float64        `json:"linkMbps,omitempty"`
+	ColdStartS float64        `json:"coldStartS,omitempty"`
+	ColdPerS   float64        `json:"coldPerS,omitempty"`
 	Engine     *EngineFigures `json:"engine,omitempty"`
 }
 
@@ -69,8 +72,9 @@
 
 // Tenant is a tenant with its API keys.
 type Tenant struct {
-	Name    string   `json:"name"`
-	APIKeys []string `json:"apiKeys"`
+	Name        string   `json:"name"`
+	APIKeys     []string `json:"apiKeys"`
+	HomeRegions []string `json:"homeRegions,omitempty"`
 }
 
 // Limits bound the requests of callers.
@@ -89,14 +93,15 @@
 
 // Heartbeat is a server's row in the store, written as its heartbeat.
 type Heartbeat struct {
-	Service string        `json:"service"`
-	Address string        `json:"address"`
-	Zone    string        `json:"zone"`
-	Slots   int           `json:"slots"`
-	State   string        `json:"state"`
-	Models  []LoadedModel `json:"models"`
-	Seq     int64         `json:"seq"`
-	Born    int64         `json:"born"`
+	Service    string        `json:"service"`
+	Address    string        `json:"address"`
+	Zone       string        `json:"zone"`
+	Slots      int           `json:"slots"`
+	State      string        `json:"state"`
+	Models     []LoadedModel `json:"models"`
+	Seq        int64         `json:"seq"`
+	Born       int64         `json:"born"`
+	ColdLeftMs int64         `json:"coldLeftMs"`
 }
 
 // LoadedModel is a model with the version that a server runs.
--- a/lab/standin/runs.go
+++ b/lab/standin/runs.go
@@ -28,6 +28,7 @@
 	arrivals   []Arrival
 	pushbacks  []PushbackRecord
 	violations []string
+	coldSpans  []ColdSpan
 }
 
 // Arrival is one request that reached a server, whether or not it ran.
@@ -35,6 +36,7 @@
 	ID      string
 	Service string
 	Server  string
+	Zone    string
 	At      time.Time
 }
 
--- a/lab/standin/server.go
+++ b/lab/standin/server.go
@@ -45,6 +45,8 @@
 	Slots    int
 	Store    *Store
 	Recorder *Recorder
+	// ColdStart is how long the server is cold after each start but its first.
+	ColdStart time.Duration
 	// OnCrash, if set, is called after a request has crashed the server.
 	OnCrash func(request string)
 
@@ -63,6 +65,7 @@
 	faults      Faults
 	pushback    Pushback
 	requests    int
+	coldUntil   time.Time
 	idle        chan struct{}
 	http        *http.Server
 }
@@ -86,6 +89,9 @@
 	}
 	s.draining, s.loaded, s.loading, s.seq = time.Time{}, version, false, 0
 	s.faults, s.pushback = Faults{}, Pushback{}
+	if s.starts > 1 {
+		s.turnCold(s.ColdStart)
+	}
 	if s.staged == nil {
 		s.staged, s.corruptedAt = make(map[int][]byte), make(map[int]time.Time)
 	}
@@ -163,7 +169,7 @@
 // WriteHeartbeat writes the server's row.
 func (s *Server) WriteHeartbeat() {
 	s.mu.Lock()
-	row := Heartbeat{Service: s.Service, Address: s.Address, Zone: s.Zone, Slots: s.Slots, State: StateReady, Models: s.models(), Seq: s.seq, Born: s.born}
+	row := Heartbeat{Service: s.Service, Address: s.Address, Zone: s.Zone, Slots: s.Slots, State: StateReady, Models: s.models(), Seq: s.seq, Born: s.born, ColdLeftMs: s.coldLeftMs()}
 	if !s.draining.IsZero() {
 		row.State = StateDraining
 	}
@@ -197,7 +203,7 @@
 // startRequest waits for a free slot and starts the request; a status other than 0 refuses it before it has run.
 func (s *Server) startRequest(r *http.Request) (run Run, status int) {
 	id := r.Header.Get("X-Request-Id")
-	s.Recorder.recordArrival(Arrival{ID: id, Service: s.Service, Server: s.ID(), At: time.Now()})
+	s.Recorder.recordArrival(Arrival{ID: id, Service: s.Service, Server: s.ID(), Zone: s.Zone, At: time.Now()})
 	deadline := time.Now().Add(queueTimeout)
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/lab/standin/settings.go
+++ b/lab/standin/settings.go
@@ -31,9 +31,11 @@
 	Drain   time.Duration
 	Grace   time.Duration
 	Version time.Duration
-	Window  time.Duration
-	Ratio   float64
-	Slack   int
+	// Evacuate is how long requests may still reach an evacuated zone.
+	Evacuate time.Duration
+	Window   time.Duration
+	Ratio    float64
+	Slack    int
 }
 
 const linkMbps = 20
@@ -57,7 +59,7 @@
 	line("[limits]\nmemoryMb = 200.0\nlinkMbps = %d.0", linkMbps)
 	line("[bounds]\ncontactMs = %d\ndrainMs = %d\ngraceS = %g\nversion_ms = %d", s.Bounds.Contact.Milliseconds(),
 		s.Bounds.Drain.Milliseconds(), s.Bounds.Grace.Seconds(), s.Bounds.Version.Milliseconds())
-	line("retryRatio = %g\nretryWindowS = %g\nretrySlack = %d", s.Bounds.Ratio, s.Bounds.Window.Seconds(), s.Bounds.Slack)
+	line("retryRatio = %g\nretryWindowS = %g\nretrySlack = %d\nevacuateMs = %d", s.Bounds.Ratio, s.Bounds.Window.Seconds(), s.Bounds.Slack, s.Bounds.Evacuate.Milliseconds())
 	line("[platform]\naddress = %q", s.Store)
 	return text.String()
 }
--- a/lab/standin/store.go
+++ b/lab/standin/store.go
@@ -17,6 +17,7 @@
 	TableServers  = "servers"
 	KeyConfig     = "config"
 	KeyVersion    = "version/"
+	KeyEvacuate   = "evacuate/"
 )
 
 // Row is one row of the store.
--- a/soak/caller.go
+++ b/soak/caller.go
@@ -182,6 +182,9 @@
 	default:
 		o.kind, o.request.Path = kindSafe, safePath
 	}
+	if c.rig.opts.Sites {
+		c.addSiteTraits(&o)
+	}
 	o.request.Path += fmt.Sprintf("%d", count)
 	if c.rng.Float64() < unknownKeyShare {
 		o.request.Key = "unknown"
--- a/soak/checker.go
+++ b/soak/checker.go
@@ -58,6 +58,9 @@
 	c.checkNotRepeated()
 	c.checkRevisions()
 	c.checkRetryBudget()
+	if c.rig.opts.Sites {
+		c.checkSites()
+	}
 	switch {
 	case c.rig.opts.planned != nil:
 		c.checkNothingLost()
--- a/soak/fault.go
+++ b/soak/fault.go
@@ -86,6 +86,9 @@
 	if r.opts.StoreRestores {
 		kinds = append(kinds, slices.Repeat([]func() fault{r.restoreFault(rng.IntN)}, restoreWeight)...)
 	}
+	if r.opts.Sites {
+		kinds = append(kinds, slices.Repeat(r.siteFaults(rng.IntN), siteWeight)...)
+	}
 	if r.opts.Restarts {
 		kinds = append(kinds, r.restartFaults(rng.IntN)...)
 		kinds = append(kinds, r.restartFaults(rng.IntN)...)
--- a/soak/rig.go
+++ b/soak/rig.go
@@ -43,7 +43,7 @@
 // bounds are the time bounds of the system, short enough for a run of seconds.
 var bounds = standin.Bounds{
 	Contact: 1500 * time.Millisecond, Apply: 2 * time.Second, Drain: 2 * time.Second, Grace: 6 * time.Second,
-	Version: 6 * time.Second, Window: 10 * time.Second, Ratio: 0.2, Slack: 40,
+	Version: 6 * time.Second, Evacuate: 2 * time.Second, Window: 10 * time.Second, Ratio: 0.2, Slack: 40,
 }
 
 var sites = []string{"north", "south"}
@@ -72,6 +72,7 @@
 	revision    int64
 	version     int64
 	storeWrites []storeWrite
+	evacuations []evacuation
 }
 
 func newRig(opts Options) (*rig, error) {
@@ -154,6 +155,9 @@
 			Address: hostPort(ip, hopPort), Listen: hostPort(ip, serverPort),
 			Service: service, Zone: sites[i%len(sites)], Slots: r.workload().slots, Store: r.store, Recorder: r.runs,
 		}
+		if r.opts.Sites {
+			s.ColdStart = coldTime
+		}
 		if r.opts.Deadly > 0 {
 			r.crashOnDeadly(s)
 		}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -27,6 +27,9 @@
 	Restarts bool
 	// StoreRestores adds restores of the store from a backup, at a higher rate than other faults.
 	StoreRestores bool
+	// Sites adds evacuations, servers that are cold, requests that have homes and callers that read slowly, at a higher rate than other
+	// faults.
+	Sites bool
 	// Deadly is the number of distinct requests that crash each server that runs them.
 	Deadly int
 	// FailingServers makes all model servers fail their requests while all entries are killed again and again.
@@ -163,6 +166,9 @@
 	leaving.Drain()
 	phase.leavingID, phase.drainedAt = leaving.ID(), time.Now()
 	sleep(ctx, bounds.Version+3*time.Second)
+	if r.opts.Sites {
+		r.evacuateInCalm(ctx)
+	}
 	phase.to = time.Now()
 	return phase
 }
--- a/soak/storewrite.go
+++ b/soak/storewrite.go
@@ -48,14 +48,20 @@
 	stream.Resumable, stream.GapGoalMs = true, 400
 	own := route("revision", revisionPath(r.revision), standin.KindSafe, plainService)
 	own.Public = true
+	routes := []standin.Route{
+		stream, route("confirm", unsafePath, standin.KindUnsafe, plainService), route("look", safePath, standin.KindSafe, plainService), own,
+	}
+	cold := standin.Service{}
+	if r.opts.Sites {
+		routes = append(routes, withHomes(stream, homePath+"draft/"), withHomes(route("confirm at home", "", standin.KindUnsafe, plainService), homePath+"confirm/"))
+		cold.ColdStartS, cold.ColdPerS = coldTime.Seconds(), coldRate
+	}
 	return standin.Config{
 		Version: r.revision,
-		Routes: []standin.Route{
-			stream, route("confirm", unsafePath, standin.KindUnsafe, plainService), route("look", safePath, standin.KindSafe, plainService), own,
-		},
+		Routes:  routes,
 		Services: []standin.Service{
-			{Name: modelService, HealthPath: "/health", MaxConns: 200, Engine: engineConfig(load)},
-			{Name: plainService, HealthPath: "/health", MaxConns: 100},
+			{Name: modelService, HealthPath: "/health", MaxConns: 200, Engine: engineConfig(load), ColdStartS: cold.ColdStartS, ColdPerS: cold.ColdPerS},
+			{Name: plainService, HealthPath: "/health", MaxConns: 100, ColdStartS: cold.ColdStartS, ColdPerS: cold.ColdPerS},
 			{Name: originName, MaxConns: 48, Origin: hostPort(r.ip(9, 3), originPort), LinkMbps: 50},
 		},
 		Tenants: []standin.Tenant{{Name: team, APIKeys: keys}},
