forward: one entry of a site reads what operators declare

Cause: each entry read each configuration itself. Grows as entries a region times the size of the configuration. The list of servers had one reader a site already. Ruled out as ways: a smaller poll rate (the copies remain); the changed row alone (the platform has no partial configuration). Change: the site's reader relays configuration (as the difference to the last one: some hundred bytes for a changed route), target versions and evacuations to the entries that follow it; a follower makes no calls for them. One that loses its reader goes on at the store from the position that it was told, and only after 1 to 2 s, unless it is the next reader: the next one is followed within that time. Holds at twice the size: a change costs one copy a site and some hundred bytes an entry within the site.

--- a/contract/config.go
+++ b/contract/config.go
@@ -19,6 +19,10 @@
 	services   map[string]*Service
 	teams      map[string]*Team
 	routeCount int
+	// The parts as they were given.
+	routeList   []Route
+	serviceList []Service
+	teamList    []Team
 	// bound is set if a route or a team has homes.
 	bound bool
 }
@@ -27,6 +31,7 @@
 func NewConfig(revision Revision, limits Limits, routes []Route, services []Service, teams []Team) *Config {
 	c := &Config{
 		Revision: revision, Limits: limits, Keyed: len(teams) > 0, routeCount: len(routes),
+		routeList: routes, serviceList: services, teamList: teams,
 		bound:    slices.ContainsFunc(routes, func(r Route) bool { return len(r.Homes) > 0 }) || slices.ContainsFunc(teams, func(t Team) bool { return len(t.Homes) > 0 }),
 		routes:   make(map[string][]*Route),
 		services: make(map[string]*Service, len(services)),
--- a/discovery/follow.go
+++ b/discovery/follow.go
@@ -31,7 +31,7 @@
 		}
 		v.checkEpoch(known, cursor, declared.Cursor)
 		changed := v.applyDeclared(declared, first, !known)
-		v.confirmDeclared()
+		v.confirmDeclared(declared.Cursor)
 		cursor, known, first = declared.Cursor, !changed || first || !v.opts.FullReadOnChange, false
 		if !changed {
 			return 0, nil
--- a/discovery/restore_test.go
+++ b/discovery/restore_test.go
@@ -140,7 +140,7 @@
 			at = now.Add(-test.offeredAgo)
 			v.ObservePeerRevision(test.offered)
 			at = now
-			v.confirmDeclared()
+			v.confirmDeclared(Cursor{})
 			if got := v.MayBeStale(); got != test.doubtful {
 				t.Errorf("may be stale: %t, want %t", got, test.doubtful)
 			}
--- a/discovery/view.go
+++ b/discovery/view.go
@@ -89,6 +89,8 @@
 	lastFailure time.Time
 	// declaredConfirmed is when the last call on the declared feed succeeded.
 	declaredConfirmed time.Time
+	// declaredAt is the position as of which what is declared was last read.
+	declaredAt Cursor
 	// listConfirmed is when the last call on the feed of servers succeeded.
 	listConfirmed time.Time
 	// lostFeeds counts the feeds on which the store does not respond.
@@ -173,11 +175,18 @@
 	return v.behindPeers() || v.now().Sub(v.declaredConfirmed) > v.opts.PollTimeout+2*hedgeAfter
 }
 
-// confirmDeclared records a successful call on the declared feed.
-func (v *View) confirmDeclared() {
+// confirmDeclared records a successful call on the declared feed, which returned a position.
+func (v *View) confirmDeclared(at Cursor) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.declaredConfirmed = v.now()
+	v.declaredConfirmed, v.declaredAt = v.now(), at
+}
+
+// DeclaredAt returns the position as of which what is declared was last read.
+func (v *View) DeclaredAt() Cursor {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	return v.declaredAt
 }
 
 // ListAge returns how long ago the list of servers was last confirmed.
--- a/forward/boxlinks.go
+++ b/forward/boxlinks.go
@@ -46,6 +46,7 @@
 	followers     map[*link.Conn]*follower
 	listFollowers map[*link.Conn]*listFollower
 	list          listPublisher
+	declared      declaredPublisher
 }
 
 // boxLink is a link to a box; server is the ID of the server in the latest report.
--- a/forward/listpublisher.go
+++ b/forward/listpublisher.go
@@ -25,6 +25,7 @@
 	version     int
 	sentAt      time.Time
 	sentRecords map[string]int
+	declared    declaredFollower
 }
 
 // listHeartbeatMessage is an update without changes.
--- a/forward/reader.go
+++ b/forward/reader.go
@@ -19,8 +19,8 @@
 	"github.com/coralstair/coralstair/supervise"
 )
 
-// In a large fleet one entry of each site, the reader, polls the store for the server list and relays it to the others, which bounds
-// the number of store calls. Each entry reads the configuration itself, since it must be in force within seconds.
+// In a large fleet one entry of each site, the reader, polls the store for the server list and for what operators declare, and relays the
+// changes to the others: that bounds the calls to the store, and what a configuration takes of the link to its region.
 
 const (
 	// minEntriesForReader is the number of entries from which a site has a reader.
@@ -126,6 +126,7 @@
 	for ctx.Err() == nil {
 		lr.entry.cfg.PeerSource.SetShared(lr.entry.budget.Entries() >= minEntriesForReader)
 		host := lr.currentReader(clock.Now())
+		lr.entry.cfg.PeerSource.SetReads(host == "")
 		if host == "" {
 			lr.readFullList()
 			select {
@@ -176,7 +177,7 @@
 	stop := context.AfterFunc(ctx, conn.Close)
 	defer stop()
 	hello := &link.Hello{ID: lr.entry.cfg.Machine.ID, Role: link.RoleEntry, Site: lr.entry.cfg.Machine.Site}
-	if conn.SendWithin(sendTimeout, hello) != nil || conn.SendWithin(sendTimeout, &link.Follow{List: true}) != nil {
+	if conn.SendWithin(sendTimeout, hello) != nil || conn.SendWithin(sendTimeout, &link.Follow{List: true, Revision: lr.revision()}) != nil {
 		return true
 	}
 	timeout := time.AfterFunc(listTimeout, conn.Close)
@@ -192,6 +193,10 @@
 			lr.entry.cfg.PeerSource.ApplyServers(msg)
 		case *link.QuarantineRecords:
 			lr.entry.cfg.Quarantine.Merge(msg.Records)
+		case *link.DeclaredChange:
+			if !lr.applyDeclaredChange(msg) {
+				return true
+			}
 		case *link.Declared:
 			return true
 		}
@@ -206,6 +211,14 @@
 	return supervise.ServeHTTP(ctx, lr.server, lr.entry.cfg.Links)
 }
 
+// revision returns the revision of the configuration that the entry has, 0 for none.
+func (lr *listReader) revision() contract.Revision {
+	if cfg := lr.entry.cfg.View.Config(); cfg != nil {
+		return cfg.Revision
+	}
+	return 0
+}
+
 // accept serves one link of another entry.
 func (lr *listReader) accept(w http.ResponseWriter, r *http.Request) {
 	conn, err := link.Accept(w, r, nil)
@@ -223,7 +236,7 @@
 		switch msg := msg.(type) {
 		case *link.Follow:
 			if msg.List {
-				bl.addListFollower(conn)
+				bl.addListFollower(conn, msg.Revision)
 			}
 		case *link.RefusedRequests:
 			lr.entry.peers.apply(msg)
@@ -231,9 +244,10 @@
 	}
 }
 
-func (bl *boxLinks) addListFollower(conn *link.Conn) {
+// addListFollower makes an entry that has the configuration of a revision a follower.
+func (bl *boxLinks) addListFollower(conn *link.Conn, revision contract.Revision) {
 	bl.mu.Lock()
-	bl.listFollowers[conn] = &listFollower{}
+	bl.listFollowers[conn] = &listFollower{declared: declaredFollower{revision: revision}}
 	bl.mu.Unlock()
 	bl.wake()
 }
@@ -257,6 +271,7 @@
 	bl.mu.Lock()
 	defer bl.mu.Unlock()
 	if reads && len(bl.listFollowers) > 0 {
+		bl.declared.update(v)
 		bl.list.update(v.Servers())
 	}
 	for conn, f := range bl.listFollowers {
@@ -275,6 +290,9 @@
 	if records := f.quarantineUpdate(bl.entry.cfg.Quarantine); records != nil && !trySend(conn, records) {
 		return false
 	}
+	if change := bl.declared.next(&f.declared, bl.entry.cfg.View, now); change != nil && conn.SendEncodedWithin(sendTimeout, change) != nil {
+		return false
+	}
 	update := bl.list.next(f, now)
 	return update == nil || conn.SendEncodedWithin(sendTimeout, update) == nil
 }
--- a/forward/reader_test.go
+++ b/forward/reader_test.go
@@ -69,7 +69,9 @@
 	t       *testing.T
 	entries []*Entry
 	stores  []*countingStore
-	stops   []context.CancelFunc
+	// declaring are the same stores, with what they declare.
+	declaring []*declaringStore
+	stops     []context.CancelFunc
 }
 
 func newSiteEnv(t *testing.T, n int) *siteEnv {
@@ -101,7 +103,8 @@
 	store := &countingStore{fixedSource: fixedSource{declared: discovery.Declared{Config: cfg}}}
 	store.setServers("1", "2")
 	m := machine.Machine{ID: host, Address: host, Site: "z", LinkPort: port, Bounds: machine.Bounds{Drain: 2 * time.Second}}
-	source := peersource.NewEntrySource(discovery.Hedge(store), ListWait(m.Bounds.Drain))
+	declaring := newDeclaringStore(store)
+	source := peersource.NewEntrySource(discovery.Hedge(declaring), ListWait(m.Bounds.Drain))
 	v := discovery.New(source, discovery.Options{Log: logger})
 	links, err := net.Listen("tcp", m.LinkAddress(host))
 	if err != nil {
@@ -115,6 +118,7 @@
 		go func() { _ = part(ctx) }()
 	}
 	env.entries, env.stores, env.stops = append(env.entries, e), append(env.stores, store), append(env.stops, cancel)
+	env.declaring = append(env.declaring, declaring)
 }
 
 // readerIndex returns the index of the entry that reads the list for all.
--- a/link/follow.go
+++ b/link/follow.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/coralstair/coralstair/contract"
+	"github.com/coralstair/coralstair/discovery"
 	"github.com/coralstair/coralstair/quarantine"
 )
 
@@ -10,6 +11,8 @@
 type Follow struct {
 	Service string `cbor:"1,keyasint,omitempty"`
 	List    bool   `cbor:"2,keyasint,omitempty"`
+	// Revision is the configuration that an entry has, so that only what changed since is sent.
+	Revision contract.Revision `cbor:"3,keyasint,omitempty"`
 }
 
 // Entries lists the entries of the receiver's site that are linked to a box, by the hosts at which they accept links.
@@ -25,6 +28,18 @@
 	StoreLost bool               `cbor:"3,keyasint,omitempty"`
 }
 
+// DeclaredChange carries what operators declared to an entry that follows another one: the configuration if it changed, the target
+// versions and the evacuated sites, as of a position in the store's history.
+type DeclaredChange struct {
+	AsOf        discovery.Cursor       `cbor:"1,keyasint"`
+	Config      *contract.ConfigChange `cbor:"2,keyasint,omitempty"`
+	Targets     []Target               `cbor:"3,keyasint,omitempty"`
+	Evacuations discovery.Evacuations  `cbor:"4,keyasint"`
+}
+
+// Kind returns KindDeclaredChange.
+func (*DeclaredChange) Kind() Kind { return KindDeclaredChange }
+
 // Servers carries the listed servers to a follower: all of them if Reset, otherwise those that changed or are gone.
 type Servers struct {
 	Reset   bool              `cbor:"1,keyasint,omitempty"`
--- a/link/frame_test.go
+++ b/link/frame_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/coralstair/coralstair/contract"
 	"github.com/coralstair/coralstair/discovery"
 	"github.com/coralstair/coralstair/fleet"
 )
@@ -34,6 +35,7 @@
 		"entries":         &Entries{Hosts: []string{"10.0.0.1"}},
 		"follow the list": &Follow{List: true},
 		"evacuations":     &Evacuations{Known: discovery.Evacuations{AsOf: discovery.Cursor{Epoch: 1, Position: 7}, Sites: []string{"a"}, Lost: []string{"b"}, LostFor: time.Second}},
+		"declared change": &DeclaredChange{AsOf: discovery.Cursor{Position: 3}, Config: &contract.ConfigChange{Base: 1, Revision: 2, DropTeams: []string{"t"}}},
 		"target":          &Target{Model: "m", Version: 2, Age: time.Second},
 	}
 }
--- a/link/message.go
+++ b/link/message.go
@@ -29,6 +29,7 @@
 	KindQuarantineRecords
 	KindRefusedRequests
 	KindEvacuations
+	KindDeclaredChange
 )
 
 // Message is one typed message.
@@ -60,6 +61,7 @@
 	KindQuarantineRecords: func() Message { return new(QuarantineRecords) },
 	KindRefusedRequests:   func() Message { return new(RefusedRequests) },
 	KindEvacuations:       func() Message { return new(Evacuations) },
+	KindDeclaredChange:    func() Message { return new(DeclaredChange) },
 }
 
 // newMessage returns an empty message of a kind, or nil if the kind is unknown.
--- a/peersource/source.go
+++ b/peersource/source.go
@@ -77,9 +77,8 @@
 	}
 }
 
-// NewEntrySource returns an entry's source, which follows the store at once and continuously while no other entry feeds it. Only
-// the list of servers is relayed between entries; while it is shared, calls wait for maxWait at most, so that a stalled
-// connection is noticed.
+// NewEntrySource returns an entry's source, which follows the store at once and continuously while no other entry feeds it. While other
+// entries depend on it, calls wait for maxWait at most, so that a stalled connection is noticed.
 func NewEntrySource(store discovery.Source, maxWait time.Duration) *EntrySource {
 	return &EntrySource{
 		Source: &Source{
@@ -94,6 +93,10 @@
 	*Source
 	maxWait time.Duration
 	shared  atomic.Bool
+
+	// relayed and reads are guarded by the source's mutex.
+	relayed relayedDeclared
+	reads   bool
 }
 
 // SetShared sets whether other entries depend on this one for the list of servers. If not, calls may wait longer, which saves
@@ -117,16 +120,6 @@
 	}
 }
 
-// Declared reads all that is declared from the store.
-func (s *EntrySource) Declared(ctx context.Context) (discovery.Declared, error) {
-	return s.store.Declared(ctx)
-}
-
-// DeclaredAfter waits for a change of the declared configuration or targets at the store.
-func (s *EntrySource) DeclaredAfter(ctx context.Context, cursor discovery.Cursor, wait time.Duration) (discovery.Declared, error) {
-	return s.store.DeclaredAfter(ctx, cursor, wait)
-}
-
 // ServersAfter waits for a change of the list of servers.
 func (s *EntrySource) ServersAfter(ctx context.Context, cursor discovery.Cursor, wait time.Duration) (discovery.Servers, error) {
 	if s.shared.Load() {
