fill: entries that restart still count for a window

Cause, by reading: an entry divides what all share (retry budget, limits of servers, cold servers' rates) by the number that boxes report, and boxes counted the links of the moment. When all entries restart each finds itself one of few, and divides by 20 at least for 5 s: right at 20 entries, 15 times too much at 303. An entry remembers the most of its window, but a restarted one remembers nothing. Change: a box reports the most entries of the last window; boxes outlive the restart of entries. It holds at any number, while boxes are not restarted with them.

--- a/fill/links.go
+++ b/fill/links.go
@@ -47,6 +47,8 @@
 	entryCount int
 	// weightSum is the sum of the entries' weights.
 	weightSum float64
+	// recentCounts are the larger counts of entries of the last window.
+	recentCounts []recentCount
 	// relay is the entry that passes on what the store holds; nil while there is none.
 	relay *inboundLink
 }
@@ -122,6 +124,7 @@
 
 // countEntries updates entryCount and weightSum; mu is held.
 func (ls *links) countEntries() {
+	before := recentCount{count: ls.entryCount, weight: ls.weightSum, until: clock.Now().Add(ls.box.cfg.Machine.Bounds.RetryWindow)}
 	ls.entryCount, ls.weightSum = 0, 0
 	for l := range ls.in {
 		if l.entry {
@@ -129,6 +132,16 @@
 			ls.weightSum += l.weight
 		}
 	}
+	if ls.entryCount < before.count {
+		ls.recentCounts = append(ls.recentCounts, before)
+	}
+}
+
+// recentCount is a number of entries, with the sum of their weights, that counts until a window after it has fallen.
+type recentCount struct {
+	count  int
+	weight float64
+	until  time.Time
 }
 
 // sendEntryHosts sends each entry the hosts of the entries of its site if they changed: one entry of a site reads the list of
@@ -157,11 +170,18 @@
 	}
 }
 
-// entries returns how many entries are linked, and the sum of their weights.
+// entries returns how many entries were linked at most in the last window, and the sum of their weights. Entries divide what they share by
+// it: when all restart, each would otherwise take itself for one of few.
 func (ls *links) entries() (count int, weight float64) {
 	ls.mu.Lock()
 	defer ls.mu.Unlock()
-	return ls.entryCount, ls.weightSum
+	count, weight = ls.entryCount, ls.weightSum
+	now := clock.Now()
+	ls.recentCounts = slices.DeleteFunc(ls.recentCounts, func(r recentCount) bool { return now.After(r.until) })
+	for _, recent := range ls.recentCounts {
+		count, weight = max(count, recent.count), max(weight, recent.weight)
+	}
+	return count, weight
 }
 
 // broadcastReport queues a report for all linked entries.
