discovery: a full read is not repeated over a link that is full

Cause, by reading and arithmetic: a full read whose response has not started after 1.2 s is made again, up to four times. That answers a connection that hangs; over a link that is full all reads are late, and each is repeated: what already fills the link is multiplied. Grows as entries and boxes a region times the size of a read, times four once the link is full. Ways weighed: fewer or later repetitions (a larger constant: holds up to some size only); no repetition (a connection that hangs silently would hold a start for 2 s and more). Change: before a full read is repeated a short call has to be answered, which over a full link it is not. Test: TestFullReadsAreNotRepeatedOverAFullLink, virtual time; four reads on the code before.

--- a/discovery/hedge.go
+++ b/discovery/hedge.go
@@ -14,19 +14,32 @@
 	maxCalls = 4
 )
 
-// Hedge returns a source that hedges calls whose response is overdue; the first response is used.
+// Hedge returns a source that hedges calls whose response is overdue; the first response is used. A full read is hedged only once a short
+// call has been answered meanwhile: over a link that is full, all calls are slow, and a second copy of what is long would make it worse.
 func Hedge(source Source) Source { return hedgedSource{source} }
 
 type hedgedSource struct{ source Source }
 
+// prober is a source that can be called for a short response.
+type prober interface {
+	// Probe makes a call whose response is short.
+	Probe(ctx context.Context) error
+}
+
+// probe reports whether the source answers a short call; true if it has none.
+func (s hedgedSource) probe(ctx context.Context) bool {
+	source, ok := s.source.(prober)
+	return !ok || source.Probe(ctx) == nil
+}
+
 // Declared reads all that is declared.
 func (s hedgedSource) Declared(ctx context.Context) (Declared, error) {
-	return callHedged(ctx, 0, fullReadHedgeAfter, func(ctx context.Context, _ time.Duration) (Declared, error) { return s.source.Declared(ctx) })
+	return callHedged(ctx, 0, fullReadHedgeAfter, s.probe, func(ctx context.Context, _ time.Duration) (Declared, error) { return s.source.Declared(ctx) })
 }
 
 // DeclaredAfter waits for a change of the declared configuration or targets.
 func (s hedgedSource) DeclaredAfter(ctx context.Context, cursor Cursor, wait time.Duration) (Declared, error) {
-	return callHedged(ctx, wait, hedgeAfter, func(ctx context.Context, wait time.Duration) (Declared, error) {
+	return callHedged(ctx, wait, hedgeAfter, nil, func(ctx context.Context, wait time.Duration) (Declared, error) {
 		return s.source.DeclaredAfter(ctx, cursor, wait)
 	})
 }
@@ -39,24 +52,24 @@
 	if !ok {
 		return s.Servers(ctx)
 	}
-	return callHedged(ctx, 0, fullReadHedgeAfter, func(ctx context.Context, _ time.Duration) (Servers, error) { return partial.SomeServers(ctx, limit) })
+	return callHedged(ctx, 0, fullReadHedgeAfter, s.probe, func(ctx context.Context, _ time.Duration) (Servers, error) { return partial.SomeServers(ctx, limit) })
 }
 
 // Servers reads the full list of servers.
 func (s hedgedSource) Servers(ctx context.Context) (Servers, error) {
-	return callHedged(ctx, 0, fullReadHedgeAfter, func(ctx context.Context, _ time.Duration) (Servers, error) { return s.source.Servers(ctx) })
+	return callHedged(ctx, 0, fullReadHedgeAfter, s.probe, func(ctx context.Context, _ time.Duration) (Servers, error) { return s.source.Servers(ctx) })
 }
 
 // ServersAfter waits for a change of the list of servers.
 func (s hedgedSource) ServersAfter(ctx context.Context, cursor Cursor, wait time.Duration) (Servers, error) {
-	return callHedged(ctx, wait, hedgeAfter, func(ctx context.Context, wait time.Duration) (Servers, error) {
+	return callHedged(ctx, wait, hedgeAfter, nil, func(ctx context.Context, wait time.Duration) (Servers, error) {
 		return s.source.ServersAfter(ctx, cursor, wait)
 	})
 }
 
 // HedgedPoll makes a call that waits for a change, and hedges it when its response is overdue; the first response is used.
 func HedgedPoll[T any](ctx context.Context, wait time.Duration, call func(ctx context.Context, wait time.Duration) (T, error)) (T, error) {
-	return callHedged(ctx, wait, hedgeAfter, call)
+	return callHedged(ctx, wait, hedgeAfter, nil, call)
 }
 
 // responseStartedKey is the context key of the function that ResponseStarted calls.
@@ -77,14 +90,15 @@
 	first bool
 }
 
-// callHedged makes a call, and hedges it with a zero wait each time a response is overdue, until a response starts. It fails if the
-// first call fails before any response has started, or if all calls fail.
+// callHedged makes a call, and hedges it with a zero wait each time a response is overdue and probe, if not nil, reports that the source
+// answers, until a response starts. It fails if the first call fails before any response has started, or if all calls fail.
 func callHedged[T any](
-	ctx context.Context, wait, after time.Duration, call func(ctx context.Context, wait time.Duration) (T, error),
+	ctx context.Context, wait, after time.Duration, probe func(ctx context.Context) bool, call func(ctx context.Context, wait time.Duration) (T, error),
 ) (T, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	results, starts := make(chan callResult[T], maxCalls), make(chan struct{}, 1)
+	results, starts, answers := make(chan callResult[T], maxCalls), make(chan struct{}, 1), make(chan bool, 1)
+	probeCtx := ctx
 	ctx = context.WithValue(ctx, responseStartedKey{}, func() {
 		select {
 		case starts <- struct{}{}:
@@ -110,12 +124,24 @@
 			started = true
 			overdue.Stop()
 		case <-overdue.C:
-			if made < maxCalls {
+			if made >= maxCalls {
+				continue
+			}
+			if probe == nil {
+				answers <- true
+				continue
+			}
+			go func() { answers <- probe(probeCtx) }()
+		case answered := <-answers:
+			if started {
+				continue
+			}
+			if answered {
 				made++
 				pending++
 				go send(0, false)
-				overdue.Reset(after)
 			}
+			overdue.Reset(after)
 		}
 	}
 }
--- a/discovery/hedge_test.go
+++ b/discovery/hedge_test.go
@@ -236,3 +236,63 @@
 		}
 	})
 }
+
+// probedStore is a store over a link that is full: calls are slow in proportion to the number of full reads that are on their way, and
+// probes are as slow as the link.
+type probedStore struct {
+	*fakeStore
+	stuck bool
+}
+
+func (s *probedStore) Declared(ctx context.Context) (Declared, error) {
+	s.mu.Lock()
+	s.fullReads++
+	first := s.fullReads == 1
+	s.mu.Unlock()
+	wait := 6 * time.Second
+	if s.stuck && !first {
+		wait = 10 * time.Millisecond
+	}
+	select {
+	case <-time.After(wait):
+		ResponseStarted(ctx)
+		return Declared{Config: config(1), Cursor: Cursor{Position: 1}}, nil
+	case <-ctx.Done():
+		return Declared{}, ctx.Err()
+	}
+}
+
+func (s *probedStore) Probe(ctx context.Context) error {
+	if s.stuck {
+		return nil
+	}
+	select {
+	case <-time.After(6 * time.Second):
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// TestFullReadsAreNotRepeatedOverAFullLink checks that a full read is repeated when its connection hangs, and not when the link is full.
+func TestFullReadsAreNotRepeatedOverAFullLink(t *testing.T) {
+	for name, test := range map[string]struct {
+		stuck bool
+		reads int
+		limit time.Duration
+	}{
+		"link is full":                 {false, 1, 6 * time.Second},
+		"connection of the read hangs": {true, 2, fullReadHedgeAfter + 50*time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := &probedStore{fakeStore: &fakeStore{changed: make(chan struct{})}, stuck: test.stuck}
+				began := time.Now()
+				_, err := Hedge(s).Declared(t.Context())
+				if took := time.Since(began); err != nil || took > test.limit || s.fullReads != test.reads {
+					t.Errorf("%d full reads, answered after %s, %v; want %d within %s", s.fullReads, took, err, test.reads, test.limit)
+				}
+			})
+		})
+	}
+}
