peersource: boxes of a large fleet leave the store to entries for longer

Cause, by arithmetic: a box that no entry feeds after 1.2 to 2 s reads 200 servers and all that is declared, some 0.2 MB, itself. At 137 boxes a region that is 28 MB over a link of 27 Mbit/s, 8 s of it, in which entries cannot read what they would feed the boxes. Grows as boxes a region. Change: a box reads the list first; if that shows a large fleet, it waits 4 to 8 s for an entry before it reads what is declared; and the time that it waits for a lost feed grows with the servers that it knows (5 ms each: 3.4 s more at 685, 50 s at 10,000).

--- a/peersource/source.go
+++ b/peersource/source.go
@@ -21,8 +21,13 @@
 	entryTimeout       = 1200 * time.Millisecond
 	entryTimeoutJitter = 800 * time.Millisecond
 	// listReadInterval and declaredReadInterval are how often a box without a feed reads the store.
-	listReadInterval     = 1500 * time.Millisecond
-	declaredReadInterval = 5 * time.Second
+	listReadInterval = 1500 * time.Millisecond
+	// perServerDelay is how much longer a box waits for an entry's feed for each server that it knows: the more boxes there are, the more of
+	// the link to the store's region they would take together, and the longer an entry needs for its own reads.
+	perServerDelay = 5 * time.Millisecond
+	// declaredReadDelayAtStart is how long after the list a box first reads what is declared: by then it knows whether the fleet is large.
+	declaredReadDelayAtStart = 400 * time.Millisecond
+	declaredReadInterval     = 5 * time.Second
 	// firstReadLimit is how many servers a daemon reads at startup. A longer list is read in full by one entry of each site and relayed
 	// to the others, since reads by all daemons at once would delay configuration changes on the region's link.
 	firstReadLimit = 200
@@ -46,6 +51,7 @@
 	store discovery.Source
 	// entryTimeout is how long after the loss of the feed the store is first read.
 	entryTimeout         time.Duration
+	perServerDelay       time.Duration
 	listReadInterval     time.Duration
 	declaredReadInterval time.Duration
 	// fullReadDelay is how long after a partial read the full list is read.
@@ -72,7 +78,7 @@
 // New returns a box's source, which reads the store at intervals when there has been no feed for a time.
 func New(store discovery.Source) *Source {
 	return &Source{
-		store: store, entryTimeout: entryTimeout + rand.N(entryTimeoutJitter), listReadInterval: listReadInterval, declaredReadInterval: declaredReadInterval,
+		store: store, entryTimeout: entryTimeout + rand.N(entryTimeoutJitter), perServerDelay: perServerDelay, listReadInterval: listReadInterval, declaredReadInterval: declaredReadInterval,
 		changed: make(chan struct{}), inactiveSince: clock.Now(), fullReadDelay: boxFullReadDelay + rand.N(boxFullReadDelay),
 	}
 }
@@ -141,7 +147,7 @@
 // DeclaredAfter waits for a change of the declared state.
 func (s *Source) DeclaredAfter(ctx context.Context, cursor discovery.Cursor, wait time.Duration) (discovery.Declared, error) {
 	declared := discovery.Declared{Cursor: noCursor}
-	err := s.awaitChange(ctx, wait, &s.declaredReadAt, func() time.Duration { return s.declaredReadInterval }, func() bool {
+	err := s.awaitChange(ctx, wait, &s.declaredReadAt, s.nextDeclaredRead, func() bool {
 		if s.declared == nil || s.declared == s.deliveredDeclared {
 			return false
 		}
@@ -169,7 +175,7 @@
 // ServersAfter waits for a change of the list of servers.
 func (s *Source) ServersAfter(ctx context.Context, cursor discovery.Cursor, wait time.Duration) (discovery.Servers, error) {
 	servers := discovery.Servers{Cursor: noCursor}
-	err := s.awaitChange(ctx, wait, &s.listReadAt, s.nextListInterval, func() bool {
+	err := s.awaitChange(ctx, wait, &s.listReadAt, s.nextListRead, func() bool {
 		if s.servers == nil {
 			return false
 		}
@@ -188,12 +194,37 @@
 	return servers, err
 }
 
-// nextListInterval returns the delay until the next read of the list; mu is held.
-func (s *Source) nextListInterval() time.Duration {
+// feedDeadline returns when the store is read if no entry feeds this source until then; mu is held.
+func (s *Source) feedDeadline() time.Time {
+	return s.inactiveSince.Add(s.entryTimeout + time.Duration(len(s.delivered))*s.perServerDelay)
+}
+
+// nextListRead returns when the list may next be read from the store; mu is held.
+func (s *Source) nextListRead() time.Time {
+	interval := s.listReadInterval
 	if s.partial && !s.fullReadRequested {
-		return s.fullReadDelay
+		interval = s.fullReadDelay
+	}
+	return latest(s.feedDeadline(), s.listReadAt.Add(interval))
+}
+
+// nextDeclaredRead returns when what is declared may next be read from the store; mu is held.
+func (s *Source) nextDeclaredRead() time.Time {
+	first := s.feedDeadline()
+	switch {
+	case !s.serversKnown:
+		first = first.Add(declaredReadDelayAtStart)
+	case s.partial:
+		first = latest(first, s.inactiveSince.Add(s.fullReadDelay))
 	}
-	return s.listReadInterval
+	return latest(first, s.declaredReadAt.Add(s.declaredReadInterval))
+}
+
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
 }
 
 // recordDelivered records servers read from the store that are returned to the view.
@@ -260,9 +291,9 @@
 }
 
 // awaitChange returns as soon as deliver finds a change in the feed, or after wait without one. While there is no feed it reads the
-// store, at most once per interval; such a read is cancelled when a feed starts. deliver and interval are called with mu held.
+// store when nextRead says; such a read is cancelled when a feed starts. deliver and nextRead are called with mu held.
 func (s *Source) awaitChange(
-	ctx context.Context, wait time.Duration, lastRead *time.Time, interval func() time.Duration, deliver func() bool, read func(context.Context) error,
+	ctx context.Context, wait time.Duration, lastRead *time.Time, nextRead func() time.Time, deliver func() bool, read func(context.Context) error,
 ) error {
 	deadline := clock.Now().Add(wait)
 	for {
@@ -273,10 +304,7 @@
 		}
 		changed, until, inactive := s.changed, deadline, !s.inactiveSince.IsZero()
 		if inactive {
-			until = s.inactiveSince.Add(s.entryTimeout)
-			if next := lastRead.Add(interval()); next.After(until) {
-				until = next
-			}
+			until = nextRead()
 		}
 		s.mu.Unlock()
 		if inactive && !clock.Now().Before(until) {
