peersource: the wait of a box for a lost feed is bounded

At 10,000 servers it would be 50 s; 10 s leave entries time for their own reads. Holds at any size; boxes know the servers of their own service only.

--- a/peersource/source.go
+++ b/peersource/source.go
@@ -25,6 +25,8 @@
 	// perServerDelay is how much longer a box waits for an entry's feed for each server that it knows: the more boxes there are, the more of
 	// the link to the store's region they would take together, and the longer an entry needs for its own reads.
 	perServerDelay = 5 * time.Millisecond
+	// maxFeedWait bounds that wait.
+	maxFeedWait = 10 * time.Second
 	// declaredReadDelayAtStart is how long after the list a box first reads what is declared: by then it knows whether the fleet is large.
 	declaredReadDelayAtStart = 400 * time.Millisecond
 	declaredReadInterval     = 5 * time.Second
@@ -196,7 +198,7 @@
 
 // feedDeadline returns when the store is read if no entry feeds this source until then; mu is held.
 func (s *Source) feedDeadline() time.Time {
-	return s.inactiveSince.Add(s.entryTimeout + time.Duration(len(s.delivered))*s.perServerDelay)
+	return s.inactiveSince.Add(min(s.entryTimeout+time.Duration(len(s.delivered))*s.perServerDelay, maxFeedWait))
 }
 
 // nextListRead returns when the list may next be read from the store; mu is held.
