--- a/forward/cold_test.go
+++ b/forward/cold_test.go
@@ -9,6 +9,7 @@
 	"github.com/coralstair/coralstair/contract"
 	"github.com/coralstair/coralstair/discovery"
 	"github.com/coralstair/coralstair/link"
+	"github.com/coralstair/coralstair/pushback"
 )
 
 // coldRate is the rate that a cold server bears in these tests; coldFactor and coldSlack bound what it may get in any second.
@@ -112,7 +113,7 @@
 				e.frozen = func(at time.Duration) bool { return i%3 == 0 && at%(2*time.Second) < time.Second }
 			},
 			"a third sends late": func(i int, e *coldEntry) { e.delay = time.Duration(i%3/2) * 400 * time.Millisecond },
-			"some count too few": func(i int, e *coldEntry) { e.entries = max(n-n/8, 1) },
+			"some count too few": func(_ int, e *coldEntry) { e.entries = max(n-n/8, 1) },
 		} {
 			t.Run(fmt.Sprintf("%d entries, %s", n, name), func(t *testing.T) {
 				rng := rand.New(rand.NewPCG(uint64(n), 3))
@@ -121,6 +122,8 @@
 				for i := range entries {
 					entries[i] = coldEntry{up: &upstream{weight: 1, coldRate: coldRate, coldUntil: start.Add(time.Hour)}, entries: n}
 					spoil(i, &entries[i])
+					receipt := pushback.Receipt{Sent: start, Received: start, Share: 1 / float64(entries[i].entries), Phase: rng.Float64()}
+					entries[i].up.cold = pushback.Limit{}.With(pushback.Signal{Limited: true, Limit: coldRate}, receipt)
 				}
 				var arrived []time.Duration
 				for at := time.Duration(0); at < duration; at += step {
--- a/peersource/declared.go
+++ b/peersource/declared.go
@@ -126,7 +126,7 @@
 		mayRead := !active && (s.reads || !clock.Now().Before(until))
 		s.mu.Unlock()
 		if mayRead {
-			declared, err, relayedNow := s.readUnlessRelayed(ctx, read)
+			declared, relayedNow, err := s.readUnlessRelayed(ctx, read)
 			if !relayedNow {
 				return declared, err
 			}
@@ -138,10 +138,11 @@
 	}
 }
 
-// readUnlessRelayed reads the store; a read that has not ended when an entry begins to relay is cancelled.
+// readUnlessRelayed reads the store; a read that has not ended when an entry begins to relay is cancelled,
+// and relayed is set.
 func (s *EntrySource) readUnlessRelayed(
 	ctx context.Context, read func(ctx context.Context) (discovery.Declared, error),
-) (declared discovery.Declared, err error, relayed bool) {
+) (declared discovery.Declared, relayed bool, err error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	go func() {
@@ -162,5 +163,5 @@
 	declared, err = read(ctx)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return declared, err, err != nil && s.relayed.active
+	return declared, err != nil && s.relayed.active, err
 }
