soak: cold servers bear less than they get; a test's beginning stands once

The check of cold servers could not fail: left out on purpose, the limit was not missed, as a server of that run gets fewer than 35 requests a second. A comment is wrapped.

--- a/forward/retryafter.go
+++ b/forward/retryafter.go
@@ -32,8 +32,8 @@
 	return may
 }
 
-// shortestWait returns the shortest predicted wait at a service's servers that may get a request with these homes, including the wait for their limits; ok is
-// false when none takes requests.
+// shortestWait returns the shortest predicted wait at a service's servers that may get a request with these homes, including the wait
+// for their limits; ok is false when none takes requests.
 func (e *Entry) shortestWait(service *contract.Service, homes contract.Homes, now time.Time) (wait time.Duration, ok bool) {
 	entries := e.limitSharers()
 	for _, up := range e.preferredFor(service.Name, homes) {
--- a/lab/rig_test.go
+++ b/lab/rig_test.go
@@ -164,18 +164,7 @@
 // TestPlannedStop stops a box that serves a long stream: the stream must complete, and the box must get no new requests
 // until it is started again.
 func TestPlannedStop(t *testing.T) {
-	rig := startRig(t, RigConfig{Boxes: 2, Sites: 1, TokenTime: 10 * time.Millisecond})
-	declareServices(t, rig, 2)
-	serveVersion(t, rig, "v1", 1, 2)
-	caller := rig.Caller(0, 0)
-	awaitAnswer(t, caller)
-	var answer Answer
-	var err error
-	var streaming sync.WaitGroup
-	streaming.Go(func() {
-		answer, err = caller.Chat(t.Context(), ChatCall{Service: RigService, Prompt: "long", MaxTokens: 150, Stream: true})
-	})
-	busy := busyBox(rig)
+	rig, caller, busy, await := startLongStream(t, 1)
 	if err := rig.Do(t.Context(), fmt.Sprintf("stop box %s in %s", busy.ID, RigFleet)); err != nil {
 		t.Fatal(err)
 	}
@@ -189,8 +178,7 @@
 			t.Errorf("answer %+v, %v; want an answer from the other box", other, err)
 		}
 	}
-	streaming.Wait()
-	if err != nil || answer.Tokens != 151 || answer.Box != busy.ID {
+	if answer, err := await(); err != nil || answer.Tokens != 151 || answer.Box != busy.ID {
 		t.Errorf("stream of %d tokens from %s: %v", answer.Tokens, answer.Box, err)
 	}
 	if err := rig.Do(t.Context(), fmt.Sprintf("start box %s in %s", busy.ID, RigFleet)); err != nil {
@@ -204,18 +192,7 @@
 // TestEvacuatedSite evacuates the site of a box that serves a long stream: the stream must complete, and the site must get no new requests
 // until that is taken back.
 func TestEvacuatedSite(t *testing.T) {
-	rig := startRig(t, RigConfig{Boxes: 2, Sites: 2, TokenTime: 10 * time.Millisecond})
-	declareServices(t, rig, 2)
-	serveVersion(t, rig, "v1", 1, 2)
-	caller := rig.Caller(0, 0)
-	awaitAnswer(t, caller)
-	var answer Answer
-	var err error
-	var streaming sync.WaitGroup
-	streaming.Go(func() {
-		answer, err = caller.Chat(t.Context(), ChatCall{Service: RigService, Prompt: "long", MaxTokens: 150, Stream: true})
-	})
-	busy := busyBox(rig)
+	rig, caller, busy, await := startLongStream(t, 2)
 	if err := rig.Do(t.Context(), fmt.Sprintf("evacuate site %s in %s", busy.Site, RigFleet)); err != nil {
 		t.Fatal(err)
 	}
@@ -229,8 +206,7 @@
 	}) {
 		t.Fatal("the evacuated site still gets requests")
 	}
-	streaming.Wait()
-	if err != nil || answer.Tokens != 151 || answer.Box != busy.ID {
+	if answer, err := await(); err != nil || answer.Tokens != 151 || answer.Box != busy.ID {
 		t.Errorf("stream of %d tokens from %s: %v", answer.Tokens, answer.Box, err)
 	}
 	if err := rig.Do(t.Context(), fmt.Sprintf("return site %s in %s", busy.Site, RigFleet)); err != nil {
@@ -267,6 +243,26 @@
 	}
 }
 
+// startLongStream starts a rig of two boxes and a long stream, and returns the box that serves it; await waits for the stream's end.
+func startLongStream(t *testing.T, sites int) (rig *Rig, caller *Caller, busy *RigBox, await func() (Answer, error)) {
+	t.Helper()
+	rig = startRig(t, RigConfig{Boxes: 2, Sites: sites, TokenTime: 10 * time.Millisecond})
+	declareServices(t, rig, 2)
+	serveVersion(t, rig, "v1", 1, 2)
+	caller = rig.Caller(0, 0)
+	awaitAnswer(t, caller)
+	var answer Answer
+	var err error
+	var streaming sync.WaitGroup
+	streaming.Go(func() {
+		answer, err = caller.Chat(t.Context(), ChatCall{Service: RigService, Prompt: "long", MaxTokens: 150, Stream: true})
+	})
+	return rig, caller, busyBox(rig), func() (Answer, error) {
+		streaming.Wait()
+		return answer, err
+	}
+}
+
 // busyBox waits for a box with a request in progress.
 func busyBox(rig *Rig) *RigBox {
 	var busy *RigBox
--- a/soak/sites.go
+++ b/soak/sites.go
@@ -16,7 +16,7 @@
 	// Servers are cold for coldTime after a start and bear coldRate requests a second meanwhile, of which coldFactor times as many plus
 	// coldSlack may arrive in any second.
 	coldTime   = 2 * time.Second
-	coldRate   = 20.0
+	coldRate   = 6.0
 	coldFactor = 1.5
 	coldSlack  = 5
 	// siteWeight is how many times as frequent as other faults those of sites are.
