contract: rank of a request; servers are told it where ranks differ

Cause: teams have a priority each, the same one for all, and it took the place of the route's: servers got priority 1 for every request, so that the ranks of routes never reached them.

Ruled out: that no ranks are declared. A line of log with the priorities of routes and teams shows 0, 1 and 2 on one service's routes and 1 for each of 24 teams.

Change: Config.Rank orders by team, then route; servers get it where ranks of a model service differ, after requests in progress elsewhere. Elsewhere they get what they got. Test: TestServersAreToldRanks, whose first three cases got 1 before. Not measured yet.

--- a/contract/config.go
+++ b/contract/config.go
@@ -25,6 +25,8 @@
 	teamList    []Team
 	// bound is set if a route or a team has homes.
 	bound bool
+	// ranks are the ranks of requests by service.
+	ranks map[string]*ranks
 }
 
 // NewConfig returns a configuration of the given parts, which must not be modified afterwards.
@@ -36,6 +38,7 @@
 		routes:   make(map[string][]*Route),
 		services: make(map[string]*Service, len(services)),
 		teams:    make(map[string]*Team),
+		ranks:    newRanks(len(teams) > 0, routes, teams),
 	}
 	for i := range routes {
 		host := strings.ToLower(routes[i].Host)
--- a/forward/call.go
+++ b/forward/call.go
@@ -46,6 +46,9 @@
 	started  time.Time
 	deadline time.Time
 	config   contract.Revision
+	// rank is the request's rank among those for its service, 0 the most urgent; ranked is set where ranks differ.
+	rank   int
+	ranked bool
 	// sinceFirst is the time since the caller's first try as far as the entry knows; 0 on a first try.
 	sinceFirst time.Duration
 
@@ -325,11 +328,20 @@
 	return c.entry.retryAfter(c.service, c.route, c.homes, clock.Now())
 }
 
-// priority returns topPriority for urgent requests, else the team's priority, else the route's.
+// setRank sets the request's rank by a configuration. Ranks order requests for model servers only.
+func (c *call) setRank(cfg *contract.Config) {
+	c.rank, c.ranked = cfg.Rank(c.service.Name, c.route, c.team), c.service.Engine != nil && cfg.Ranked(c.service.Name)
+}
+
+// priority returns what servers order waiting requests by: topPriority for urgent requests, then the rank where ranks differ, else the
+// team's priority or the route's.
 func (c *call) priority() int {
 	if c.urgent {
 		return topPriority
 	}
+	if c.ranked {
+		return topPriority + 1 + c.rank
+	}
 	if c.team != nil && c.team.HasPriority {
 		return c.team.Priority
 	}
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -72,6 +72,7 @@
 		c.refuse(http.StatusServiceUnavailable, "no-service", "the route's service is not known", plainRetryAfter, nil)
 		return
 	}
+	c.setRank(cfg)
 	c.run(r.Context())
 }
 
