report: who waits and who pays

Cause: the report counted requests by route, team, site and entry over the whole of the logs only; who bears a shortage could not be told from it.

Ruled out: counts by route in the shortage only: teams and ranks cross routes.

Change: the seconds in which 5 in 100 requests or more are refused, by rank, team, site and entry, with the fields rank and held_ms of requests where they are logged; bounded as before.

--- a/report/line.go
+++ b/report/line.go
@@ -33,9 +33,13 @@
 	Decoding   int       `json:"writing"`
 	Prefilling int       `json:"reading"`
 	Attempts   int       `json:"attempts"`
-	Cause      string    `json:"cause"`
-	Version    int64     `json:"version"`
-	Site       string    `json:"site"`
+	// Rank is nil where requests for the service do not differ in rank.
+	Rank *int `json:"rank"`
+	// Held is how long the entry held the request until a server could take it.
+	Held    int64  `json:"held_ms"`
+	Cause   string `json:"cause"`
+	Version int64  `json:"version"`
+	Site    string `json:"site"`
 }
 
 // Fault is an unreadable log line.
--- a/report/report.go
+++ b/report/report.go
@@ -23,11 +23,13 @@
 
 // Report collects statistics from logs; the zero Report is ready to use.
 type Report struct {
-	width  time.Duration
-	slots  map[int64]map[string]*Counts
-	total  Counts
-	routes map[string]*routeStats
-	teams  map[string]*Counts
+	width time.Duration
+	slots map[int64]map[string]*Counts
+	// callers are the counts of each slot by who asked.
+	callers map[int64]*callerCounts
+	total   Counts
+	routes  map[string]*routeStats
+	teams   map[string]*Counts
 	// entries are the counts by entry, reasons the numbers of unanswered requests by reason.
 	entries    map[string]*Counts
 	reasons    map[string]int
@@ -103,6 +105,7 @@
 func (r *Report) addRequest(l line) {
 	r.total.add(l)
 	r.slot(l.At, l.Route).add(l)
+	r.addCaller(l)
 	stats := getOrCreate(&r.routes, l.Route, func() *routeStats { return &routeStats{firstEvent: newHistogram()} })
 	stats.add(l)
 	getOrCreate(&r.teams, l.Team, newCounts).add(l)
@@ -211,6 +214,7 @@
 			getOrCreate(&into, name, newCounts).merge(*counts)
 		}
 	}
+	r.widenCallers()
 }
 
 func newCounts() *Counts { return &Counts{} }
--- a/report/text.go
+++ b/report/text.go
@@ -29,6 +29,7 @@
 	r.writeCounts(w, "by team", r.teams)
 	r.writeRoutes(w)
 	r.writeTimes(w)
+	r.writeShortages(w)
 	r.writeReasons(w)
 	r.writeLoads(w)
 	r.writeVersions(w)
