soak: a team floods the least urgent route

The stand-in of a model server lets more urgent requests go first; runs without ranks have one priority and are as before. The checker knows keys by their team, since there are two now: what was checked of the one team is checked of both.

--- a/lab/standin/orders.go
+++ b/lab/standin/orders.go
@@ -73,7 +73,7 @@
 func (s *Server) load(version int64, start int) {
 	s.mu.Lock()
 	for s.running > 0 && s.starts == start {
-		s.pollWait()
+		s.pollWait(defaultPriority)
 	}
 	s.mu.Unlock()
 	time.Sleep(loadTime)
--- a/lab/standin/server.go
+++ b/lab/standin/server.go
@@ -17,6 +17,9 @@
 	workTime        = 10 * time.Millisecond
 	corruptionGrace = 3 * time.Second
 	idleTimeout     = 3 * time.Second
+	// priorities is the number of priorities of requests; one without has defaultPriority.
+	priorities      = 10
+	defaultPriority = 5
 )
 
 // Faults is the set of faults that a server injects; the zero value is none. A number n selects every n-th request.
@@ -50,16 +53,18 @@
 	// OnCrash, if set, is called after a request has crashed the server.
 	OnCrash func(request string)
 
-	mu          sync.Mutex
-	id          string
-	starts      int
-	born        int64
-	draining    time.Time
-	loaded      int64
-	loading     bool
-	seq         int64
-	running     int
-	waiting     int
+	mu       sync.Mutex
+	id       string
+	starts   int
+	born     int64
+	draining time.Time
+	loaded   int64
+	loading  bool
+	seq      int64
+	running  int
+	waiting  int
+	// waitingBy counts the waiting requests by priority.
+	waitingBy   [priorities]int
 	staged      map[int][]byte
 	corruptedAt map[int]time.Time
 	faults      Faults
@@ -211,11 +216,12 @@
 	if s.pushback.Pause > 0 {
 		return Run{}, http.StatusServiceUnavailable
 	}
-	for s.loading || s.running >= s.Slots {
+	priority := requestPriority(r)
+	for s.loading || s.running >= s.Slots || s.urgentWaits(priority) {
 		if s.loading || s.waiting >= s.Slots || time.Now().After(deadline) || r.Context().Err() != nil {
 			return Run{}, http.StatusServiceUnavailable
 		}
-		s.pollWait()
+		s.pollWait(priority)
 	}
 	expect, _ := strconv.ParseInt(r.Header.Get("X-Expect-Version"), 10, 64)
 	instance := r.Header.Get("X-Expect-Instance")
@@ -236,13 +242,34 @@
 	return run, 0
 }
 
+// requestPriority returns a request's priority, 0 to 9.
+func requestPriority(r *http.Request) int {
+	priority, err := strconv.Atoi(r.Header.Get("X-Request-Priority"))
+	if err != nil || priority < 0 || priority >= priorities {
+		return defaultPriority
+	}
+	return priority
+}
+
+// urgentWaits reports whether a more urgent request waits for a slot; the caller holds mu.
+func (s *Server) urgentWaits(priority int) bool {
+	for _, waiting := range s.waitingBy[:priority] {
+		if waiting > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // pollWait releases mu for one poll interval; the caller holds mu before and after.
-func (s *Server) pollWait() {
+func (s *Server) pollWait(priority int) {
 	s.waiting++
+	s.waitingBy[priority]++
 	s.mu.Unlock()
 	time.Sleep(eventInterval / 3)
 	s.mu.Lock()
 	s.waiting--
+	s.waitingBy[priority]--
 }
 
 func isNth(n, count int) bool { return n > 0 && count%n == 0 }
--- a/soak/caller.go
+++ b/soak/caller.go
@@ -31,8 +31,13 @@
 	kindUnsafe requestKind = "once"
 	kindSafe   requestKind = "safe"
 	kindProbe  requestKind = "probe"
+	// kindReview requests are streams of the less urgent route.
+	kindReview requestKind = "review"
 )
 
+// forModels reports whether requests of the kind go to model servers.
+func (k requestKind) forModels() bool { return k == kindStream || k == kindReview }
+
 // outcome is one request and its result as the caller observed it.
 type outcome struct {
 	request     standin.Request
--- a/soak/checker.go
+++ b/soak/checker.go
@@ -32,6 +32,7 @@
 	lost        []string
 	limitUse    float64
 	budgetUse   float64
+	rankShares  string
 }
 
 // recoveryPhase is the period after all faults, in which time bounds are checked too.
@@ -69,6 +70,8 @@
 	case c.rig.opts.pushback != noPushback:
 		c.checkPushback()
 	case c.rig.opts.FailingServers:
+	case c.rig.opts.Ranks:
+		c.checkRanks()
 	default:
 		c.checkPlannedStops()
 		c.checkRecovery()
@@ -91,9 +94,9 @@
 		case o.response.Violation != "":
 			c.reportf("response: %s from entry %d: %s", o.request.ID, o.entry+1, o.response.Violation)
 		case o.kind == kindProbe:
-		case o.request.Key == goodKey && o.response.Denied():
+		case teamOf[o.request.Key] != "" && o.response.Denied():
 			c.reportf("denied: %s was denied by entry %d with status %d", o.request.ID, o.entry+1, o.response.Status)
-		case o.request.Key != goodKey && o.response.Status == 200:
+		case teamOf[o.request.Key] == "" && o.response.Status == 200:
 			c.reportf("key: %s was served with an unknown key", o.request.ID)
 		}
 	}
@@ -106,13 +109,13 @@
 		switch {
 		case !known:
 			continue // In flight when the run ended.
-		case o.kind != kindProbe && o.request.Key != goodKey:
+		case o.kind != kindProbe && teamOf[o.request.Key] == "":
 			c.reportf("key: %s ran with an unknown key", run.ID)
-		case o.kind != kindProbe && run.Tenant != team:
+		case o.kind != kindProbe && run.Tenant != teamOf[o.request.Key]:
 			c.reportf("team: %s ran for the wrong team %q", run.ID, run.Tenant)
 		case run.Path != o.request.Path:
 			c.reportf("changed: %s ran with a different path %s", run.ID, run.Path)
-		case (o.kind == kindStream) != (run.Service == modelService):
+		case o.kind.forModels() != (run.Service == modelService):
 			c.reportf("route: %s ran at the wrong service %s", run.ID, run.Service)
 		}
 	}
@@ -197,7 +200,7 @@
 			c.checkRecoveryProbe(o)
 			continue
 		}
-		if o.abandoned || o.request.Key != goodKey || o.sent.Before(c.recovery.target.acked.Add(bounds.Version)) {
+		if o.abandoned || teamOf[o.request.Key] == "" || o.sent.Before(c.recovery.target.acked.Add(bounds.Version)) {
 			continue
 		}
 		sent++
--- a/soak/retrybudget.go
+++ b/soak/retrybudget.go
@@ -48,7 +48,7 @@
 		seen[a.ID] = true
 	}
 	for _, o := range c.outcomes {
-		if o.kind == kindStream {
+		if o.kind.forModels() {
 			first = append(first, o.sent)
 		}
 	}
--- a/soak/rig.go
+++ b/soak/rig.go
@@ -29,6 +29,9 @@
 	safePath   = "/look/"
 )
 
+// teamOf returns the team that holds a key, by all configurations.
+var teamOf = map[string]string{goodKey: team, floodKey: floodTeam}
+
 const (
 	callersPort = 8005
 	readyPort   = 8002
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -30,6 +30,8 @@
 	// Sites adds evacuations, servers that are cold, requests that have homes and callers that read slowly, at a higher rate than other
 	// faults.
 	Sites bool
+	// Ranks makes a team flood the least urgent of two routes to the model servers while entries are killed.
+	Ranks bool
 	// Deadly is the number of distinct requests that crash each server that runs them.
 	Deadly int
 	// FailingServers makes all model servers fail their requests while all entries are killed again and again.
@@ -75,6 +77,8 @@
 	LimitUse float64
 	// BudgetUse is the largest fraction of the retry budget that was used in any window.
 	BudgetUse float64
+	// RankShares says how many requests of each rank were served during a flood.
+	RankShares string
 	// Lost are the IDs of requests without a complete response or a refusal with Retry-After, in a planned run.
 	Lost []string
 }
@@ -116,6 +120,8 @@
 		faults.run(r.pushbackPlan())
 	case opts.FailingServers:
 		faults.run(r.failingPlan())
+	case opts.Ranks:
+		faults.run(r.floodPlan(ctx, &out))
 	default:
 		faults.run(r.planFaults())
 		recovery = r.runRecovery(ctx, &faults)
@@ -205,6 +211,6 @@
 			s.from.Format("15:04:05.000"), s.name, s.to.Sub(s.from).Round(time.Millisecond)))
 	}
 	result.Violations = c.check()
-	result.Lost, result.LimitUse, result.BudgetUse = c.lost, c.limitUse, c.budgetUse
+	result.Lost, result.LimitUse, result.BudgetUse, result.RankShares = c.lost, c.limitUse, c.budgetUse, c.rankShares
 	return result
 }
--- a/soak/storewrite.go
+++ b/soak/storewrite.go
@@ -56,6 +56,10 @@
 		routes = append(routes, withHomes(stream, homePath+"draft/"), withHomes(route("confirm at home", "", standin.KindUnsafe, plainService), homePath+"confirm/"))
 		cold.ColdStartS, cold.ColdPerS = coldTime.Seconds(), coldRate
 	}
+	teams := []standin.Tenant{{Name: team, APIKeys: keys}}
+	if r.opts.Ranks {
+		routes, teams = withRanks(routes, teams)
+	}
 	return standin.Config{
 		Version: r.revision,
 		Routes:  routes,
@@ -64,7 +68,7 @@
 			{Name: plainService, HealthPath: "/health", MaxConns: 100, ColdStartS: cold.ColdStartS, ColdPerS: cold.ColdPerS},
 			{Name: originName, MaxConns: 48, Origin: hostPort(r.ip(9, 3), originPort), LinkMbps: 50},
 		},
-		Tenants: []standin.Tenant{{Name: team, APIKeys: keys}},
+		Tenants: teams,
 		Limits:  standin.Limits{MaxHeaderBytes: 16384, MaxBodyBytes: 1 << 20, HeaderTimeoutMs: 3000, IdleTimeoutMs: 15000},
 	}
 }
