admission, engine: requests of several ranks

Cause: a policy bounds all routes of a service by their tightest goal and counts all that waits as before every request, though servers let the more urgent of those that wait in first.

Change: Policy.Standing says what a request overtakes and is overtaken by, from decaying counts of what this entry admitted by rank; the bound is the tightest goal of the routes of a request's own rank; a rank whose first tries get under 0.3 of the share of all is served as the most urgent until it gets more. engine.Load.Overtaken lengthens the wait for a slot. Callers don't use these yet.

--- a/admission/policy.go
+++ b/admission/policy.go
@@ -29,14 +29,23 @@
 	// Route is the request's route, Goal its latency goal.
 	Route string
 	Goal  time.Duration
+	// Rank is the request's rank among those for the service, 0 the most urgent; 0 where ranks don't differ.
+	Rank int
 }
 
 // Policy admits the requests of one service. The zero value is ready to use and safe for concurrent use.
 type Policy struct {
 	mu     sync.Mutex
-	routes map[string]routeState
+	routes map[routeKey]routeState
 	// pressure is a moving average of the fraction of first tries refused.
 	pressure float64
+	ranks    ranks
+}
+
+// routeKey is a route with the rank of requests on it.
+type routeKey struct {
+	route string
+	rank  int
 }
 
 type routeState struct {
@@ -44,15 +53,16 @@
 	lastSeen time.Time
 }
 
-// Record records a request's route, whose goal then limits the other routes too.
+// Record records a request's route, whose goal then limits the other routes of its rank too. Decisions are as of the latest now.
 func (p *Policy) Record(req Request, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	maps.DeleteFunc(p.routes, func(_ string, state routeState) bool { return now.Sub(state.lastSeen) > routeTTL })
+	p.ranks.advance(now)
+	maps.DeleteFunc(p.routes, func(_ routeKey, state routeState) bool { return now.Sub(state.lastSeen) > routeTTL })
 	if p.routes == nil {
-		p.routes = make(map[string]routeState)
+		p.routes = make(map[routeKey]routeState)
 	}
-	p.routes[req.Route] = routeState{goal: req.Goal, lastSeen: now}
+	p.routes[routeKey{req.Route, index(req.Rank)}] = routeState{goal: req.Goal, lastSeen: now}
 }
 
 // Admit reports whether to admit a request that would wait queueDelay; sinceFirst is the time since its first try, 0 for
@@ -61,9 +71,12 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if sinceFirst > 0 {
-		return queueDelay <= p.maxDelay(req, p.retryShare())
+		admitted := queueDelay <= p.maxDelay(req, p.retryShare())
+		p.ranks.count(req.Rank, false, admitted)
+		return admitted
 	}
 	admitted := queueDelay <= p.maxDelay(req, firstTryShare)
+	p.ranks.count(req.Rank, true, admitted)
 	refused := 1.0
 	if admitted {
 		refused = 0
@@ -72,6 +85,14 @@
 	return admitted
 }
 
+// Standing returns how a request stands among those that wait at a server, by what was admitted of late: all that waits goes before it
+// before any was.
+func (p *Policy) Standing(req Request) Standing {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.ranks.standing(req.Rank)
+}
+
 // Pressure returns the recent fraction of first tries that were refused, 0 to 1.
 func (p *Policy) Pressure() float64 {
 	p.mu.Lock()
@@ -84,12 +105,13 @@
 	return firstTryShare - (firstTryShare-retryShare)*min(1, p.pressure/saturatedPressure)
 }
 
-// maxDelay returns the longest queueing delay at which a request is admitted. It uses the tightest goal of all active routes,
-// so that a route with a tighter goal is not refused more often than the others; mu is held.
+// maxDelay returns the longest queueing delay at which a request is admitted. It uses the tightest goal of all active routes
+// of the rank at which it is served, so that a route with a tighter goal is not refused more often than the others. Less urgent requests
+// are overtaken: their goals limit none. mu is held.
 func (p *Policy) maxDelay(req Request, share float64) time.Duration {
-	tightest := req.Goal
-	for _, state := range p.routes {
-		if state.goal > 0 {
+	tightest, served := req.Goal, p.ranks.served(req.Rank)
+	for key, state := range p.routes {
+		if state.goal > 0 && key.rank == served {
 			tightest = min(tightest, state.goal)
 		}
 	}
--- /dev/null
+++ b/admission/ranks.go
@@ -0,0 +1,114 @@
+package admission
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// rankCount is the number of ranks told apart: servers know ten priorities. Less urgent ones share the last.
+	rankCount = 10
+	// shareHalfLife is the half-life of the counts by rank: about as long as a request stays at a server, whose queue they estimate.
+	shareHalfLife = 2 * time.Second
+	// assumedRequests is how many requests that go before any other are assumed beside those counted, so that a few say little.
+	assumedRequests = 4
+	// forgotten is the count below which one is taken as zero.
+	forgotten = 0.01
+	// leastShare is the share of first tries admitted, as a fraction of that of all ranks, below which a rank is served as the most urgent.
+	// No callers may get less than a quarter of what all get; the rest is room for noise.
+	leastShare = 0.3
+	// leastTries is the number of recent first tries of a rank below which its share says nothing.
+	leastTries = 3
+)
+
+// Standing is how a request stands among those that wait at a server which lets the more urgent in first. The zero value is that of a
+// request that overtakes none and that none overtakes.
+type Standing struct {
+	// Rank is the rank at which the request is served, 0 the most urgent.
+	Rank int
+	// Overtakes is the fraction of waiting requests unknown to this entry that the request overtakes, Overtaken the fraction of requests to
+	// come that overtake it.
+	Overtakes, Overtaken float64
+}
+
+// rankCounts are decaying counts of the requests of one rank.
+type rankCounts struct {
+	// firstTries and firstAdmitted count first tries, admitted also retries.
+	firstTries, firstAdmitted, admitted float64
+}
+
+// ranks count requests by rank; only requests of the same service are compared.
+// They answer load under which callers of several ranks compete for too few slots: servers let the more urgent in first, so entries that
+// count all that waits refuse the urgent for a wait that they won't have.
+type ranks struct {
+	counts [rankCount]rankCounts
+	at     time.Time
+}
+
+// index returns the index of a rank.
+func index(rank int) int { return min(max(rank, 0), rankCount-1) }
+
+// advance decays the counts to a time.
+func (r *ranks) advance(now time.Time) {
+	if passed := now.Sub(r.at); passed > 0 {
+		factor := math.Exp2(-passed.Seconds() / shareHalfLife.Seconds())
+		for i := range r.counts {
+			c := &r.counts[i]
+			c.firstTries, c.firstAdmitted, c.admitted = decayed(c.firstTries, factor), decayed(c.firstAdmitted, factor), decayed(c.admitted, factor)
+		}
+		r.at = now
+	}
+}
+
+func decayed(count, factor float64) float64 {
+	if count *= factor; count >= forgotten {
+		return count
+	}
+	return 0
+}
+
+// count counts a request of a rank and whether it was admitted.
+func (r *ranks) count(rank int, firstTry, admitted bool) {
+	c := &r.counts[index(rank)]
+	if admitted {
+		c.admitted++
+	}
+	if !firstTry {
+		return
+	}
+	c.firstTries++
+	if admitted {
+		c.firstAdmitted++
+	}
+}
+
+// served returns the rank at which requests of a rank are served: their own, or the most urgent while they get too little.
+func (r *ranks) served(rank int) int {
+	var all rankCounts
+	for _, c := range r.counts {
+		all.firstTries += c.firstTries
+		all.firstAdmitted += c.firstAdmitted
+	}
+	own := r.counts[index(rank)]
+	if own.firstTries >= leastTries && own.firstAdmitted*all.firstTries < leastShare*all.firstAdmitted*own.firstTries {
+		return 0
+	}
+	return index(rank)
+}
+
+// standing returns how a request of a rank stands.
+func (r *ranks) standing(rank int) Standing {
+	s := Standing{Rank: r.served(rank)}
+	all, less, more := float64(assumedRequests), 0.0, 0.0
+	for i, c := range r.counts {
+		all += c.admitted
+		if i > s.Rank {
+			less += c.admitted
+		}
+		if i < s.Rank {
+			more += c.admitted
+		}
+	}
+	s.Overtakes, s.Overtaken = less/all, more/all
+	return s
+}
--- a/engine/model.go
+++ b/engine/model.go
@@ -16,8 +16,14 @@
 	PrefillTokens int
 	// Slowdown is the factor by which the engine is slower than usual; 0 and 1 mean as usual.
 	Slowdown float64
+	// Overtaken is the fraction of requests to come that get a slot before this one although they come later.
+	Overtaken float64
 }
 
+// leastOwnSlots bounds the fraction of the slots that are left to a request that others overtake: none stays overtaken for ever, as
+// more urgent requests don't fill all slots for long.
+const leastOwnSlots = 0.25
+
 // Units of an engine's parameters for context tokens and for pairs of tokens.
 const (
 	thousand = 1000
@@ -55,13 +61,17 @@
 	return first
 }
 
-// wait returns the time until a slot is free for one more request.
+// wait returns the time until a slot is free for one more request. Those that overtake it take their share of the slots that become free.
 func wait(e *contract.Engine, load Load) time.Duration {
 	excess := load.Decoding + load.Prefilling + 1 - e.Slots
 	if excess <= 0 || e.Slots == 0 {
 		return 0
 	}
-	return time.Duration(excess) * SlotTime(e, load) / time.Duration(e.Slots)
+	until := time.Duration(excess) * SlotTime(e, load) / time.Duration(e.Slots)
+	if load.Overtaken > 0 {
+		until = time.Duration(float64(until) / max(1-load.Overtaken, leastOwnSlots))
+	}
+	return until
 }
 
 // SlotTime returns how long a usual request occupies its slot at a load.
--- a/engine/model_test.go
+++ b/engine/model_test.go
@@ -22,6 +22,8 @@
 		"pending prefill":   {Load{}, Load{Prefilling: 3, PrefillTokens: 3000}, 900, 900},
 		"decoding requests": {Load{PrefillTokens: 2000}, Load{PrefillTokens: 2000, Decoding: 10}, 900, 900},
 		"no free slot":      {Load{Decoding: 15}, Load{Decoding: 16}, 900, 900},
+		"overtaken":         {Load{Decoding: 16, Prefilling: 4}, Load{Decoding: 16, Prefilling: 4, Overtaken: 0.5}, 900, 900},
+		"overtaken more":    {Load{Decoding: 16, Overtaken: 0.5}, Load{Decoding: 16, Overtaken: 0.7}, 900, 900},
 		"slow engine":       {Load{Decoding: 4}, Load{Decoding: 4, Slowdown: 3}, 900, 900},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -45,3 +47,18 @@
 		t.Errorf("an engine without parameters takes %s", first)
 	}
 }
+
+// TestOvertakenWait checks that requests to come lengthen only the wait for a slot, and not without bound.
+func TestOvertakenWait(t *testing.T) {
+	for name, test := range map[string]struct{ load, same Load }{
+		"free slot":         {Load{Decoding: 15, Overtaken: 0.9}, Load{Decoding: 15}},
+		"overtaken by none": {Load{Decoding: 20, Overtaken: 0}, Load{Decoding: 20}},
+		"overtaken by all":  {Load{Decoding: 20, Overtaken: 1}, Load{Decoding: 20, Overtaken: 1 - leastOwnSlots}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			if got, want := TimeToFirstEvent(testEngine, test.load, 900), TimeToFirstEvent(testEngine, test.same, 900); got != want {
+				t.Errorf("%s, want %s", got, want)
+			}
+		})
+	}
+}
