forward: servers are chosen by the load that goes before a request's rank

Cause: what waits at a full server counted as before every request, and one late first event counted for all.

Change: upstream.ahead leaves out of a full server's load what the request overtakes: this entry's own less urgent requests, and of others' the share that this entry admitted of late. Lags and overdue first events count for their rank and less urgent ones; the server gets the rank at which admission serves the request.

--- /dev/null
+++ b/forward/ahead.go
@@ -0,0 +1,94 @@
+package forward
+
+import (
+	"math"
+	"time"
+
+	"github.com/coralstair/coralstair/admission"
+	"github.com/coralstair/coralstair/contract"
+	"github.com/coralstair/coralstair/engine"
+)
+
+// lagRanks is the number of ranks whose lag is kept apart: servers know ten priorities. Less urgent ones share the last.
+const lagRanks = 10
+
+// ahead returns the part of a server's load that goes before a request: all that has a slot, and of what waits for one what the request
+// doesn't overtake. Which requests wait is not known, so each without a first event may. mu is held.
+func (u *upstream) ahead(load engine.Load, s admission.Standing, e *contract.Engine) engine.Load {
+	load.Overtaken = s.Overtaken
+	queued := min(load.Decoding+load.Prefilling-e.Slots, load.Prefilling)
+	if queued <= 0 || e.Slots == 0 {
+		return load
+	}
+	others := s.Overtakes * float64(load.Prefilling-u.reading)
+	requests, tokens := others, others*float64(e.UsualPrompt)
+	for _, r := range u.pending {
+		if r.rank > s.Rank {
+			requests++
+			tokens += float64(r.prompt)
+		}
+	}
+	waiting := float64(queued) / float64(load.Prefilling)
+	load.Prefilling -= int(math.Round(requests * waiting))
+	load.PrefillTokens -= int(math.Round(tokens * waiting))
+	return load
+}
+
+// isFull reports whether a request waits for a slot at a load.
+func isFull(e *contract.Engine, load engine.Load) bool {
+	return e.Slots > 0 && load.Decoding+load.Prefilling >= e.Slots
+}
+
+// lagAverage is the decaying average delay of first events beyond their prediction, as of at.
+type lagAverage struct {
+	lag time.Duration
+	at  time.Time
+}
+
+// observe adds the delay of one first event.
+func (l *lagAverage) observe(late time.Duration, now time.Time) {
+	decayed := l.current(now)
+	l.lag, l.at = decayed+time.Duration(lagWeight*float64(max(late-lagTolerance, 0)-decayed)), now
+}
+
+// current returns the decayed average.
+func (l *lagAverage) current(now time.Time) time.Duration {
+	if l.lag <= 0 {
+		return 0
+	}
+	return time.Duration(float64(l.lag) * math.Exp2(-float64(now.Sub(l.at))/float64(lagHalfLife)))
+}
+
+// observeLag adds the delay of one first event beyond its prediction to the lag of all ranks; mu is held.
+func (u *upstream) observeLag(late time.Duration, now time.Time) { u.lags[0].observe(late, now) }
+
+// currentLag returns the decayed lag of the most urgent requests; mu is held.
+func (u *upstream) currentLag(now time.Time) time.Duration { return u.lags[0].current(now) }
+
+// lagOf returns the decayed lag that counts for a rank: the largest of it and the more urgent ones, as less urgent requests may only have
+// been overtaken. mu is held.
+func (u *upstream) lagOf(rank int, now time.Time) time.Duration {
+	lag := time.Duration(0)
+	for i := range min(rank, lagRanks-1) + 1 {
+		lag = max(lag, u.lags[i].current(now))
+	}
+	return lag
+}
+
+// oldestOverdue returns by how much the oldest outstanding first event is overdue. Less urgent ones don't count at a full server, where
+// they may only have been overtaken. mu is held.
+func (u *upstream) oldestOverdue(rank int, full bool, now time.Time) time.Duration {
+	for _, r := range u.pending {
+		if !full || r.rank <= rank {
+			return max(now.Sub(r.sent)-r.predicted*3/2-overdueTolerance, 0)
+		}
+	}
+	return 0
+}
+
+// setRank sets the rank at which the server lets the request in; more urgent ones overtake it there.
+func (r *inFlightRequest) setRank(rank int) {
+	r.up.mu.Lock()
+	defer r.up.mu.Unlock()
+	r.rank = min(rank, lagRanks-1)
+}
--- a/forward/call.go
+++ b/forward/call.go
@@ -49,6 +49,8 @@
 	// rank is the request's rank among those for its service, 0 the most urgent; ranked is set where ranks differ.
 	rank   int
 	ranked bool
+	// standing is how the request stands among those that wait at a server, as of the latest choice of one; guarded by mu.
+	standing admission.Standing
 	// sinceFirst is the time since the caller's first try as far as the entry knows; 0 on a first try.
 	sinceFirst time.Duration
 
@@ -256,11 +258,14 @@
 	return ch, nil
 }
 
-// requirements returns what a server must satisfy to take the request.
+// requirements returns what a server must satisfy to take the request; mu is held.
 func (c *call) requirements() requirements {
+	if c.ranked {
+		c.standing = c.entry.admission.Of(c.pool()).Standing(c.admissionRequest())
+	}
 	return requirements{
 		service: c.service, model: c.model(), promptTokens: c.info.PromptTokens, answerTokens: c.info.answerTokens(), excluded: c.excluded,
-		homes:  c.homes,
+		homes: c.homes, standing: c.standing,
 		urgent: c.urgent, movable: c.route.Repeatable() && c.sends+1 < c.route.Attempts,
 	}
 }
@@ -271,13 +276,17 @@
 	if c.service.Engine == nil || c.route.Goal <= 0 {
 		return true
 	}
-	own := engine.TimeToFirstEvent(c.service.Engine, ch.load, c.info.PromptTokens) - engine.TimeToFirstEvent(c.service.Engine, ch.load, 1)
+	own := engine.TimeToFirstEvent(c.service.Engine, ch.ahead, c.info.PromptTokens) - engine.TimeToFirstEvent(c.service.Engine, ch.ahead, 1)
 	return c.entry.admission.Of(c.pool()).Admit(c.admissionRequest(), c.sinceFirst, ch.first-own)
 }
 
 // admissionRequest describes the request to admission control.
 func (c *call) admissionRequest() admission.Request {
-	return admission.Request{Route: c.route.Name, Goal: c.route.Goal}
+	req := admission.Request{Route: c.route.Name, Goal: c.route.Goal}
+	if c.ranked {
+		req.Rank = c.rank
+	}
+	return req
 }
 
 // model returns the requested model, or else the service's only one.
@@ -331,6 +340,7 @@
 // setRank sets the request's rank by a configuration. Ranks order requests for model servers only.
 func (c *call) setRank(cfg *contract.Config) {
 	c.rank, c.ranked = cfg.Rank(c.service.Name, c.route, c.team), c.service.Engine != nil && cfg.Ranked(c.service.Name)
+	c.standing.Rank = c.rank
 }
 
 // priority returns what servers order waiting requests by: topPriority for urgent requests, then the rank where ranks differ, else the
@@ -340,7 +350,7 @@
 		return topPriority
 	}
 	if c.ranked {
-		return topPriority + 1 + c.rank
+		return topPriority + 1 + c.standing.Rank
 	}
 	if c.team != nil && c.team.HasPriority {
 		return c.team.Priority
--- a/forward/choose.go
+++ b/forward/choose.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/coralstair/coralstair/admission"
 	"github.com/coralstair/coralstair/balance"
 	"github.com/coralstair/coralstair/contract"
 	"github.com/coralstair/coralstair/engine"
@@ -43,7 +44,9 @@
 	urgent  bool
 	movable bool
 	// minOpen is the minimum time until the server closes to load another version.
-	minOpen  time.Duration
+	minOpen time.Duration
+	// standing is how the request stands among those that wait at a server.
+	standing admission.Standing
 	excluded map[string]bool
 	// homes are the regions that may serve the request.
 	homes contract.Homes
@@ -63,6 +66,11 @@
 	first time.Duration
 	cost  time.Duration
 	load  engine.Load
+	// rank is the rank at which the server lets the request in, ahead the load that goes before it. overtakes is the fraction of requests
+	// not yet reported that it overtakes there.
+	rank      int
+	ahead     engine.Load
+	overtakes float64
 	// closesIn is the time until the server closes to new requests, overrun the time the request is predicted to run
 	// beyond that.
 	closesIn time.Duration
@@ -148,21 +156,35 @@
 	if c.version == 0 || want.version != 0 && c.version != want.version || up.closing(now) {
 		return false
 	}
-	c.load = up.load(want.service.Engine, now)
-	late := up.currentLag(now) + overdueFactor*up.oldestOverdue(now) + up.rtt.delay(now)
-	c.first = engine.TimeToFirstEvent(want.service.Engine, c.load, want.promptTokens) + late
+	e.predictAhead(c, want, now)
+	late := up.lagOf(c.rank, now) + overdueFactor*up.oldestOverdue(c.rank, isFull(want.service.Engine, c.load), now) + up.rtt.delay(now)
+	c.first = engine.TimeToFirstEvent(want.service.Engine, c.ahead, want.promptTokens) + late
 	c.closesIn = up.closesIn(now)
 	if e.missesVersionDeadline(up, want.model, *c, now) || c.closesIn < want.minOpen {
 		return false
 	}
 	if want.urgent {
 		c.load.Prefilling, c.load.PrefillTokens = 0, 0
-		c.first = engine.TimeToFirstEvent(want.service.Engine, c.load, want.promptTokens) + late
+		c.ahead = c.load
+		c.first = engine.TimeToFirstEvent(want.service.Engine, c.ahead, want.promptTokens) + late
 	}
 	c.overrun = max(c.first+engine.DecodeTime(want.service.Engine, c.load, want.answerTokens)-c.closesIn, 0)
 	return true
 }
 
+// predictAhead fills in the server's load and what of it goes before the request; up.mu is held.
+func (e *Entry) predictAhead(c *choice, want requirements, now time.Time) {
+	c.load = c.upstream.load(want.service.Engine, now)
+	standing := want.standing
+	if want.urgent {
+		standing.Rank = 0
+	}
+	c.rank, c.ahead = standing.Rank, c.upstream.ahead(c.load, standing, want.service.Engine)
+	if isFull(want.service.Engine, c.load) {
+		c.overtakes = standing.Overtakes
+	}
+}
+
 // missesVersionDeadline reports whether a request might start at a server after the deadline of its version, with a
 // margin for network delays.
 func (e *Entry) missesVersionDeadline(up *upstream, model string, c choice, now time.Time) bool {
--- a/forward/handover.go
+++ b/forward/handover.go
@@ -32,6 +32,7 @@
 	if r == nil {
 		return nil
 	}
+	r.setRank(ch.rank)
 	a := &attempt{call: c, choice: ch, inFlight: r, priority: c.priority(), primary: c.winner, newConn: c.useNewConns}
 	a.ctx, a.cancel = context.WithCancelCause(c.ctx)
 	c.sends++
--- a/forward/pick.go
+++ b/forward/pick.go
@@ -61,11 +61,11 @@
 }
 
 // pick chooses among servers whose load is known with a delay, and adds to the wait what other entries have probably
-// sent there since.
+// sent there since and the request does not overtake.
 func pick(choices []choice, sent balance.InFlight, added time.Duration) choice {
 	i, others := balance.Pick(costs(choices), sent, added, rand.Float64())
 	c := choices[i]
-	c.first += time.Duration(others / 2 * float64(added))
+	c.first += time.Duration(others / 2 * float64(added) * (1 - c.overtakes))
 	return c
 }
 
--- a/forward/upstream.go
+++ b/forward/upstream.go
@@ -1,7 +1,6 @@
 package forward
 
 import (
-	"math"
 	"slices"
 	"sync"
 	"time"
@@ -58,9 +57,8 @@
 	// All requests in flight, and those without a first event with the oldest first.
 	inFlightRequests map[*inFlightRequest]bool
 	pending          []*inFlightRequest
-	// lag is the decaying average delay of first events beyond their prediction, as of lagAt.
-	lag   time.Duration
-	lagAt time.Time
+	// lags are the lags of requests by rank.
+	lags [lagRanks]lagAverage
 
 	report   link.Report
 	reportAt time.Time
@@ -99,6 +97,7 @@
 type inFlightRequest struct {
 	up            *upstream
 	prompt        int
+	rank          int
 	sent          time.Time
 	predicted     time.Duration
 	gotFirstEvent bool
@@ -137,7 +136,7 @@
 	r.up.mu.Lock()
 	defer r.up.mu.Unlock()
 	if !r.gotFirstEvent {
-		r.up.observeLag(now.Sub(r.sent)-r.predicted, now)
+		r.up.lags[r.rank].observe(now.Sub(r.sent)-r.predicted, now)
 	}
 	r.recordFirstEventLocked()
 }
@@ -242,30 +241,6 @@
 	return max(now.Sub(u.reportAt)-usualReportAge, 0)
 }
 
-// observeLag adds the delay of one first event beyond its prediction to the lag; mu is held.
-func (u *upstream) observeLag(late time.Duration, now time.Time) {
-	decayed := u.currentLag(now)
-	u.lag = decayed + time.Duration(lagWeight*float64(max(late-lagTolerance, 0)-decayed))
-	u.lagAt = now
-}
-
-// currentLag returns the decayed lag; mu is held.
-func (u *upstream) currentLag(now time.Time) time.Duration {
-	if u.lag <= 0 {
-		return 0
-	}
-	return time.Duration(float64(u.lag) * math.Exp2(-float64(now.Sub(u.lagAt))/float64(lagHalfLife)))
-}
-
-// oldestOverdue returns by how much the oldest outstanding first event is overdue; mu is held.
-func (u *upstream) oldestOverdue(now time.Time) time.Duration {
-	if len(u.pending) == 0 {
-		return 0
-	}
-	oldest := u.pending[0]
-	return max(now.Sub(oldest.sent)-oldest.predicted*3/2-overdueTolerance, 0)
-}
-
 // closesIn returns the time until the server takes no new requests, unknownTurn if its box has not reported it; mu is
 // held.
 func (u *upstream) closesIn(now time.Time) time.Duration {
