admission: less urgent requests leave room for the more urgent; lab/shortage plays ranks

Change: a rank is bounded by the tightest goal of the routes as urgent or more, and the bound shrinks to nothing as a tenth of the more urgent first tries is refused. lab/shortage knows ranks: its servers let the more urgent in first, strategy "ranks" uses what entries use.

--- a/admission/policy.go
+++ b/admission/policy.go
@@ -53,7 +53,7 @@
 	lastSeen time.Time
 }
 
-// Record records a request's route, whose goal then limits the other routes of its rank too. Decisions are as of the latest now.
+// Record records a request's route, whose goal then limits routes as urgent or less too. Decisions are as of the latest now.
 func (p *Policy) Record(req Request, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -106,14 +106,14 @@
 }
 
 // maxDelay returns the longest queueing delay at which a request is admitted. It uses the tightest goal of all active routes
-// of the rank at which it is served, so that a route with a tighter goal is not refused more often than the others. Less urgent requests
-// are overtaken: their goals limit none. mu is held.
+// as urgent or more, so that a route with a tighter goal is not refused more often than the others. Less urgent requests are overtaken:
+// their goals limit none. mu is held.
 func (p *Policy) maxDelay(req Request, share float64) time.Duration {
 	tightest, served := req.Goal, p.ranks.served(req.Rank)
 	for key, state := range p.routes {
-		if state.goal > 0 && key.rank == served {
+		if state.goal > 0 && key.rank <= served {
 			tightest = min(tightest, state.goal)
 		}
 	}
-	return time.Duration(share * float64(tightest))
+	return time.Duration(share * p.ranks.leave(served) * float64(tightest))
 }
--- a/admission/ranks.go
+++ b/admission/ranks.go
@@ -39,7 +39,8 @@
 
 // ranks count requests by rank; only requests of the same service are compared.
 // They answer load under which callers of several ranks compete for too few slots: servers let the more urgent in first, so entries that
-// count all that waits refuse the urgent for a wait that they won't have.
+// count all that waits refuse the urgent for a wait that they won't have, and those that fill all slots with the less urgent leave the
+// urgent to wait for one.
 type ranks struct {
 	counts [rankCount]rankCounts
 	at     time.Time
@@ -96,6 +97,18 @@
 	return index(rank)
 }
 
+// leave returns the fraction of the usual delay at which a request served at a rank is admitted: less, the more first tries of more urgent
+// ranks are refused, as nothing that has a slot gives it up to them.
+// At saturatedPressure it is admitted only where it waits for nothing; below, its share follows how well the more urgent are served.
+func (r *ranks) leave(rank int) float64 {
+	tries, admitted := float64(assumedRequests), float64(assumedRequests)
+	for _, c := range r.counts[:rank] {
+		tries += c.firstTries
+		admitted += c.firstAdmitted
+	}
+	return 1 - min(1, (tries-admitted)/tries/saturatedPressure)
+}
+
 // standing returns how a request of a rank stands.
 func (r *ranks) standing(rank int) Standing {
 	s := Standing{Rank: r.served(rank)}
--- a/admission/ranks_test.go
+++ b/admission/ranks_test.go
@@ -103,7 +103,7 @@
 	}
 }
 
-func TestRanksAreLimitedByTheirOwnGoals(t *testing.T) {
+func TestRanksAreLimitedByGoalsAsUrgent(t *testing.T) {
 	tight := Request{Route: "tight", Goal: ms(200), Rank: 2}
 	for name, test := range map[string]struct {
 		seen  []Request
@@ -112,7 +112,8 @@
 		want  bool
 	}{
 		"tighter goal of a less urgent rank":        {[]Request{quote, tight}, quote, ms(310), true},
-		"tighter goal of a more urgent rank":        {[]Request{quote, dossier}, dossier, ms(790), true},
+		"tighter goal of a more urgent rank":        {[]Request{quote, dossier}, dossier, ms(330), false},
+		"within that goal":                          {[]Request{quote, dossier}, dossier, ms(310), true},
 		"beyond the own goal":                       {[]Request{quote, dossier}, quote, ms(330), false},
 		"tighter goal of the own rank":              {[]Request{dossier, tight}, dossier, ms(170), false},
 		"route with requests of two ranks, tighter": {[]Request{{Route: "a", Goal: ms(200), Rank: 1}, {Route: "a", Goal: ms(900), Rank: 0}}, answer, ms(170), false},
@@ -127,6 +128,39 @@
 	}
 }
 
+// TestLessUrgentLeaveRoom checks that less urgent requests are admitted at shorter waits, the more of the more urgent ones are refused.
+func TestLessUrgentLeaveRoom(t *testing.T) {
+	for name, test := range map[string]struct {
+		refused Request
+		n       int
+		req     Request
+		delay   time.Duration
+		want    bool
+	}{
+		"none refused":                           {quote, 0, dossier, ms(310), true},
+		"a few of the most urgent":               {quote, 10, dossier, ms(180), false},
+		"a few of the most urgent, short wait":   {quote, 10, dossier, ms(150), true},
+		"many of the most urgent":                {quote, 40, dossier, ms(10), false},
+		"many of the most urgent, no wait":       {quote, 40, dossier, 0, true},
+		"many of the most urgent, between":       {quote, 40, answer, ms(10), false},
+		"many between, most urgent":              {answer, 20, quote, ms(310), true},
+		"many of the least urgent, most urgent":  {dossier, 20, quote, ms(310), true},
+		"many of the least urgent, least urgent": {dossier, 20, dossier, ms(310), true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var p Policy
+			admitAll(&p, 100, start, quote, answer, dossier)
+			for range test.n {
+				p.Record(test.refused, start)
+				p.Admit(test.refused, 0, time.Hour)
+			}
+			if got := p.Admit(test.req, 0, test.delay); got != test.want {
+				t.Errorf("admitted %t, want %t", got, test.want)
+			}
+		})
+	}
+}
+
 func TestStanding(t *testing.T) {
 	for name, test := range map[string]struct {
 		n     int
--- a/engine/model.go
+++ b/engine/model.go
@@ -61,6 +61,24 @@
 	return first
 }
 
+// WithoutOvertaken returns the load that goes before a request which overtakes a number of those without a first event, and their prompt
+// tokens, provided that they wait for a slot. Which ones wait is not known, so each may.
+func (l Load) WithoutOvertaken(e *contract.Engine, requests, tokens float64) Load {
+	queued := min(l.Decoding+l.Prefilling-e.Slots, l.Prefilling)
+	if queued <= 0 || e.Slots == 0 {
+		return l
+	}
+	waiting := float64(queued) / float64(l.Prefilling)
+	l.Prefilling -= int(math.Round(requests * waiting))
+	l.PrefillTokens -= int(math.Round(tokens * waiting))
+	return l
+}
+
+// IsFull reports whether one more request would wait for a slot.
+func (l Load) IsFull(e *contract.Engine) bool {
+	return e.Slots > 0 && l.Decoding+l.Prefilling >= e.Slots
+}
+
 // wait returns the time until a slot is free for one more request. Those that overtake it take their share of the slots that become free.
 func wait(e *contract.Engine, load Load) time.Duration {
 	excess := load.Decoding + load.Prefilling + 1 - e.Slots
--- a/forward/ahead.go
+++ b/forward/ahead.go
@@ -13,30 +13,18 @@
 const lagRanks = 10
 
 // ahead returns the part of a server's load that goes before a request: all that has a slot, and of what waits for one what the request
-// doesn't overtake. Which requests wait is not known, so each without a first event may. mu is held.
+// doesn't overtake. mu is held.
 func (u *upstream) ahead(load engine.Load, s admission.Standing, e *contract.Engine) engine.Load {
 	load.Overtaken = s.Overtaken
-	queued := min(load.Decoding+load.Prefilling-e.Slots, load.Prefilling)
-	if queued <= 0 || e.Slots == 0 {
-		return load
-	}
-	others := s.Overtakes * float64(load.Prefilling-u.reading)
-	requests, tokens := others, others*float64(e.UsualPrompt)
+	requests := s.Overtakes * float64(load.Prefilling-u.reading)
+	tokens := requests * float64(e.UsualPrompt)
 	for _, r := range u.pending {
 		if r.rank > s.Rank {
 			requests++
 			tokens += float64(r.prompt)
 		}
 	}
-	waiting := float64(queued) / float64(load.Prefilling)
-	load.Prefilling -= int(math.Round(requests * waiting))
-	load.PrefillTokens -= int(math.Round(tokens * waiting))
-	return load
-}
-
-// isFull reports whether a request waits for a slot at a load.
-func isFull(e *contract.Engine, load engine.Load) bool {
-	return e.Slots > 0 && load.Decoding+load.Prefilling >= e.Slots
+	return load.WithoutOvertaken(e, requests, tokens)
 }
 
 // lagAverage is the decaying average delay of first events beyond their prediction, as of at.
--- a/forward/choose.go
+++ b/forward/choose.go
@@ -157,7 +157,7 @@
 		return false
 	}
 	e.predictAhead(c, want, now)
-	late := up.lagOf(c.rank, now) + overdueFactor*up.oldestOverdue(c.rank, isFull(want.service.Engine, c.load), now) + up.rtt.delay(now)
+	late := up.lagOf(c.rank, now) + overdueFactor*up.oldestOverdue(c.rank, c.load.IsFull(want.service.Engine), now) + up.rtt.delay(now)
 	c.first = engine.TimeToFirstEvent(want.service.Engine, c.ahead, want.promptTokens) + late
 	c.closesIn = up.closesIn(now)
 	if e.missesVersionDeadline(up, want.model, *c, now) || c.closesIn < want.minOpen {
@@ -180,7 +180,7 @@
 		standing.Rank = 0
 	}
 	c.rank, c.ahead = standing.Rank, c.upstream.ahead(c.load, standing, want.service.Engine)
-	if isFull(want.service.Engine, c.load) {
+	if c.load.IsFull(want.service.Engine) {
 		c.overtakes = standing.Overtakes
 	}
 }
--- a/lab/shortage/engine.go
+++ b/lab/shortage/engine.go
@@ -1,6 +1,7 @@
 package shortage
 
 import (
+	"slices"
 	"time"
 
 	"github.com/coralstair/coralstair/contract"
@@ -9,12 +10,15 @@
 
 // attempt is one admitted request at a server, with the tokens still to read and to write.
 type attempt struct {
-	caller        *caller
+	caller *caller
+	// rank is the rank at which the server lets it in.
+	rank          int
+	server        int
 	prefillTokens int
 	answerTokens  int
 }
 
-// server simulates an engine with batched passes: each reads a bounded number of prompt tokens, then decodes tokens for the others.
+// server simulates an engine with batched passes, which lets the more urgent in first: each reads a bounded number of prompt tokens, then decodes tokens for the others.
 type server struct {
 	engine  *contract.Engine
 	waiting []*attempt
@@ -46,8 +50,14 @@
 // startPass starts a pass and returns its duration and the attempts whose first event comes at its end.
 func (s *server) startPass() (duration time.Duration, first []*attempt) {
 	for len(s.slots) < s.engine.Slots && len(s.waiting) > 0 {
-		s.slots = append(s.slots, s.waiting[0])
-		s.waiting = s.waiting[1:]
+		next := 0
+		for i, a := range s.waiting {
+			if a.rank < s.waiting[next].rank {
+				next = i
+			}
+		}
+		s.slots = append(s.slots, s.waiting[next])
+		s.waiting = slices.Delete(s.waiting, next, next+1)
 	}
 	budget, read, decoding := s.engine.Chunk, 0, 0
 	for _, a := range s.slots {
--- a/lab/shortage/params.go
+++ b/lab/shortage/params.go
@@ -42,6 +42,24 @@
 	return p
 }
 
+// RankedParams returns a simulation of kinds of different ranks at servers near their capacity; the least urgent kind's rate is multiplied
+// by burst from second 4 to 9.
+func RankedParams(seed uint64, entries int, burst float64) Params {
+	engine := *defaultEngine
+	engine.Slots, engine.Stride, engine.Step, engine.PerContext, engine.ReadRate = 12, 5, 9300*time.Microsecond, 32*time.Microsecond, 20_000
+	p := Params{Engine: &engine, Servers: 30, Entries: entries, Duration: 14 * time.Second, Seed: seed, BurstFactor: 1}
+	p.BurstStart, p.BurstEnd = 4*time.Second, 9*time.Second
+	p.Kinds = []Kind{
+		{Name: "urgent", Goal: 400 * time.Millisecond, Value: 3.2, LateShare: 0.32, Prompt: 900, Answer: 115, Rate: 105},
+		{Name: "middle", Rank: 1, Goal: 400 * time.Millisecond, Value: 1.3, LateShare: 0.31, Prompt: 700, Answer: 90, Rate: 58},
+		{Name: "least", Rank: 2, Goal: time.Second, Value: 1, LateShare: 0.38, Prompt: 1100, Answer: 115, Rate: 83, Burst: burst},
+	}
+	for i := range p.Kinds {
+		p.Kinds[i].Timeout = defaultTimeout
+	}
+	return p
+}
+
 // Mean holds the mean results of a strategy over several seeds.
 type Mean struct {
 	Strategy string
--- a/lab/shortage/simulation.go
+++ b/lab/shortage/simulation.go
@@ -1,8 +1,10 @@
 package shortage
 
 import (
+	"cmp"
 	"container/heap"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/coralstair/coralstair/contract"
@@ -18,6 +20,10 @@
 	Prompt, Answer int
 	// Rate is in requests per second.
 	Rate float64
+	// Rank is 0 for the most urgent kind. LateShare is the fraction of the value of a late answer, lateValue if 0. Burst is the kind's factor
+	// in the burst; if 0 that of all.
+	Rank             int
+	LateShare, Burst float64
 }
 
 // Params configure a simulation.
@@ -107,9 +113,11 @@
 	count      int
 	servers    []*server
 	strategies []Strategy
-	// reported is the load last reported by each server, sent the load added since by each entry.
+	// reported is the load last reported by each server, sent the load added since by each entry, pending its attempts without a first
+	// event.
 	reported []engine.Load
 	sent     [][]engine.Load
+	pending  [][][]*attempt
 	tally    map[string]*Tally
 }
 
@@ -121,6 +129,7 @@
 	}
 	for range params.Entries {
 		sim.strategies = append(sim.strategies, newStrategy())
+		sim.pending = append(sim.pending, make([][]*attempt, params.Servers))
 	}
 	sim.reportLoads()
 	for i := range params.Kinds {
@@ -149,7 +158,7 @@
 func (sim *simulation) arrive(kind *Kind, r *rand.Rand) {
 	rate := kind.Rate
 	if sim.now >= sim.params.BurstStart && sim.now < sim.params.BurstEnd {
-		rate *= sim.params.BurstFactor
+		rate *= cmp.Or(kind.Burst, sim.params.BurstFactor)
 	}
 	size := min(r.ExpFloat64(), maxSize)
 	c := &caller{
@@ -189,7 +198,7 @@
 		loads[i] = load
 	}
 	strategy := sim.strategies[c.entry]
-	target := strategy.choose(sim.params.Engine, loads, c.prompt)
+	target := strategy.choose(sim.params.Engine, view{loads: loads, pending: sim.pending[c.entry]}, c)
 	if !strategy.admit(sim.params.Engine, c, target, sim.now) {
 		sim.scheduleRetry(c)
 		return
@@ -198,7 +207,9 @@
 	sent.Prefilling++
 	sent.PrefillTokens += c.prompt
 	s := sim.servers[target.server]
-	s.waiting = append(s.waiting, &attempt{caller: c, prefillTokens: c.prompt, answerTokens: c.answer})
+	a := &attempt{caller: c, rank: target.rank, server: target.server, prefillTokens: c.prompt, answerTokens: c.answer}
+	s.waiting = append(s.waiting, a)
+	sim.pending[c.entry][target.server] = append(sim.pending[c.entry][target.server], a)
 	if !s.working {
 		sim.runPasses(s)
 	}
@@ -235,12 +246,14 @@
 
 // recordFirstEvent counts a first event as in time or late.
 func (sim *simulation) recordFirstEvent(a *attempt) {
+	pending := &sim.pending[a.caller.entry][a.server]
+	*pending = slices.DeleteFunc(*pending, func(other *attempt) bool { return other == a })
 	t := sim.tally[a.caller.kind.Name]
 	if took := sim.now - a.caller.firstTry; took <= a.caller.kind.Goal {
 		t.InTime++
 		t.value += a.caller.kind.Value
 	} else if took < a.caller.timeout {
 		t.Late++
-		t.value += lateValue * a.caller.kind.Value
+		t.value += cmp.Or(a.caller.kind.LateShare, lateValue) * a.caller.kind.Value
 	}
 }
--- a/lab/shortage/spread.go
+++ b/lab/shortage/spread.go
@@ -17,19 +17,27 @@
 	window time.Duration
 }
 
-func newSpreadChoice(window time.Duration) Strategy {
+func newSpreadChoice(window time.Duration) *spreadChoice {
 	return &spreadChoice{rng: rand.New(rand.NewPCG(1, 1)), window: window}
 }
 
-func (s *spreadChoice) choose(e *contract.Engine, loads []engine.Load, prompt int) placement {
+func (s *spreadChoice) choose(e *contract.Engine, v view, c *caller) placement {
+	return s.chooseAhead(e, v.loads, v.loads, c, 0)
+}
+
+// chooseAhead chooses by the loads that go before the request at each server; it overtakes a fraction of those not yet reported.
+func (s *spreadChoice) chooseAhead(e *contract.Engine, loads, ahead []engine.Load, c *caller, overtakes float64) placement {
 	costs, total := make([]time.Duration, len(loads)), 0
 	for i, load := range loads {
-		costs[i] = engine.TimeToFirstEvent(e, load, prompt)
+		costs[i] = engine.TimeToFirstEvent(e, ahead[i], c.prompt)
 		total += load.Decoding + load.Prefilling
 	}
 	slotTime := engine.SlotTime(e, engine.Load{Decoding: total / len(loads)}).Seconds()
 	sentWithin := func(window time.Duration) float64 { return 1 + float64(total)*window.Seconds()/slotTime }
 	requestCost := engine.PrefillTime(e, e.UsualPrompt, 1) + engine.StepTime(e, e.Slots/2)
 	index, others := balance.Pick(costs, balance.InFlight{Unreported: sentWithin(reportInterval / 2), Window: sentWithin(reportInterval/2 + s.window)}, requestCost, s.rng.Float64())
-	return placement{server: index, load: loads[index], timeToFirst: costs[index] + time.Duration(others/2*float64(requestCost))}
+	if !loads[index].IsFull(e) {
+		overtakes = 0
+	}
+	return placement{server: index, load: ahead[index], timeToFirst: costs[index] + time.Duration(others/2*float64(requestCost)*(1-overtakes))}
 }
--- a/lab/shortage/strategy.go
+++ b/lab/shortage/strategy.go
@@ -14,6 +14,14 @@
 	server      int
 	load        engine.Load
 	timeToFirst time.Duration
+	// rank is the rank at which the server lets the request in.
+	rank int
+}
+
+// view is what an entry knows of the servers: their estimated loads, and its own attempts there without a first event.
+type view struct {
+	loads   []engine.Load
+	pending [][]*attempt
 }
 
 // queueDelay returns the time to the first event without the prefill time of the request itself.
@@ -23,7 +31,7 @@
 
 // Strategy chooses a server for a request and decides on its admission; each entry has its own instance.
 type Strategy interface {
-	choose(e *contract.Engine, loads []engine.Load, prompt int) placement
+	choose(e *contract.Engine, v view, c *caller) placement
 	admit(e *contract.Engine, c *caller, p placement, now time.Duration) bool
 }
 
@@ -38,6 +46,7 @@
 	"longest wait":    func() Strategy { return &longestWait{} },
 	"spread":          func() Strategy { return newSpreadChoice(0) },
 	"spread wider":    func() Strategy { return newSpreadChoice(extraWindow) },
+	"ranks":           func() Strategy { return &ranked{spreadChoice: *newSpreadChoice(extraWindow)} },
 }
 
 // leastInFlight chooses the server with the fewest requests and admits until its queue is full.
@@ -46,14 +55,14 @@
 // queueLimit is the number of requests queued at a server beyond its slots.
 const queueLimit = 32
 
-func (leastInFlight) choose(_ *contract.Engine, loads []engine.Load, _ int) placement {
+func (leastInFlight) choose(_ *contract.Engine, v view, _ *caller) placement {
 	best, fewest := 0, math.MaxInt
-	for i, load := range loads {
+	for i, load := range v.loads {
 		if n := load.Decoding + load.Prefilling; n < fewest {
 			best, fewest = i, n
 		}
 	}
-	return placement{server: best, load: loads[best]}
+	return placement{server: best, load: v.loads[best]}
 }
 
 func (leastInFlight) admit(e *contract.Engine, _ *caller, p placement, _ time.Duration) bool {
@@ -66,10 +75,10 @@
 // goalShare is the fraction of the goal that the queue delay may use.
 const goalShare = 0.8
 
-func (goalBased) choose(e *contract.Engine, loads []engine.Load, prompt int) placement {
+func (goalBased) choose(e *contract.Engine, v view, c *caller) placement {
 	best := placement{timeToFirst: math.MaxInt64}
-	for i, load := range loads {
-		if first := engine.TimeToFirstEvent(e, load, prompt); first < best.timeToFirst {
+	for i, load := range v.loads {
+		if first := engine.TimeToFirstEvent(e, load, c.prompt); first < best.timeToFirst {
 			best = placement{server: i, load: load, timeToFirst: first}
 		}
 	}
