admission: refusals count for room for a quarter of a second

Change: latest first tries are counted with a half-life of 250 ms, and 5 in 100 refused leave the more urgent all room.

--- a/admission/ranks.go
+++ b/admission/ranks.go
@@ -10,6 +10,12 @@
 	rankCount = 10
 	// shareHalfLife is the half-life of the counts by rank: about as long as a request stays at a server, whose queue they estimate.
 	shareHalfLife = 2 * time.Second
+	// refusalHalfLife is the half-life of the counts by which less urgent ranks leave room. Requests wait about that long for a slot: older
+	// refusals say nothing of the slots there are now.
+	refusalHalfLife = 250 * time.Millisecond
+	// roomShare is the fraction of the more urgent first tries refused from which a rank leaves them all room. Callers bear that
+	// a more urgent kind is served less often than a less urgent one by as much.
+	roomShare = 0.05
 	// assumedRequests is how many requests that go before any other are assumed beside those counted, so that a few say little.
 	assumedRequests = 4
 	// forgotten is the count below which one is taken as zero.
@@ -35,6 +41,8 @@
 type rankCounts struct {
 	// firstTries and firstAdmitted count first tries, admitted also retries.
 	firstTries, firstAdmitted, admitted float64
+	// latestTries and latestAdmitted count first tries over a shorter time.
+	latestTries, latestAdmitted float64
 }
 
 // ranks count requests by rank; only requests of the same service are compared.
@@ -52,15 +60,21 @@
 // advance decays the counts to a time.
 func (r *ranks) advance(now time.Time) {
 	if passed := now.Sub(r.at); passed > 0 {
-		factor := math.Exp2(-passed.Seconds() / shareHalfLife.Seconds())
+		factor, latest := decay(passed, shareHalfLife), decay(passed, refusalHalfLife)
 		for i := range r.counts {
 			c := &r.counts[i]
 			c.firstTries, c.firstAdmitted, c.admitted = decayed(c.firstTries, factor), decayed(c.firstAdmitted, factor), decayed(c.admitted, factor)
+			c.latestTries, c.latestAdmitted = decayed(c.latestTries, latest), decayed(c.latestAdmitted, latest)
 		}
 		r.at = now
 	}
 }
 
+// decay returns the factor by which counts with a half-life decay in a time.
+func decay(passed, halfLife time.Duration) float64 {
+	return math.Exp2(-passed.Seconds() / halfLife.Seconds())
+}
+
 func decayed(count, factor float64) float64 {
 	if count *= factor; count >= forgotten {
 		return count
@@ -78,8 +92,10 @@
 		return
 	}
 	c.firstTries++
+	c.latestTries++
 	if admitted {
 		c.firstAdmitted++
+		c.latestAdmitted++
 	}
 }
 
@@ -99,14 +115,14 @@
 
 // leave returns the fraction of the usual delay at which a request served at a rank is admitted: less, the more first tries of more urgent
 // ranks are refused, as nothing that has a slot gives it up to them.
-// At saturatedPressure it is admitted only where it waits for nothing; below, its share follows how well the more urgent are served.
+// From roomShare on it is admitted only where it waits for nothing; below, the bound falls linearly, so that no wave starts.
 func (r *ranks) leave(rank int) float64 {
 	tries, admitted := float64(assumedRequests), float64(assumedRequests)
 	for _, c := range r.counts[:rank] {
-		tries += c.firstTries
-		admitted += c.firstAdmitted
+		tries += c.latestTries
+		admitted += c.latestAdmitted
 	}
-	return 1 - min(1, (tries-admitted)/tries/saturatedPressure)
+	return 1 - min(1, (tries-admitted)/tries/roomShare)
 }
 
 // standing returns how a request of a rank stands.
--- a/lab/shortage/ranked_test.go
+++ b/lab/shortage/ranked_test.go
@@ -1,6 +1,9 @@
 package shortage
 
-import "testing"
+import (
+	"testing"
+	"time"
+)
 
 const (
 	// leastKindShare is the fraction of what all callers get that no kind may fall below.
@@ -96,3 +99,27 @@
 		}
 	}
 }
+
+// TestRanksAfterAShortageOfAll checks that refusals of the most urgent in a shortage of all kinds are forgotten once there is room again.
+func TestRanksAfterAShortageOfAll(t *testing.T) {
+	for name, entries := range map[string]int{"few entries": 3, "many entries": 22} {
+		t.Run(name, func(t *testing.T) {
+			params := func(seed uint64) Params {
+				p := RankedParams(seed, entries, 0)
+				p.BurstFactor, p.BurstEnd = 6, p.BurstStart+2*time.Second
+				for i := range p.Kinds {
+					p.Kinds[i].Rate *= 0.8
+				}
+				return p
+			}
+			before, after := runs("spread wider", params), runs("ranks", params)
+			for _, kind := range []string{"urgent", "middle", "least", ""} {
+				b, a := before[kind], after[kind]
+				t.Logf("%-8s %.3f (without ranks %.3f), refused %.2f (%.2f)", kind, a.ValueRatio(), b.ValueRatio(), a.share(a.Refused), b.share(b.Refused))
+			}
+			if after[""].ValueRatio() < before[""].ValueRatio() {
+				t.Error("all earn less than without ranks")
+			}
+		})
+	}
+}
