allowance: one package for shares of what all entries may use

Cause: the number of entries that share a budget or a limit, the counts of a window and what a new run may use stood in retry.Budget; servers' limits and cold rates borrowed the number from there, and shares of teams need the same.

Change: package allowance (no I/O, time as an argument): Window, Counts, Sharers (most of the window, DefaultEntries until known, InDoubt), Allowance.Part (what one entry may use, less in the first window of a run), Fraction (of a server's limit), Told (what other entries told, with its age). retry and forward/pushback.go use it. Told is not used yet.

--- a/forward/pushback.go
+++ b/forward/pushback.go
@@ -7,11 +7,11 @@
 
 	"github.com/apex/log"
 
+	"github.com/coralstair/coralstair/allowance"
 	"github.com/coralstair/coralstair/clock"
 	"github.com/coralstair/coralstair/contract"
 	"github.com/coralstair/coralstair/link"
 	"github.com/coralstair/coralstair/pushback"
-	"github.com/coralstair/coralstair/retry"
 )
 
 // Response headers carry a server's pushback immediately; its list entry and its box's reports follow later or leave
@@ -79,7 +79,7 @@
 // limitShare returns this entry's fraction of the server's limit; 0 outside its subset, so that other entries can use
 // all of it. mu is held.
 func (u *upstream) limitShare(entries int) float64 {
-	return min(u.weight/float64(max(entries, 1)), 1)
+	return allowance.Fraction(u.weight, entries)
 }
 
 // limitSharers returns the number of entries that share a server's limit, the most of the last window: what those that are
@@ -87,7 +87,7 @@
 func (e *Entry) limitSharers() int {
 	entries := e.budget.MostEntries(clock.Now())
 	if clock.Since(e.startedAt) < entryCountDelay {
-		return max(entries, retry.DefaultEntries)
+		return allowance.InDoubt(entries)
 	}
 	return entries
 }
