admission: less urgent requests get in where they wait for nothing; metrics and log fields by rank

Cause: with all room left to others the bound was zero, which not even an idle server meets.

Change: Request.NoWait, the delay at a server with a free slot and no prompt to read, is the least bound. coralstair_admission_total{rank,outcome}; rank and ahead on the line request where ranks differ.

Test: TestLessUrgentLeaveRoom, cases with a free slot.

--- a/admission/policy.go
+++ b/admission/policy.go
@@ -31,6 +31,8 @@
 	Goal  time.Duration
 	// Rank is the request's rank among those for the service, 0 the most urgent; 0 where ranks don't differ.
 	Rank int
+	// NoWait is the queueing delay at a server that lets the request in at once.
+	NoWait time.Duration
 }
 
 // Policy admits the requests of one service. The zero value is ready to use and safe for concurrent use.
@@ -107,7 +109,7 @@
 
 // maxDelay returns the longest queueing delay at which a request is admitted. It uses the tightest goal of all active routes
 // as urgent or more, so that a route with a tighter goal is not refused more often than the others. Less urgent requests are overtaken:
-// their goals limit none. mu is held.
+// their goals limit none. A rank that leaves all room to others is admitted where it waits for nothing. mu is held.
 func (p *Policy) maxDelay(req Request, share float64) time.Duration {
 	tightest, served := req.Goal, p.ranks.served(req.Rank)
 	for key, state := range p.routes {
@@ -115,5 +117,6 @@
 			tightest = min(tightest, state.goal)
 		}
 	}
-	return time.Duration(share * p.ranks.leave(served) * float64(tightest))
+	longest := time.Duration(share * float64(tightest))
+	return min(longest, req.NoWait+time.Duration(p.ranks.leave(served)*float64(longest-req.NoWait)))
 }
--- a/admission/ranks.go
+++ b/admission/ranks.go
@@ -113,9 +113,8 @@
 	return index(rank)
 }
 
-// leave returns the fraction of the usual delay at which a request served at a rank is admitted: less, the more first tries of more urgent
-// ranks are refused, as nothing that has a slot gives it up to them.
-// From roomShare on it is admitted only where it waits for nothing; below, the bound falls linearly, so that no wave starts.
+// leave returns the fraction of the usual wait at which a request served at a rank is admitted: less, the more first tries of more urgent
+// ranks are refused, as nothing that has a slot gives it up to them. It falls linearly, so that no wave starts.
 func (r *ranks) leave(rank int) float64 {
 	tries, admitted := float64(assumedRequests), float64(assumedRequests)
 	for _, c := range r.counts[:rank] {
--- a/admission/ranks_test.go
+++ b/admission/ranks_test.go
@@ -71,7 +71,7 @@
 					now = now.Add(time.Minute)
 				}
 				route := r.IntN(test.routes)
-				req := Request{Route: string(rune('a' + route)), Goal: ms(100 + 150*(route%7)), Rank: test.rank}
+				req := Request{Route: string(rune('a' + route)), Goal: ms(100 + 150*(route%7)), Rank: test.rank, NoWait: ms(r.IntN(700))}
 				p.Record(req, now)
 				plain.record(req, now)
 				since, delay := time.Duration(r.IntN(3)/2)*ms(900), time.Duration(r.Int64N(int64(test.maxDelay)+1))
@@ -142,6 +142,9 @@
 		"a few of the most urgent, short wait":   {quote, 4, dossier, ms(180), true},
 		"many of the most urgent":                {quote, 40, dossier, ms(10), false},
 		"many of the most urgent, no wait":       {quote, 40, dossier, 0, true},
+		"many of the most urgent, free slot":     {quote, 40, Request{Route: "dossier", Goal: ms(1000), Rank: 2, NoWait: ms(90)}, ms(90), true},
+		"many of the most urgent, short wait":    {quote, 40, Request{Route: "dossier", Goal: ms(1000), Rank: 2, NoWait: ms(90)}, ms(100), false},
+		"free slot that is too slow":             {quote, 40, Request{Route: "dossier", Goal: ms(1000), Rank: 2, NoWait: ms(900)}, ms(400), false},
 		"many of the most urgent, between":       {quote, 40, answer, ms(10), false},
 		"many between, most urgent":              {answer, 20, quote, ms(310), true},
 		"many of the least urgent, most urgent":  {dossier, 20, quote, ms(310), true},
--- a/engine/model.go
+++ b/engine/model.go
@@ -79,6 +79,11 @@
 	return e.Slots > 0 && l.Decoding+l.Prefilling >= e.Slots
 }
 
+// NoWait returns the time to the first event at an engine with one free slot and no prompt to prefill, without the request's own prompt.
+func NoWait(e *contract.Engine) time.Duration {
+	return TimeToFirstEvent(e, Load{Decoding: max(e.Slots-1, 0)}, 1)
+}
+
 // wait returns the time until a slot is free for one more request. Those that overtake it take their share of the slots that become free.
 func wait(e *contract.Engine, load Load) time.Duration {
 	excess := load.Decoding + load.Prefilling + 1 - e.Slots
--- a/forward/call.go
+++ b/forward/call.go
@@ -277,14 +277,16 @@
 		return true
 	}
 	own := engine.TimeToFirstEvent(c.service.Engine, ch.ahead, c.info.PromptTokens) - engine.TimeToFirstEvent(c.service.Engine, ch.ahead, 1)
-	return c.entry.admission.Of(c.pool()).Admit(c.admissionRequest(), c.sinceFirst, ch.first-own)
+	admitted := c.entry.admission.Of(c.pool()).Admit(c.admissionRequest(), c.sinceFirst, ch.first-own)
+	admissions(c.rank, admitted).Inc()
+	return admitted
 }
 
 // admissionRequest describes the request to admission control.
 func (c *call) admissionRequest() admission.Request {
 	req := admission.Request{Route: c.route.Name, Goal: c.route.Goal}
 	if c.ranked {
-		req.Rank = c.rank
+		req.Rank, req.NoWait = c.rank, engine.NoWait(c.service.Engine)
 	}
 	return req
 }
--- a/forward/metrics.go
+++ b/forward/metrics.go
@@ -1,6 +1,10 @@
 package forward
 
-import "github.com/VictoriaMetrics/metrics"
+import (
+	"strconv"
+
+	"github.com/VictoriaMetrics/metrics"
+)
 
 var (
 	heldRefused  = metrics.NewCounter("coralstair_held_bytes_refused_total")
@@ -18,6 +22,15 @@
 	metrics.GetOrCreateCounter(`coralstair_direct_requests_total{route="` + route + `",outcome="` + outcome + `"}`).Inc()
 }
 
+// admissions counts decisions on requests that came to a model server's admission, by rank.
+func admissions(rank int, admitted bool) *metrics.Counter {
+	outcome := "refused"
+	if admitted {
+		outcome = "admitted"
+	}
+	return metrics.GetOrCreateCounter(`coralstair_admission_total{rank="` + strconv.Itoa(rank) + `",outcome="` + outcome + `"}`)
+}
+
 // handovers counts attempts started beside another one, by whether they took the request over.
 func handovers(result string) *metrics.Counter {
 	return metrics.GetOrCreateCounter(`coralstair_handovers_total{result="` + result + `"}`)
--- a/forward/outcome.go
+++ b/forward/outcome.go
@@ -85,6 +85,9 @@
 		"writing": c.lastChoice.load.Decoding, "reading": c.lastChoice.load.Prefilling, "attempts": c.sends + c.refusalCount, "waited_ms": c.sinceFirst.Milliseconds(),
 		"goal_ms": c.route.Goal.Milliseconds(), "report_ms": c.lastChoice.reportAge.Milliseconds(),
 	}
+	if c.ranked {
+		fields["rank"], fields["ahead"] = c.rank, c.lastChoice.ahead.Prefilling
+	}
 	if cause != nil {
 		fields["cause"] = cause.Error()
 	}
--- a/lab/shortage/ranked.go
+++ b/lab/shortage/ranked.go
@@ -11,12 +11,12 @@
 // ranked chooses and admits by what goes before a request of its rank, as entries do where ranks differ.
 type ranked struct{ spreadChoice }
 
-func (s *ranked) request(c *caller) admission.Request {
-	return admission.Request{Route: c.kind.Name, Goal: c.kind.Goal, Rank: c.kind.Rank}
+func (s *ranked) request(e *contract.Engine, c *caller) admission.Request {
+	return admission.Request{Route: c.kind.Name, Goal: c.kind.Goal, Rank: c.kind.Rank, NoWait: engine.NoWait(e)}
 }
 
 func (s *ranked) choose(e *contract.Engine, v view, c *caller) placement {
-	standing := s.policy.Standing(s.request(c))
+	standing := s.policy.Standing(s.request(e, c))
 	ahead := make([]engine.Load, len(v.loads))
 	for i, load := range v.loads {
 		load.Overtaken = standing.Overtaken
@@ -36,7 +36,7 @@
 }
 
 func (s *ranked) admit(e *contract.Engine, c *caller, p placement, now time.Duration) bool {
-	request, waited := s.request(c), time.Duration(0)
+	request, waited := s.request(e, c), time.Duration(0)
 	if c.retried {
 		waited = now - c.firstTry
 	}
