admission: what waits at servers is taken to be made up like the entry's own requests that wait

Cause: an urgent request was believed to overtake as much of what waits as was admitted of less urgent requests. Those wait longer, so most of what waits is theirs: urgent requests were refused for waits that they would not have.

Change: a mean of the entry's own requests without a first event at full servers, by rank, beside the share admitted. Test: TestWhatWaitsIsMostlyLessUrgent (new function; its second case gives 0.66 without it).

--- a/admission/policy.go
+++ b/admission/policy.go
@@ -95,6 +95,13 @@
 	return p.ranks.standing(req.Rank)
 }
 
+// ObserveWaiting records how many requests of this entry wait at full servers.
+func (p *Policy) ObserveWaiting(waiting Waiting) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.ranks.observe(waiting)
+}
+
 // Pressure returns the recent fraction of first tries that were refused, 0 to 1.
 func (p *Policy) Pressure() float64 {
 	p.mu.Lock()
--- a/admission/ranks.go
+++ b/admission/ranks.go
@@ -18,6 +18,8 @@
 	roomShare = 0.05
 	// assumedRequests is how many requests that go before any other are assumed beside those counted, so that a few say little.
 	assumedRequests = 4
+	// waitingSmoothing is the weight of the latest count in the mean of this entry's requests that wait, by rank.
+	waitingSmoothing = 0.1
 	// forgotten is the count below which one is taken as zero.
 	forgotten = 0.01
 	// leastShare is the share of first tries admitted, as a fraction of that of all ranks, below which a rank is served as the most urgent.
@@ -52,8 +54,16 @@
 type ranks struct {
 	counts [rankCount]rankCounts
 	at     time.Time
+	// waiting is the mean number of this entry's requests that wait at full servers, by rank.
+	waiting Waiting
 }
 
+// Waiting is the number of requests of one entry that wait at full servers, by rank.
+type Waiting [rankCount]float64
+
+// Add counts a waiting request of a rank.
+func (w *Waiting) Add(rank int) { w[index(rank)]++ }
+
 // index returns the index of a rank.
 func index(rank int) int { return min(max(rank, 0), rankCount-1) }
 
@@ -82,6 +92,27 @@
 	return 0
 }
 
+// observe updates the mean numbers of waiting requests.
+func (r *ranks) observe(waiting Waiting) {
+	for i, n := range waiting {
+		r.waiting[i] += waitingSmoothing * (n - r.waiting[i])
+	}
+}
+
+// overtakes returns the fraction of waiting requests of other entries that one of a rank overtakes, given the fraction of those admitted
+// that are less urgent. The less urgent wait longer, so what waits is not made up like what was admitted: the entry's own requests that
+// wait stand for the others', and one more that is made up like those admitted, as few may say little.
+func (r *ranks) overtakes(rank int, ofAdmitted float64) float64 {
+	less, all := ofAdmitted, 1.0
+	for i, n := range r.waiting {
+		all += n
+		if i > rank {
+			less += n
+		}
+	}
+	return less / all
+}
+
 // count counts a request of a rank and whether it was admitted.
 func (r *ranks) count(rank int, firstTry, admitted bool) {
 	c := &r.counts[index(rank)]
@@ -137,6 +168,6 @@
 			more += c.admitted
 		}
 	}
-	s.Overtakes, s.Overtaken = less/all, more/all
+	s.Overtakes, s.Overtaken = r.overtakes(s.Rank, less/all), more/all
 	return s
 }
--- a/admission/ranks_test.go
+++ b/admission/ranks_test.go
@@ -252,3 +252,29 @@
 		t.Errorf("%d refused in a row", longest)
 	}
 }
+
+// TestWhatWaitsIsMostlyLessUrgent checks that an urgent request overtakes what waits by the make-up of the entry's own requests that wait.
+func TestWhatWaitsIsMostlyLessUrgent(t *testing.T) {
+	for name, test := range map[string]struct {
+		waiting     Waiting
+		req         Request
+		least, most float64
+	}{
+		"none wait: as admitted":       {Waiting{}, quote, 0.6, 0.7},
+		"the least urgent wait":        {Waiting{2: 12}, quote, 0.95, 1},
+		"the least urgent can't":       {Waiting{2: 12}, dossier, 0, 0},
+		"between":                      {Waiting{0: 6, 2: 6}, answer, 0.4, 0.6},
+		"the most urgent wait as well": {Waiting{0: 12}, quote, 0, 0.1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var p Policy
+			admitAll(&p, 100, start, quote, answer, dossier)
+			for range 50 {
+				p.ObserveWaiting(test.waiting)
+			}
+			if got := p.Standing(test.req).Overtakes; got < test.least || got > test.most {
+				t.Errorf("overtakes %.2f of what waits, want %.2f to %.2f", got, test.least, test.most)
+			}
+		})
+	}
+}
--- a/forward/call.go
+++ b/forward/call.go
@@ -260,12 +260,14 @@
 
 // requirements returns what a server must satisfy to take the request; mu is held.
 func (c *call) requirements() requirements {
+	var policy *admission.Policy
 	if c.ranked {
-		c.standing = c.entry.admission.Of(c.pool()).Standing(c.admissionRequest())
+		policy = c.entry.admission.Of(c.pool())
+		c.standing = policy.Standing(c.admissionRequest())
 	}
 	return requirements{
 		service: c.service, model: c.model(), promptTokens: c.info.PromptTokens, answerTokens: c.info.answerTokens(), excluded: c.excluded,
-		homes: c.homes, standing: c.standing,
+		homes: c.homes, standing: c.standing, policy: policy,
 		urgent: c.urgent, movable: c.route.Repeatable() && c.sends+1 < c.route.Attempts,
 	}
 }
--- a/forward/choose.go
+++ b/forward/choose.go
@@ -45,8 +45,9 @@
 	movable bool
 	// minOpen is the minimum time until the server closes to load another version.
 	minOpen time.Duration
-	// standing is how the request stands among those that wait at a server.
+	// standing is how the request stands among those that wait at a server; policy, if any, learns of those that wait.
 	standing admission.Standing
+	policy   *admission.Policy
 	excluded map[string]bool
 	// homes are the regions that may serve the request.
 	homes contract.Homes
@@ -97,7 +98,7 @@
 	var counts requestCounts
 	for _, up := range ups {
 		c, until, fits := e.evaluate(up, want, now)
-		counts.add(up, now)
+		counts.add(up, want.service.Engine, now)
 		switch {
 		case !fits:
 		case now.Before(until):
@@ -106,6 +107,9 @@
 			usable = append(usable, c)
 		}
 	}
+	if want.policy != nil {
+		want.policy.ObserveWaiting(counts.waiting)
+	}
 	if len(ejected) > len(usable) {
 		usable = append(usable, ejected...)
 	}
--- a/forward/pick.go
+++ b/forward/pick.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/coralstair/coralstair/admission"
 	"github.com/coralstair/coralstair/balance"
 	"github.com/coralstair/coralstair/contract"
 	"github.com/coralstair/coralstair/engine"
@@ -22,10 +23,14 @@
 )
 
 // requestCounts are the requests at a service's servers: this entry's own and the other entries'.
-type requestCounts struct{ servers, own, others int }
+type requestCounts struct {
+	servers, own, others int
+	// waiting are this entry's requests without a first event at full servers.
+	waiting admission.Waiting
+}
 
 // add counts the requests at a server.
-func (s *requestCounts) add(up *upstream, now time.Time) {
+func (s *requestCounts) add(up *upstream, e *contract.Engine, now time.Time) {
 	up.mu.Lock()
 	defer up.mu.Unlock()
 	s.servers++
@@ -33,6 +38,12 @@
 	if now.Sub(up.reportAt) < reportTTL {
 		s.others += up.othersWriting + up.othersReading
 	}
+	if e == nil || len(up.pending) == 0 || !up.load(e, now).IsFull(e) {
+		return
+	}
+	for _, r := range up.pending {
+		s.waiting.Add(r.rank)
+	}
 }
 
 // estimateInFlight estimates how many requests all entries send before a report shows them, the current one included,
