swarm: stand-ins follow at the origin's pace once a draw's schedule has ended

Their downloaders' boxes were killed and restarted; a restarted box's schedule began anew, so that its slots came 1.8 s late, and stand-ins waited the mean lag and 300 ms a rank. Ruled out: shorter waits during the schedule (the link is full; more copies delay all). Change: boxes whose links ended are passed over in the ranks; a box that begins late takes the schedule's start from what others hold; after the schedule's end ranks follow by the link's time for the unheld pieces, at least the time of an announcement. In virtual time (TestStandInsFollowAtThePaceOfTheOrigin, a downloader that ends in mid-schedule, 20 and 76 boxes): the last piece came up to 712 ms after the end where links break and up to 756 ms where nothing shows; now at most 78 ms and 260 ms (test bounds). TestFeedSpreads: same downloads as before undisturbed.

--- a/swarm/feed.go
+++ b/swarm/feed.go
@@ -14,6 +14,8 @@
 	have    []bool
 	missing int
 	peers   map[string]*feedPeer
+	// gone are the boxes whose links ended and were not opened again.
+	gone map[string]bool
 	// requests are the pieces requested from peers, downloading those being downloaded from the origin.
 	requests    map[int]pieceRequest
 	downloading map[int]bool
@@ -38,15 +40,17 @@
 	lastReceived time.Time
 	// meanLatency is the mean time from a request to its piece, without the wait at the sender.
 	meanLatency time.Duration
-	started     time.Time
-	salt        uint64
+	// started is when the schedule began; beganLate says that it began before this box took part.
+	started   time.Time
+	beganLate bool
+	salt      uint64
 }
 
 // NewFeed returns a feed for a box that already holds the pieces in have.
 func NewFeed(params FeedParams, self Member, order *Order, have []int, now time.Time) *Feed {
 	f := &Feed{
 		params: params.withDefaults(), self: self, have: make([]bool, order.chunks), firstSeen: make([]time.Time, order.chunks), missing: order.chunks,
-		peers: make(map[string]*feedPeer), requests: make(map[int]pieceRequest), downloading: make(map[int]bool),
+		peers: make(map[string]*feedPeer), gone: make(map[string]bool), requests: make(map[int]pieceRequest), downloading: make(map[int]bool),
 		retryAt: make(map[int]time.Time), window: initialWindow, meanLag: initialLag, started: now, lastReceived: now, salt: score(self.ID, 0, self.Site),
 	}
 	for _, piece := range have {
--- a/swarm/feeddownload.go
+++ b/swarm/feeddownload.go
@@ -45,9 +45,27 @@
 }
 
 // backupDue returns when a backup of that rank downloads a piece: once the piece is overdue by more than the mean lag, plus
-// a delay per rank.
+// a delay per rank. The delay is long while the schedule keeps the origin's link busy, since further downloads would make
+// all others late; after its end it is the time in which the link carries the pieces that no box holds, or in which a box
+// hears of them.
 func (f *Feed) backupDue(piece, rank int) time.Time {
-	return f.expectedBy(piece).Add(f.meanLag + time.Duration(rank)*f.params.RankDelay)
+	during := f.expectedBy(piece).Add(f.meanLag + time.Duration(rank)*f.params.RankDelay)
+	perRank := max(time.Duration(f.unheldPieces())*f.params.DownloadInterval, f.params.StartDelay)
+	return earlier(during, f.scheduleEnd().Add(time.Duration(rank)*perRank))
+}
+
+// scheduleEnd returns when the origin's link should have carried all pieces.
+func (f *Feed) scheduleEnd() time.Time {
+	return f.expectedBy(len(f.have) - 1).Add(f.params.DownloadInterval)
+}
+
+// observeSchedule moves the schedule's start to the latest possible time given that some box holds a piece now, if this box began
+// much later: a box that restarts would otherwise leave its downloads until the whole schedule is over.
+func (f *Feed) observeSchedule(piece int, now time.Time) {
+	begun := now.Add(-f.params.StartDelay - time.Duration(piece)*f.params.DownloadInterval)
+	if f.beganLate && begun.Before(f.started) || f.started.Sub(begun) > f.params.RankDelay {
+		f.started, f.beganLate = begun, true
+	}
 }
 
 // expectedBy returns when the downloader of a piece should have it: in its slot, or once the backlog is downloaded after the
@@ -75,6 +93,7 @@
 	if !f.firstSeen[piece].IsZero() {
 		return
 	}
+	f.observeSchedule(piece, now)
 	f.firstSeen[piece] = now
 	lag := max(now.Sub(f.slot(piece, f.originUpAt)), 0)
 	f.meanLag += (min(lag, 2*f.meanLag) - f.meanLag) / lagSmoothing
@@ -83,6 +102,22 @@
 // IsDownloader reports whether this box is the piece's downloader, so that others wait for its announcement.
 func (f *Feed) IsDownloader(piece int) bool { return f.ranks[f.order.Group(piece)][0] == 0 }
 
+// downloadRank returns this box's rank for downloading a piece, without the boxes that are gone; -1 for a box that is not a
+// member. A box that has lost most of its links may be cut off itself and counts all boxes.
+func (f *Feed) downloadRank(piece int) int {
+	group := f.order.Group(piece)
+	rank := f.ranks[group][0]
+	if len(f.gone) >= len(f.peers) || rank >= maxBackupRank {
+		return rank
+	}
+	for _, ahead := range f.order.ahead(group, rank) {
+		if f.gone[ahead.ID] {
+			rank--
+		}
+	}
+	return rank
+}
+
 // nextDownloads chooses pieces to download: this box's own by the schedule, those of earlier ranks when they are overdue.
 func (f *Feed) nextDownloads(now time.Time) []Action {
 	var actions []Action
@@ -92,14 +127,14 @@
 		}
 		if !f.have[piece] && !f.downloading[piece] && f.mayDownload(piece, now) {
 			f.downloading[piece] = true
-			actions = append(actions, Action{Chunk: piece, Download: true, Rank: f.ranks[f.order.Group(piece)][0]})
+			actions = append(actions, Action{Chunk: piece, Download: true, Rank: f.downloadRank(piece)})
 		}
 	}
 	return actions
 }
 
 func (f *Feed) mayDownload(piece int, now time.Time) bool {
-	rank := f.ranks[f.order.Group(piece)][0]
+	rank := f.downloadRank(piece)
 	switch {
 	case rank < 0 || rank >= MaxPermits || now.Before(f.retryAt[piece]):
 		return false
--- a/swarm/feedparams.go
+++ b/swarm/feedparams.go
@@ -44,6 +44,8 @@
 	lagSmoothing = 8
 	// initialLag is the mean lag before the first piece.
 	initialLag = 300 * time.Millisecond
+	// maxBackupRank bounds the ranks that are checked for boxes ahead that are gone: more than a rack's boxes rarely end together.
+	maxBackupRank = 2 * MaxPermits
 	// slowPause is how long a slow peer is asked only for pieces that no other holds.
 	slowPause = 4 * time.Second
 )
--- a/swarm/feedpeer.go
+++ b/swarm/feedpeer.go
@@ -17,6 +17,7 @@
 
 // Peer records that the link to a box is up.
 func (f *Feed) Peer(member Member) {
+	delete(f.gone, member.ID)
 	if f.peers[member.ID] == nil {
 		f.peers[member.ID] = &feedPeer{member: member, have: make([]bool, len(f.have))}
 	}
@@ -35,6 +36,9 @@
 			delete(f.requests, piece)
 		}
 	}
+	if f.peers[id] != nil {
+		f.gone[id] = true
+	}
 	delete(f.peers, id)
 }
 
--- a/swarm/feedrequest.go
+++ b/swarm/feedrequest.go
@@ -80,6 +80,13 @@
 	return b
 }
 
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 // rankDue reports whether no piece has arrived for the delay of a rank.
 func (f *Feed) rankDue(rank int, now time.Time) bool {
 	return now.Sub(f.lastReceived) >= time.Duration(min(rank, maxRankWaits))*f.params.RankDelay
--- a/swarm/order.go
+++ b/swarm/order.go
@@ -77,6 +77,15 @@
 	return -1, -1
 }
 
+// ahead returns the boxes with lower ranks for a group than the given one.
+func (o *Order) ahead(group, rank int) []Member {
+	var members []Member
+	for _, i := range o.ranked[group][:max(rank, 0)] {
+		members = append(members, o.members[i])
+	}
+	return members
+}
+
 // Sources returns the boxes in other sites from which a site's gateway fetches a group: the gateway of the parent in a binary
 // tree of sites, then the downloader. The downloader's site uses the next gateway, since a replaced downloader may lack
 // chunks that others hold.
