--- a/swarm/feed.go
+++ b/swarm/feed.go
@@ -14,7 +14,7 @@
 	have    []bool
 	missing int
 	peers   map[string]*feedPeer
-	// gone are the boxes whose links ended and were not opened again.
+	// gone are the boxes whose links ended since; one that is linked again has its own pieces to catch up with first.
 	gone map[string]bool
 	// requests are the pieces requested from peers, downloading those being downloaded from the origin.
 	requests    map[int]pieceRequest
@@ -29,8 +29,9 @@
 	// received counts the pieces received, the first of them at firstReceived.
 	received      int
 	firstReceived time.Time
-	// firstSeen is when a piece was first known to be held by any box; meanLag is the mean delay from a piece's slot to that.
+	// firstSeen is when a piece was first known to be held by any box, lastSeen the latest of these times; meanLag is the mean delay from a piece's slot to that.
 	firstSeen []time.Time
+	lastSeen  time.Time
 	meanLag   time.Duration
 	// window bounds the requests and downloads in flight; it last shrank at shrunkAt.
 	window   int
@@ -40,7 +41,8 @@
 	lastReceived time.Time
 	// meanLatency is the mean time from a request to its piece, without the wait at the sender.
 	meanLatency time.Duration
-	// started is when the schedule began; beganLate says that it began before this box took part.
+	// joined is when this box took part; the schedule started then, or earlier if beganLate.
+	joined    time.Time
 	started   time.Time
 	beganLate bool
 	salt      uint64
@@ -51,7 +53,7 @@
 	f := &Feed{
 		params: params.withDefaults(), self: self, have: make([]bool, order.chunks), firstSeen: make([]time.Time, order.chunks), missing: order.chunks,
 		peers: make(map[string]*feedPeer), gone: make(map[string]bool), requests: make(map[int]pieceRequest), downloading: make(map[int]bool),
-		retryAt: make(map[int]time.Time), window: initialWindow, meanLag: initialLag, started: now, lastReceived: now, salt: score(self.ID, 0, self.Site),
+		retryAt: make(map[int]time.Time), window: initialWindow, meanLag: initialLag, joined: now, started: now, lastReceived: now, salt: score(self.ID, 0, self.Site),
 	}
 	for _, piece := range have {
 		f.markHeld(piece)
--- a/swarm/feeddownload.go
+++ b/swarm/feeddownload.go
@@ -46,17 +46,22 @@
 
 // backupDue returns when a backup of that rank downloads a piece: once the piece is overdue by more than the mean lag, plus
 // a delay per rank. The delay is long while the schedule keeps the origin's link busy, since further downloads would make
-// all others late; after its end it is the time in which the link carries the pieces that no box holds, or in which a box
-// hears of them.
+// all others late; after its end, and once no more pieces become known, it is the time in which the link carries the pieces
+// that no box holds, or in which a box hears of them.
 func (f *Feed) backupDue(piece, rank int) time.Time {
 	during := f.expectedBy(piece).Add(f.meanLag + time.Duration(rank)*f.params.RankDelay)
 	perRank := max(time.Duration(f.unheldPieces())*f.params.DownloadInterval, f.params.StartDelay)
-	return earlier(during, f.scheduleEnd().Add(time.Duration(rank)*perRank))
+	return earlier(during, later(f.scheduleEnd(), f.lastSeen).Add(time.Duration(rank)*perRank))
 }
 
-// scheduleEnd returns when the origin's link should have carried all pieces.
+// scheduleEnd returns when the origin's link should have carried all pieces: with the last slot, or once the backlog is
+// downloaded after the origin came back.
 func (f *Feed) scheduleEnd() time.Time {
-	return f.expectedBy(len(f.have) - 1).Add(f.params.DownloadInterval)
+	end := f.slot(len(f.have)-1, f.started).Add(f.params.DownloadInterval)
+	if f.originUpAt.IsZero() {
+		return end
+	}
+	return later(end, f.originUpAt.Add(time.Duration(f.backlog)*f.params.DownloadInterval))
 }
 
 // observeSchedule moves the schedule's start to the latest possible time given that some box holds a piece now, if this box began
@@ -94,7 +99,7 @@
 		return
 	}
 	f.observeSchedule(piece, now)
-	f.firstSeen[piece] = now
+	f.firstSeen[piece], f.lastSeen = now, now
 	lag := max(now.Sub(f.slot(piece, f.originUpAt)), 0)
 	f.meanLag += (min(lag, 2*f.meanLag) - f.meanLag) / lagSmoothing
 }
@@ -140,7 +145,7 @@
 		return false
 	case f.available(piece, now):
 		return f.soleHolderStalled(piece, rank, now)
-	case len(f.order.members) > 1 && now.Before(f.started.Add(f.params.StartDelay)):
+	case len(f.order.members) > 1 && now.Before(f.joined.Add(f.params.StartDelay)):
 		return false
 	case rank == 0:
 		return !now.Before(f.slot(piece, f.started))
--- a/swarm/feedpeer.go
+++ b/swarm/feedpeer.go
@@ -17,7 +17,6 @@
 
 // Peer records that the link to a box is up.
 func (f *Feed) Peer(member Member) {
-	delete(f.gone, member.ID)
 	if f.peers[member.ID] == nil {
 		f.peers[member.ID] = &feedPeer{member: member, have: make([]bool, len(f.have))}
 	}
