fill: an older version is finished where servers may otherwise run nothing

Cause: a version that lacked one or two pieces was dropped 4 s after the next was named, all the while the origin was away; the next took 3 s from its return on, and what servers ran ended before. Change: the decision (fill/versions.go, pure) takes the choice that leaves less time in which no version may run, by more than a load costs; while the origin is away the older one is kept as long as it can be of use; else the rule of before. TestOlderVersionIsFinishedOnceTheOriginIsBack and three cases of TestWhichVersionIsFetchedFirst failed with the old rule (servers were ordered to load [3], want 2 then 3). The cases named calm check that the decision equals the old rule. Ruled out: to change finishTimeout only, since a bound of time says nothing about what is lost. fill and swarm pass.

--- a/fill/fixture_test.go
+++ b/fill/fixture_test.go
@@ -41,6 +41,8 @@
 	newest            contract.Version
 	// unreachable makes all piece downloads fail.
 	unreachable bool
+	// away selects the pieces whose downloads fail.
+	away func(version contract.Version, piece int) bool
 }
 
 func (o *fakeOrigin) Manifest(_ context.Context, _, _ string, version contract.Version) (*Manifest, error) {
@@ -62,7 +64,7 @@
 	if o.downloads == nil {
 		o.downloads = make(map[contract.Version]int)
 	}
-	if o.unreachable {
+	if o.unreachable || o.away != nil && o.away(version, piece) {
 		return nil, &net.OpError{Op: opDial, Err: context.DeadlineExceeded}
 	}
 	o.downloads[version]++
--- a/fill/sitefixture_test.go
+++ b/fill/sitefixture_test.go
@@ -41,10 +41,7 @@
 	// Held until the test ends: the port is free on 127.0.0.1 while another site listens at it on its own addresses, and could
 	// otherwise be assigned twice.
 	t.Cleanup(func() { _ = probe.Close() })
-	s.config = contract.NewConfig(1, contract.Limits{}, nil, []contract.Service{
-		{Name: "s", Engine: &contract.Engine{Models: []contract.Model{{Name: testModel}}}},
-		{Name: "o", Origin: originAddress, LinkRate: 1e9},
-	}, nil)
+	s.setLinkRate(1e9)
 	for i := range boxes {
 		s.servers.Present = append(s.servers.Present, contract.Server{
 			ID: fmt.Sprint("server", i), Service: "s", Address: s.host(i) + ":1", Site: fmt.Sprint("site", i%2),
@@ -55,6 +52,14 @@
 	return s
 }
 
+// setLinkRate configures the service and the rate of the origin's link.
+func (s *site) setLinkRate(rate float64) {
+	s.config = contract.NewConfig(1, contract.Limits{}, nil, []contract.Service{
+		{Name: "s", Engine: &contract.Engine{Models: []contract.Model{{Name: testModel}}}},
+		{Name: "o", Origin: originAddress, LinkRate: rate},
+	}, nil)
+}
+
 func (s *site) host(i int) string { return fmt.Sprintf("127.0.7.%d", i+1) }
 
 // newSiteOfTwoVersions returns three boxes that run version 1, hold version 2 and have just learned of version 3.
--- a/fill/target.go
+++ b/fill/target.go
@@ -12,10 +12,8 @@
 )
 
 const (
-	// defaultFetchTime is the assumed time to fetch a whole version when the origin's link rate is unknown;
-	// finishTimeout bounds how long an older version may still take once a newer one is named.
+	// defaultFetchTime is the assumed time to fetch a whole version when the origin's link rate is unknown.
 	defaultFetchTime = 2200 * time.Millisecond
-	finishTimeout    = 4 * time.Second
 )
 
 // update brings the server on this machine to one version of a model; its fields are guarded by the box's mutex.
@@ -37,8 +35,10 @@
 	orderedAt  time.Time
 	// accepted says that the server accepted the load order.
 	accepted bool
-	ctx      context.Context
-	cancel   context.CancelFunc
+	// finishedBefore is the newer version that waits until this one is complete.
+	finishedBefore contract.Version
+	ctx            context.Context
+	cancel         context.CancelFunc
 }
 
 // setTarget starts the update to a version; it supersedes the active update unless that one is to finish first.
@@ -64,19 +64,33 @@
 	return u
 }
 
-// finishOldFirst reports whether an incomplete older version is finished before a newer one is started: enough time has passed
-// since it was named to download it whole, and servers can run it if the origin fails. The times compared are when versions
-// were named, so that all boxes agree.
+// finishOldFirst reports whether an incomplete older version is finished before a newer one is started, and logs it once.
+// What it depends on is shared by all boxes, so that they agree; one that decides otherwise gets its pieces of either version.
 func (b *Box) finishOldFirst(old *update, target contract.Version) bool {
 	newest, named := b.cfg.View.Target(old.model)
 	if newest != target || old.namedAt.IsZero() || old.feed == nil || old.feed.Complete() || b.state.Loaded[old.model] >= old.version {
 		return false
 	}
-	fetchTime := b.feedParams(old.manifest).DownloadTime(len(old.manifest.Digests))
-	if fetchTime == 0 {
-		fetchTime = defaultFetchTime
+	params, now := b.feedParams(old.manifest), clock.Now()
+	s := succession{
+		olderNamed: old.namedAt, newerNamed: named, originAway: old.feed.OriginAway(now),
+		olderRest: time.Duration(old.feed.Unheld()) * params.DownloadInterval, newerRest: params.DownloadTime(len(old.manifest.Digests)),
 	}
-	return named.Sub(old.namedAt) >= fetchTime && clock.Since(named) < finishTimeout
+	if s.newerRest == 0 {
+		s.newerRest = defaultFetchTime
+		s.olderRest = defaultFetchTime * time.Duration(old.feed.Unheld()) / time.Duration(len(old.manifest.Digests))
+	}
+	s.runsUntil, _ = b.cfg.View.VersionDeadline(old.model, old.version-1)
+	s.olderUntil, _ = b.cfg.View.VersionDeadline(old.model, old.version)
+	finish := s.finishOlder(now)
+	if finish && old.finishedBefore != target || !finish {
+		b.log.WithFields(log.Fields{
+			"model": old.model, "version": int64(old.version), "newer": int64(target), "finished": finish, "unheld": old.feed.Unheld(),
+			"held": old.feed.Have(), "origin_away": s.originAway,
+		}).Info("fill: an older version is finished first or given up")
+	}
+	old.finishedBefore = target
+	return finish
 }
 
 // supersede cancels the active update, or makes it pending if only its load turn is outstanding; mu is held.
--- a/swarm/feed.go
+++ b/swarm/feed.go
@@ -82,7 +82,7 @@
 	f.recordSeen(piece, now)
 	f.lastReceived, f.stalls = now, 0
 	if f.originDown {
-		f.originDown, f.originUpAt, f.backlog = false, now, f.unheldPieces()
+		f.originDown, f.originUpAt, f.backlog = false, now, f.Unheld()
 	}
 	if f.received == 0 {
 		f.firstReceived = now
--- a/swarm/feeddownload.go
+++ b/swarm/feeddownload.go
@@ -50,7 +50,7 @@
 // that no box holds, or in which a box hears of them.
 func (f *Feed) backupDue(piece, rank int) time.Time {
 	during := f.expectedBy(piece).Add(f.meanLag + time.Duration(rank)*f.params.RankDelay)
-	perRank := max(time.Duration(f.unheldPieces())*f.params.DownloadInterval, f.params.StartDelay)
+	perRank := max(time.Duration(f.Unheld())*f.params.DownloadInterval, f.params.StartDelay)
 	return earlier(during, later(f.scheduleEnd(), f.lastSeen).Add(time.Duration(rank)*perRank))
 }
 
@@ -82,8 +82,8 @@
 	return f.originUpAt.Add(time.Duration(f.backlog) * f.params.DownloadInterval)
 }
 
-// unheldPieces returns how many pieces no box is known to hold.
-func (f *Feed) unheldPieces() int {
+// Unheld returns how many pieces no box is known to hold.
+func (f *Feed) Unheld() int {
 	unheld := 0
 	for piece, seen := range f.firstSeen {
 		if !f.have[piece] && seen.IsZero() {
@@ -93,6 +93,13 @@
 	return unheld
 }
 
+// OriginAway reports whether pieces that no box holds cannot be downloaded now: this box found the origin unreachable, or none
+// of them has become known for so long that all who try must have.
+func (f *Feed) OriginAway(now time.Time) bool {
+	stalled := now.After(later(f.scheduleEnd(), later(f.joined, f.lastSeen)).Add(awayAfter))
+	return f.Unheld() > 0 && (f.originDown || stalled)
+}
+
 // recordSeen records that some box holds a piece, and updates the mean lag.
 func (f *Feed) recordSeen(piece int, now time.Time) {
 	if !f.firstSeen[piece].IsZero() {
--- a/swarm/feedparams.go
+++ b/swarm/feedparams.go
@@ -46,6 +46,9 @@
 	initialLag = 300 * time.Millisecond
 	// maxBackupRank bounds the ranks that are checked for boxes ahead that are gone: more than a rack's boxes rarely end together.
 	maxBackupRank = 2 * MaxPermits
+	// awayAfter is how long after the schedule's end no piece may become known before the origin counts as away: all backups
+	// have tried by then.
+	awayAfter = time.Second
 	// slowPause is how long a slow peer is asked only for pieces that no other holds.
 	slowPause = 4 * time.Second
 )
