--- a/swarm/feeddownload.go
+++ b/swarm/feeddownload.go
@@ -45,9 +45,32 @@
 }
 
 // backupDue returns when a backup of that rank downloads a piece: once the piece is overdue by more than the mean lag, plus
-// a delay per rank.
+// a delay per rank. The delay is long while the schedule keeps the origin's link busy, since further downloads would make
+// all others late; after its end, and once no more pieces become known, it is the time in which the link carries the pieces
+// that no box holds, or in which a box hears of them.
 func (f *Feed) backupDue(piece, rank int) time.Time {
-	return f.expectedBy(piece).Add(f.meanLag + time.Duration(rank)*f.params.RankDelay)
+	during := f.expectedBy(piece).Add(f.meanLag + time.Duration(rank)*f.params.RankDelay)
+	perRank := max(time.Duration(f.Unheld())*f.params.DownloadInterval, f.params.StartDelay)
+	return earlier(during, later(f.scheduleEnd(), f.lastSeen).Add(time.Duration(rank)*perRank))
+}
+
+// scheduleEnd returns when the origin's link should have carried all pieces: with the last slot, or once the backlog is
+// downloaded after the origin came back.
+func (f *Feed) scheduleEnd() time.Time {
+	end := f.slot(len(f.have)-1, f.started).Add(f.params.DownloadInterval)
+	if f.originUpAt.IsZero() {
+		return end
+	}
+	return later(end, f.originUpAt.Add(time.Duration(f.backlog)*f.params.DownloadInterval))
+}
+
+// observeSchedule moves the schedule's start to the latest possible time given that some box holds a piece now, if this box began
+// much later: a box that restarts would otherwise leave its downloads until the whole schedule is over.
+func (f *Feed) observeSchedule(piece int, now time.Time) {
+	begun := now.Add(-f.params.StartDelay - time.Duration(piece)*f.params.DownloadInterval)
+	if f.beganLate && begun.Before(f.started) || f.started.Sub(begun) > f.params.RankDelay {
+		f.started, f.beganLate = begun, true
+	}
 }
 
 // expectedBy returns when the downloader of a piece should have it: in its slot, or once the backlog is downloaded after the
@@ -59,8 +82,8 @@
 	return f.originUpAt.Add(time.Duration(f.backlog) * f.params.DownloadInterval)
 }
 
-// unheldPieces returns how many pieces no box is known to hold.
-func (f *Feed) unheldPieces() int {
+// Unheld returns how many pieces no box is known to hold.
+func (f *Feed) Unheld() int {
 	unheld := 0
 	for piece, seen := range f.firstSeen {
 		if !f.have[piece] && seen.IsZero() {
@@ -70,12 +93,20 @@
 	return unheld
 }
 
+// OriginAway reports whether pieces that no box holds cannot be downloaded now: this box found the origin unreachable, or none
+// of them has become known for so long that all who try must have.
+func (f *Feed) OriginAway(now time.Time) bool {
+	stalled := now.After(later(f.scheduleEnd(), later(f.joined, f.lastSeen)).Add(awayAfter))
+	return f.Unheld() > 0 && (f.originDown || stalled)
+}
+
 // recordSeen records that some box holds a piece, and updates the mean lag.
 func (f *Feed) recordSeen(piece int, now time.Time) {
 	if !f.firstSeen[piece].IsZero() {
 		return
 	}
-	f.firstSeen[piece] = now
+	f.observeSchedule(piece, now)
+	f.firstSeen[piece], f.lastSeen = now, now
 	lag := max(now.Sub(f.slot(piece, f.originUpAt)), 0)
 	f.meanLag += (min(lag, 2*f.meanLag) - f.meanLag) / lagSmoothing
 }
@@ -83,6 +114,22 @@
 // IsDownloader reports whether this box is the piece's downloader, so that others wait for its announcement.
 func (f *Feed) IsDownloader(piece int) bool { return f.ranks[f.order.Group(piece)][0] == 0 }
 
+// downloadRank returns this box's rank for downloading a piece, without the boxes that are gone; -1 for a box that is not a
+// member. A box that has lost most of its links may be cut off itself and counts all boxes.
+func (f *Feed) downloadRank(piece int) int {
+	group := f.order.Group(piece)
+	rank := f.ranks[group][0]
+	if len(f.gone) >= len(f.peers) || rank >= maxBackupRank {
+		return rank
+	}
+	for _, ahead := range f.order.ahead(group, rank) {
+		if f.gone[ahead.ID] {
+			rank--
+		}
+	}
+	return rank
+}
+
 // nextDownloads chooses pieces to download: this box's own by the schedule, those of earlier ranks when they are overdue.
 func (f *Feed) nextDownloads(now time.Time) []Action {
 	var actions []Action
@@ -92,20 +139,20 @@
 		}
 		if !f.have[piece] && !f.downloading[piece] && f.mayDownload(piece, now) {
 			f.downloading[piece] = true
-			actions = append(actions, Action{Chunk: piece, Download: true, Rank: f.ranks[f.order.Group(piece)][0]})
+			actions = append(actions, Action{Chunk: piece, Download: true, Rank: f.downloadRank(piece)})
 		}
 	}
 	return actions
 }
 
 func (f *Feed) mayDownload(piece int, now time.Time) bool {
-	rank := f.ranks[f.order.Group(piece)][0]
+	rank := f.downloadRank(piece)
 	switch {
 	case rank < 0 || rank >= MaxPermits || now.Before(f.retryAt[piece]):
 		return false
 	case f.available(piece, now):
 		return f.soleHolderStalled(piece, rank, now)
-	case len(f.order.members) > 1 && now.Before(f.started.Add(f.params.StartDelay)):
+	case len(f.order.members) > 1 && now.Before(f.joined.Add(f.params.StartDelay)):
 		return false
 	case rank == 0:
 		return !now.Before(f.slot(piece, f.started))
--- a/swarm/feedpeer.go
+++ b/swarm/feedpeer.go
@@ -35,6 +35,9 @@
 			delete(f.requests, piece)
 		}
 	}
+	if f.peers[id] != nil {
+		f.gone[id] = true
+	}
 	delete(f.peers, id)
 }
 
