forward, contract: an unchanged server is compared in some nanoseconds

Cause (by profile of TestTellingTakesLittle): of what publishing takes, 98 % is comparing 3,002 servers with what was published last: a map lookup each, and a comparison of two maps of loaded versions that are nearly always the same map. Encoding and the 20 followers take hardly anything: one encoding serves all. Ruled out: the garbage collector (GOGC=off gave ratios up to 1.50 too), copies for followers (none). Change: one map is not compared with itself (Server.Equal, same result); what is published is a slice, and the position after the previous server's is tried before the lookup, since a view (a map) returns its servers in nearly the same order each time. What still varies is applying the list, which differs between the two entries of the test.

--- a/contract/server.go
+++ b/contract/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"reflect"
 	"time"
 )
 
@@ -47,7 +48,13 @@
 // Equal reports whether two entries of the list are equal in all fields.
 func (s Server) Equal(other Server) bool {
 	return s.ID == other.ID && s.Born == other.Born && s.Service == other.Service && s.Address == other.Address && s.Site == other.Site &&
-		s.Slots == other.Slots && s.Leaving == other.Leaving && s.ColdLeft == other.ColdLeft && maps.Equal(s.Loaded, other.Loaded)
+		s.Slots == other.Slots && s.Leaving == other.Leaving && s.ColdLeft == other.ColdLeft && sameLoaded(s.Loaded, other.Loaded)
+}
+
+// sameLoaded reports whether two maps of loaded versions are equal. An entry that has not changed keeps its map, and lists of thousands
+// are compared with each change: one map is not compared with itself.
+func sameLoaded(a, b map[string]Version) bool {
+	return reflect.ValueOf(a).UnsafePointer() == reflect.ValueOf(b).UnsafePointer() || maps.Equal(a, b)
 }
 
 // DifferentIncarnations reports whether two start times are of different incarnations of a server; an unknown one matches any.
--- a/forward/listpublisher.go
+++ b/forward/listpublisher.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"slices"
 	"time"
 
 	"github.com/coralstair/coralstair/contract"
@@ -11,7 +12,9 @@
 // listPublisher computes and encodes list changes for all entries that follow this one. It does so once for all of them, since
 // comparing thousands of servers takes milliseconds. The zero value has published nothing.
 type listPublisher struct {
-	listed map[string]contract.Server
+	// listed holds the published servers, positions their positions in it by ID.
+	listed    []contract.Server
+	positions map[string]int
 	// version is the number of published changes.
 	version int
 	// delta is the encoded difference between the newest version and the one before, snapshot the full list, encoded on demand.
@@ -33,19 +36,26 @@
 
 // update publishes the list if it has changed.
 func (lp *listPublisher) update(servers []discovery.ListedServer) {
-	if lp.listed == nil {
-		lp.listed = make(map[string]contract.Server, len(servers))
+	if lp.positions == nil {
+		lp.positions = make(map[string]int, len(servers))
 	}
 	var changes link.Servers
-	present := 0
-	for _, server := range servers {
+	present, at := 0, -1
+	for i := range servers {
+		server := &servers[i]
 		if !server.MissingSince.IsZero() {
 			continue
 		}
 		present++
-		if known, ok := lp.listed[server.ID]; !ok || !known.Equal(server.Server) {
-			changes.Present = append(changes.Present, server.Server)
-			lp.listed[server.ID] = server.Server
+		at = lp.position(server.ID, at+1)
+		if at < len(lp.listed) && lp.listed[at].Equal(server.Server) {
+			continue
+		}
+		changes.Present = append(changes.Present, server.Server)
+		if at < len(lp.listed) {
+			lp.listed[at] = server.Server
+		} else {
+			lp.listed, lp.positions[server.ID] = append(lp.listed, server.Server), at
 		}
 	}
 	if present < len(lp.listed) {
@@ -58,14 +68,31 @@
 	lp.delta, lp.snapshot = encodeMessage(&changes), nil
 }
 
+// position returns the position of a server in what is published, its end if it is not. A view returns its servers in nearly the same
+// order each time, so the position after the previous one is tried first: it is faster than a lookup.
+func (lp *listPublisher) position(id string, next int) int {
+	if next < len(lp.listed) && lp.listed[next].ID == id {
+		return next
+	}
+	if at, ok := lp.positions[id]; ok {
+		return at
+	}
+	return len(lp.listed)
+}
+
 // removeUnlisted removes the servers that are no longer listed and returns their IDs.
 func (lp *listPublisher) removeUnlisted(servers []discovery.ListedServer) (gone []string) {
 	listed := listedByID(servers)
-	for id := range lp.listed {
-		if _, stays := listed[id]; !stays {
-			gone = append(gone, id)
-			delete(lp.listed, id)
+	lp.listed = slices.DeleteFunc(lp.listed, func(server contract.Server) bool {
+		_, stays := listed[server.ID]
+		if !stays {
+			gone = append(gone, server.ID)
 		}
+		return !stays
+	})
+	clear(lp.positions)
+	for i, server := range lp.listed {
+		lp.positions[server.ID] = i
 	}
 	return gone
 }
@@ -86,11 +113,7 @@
 		return lp.delta
 	}
 	if lp.snapshot == nil {
-		all := make([]contract.Server, 0, len(lp.listed))
-		for _, server := range lp.listed {
-			all = append(all, server)
-		}
-		lp.snapshot = encodeMessage(&link.Servers{Reset: true, Present: all})
+		lp.snapshot = encodeMessage(&link.Servers{Reset: true, Present: lp.listed})
 	}
 	return lp.snapshot
 }
