forward, peersource: two entries of a site read a silent store

Cause: a reader whose list is old tells its followers that the store is lost. Each then takes the next by rank, which soon says the same, and an entry that finds all before it failing reads for itself; besides, between two readers an entry's source reads the store at once. So all read one after the other. Ruled out: retries of the reader's own calls (not counted by the test's reader), the declared feed (not counted; it is read 1 to 2 s after the reader fell silent, as before). Change: an entry keeps apart who is dead and who responds without a recent list. From the third by rank on it leaves the list to those before it, 10 s for each after the second, as long as all of them respond; it asks the first two again each second. One dead or out of reach before it, a small fleet, a leave, or a list not yet known: as before (TestWhoReadsASilentStore).

--- a/forward/reader.go
+++ b/forward/reader.go
@@ -57,13 +57,14 @@
 
 	mu sync.Mutex
 	// hosts holds the entries of the site known to each box, by box address; failedUntil holds the failed readers and when they may be
-	// followed again.
+	// followed again, silent those of them that have no recent list, but responded.
 	hosts       map[string][]string
 	failedUntil map[string]time.Time
+	silent      map[string]bool
 }
 
 func newListReader(e *Entry) *listReader {
-	lr := &listReader{entry: e, hosts: make(map[string][]string), failedUntil: make(map[string]time.Time)}
+	lr := &listReader{entry: e, hosts: make(map[string][]string), failedUntil: make(map[string]time.Time), silent: make(map[string]bool)}
 	lr.server = &http.Server{Handler: http.HandlerFunc(lr.accept), ReadHeaderTimeout: headerTimeout}
 	return lr
 }
@@ -127,13 +128,17 @@
 	for ctx.Err() == nil {
 		lr.entry.cfg.PeerSource.SetShared(lr.entry.budget.Entries() >= minEntriesForReader)
 		host := lr.currentReader(clock.Now())
-		lr.entry.cfg.PeerSource.SetReads(host == "")
+		delay := lr.updateListDelay()
+		lr.entry.cfg.PeerSource.SetReads(host == "" && delay == 0)
 		if host == "" {
 			lr.readFullList()
 			select {
 			case <-ctx.Done():
 			case <-time.After(lr.checkInterval()):
 			}
+			if delay > 0 {
+				lr.forgetSilence()
+			}
 			continue
 		}
 		lr.entry.log.WithField("reader", host).Info("entry: the list of servers is heard from another entry")
@@ -143,6 +148,7 @@
 			lr.failedUntil[host] = clock.Now().Add(readerBackoff)
 			lr.mu.Unlock()
 		}
+		lr.updateListDelay()
 		lr.entry.cfg.PeerSource.PeerLost()
 		lr.entry.log.WithFields(log.Fields{"reader": host, "failed": failed}).Info("entry: the list of servers is read from the store")
 	}
@@ -168,6 +174,7 @@
 // follow receives the list from a reader until another entry becomes the reader, or this one fails, times out or does not read the
 // store itself.
 func (lr *listReader) follow(ctx context.Context, host string) (failed bool) {
+	lr.setSilent(host, false)
 	dialCtx, cancel := context.WithTimeout(ctx, linkDialTimeout)
 	defer cancel()
 	conn, err := link.Dial(dialCtx, lr.entry.boxLinks.client, lr.entry.cfg.Machine.LinkAddress(host), nil)
@@ -199,6 +206,7 @@
 				return true
 			}
 		case *link.Declared:
+			lr.setSilent(host, true)
 			return true
 		}
 		if lr.currentReader(clock.Now()) != host {
--- /dev/null
+++ b/forward/silence.go
@@ -0,0 +1,80 @@
+package forward
+
+import (
+	"slices"
+	"time"
+
+	"github.com/coralstair/coralstair/clock"
+)
+
+// While the store is silent, each entry of a site would in turn find all before it without a recent list, and read the list itself: that
+// keeps a congested link to the store congested. Only the first two by rank read it then, and later one more at a time.
+
+const (
+	// silentReaders is how many entries of a site read the list while the store is silent: the reader, and one more in case that only the
+	// reader's connection has failed.
+	silentReaders = 2
+	// silentTurn is how long each further one waits for those before it, in case that only they lack the store. It is several times what
+	// a call and its hedges take, so that a link which is only slow is left alone.
+	silentTurn = 10 * time.Second
+)
+
+// updateListDelay sets how long this entry leaves the list to those before it when it is told no more, and returns that.
+func (lr *listReader) updateListDelay() time.Duration {
+	delay := time.Duration(0)
+	if lr.entry.budget.Entries() >= minEntriesForReader && !lr.entry.leaving.Load() {
+		if before, reached := lr.hostsBefore(clock.Now()); reached {
+			delay = time.Duration(max(len(before)-silentReaders+1, 0)) * silentTurn
+		}
+	}
+	lr.entry.cfg.PeerSource.SetListDelay(delay)
+	return delay
+}
+
+// hostsBefore returns the entries of the site that rank before this one, the first one first, and whether all of them can be reached as far
+// as is known: one that cannot may be the reader of the others, which then do not read the store.
+func (lr *listReader) hostsBefore(now time.Time) (before []string, reached bool) {
+	self := lr.entry.cfg.Machine.Address
+	lr.mu.Lock()
+	defer lr.mu.Unlock()
+	reached = true
+	for _, hosts := range lr.hosts {
+		for _, host := range hosts {
+			if !ranksBefore(host, self) || slices.Contains(before, host) {
+				continue
+			}
+			before = append(before, host)
+			reached = reached && (lr.silent[host] || !now.Before(lr.failedUntil[host]))
+		}
+	}
+	slices.SortFunc(before, func(a, b string) int {
+		if ranksBefore(a, b) {
+			return -1
+		}
+		return 1
+	})
+	return before, reached
+}
+
+// setSilent records whether an entry responded, but has no recent list.
+func (lr *listReader) setSilent(host string, silent bool) {
+	lr.mu.Lock()
+	defer lr.mu.Unlock()
+	if silent {
+		lr.silent[host] = true
+	} else {
+		delete(lr.silent, host)
+	}
+}
+
+// forgetSilence lets the entries that read the store while it is silent be followed again at once.
+func (lr *listReader) forgetSilence() {
+	before, _ := lr.hostsBefore(clock.Now())
+	lr.mu.Lock()
+	defer lr.mu.Unlock()
+	for _, host := range before[:min(len(before), silentReaders)] {
+		if lr.silent[host] {
+			delete(lr.failedUntil, host)
+		}
+	}
+}
--- a/peersource/source.go
+++ b/peersource/source.go
@@ -59,8 +59,10 @@
 	// fullReadDelay is how long after a partial read the full list is read.
 	fullReadDelay time.Duration
 
-	mu      sync.Mutex
-	changed chan struct{}
+	mu sync.Mutex
+	// listDelay is how long after the loss of the feed the list is read, if that is later than otherwise.
+	listDelay time.Duration
+	changed   chan struct{}
 	// inactiveSince is when the feed was lost; zero while an entry feeds this source.
 	inactiveSince  time.Time
 	declared       *contract.Config
@@ -128,6 +130,16 @@
 	}
 }
 
+// SetListDelay sets how long after the loss of a feed the list is read, once it is known; 0, as at first, means at once.
+func (s *EntrySource) SetListDelay(delay time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.listDelay != delay {
+		s.listDelay = delay
+		s.notify()
+	}
+}
+
 // ServersAfter waits for a change of the list of servers.
 func (s *EntrySource) ServersAfter(ctx context.Context, cursor discovery.Cursor, wait time.Duration) (discovery.Servers, error) {
 	if s.shared.Load() {
@@ -207,7 +219,11 @@
 	if s.partial && !s.fullReadRequested {
 		interval = s.fullReadDelay
 	}
-	return latest(s.feedDeadline(), s.listReadAt.Add(interval))
+	next := latest(s.feedDeadline(), s.listReadAt.Add(interval))
+	if s.serversKnown && !s.partial {
+		next = latest(next, s.inactiveSince.Add(s.listDelay))
+	}
+	return next
 }
 
 // nextDeclaredRead returns when what is declared may next be read from the store; mu is held.
