forward: the first two entries are asked again soon, then each second

By reading: a third entry that asks the second an instant before that one has noticed the silent reader is told that it has no list, and then waited a second. Change: the pause is 50 ms at first and doubles up to a second.

--- a/forward/reader.go
+++ b/forward/reader.go
@@ -61,6 +61,8 @@
 	hosts       map[string][]string
 	failedUntil map[string]time.Time
 	silent      map[string]bool
+	// silentChecks counts how often in a row no other entry had a recent list.
+	silentChecks int
 }
 
 func newListReader(e *Entry) *listReader {
@@ -132,9 +134,13 @@
 		lr.entry.cfg.PeerSource.SetReads(host == "" && delay == 0)
 		if host == "" {
 			lr.readFullList()
+			interval := lr.checkInterval()
+			if delay > 0 {
+				interval = lr.silenceInterval()
+			}
 			select {
 			case <-ctx.Done():
-			case <-time.After(lr.checkInterval()):
+			case <-time.After(interval):
 			}
 			if delay > 0 {
 				lr.forgetSilence()
@@ -198,6 +204,7 @@
 		timeout.Reset(listTimeout)
 		switch msg := msg.(type) {
 		case *link.Servers:
+			lr.silentChecks = 0
 			lr.entry.cfg.PeerSource.ApplyServers(msg)
 		case *link.QuarantineRecords:
 			lr.entry.cfg.Quarantine.Merge(msg.Records)
--- a/forward/silence.go
+++ b/forward/silence.go
@@ -17,6 +17,8 @@
 	// silentTurn is how long each further one waits for those before it, in case that only they lack the store. It is several times what
 	// a call and its hedges take, so that a link which is only slow is left alone.
 	silentTurn = 10 * time.Second
+	// minSilenceInterval is how soon the first two are asked again at first: the second may not have noticed yet that the first is silent.
+	minSilenceInterval = 50 * time.Millisecond
 )
 
 // updateListDelay sets how long this entry leaves the list to those before it when it is told no more, and returns that.
@@ -31,6 +33,13 @@
 	return delay
 }
 
+// silenceInterval returns the time until the first two entries are asked again: it grows up to readerCheckInterval.
+func (lr *listReader) silenceInterval() time.Duration {
+	interval := minSilenceInterval << min(lr.silentChecks, 10)
+	lr.silentChecks++
+	return min(interval, readerCheckInterval)
+}
+
 // hostsBefore returns the entries of the site that rank before this one, the first one first, and whether all of them can be reached as far
 // as is known: one that cannot may be the reader of the others, which then do not read the store.
 func (lr *listReader) hostsBefore(now time.Time) (before []string, reached bool) {
--- a/forward/silence_test.go
+++ b/forward/silence_test.go
@@ -68,3 +68,17 @@
 		env.awaitServers(i, 3, inTime)
 	}
 }
+
+// TestTheFirstTwoAreAskedSoonAndThenSeldom checks that the pause grows to the usual one.
+func TestTheFirstTwoAreAskedSoonAndThenSeldom(t *testing.T) {
+	lr := newListReader(New(Config{}))
+	if first := lr.silenceInterval(); first > 100*time.Millisecond {
+		t.Errorf("the first pause is %s", first)
+	}
+	for range 100 {
+		lr.silenceInterval()
+	}
+	if last := lr.silenceInterval(); last != readerCheckInterval {
+		t.Errorf("the last pause is %s, want %s", last, readerCheckInterval)
+	}
+}
