forward: what is declared is read as before while the store is silent

An entry that leaves the list to others had also left what is declared for 1 to 2 s; that is not needed for the list, and may make a configuration late.

--- a/forward/reader.go
+++ b/forward/reader.go
@@ -131,7 +131,7 @@
 		lr.entry.cfg.PeerSource.SetShared(lr.entry.budget.Entries() >= minEntriesForReader)
 		host := lr.currentReader(clock.Now())
 		delay := lr.updateListDelay()
-		lr.entry.cfg.PeerSource.SetReads(host == "" && delay == 0)
+		lr.entry.cfg.PeerSource.SetReads(host == "")
 		if host == "" {
 			lr.readFullList()
 			interval := lr.checkInterval()
