forward: who had no list while there was no reader is not passed over after

Cause: entries now find their reader sooner after a time without one, and still passed over those that had said meanwhile that they have no list; when the reader died within 3 s, more entries read for themselves. Change: a recent list ends the silence of the entries that rank after the one it comes from.

--- a/forward/reader.go
+++ b/forward/reader.go
@@ -204,7 +204,7 @@
 		timeout.Reset(listTimeout)
 		switch msg := msg.(type) {
 		case *link.Servers:
-			lr.silentChecks = 0
+			lr.recordRecentList(host)
 			lr.entry.cfg.PeerSource.ApplyServers(msg)
 		case *link.QuarantineRecords:
 			lr.entry.cfg.Quarantine.Merge(msg.Records)
--- a/forward/silence.go
+++ b/forward/silence.go
@@ -87,3 +87,16 @@
 		}
 	}
 }
+
+// recordRecentList records that an entry has a recent list: those after it had none while there was no reader, which no longer counts.
+func (lr *listReader) recordRecentList(host string) {
+	lr.silentChecks = 0
+	lr.mu.Lock()
+	defer lr.mu.Unlock()
+	for other := range lr.silent {
+		if ranksBefore(host, other) {
+			delete(lr.failedUntil, other)
+			delete(lr.silent, other)
+		}
+	}
+}
--- a/forward/silence_test.go
+++ b/forward/silence_test.go
@@ -82,3 +82,25 @@
 		t.Errorf("the last pause is %s, want %s", last, readerCheckInterval)
 	}
 }
+
+// TestSilenceEndsWithARecentList checks that entries which had no list while there was no reader are not passed over once there is one, and
+// that one before the reader still is.
+func TestSilenceEndsWithARecentList(t *testing.T) {
+	hosts := []string{"127.0.8.1", "127.0.8.2", "127.0.8.3"}
+	slices.SortFunc(hosts, func(a, b string) int {
+		if ranksBefore(a, b) {
+			return -1
+		}
+		return 1
+	})
+	lr := newListReader(New(Config{}))
+	until := clock.Now().Add(readerBackoff)
+	for _, host := range hosts {
+		lr.failedUntil[host] = until
+		lr.setSilent(host, true)
+	}
+	lr.recordRecentList(hosts[1])
+	if lr.failedUntil[hosts[0]] != until || !lr.failedUntil[hosts[2]].IsZero() {
+		t.Errorf("passed over until %v", lr.failedUntil)
+	}
+}
