--- a/swarm/feed.go
+++ b/swarm/feed.go
@@ -14,6 +14,8 @@
 	have    []bool
 	missing int
 	peers   map[string]*feedPeer
+	// gone are the boxes whose links ended since; one that is linked again has its own pieces to catch up with first.
+	gone map[string]bool
 	// requests are the pieces requested from peers, downloading those being downloaded from the origin.
 	requests    map[int]pieceRequest
 	downloading map[int]bool
@@ -27,8 +29,9 @@
 	// received counts the pieces received, the first of them at firstReceived.
 	received      int
 	firstReceived time.Time
-	// firstSeen is when a piece was first known to be held by any box; meanLag is the mean delay from a piece's slot to that.
+	// firstSeen is when a piece was first known to be held by any box, lastSeen the latest of these times; meanLag is the mean delay from a piece's slot to that.
 	firstSeen []time.Time
+	lastSeen  time.Time
 	meanLag   time.Duration
 	// window bounds the requests and downloads in flight; it last shrank at shrunkAt.
 	window   int
@@ -38,16 +41,19 @@
 	lastReceived time.Time
 	// meanLatency is the mean time from a request to its piece, without the wait at the sender.
 	meanLatency time.Duration
-	started     time.Time
-	salt        uint64
+	// joined is when this box took part; the schedule started then, or earlier if beganLate.
+	joined    time.Time
+	started   time.Time
+	beganLate bool
+	salt      uint64
 }
 
 // NewFeed returns a feed for a box that already holds the pieces in have.
 func NewFeed(params FeedParams, self Member, order *Order, have []int, now time.Time) *Feed {
 	f := &Feed{
 		params: params.withDefaults(), self: self, have: make([]bool, order.chunks), firstSeen: make([]time.Time, order.chunks), missing: order.chunks,
-		peers: make(map[string]*feedPeer), requests: make(map[int]pieceRequest), downloading: make(map[int]bool),
-		retryAt: make(map[int]time.Time), window: initialWindow, meanLag: initialLag, started: now, lastReceived: now, salt: score(self.ID, 0, self.Site),
+		peers: make(map[string]*feedPeer), gone: make(map[string]bool), requests: make(map[int]pieceRequest), downloading: make(map[int]bool),
+		retryAt: make(map[int]time.Time), window: initialWindow, meanLag: initialLag, joined: now, started: now, lastReceived: now, salt: score(self.ID, 0, self.Site),
 	}
 	for _, piece := range have {
 		f.markHeld(piece)
@@ -76,7 +82,7 @@
 	f.recordSeen(piece, now)
 	f.lastReceived, f.stalls = now, 0
 	if f.originDown {
-		f.originDown, f.originUpAt, f.backlog = false, now, f.unheldPieces()
+		f.originDown, f.originUpAt, f.backlog = false, now, f.Unheld()
 	}
 	if f.received == 0 {
 		f.firstReceived = now
