--- a/forward/reader.go
+++ b/forward/reader.go
@@ -57,13 +57,16 @@
 
 	mu sync.Mutex
 	// hosts holds the entries of the site known to each box, by box address; failedUntil holds the failed readers and when they may be
-	// followed again.
+	// followed again, silent those of them that have no recent list, but responded.
 	hosts       map[string][]string
 	failedUntil map[string]time.Time
+	silent      map[string]bool
+	// silentChecks counts how often in a row no other entry had a recent list.
+	silentChecks int
 }
 
 func newListReader(e *Entry) *listReader {
-	lr := &listReader{entry: e, hosts: make(map[string][]string), failedUntil: make(map[string]time.Time)}
+	lr := &listReader{entry: e, hosts: make(map[string][]string), failedUntil: make(map[string]time.Time), silent: make(map[string]bool)}
 	lr.server = &http.Server{Handler: http.HandlerFunc(lr.accept), ReadHeaderTimeout: headerTimeout}
 	return lr
 }
@@ -127,12 +130,20 @@
 	for ctx.Err() == nil {
 		lr.entry.cfg.PeerSource.SetShared(lr.entry.budget.Entries() >= minEntriesForReader)
 		host := lr.currentReader(clock.Now())
+		delay := lr.updateListDelay()
 		lr.entry.cfg.PeerSource.SetReads(host == "")
 		if host == "" {
 			lr.readFullList()
+			interval := lr.checkInterval()
+			if delay > 0 {
+				interval = lr.silenceInterval()
+			}
 			select {
 			case <-ctx.Done():
-			case <-time.After(lr.checkInterval()):
+			case <-time.After(interval):
+			}
+			if delay > 0 {
+				lr.forgetSilence()
 			}
 			continue
 		}
@@ -143,6 +154,7 @@
 			lr.failedUntil[host] = clock.Now().Add(readerBackoff)
 			lr.mu.Unlock()
 		}
+		lr.updateListDelay()
 		lr.entry.cfg.PeerSource.PeerLost()
 		lr.entry.log.WithFields(log.Fields{"reader": host, "failed": failed}).Info("entry: the list of servers is read from the store")
 	}
@@ -168,6 +180,7 @@
 // follow receives the list from a reader until another entry becomes the reader, or this one fails, times out or does not read the
 // store itself.
 func (lr *listReader) follow(ctx context.Context, host string) (failed bool) {
+	lr.setSilent(host, false)
 	dialCtx, cancel := context.WithTimeout(ctx, linkDialTimeout)
 	defer cancel()
 	conn, err := link.Dial(dialCtx, lr.entry.boxLinks.client, lr.entry.cfg.Machine.LinkAddress(host), nil)
@@ -191,6 +204,7 @@
 		timeout.Reset(listTimeout)
 		switch msg := msg.(type) {
 		case *link.Servers:
+			lr.recordRecentList(host)
 			lr.entry.cfg.PeerSource.ApplyServers(msg)
 		case *link.QuarantineRecords:
 			lr.entry.cfg.Quarantine.Merge(msg.Records)
@@ -199,6 +213,7 @@
 				return true
 			}
 		case *link.Declared:
+			lr.setSilent(host, true)
 			return true
 		}
 		if lr.currentReader(clock.Now()) != host {
