admission: shares of teams, a decision of its own (not called yet)

Cause: in a shortage room at model servers goes to whoever asks most: a team that floods, retries at once or sends large prompts only takes it from all others.

Change: admission/teams.go counts the engine's work that teams ask for and are admitted with over 2 s, from this entry and from what others told (package allowance), and fills room by max-min. While more than 0.05 of the work of first tries is refused, a team over its share may queue as long as a retry (AdmitBounded), so room that nobody else wants is still used. Rooms holds them by service and rank: shares hold within a rank.

--- a/admission/services.go
+++ b/admission/services.go
@@ -1,6 +1,9 @@
 package admission
 
-import "sync"
+import (
+	"maps"
+	"sync"
+)
 
 // Services holds a Policy for each service. The zero value is ready to use.
 type Services struct {
@@ -22,3 +25,43 @@
 	}
 	return p
 }
+
+// maxRooms bounds the services and ranks whose teams are counted, as other entries name some of them.
+const maxRooms = 256
+
+// Room names what teams share: the room of a service for requests of one rank.
+type Room struct {
+	Service string
+	Rank    int
+}
+
+// Rooms holds Teams for each room. The zero value is ready to use.
+type Rooms struct {
+	mu    sync.Mutex
+	teams map[Room]*Teams
+}
+
+// Of returns the teams that share a room, creating them on first use.
+func (r *Rooms) Of(room Room) *Teams {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	t := r.teams[room]
+	if t == nil {
+		t = &Teams{}
+		if len(r.teams) >= maxRooms {
+			return t
+		}
+		if r.teams == nil {
+			r.teams = make(map[Room]*Teams)
+		}
+		r.teams[room] = t
+	}
+	return t
+}
+
+// All returns the teams of all rooms.
+func (r *Rooms) All() map[Room]*Teams {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return maps.Clone(r.teams)
+}
--- /dev/null
+++ b/admission/teams.go
@@ -0,0 +1,286 @@
+package admission
+
+import (
+	"cmp"
+	"maps"
+	"math"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/coralstair/coralstair/allowance"
+)
+
+// Shares of teams answer a shortage in which some teams ask for most of the room: a flood, instant retries, or large prompts. The room
+// that there is goes by max-min shares of work, and a team over its share may queue only as long as a retry, so what others leave is used.
+const (
+	// teamWindow is the time over which work is counted. Callers wait for a few seconds, so room that was borrowed has to be back sooner.
+	teamWindow = 2 * time.Second
+	// teamPressure is the fraction of the work of first tries that is refused from which shares hold. Below it almost all callers get
+	// what they ask for, and bounding one of them would help nobody.
+	teamPressure = 0.05
+	// shareTTL is how long computed shares are used; much shorter than a window, longer than the time between two requests.
+	shareTTL = 20 * time.Millisecond
+	// maxTeams bounds the teams that are counted; others are never bounded.
+	maxTeams = 1024
+	// MaxToldTeams bounds the teams that an entry tells others of, the largest first.
+	MaxToldTeams = 64
+)
+
+// Ask is a request of a team for room.
+type Ask struct {
+	Team string
+	// Work is the engine's time that the request takes.
+	Work time.Duration
+	// Retry marks a retry of a refused request.
+	Retry bool
+}
+
+// TeamUse is the work that a team asked for and was admitted with within the window.
+type TeamUse struct {
+	Asked, Admitted time.Duration
+}
+
+// plus returns the sum of u and a fraction of v.
+func (u TeamUse) plus(v TeamUse, fraction float64) TeamUse {
+	return TeamUse{
+		Asked:    u.Asked + time.Duration(fraction*float64(v.Asked)),
+		Admitted: u.Admitted + time.Duration(fraction*float64(v.Admitted)),
+	}
+}
+
+// TeamShare is a team's share of the room and what it uses of it.
+type TeamShare struct {
+	TeamUse
+	// Share is the work that a team may have admitted in a window before it is bounded.
+	Share time.Duration
+	// Teams is how many teams ask.
+	Teams int
+	// Bounded says that the team's first tries may queue only as long as retries.
+	Bounded bool
+}
+
+// TeamChange says that a team began or ceased to be bounded.
+type TeamChange struct {
+	Team string
+	TeamShare
+	// Largest are the teams with the most admitted work, the largest first.
+	Largest []string
+}
+
+// Teams shares the room of one service and rank between teams by the work they ask for. The zero value is ready to use and safe for
+// concurrent use.
+type Teams struct {
+	mu     sync.Mutex
+	window allowance.Window
+	own    map[string]*teamCounts
+	// firstTries and firstAdmitted are the work of all teams' first tries that this entry has decided on.
+	firstTries, firstAdmitted allowance.Counts
+	told                      allowance.Told[map[string]TeamUse]
+	// total, share and limited, how many teams ask for more than the share, are computed at computedAt; own work since then is added.
+	total      map[string]TeamUse
+	share      time.Duration
+	limited    int
+	computedAt time.Time
+	// boundedAt is when teams were last bounded.
+	boundedAt map[string]time.Time
+	changes   []TeamChange
+}
+
+type teamCounts struct {
+	asked, admitted allowance.Counts
+}
+
+// Record records that a team asks for room.
+func (t *Teams) Record(ask Ask, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.update(now)
+	if c := t.counts(ask.Team, now); c != nil {
+		c.asked.Add(int64(ask.Work))
+		t.total[ask.Team] = t.total[ask.Team].plus(TeamUse{Asked: ask.Work}, 1)
+	}
+}
+
+// Decided records whether a recorded request was admitted.
+func (t *Teams) Decided(ask Ask, admitted bool, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.update(now)
+	if !ask.Retry {
+		t.firstTries.Add(int64(ask.Work))
+	}
+	if !admitted {
+		return
+	}
+	if !ask.Retry {
+		t.firstAdmitted.Add(int64(ask.Work))
+	}
+	if c := t.counts(ask.Team, now); c != nil {
+		c.admitted.Add(int64(ask.Work))
+		t.total[ask.Team] = t.total[ask.Team].plus(TeamUse{Admitted: ask.Work}, 1)
+		if t.limited > 0 {
+			t.share += ask.Work / time.Duration(t.limited)
+		}
+	}
+}
+
+// Share returns a team's share, and whether its first tries are bounded now.
+func (t *Teams) Share(team string, now time.Time) TeamShare {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.update(now)
+	s := t.shareOf(team)
+	if s.Bounded {
+		if _, before := t.boundedAt[team]; !before {
+			t.changes = append(t.changes, TeamChange{Team: team, TeamShare: s, Largest: t.largest()})
+		}
+		if t.boundedAt == nil {
+			t.boundedAt = make(map[string]time.Time)
+		}
+		t.boundedAt[team] = now
+	}
+	return s
+}
+
+// Hear records what teams used at another entry as of a time.
+func (t *Teams) Hear(entry string, uses map[string]TeamUse, at time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.told.Record(entry, uses, at)
+}
+
+// Use returns what the largest teams used at this entry, for the other entries; none without pressure.
+func (t *Teams) Use(now time.Time) map[string]TeamUse {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.update(now)
+	if !t.pressed() {
+		return nil
+	}
+	uses := make(map[string]TeamUse, len(t.own))
+	for team, c := range t.own {
+		uses[team] = c.use()
+	}
+	largest := slices.SortedFunc(maps.Keys(uses), func(a, b string) int { return cmp.Compare(uses[b].Asked, uses[a].Asked) })
+	for _, team := range largest[min(MaxToldTeams, len(largest)):] {
+		delete(uses, team)
+	}
+	return uses
+}
+
+// Changes returns the teams that began or ceased to be bounded since the last call, and whether some team is still bounded.
+func (t *Teams) Changes(now time.Time) (changes []TeamChange, bounded bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.update(now)
+	changes, t.changes = t.changes, nil
+	return changes, len(t.boundedAt) > 0
+}
+
+// shareOf returns a team's share; mu is held.
+func (t *Teams) shareOf(team string) TeamShare {
+	s := TeamShare{TeamUse: t.total[team], Share: t.share, Teams: len(t.total)}
+	s.Bounded = t.pressed() && s.Admitted > s.Share
+	return s
+}
+
+// pressed reports whether first tries are being refused; mu is held.
+func (t *Teams) pressed() bool {
+	asked := float64(t.firstTries.Sum())
+	return asked-float64(t.firstAdmitted.Sum()) > teamPressure*asked
+}
+
+// counts returns a team's counts, advanced to now; nil if too many teams are counted already. mu is held.
+func (t *Teams) counts(team string, now time.Time) *teamCounts {
+	c := t.own[team]
+	if c == nil {
+		if len(t.own) >= maxTeams {
+			return nil
+		}
+		c = &teamCounts{}
+		t.own[team] = c
+	}
+	c.asked.Advance(t.window, now)
+	c.admitted.Advance(t.window, now)
+	return c
+}
+
+// update computes totals and the share if they are outdated; mu is held.
+func (t *Teams) update(now time.Time) {
+	if t.own == nil {
+		t.own, t.window = make(map[string]*teamCounts), allowance.Window{Length: teamWindow, Origin: now}
+	}
+	t.firstTries.Advance(t.window, now)
+	t.firstAdmitted.Advance(t.window, now)
+	if since := now.Sub(t.computedAt); t.total != nil && since >= 0 && since < shareTTL {
+		return
+	}
+	t.computedAt, t.total = now, make(map[string]TeamUse, len(t.own))
+	for team := range t.own {
+		if use := t.counts(team, now).use(); use != (TeamUse{}) {
+			t.total[team] = use
+		} else {
+			delete(t.own, team)
+		}
+	}
+	for uses, weight := range t.told.All(teamWindow, now) {
+		for team, use := range uses {
+			t.total[team] = t.total[team].plus(use, weight)
+		}
+	}
+	t.share, t.limited = maxMinShare(t.total)
+	for team, at := range t.boundedAt {
+		if now.Sub(at) > teamWindow {
+			delete(t.boundedAt, team)
+			t.changes = append(t.changes, TeamChange{Team: team, TeamShare: t.shareOf(team), Largest: t.largest()})
+		}
+	}
+}
+
+// largest returns the teams with the most admitted work, the largest first; mu is held.
+func (t *Teams) largest() []string {
+	const most = 3
+	teams := slices.SortedFunc(maps.Keys(t.total), func(a, b string) int {
+		return cmp.Or(cmp.Compare(t.total[b].Admitted, t.total[a].Admitted), cmp.Compare(a, b))
+	})
+	return teams[:min(most, len(teams))]
+}
+
+// use returns the sums of the window.
+func (c *teamCounts) use() TeamUse {
+	return TeamUse{Asked: time.Duration(c.asked.Sum()), Admitted: time.Duration(c.admitted.Sum())}
+}
+
+// maxMinShare returns the largest share such that all teams together, each with the less of its share and what it asked for, have no more
+// than what was admitted, and how many teams asked for more than the share.
+func maxMinShare(uses map[string]TeamUse) (share time.Duration, limited int) {
+	room, asked := time.Duration(0), make([]time.Duration, 0, len(uses))
+	for _, use := range uses {
+		room += use.Admitted
+		asked = append(asked, use.Asked)
+	}
+	slices.Sort(asked)
+	for i, ask := range asked {
+		limited = len(asked) - i
+		if share = room / time.Duration(limited); ask > share {
+			return share, limited
+		}
+		room -= ask
+	}
+	return math.MaxInt64, 0
+}
+
+// AdmitBounded is Admit for a first try of a team over its share: it may wait as long as a retry, and counts as a first try in the
+// pressure, which would otherwise end while the team still asks.
+func (p *Policy) AdmitBounded(req Request, queueDelay time.Duration) bool {
+	admitted := p.Admit(req, 1, queueDelay)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	refused := 1.0
+	if admitted {
+		refused = 0
+	}
+	p.pressure += pressureSmoothing * (refused - p.pressure)
+	return admitted
+}
