forward: teams that compete get shares of the room in a shortage

Change: where requests for a service differ in rank (contract.Config.Ranked), call.admitted asks admission.Teams of the service and rank, and a first try of a team over its share is admitted as a retry is. Work is the engine's time: reading the prompt, and a slot's part of each step. Entries that refuse first tries tell the others of their site what the 64 largest teams used, twice a second (link.TeamUses), over the links on which they tell of refusals.

Ruled out: answer tokens x step in full: a step writes a token for each slot, so a large prompt would count for a fraction of what it takes.

Elsewhere nothing changes: without ranks admitShared is Policy.Admit alone (TestNoSharesWhereCallersDoNotCompete, 5000 random requests), and the timer of the messages is never set.

--- a/admission/teams.go
+++ b/admission/teams.go
@@ -25,6 +25,8 @@
 	maxTeams = 1024
 	// MaxToldTeams bounds the teams that an entry tells others of, the largest first.
 	MaxToldTeams = 64
+	// Unlimited is the share while all teams get what they ask for.
+	Unlimited = time.Duration(math.MaxInt64)
 )
 
 // Ask is a request of a team for room.
@@ -268,7 +270,7 @@
 		}
 		room -= ask
 	}
-	return math.MaxInt64, 0
+	return Unlimited, 0
 }
 
 // AdmitBounded is Admit for a first try of a team over its share: it may wait as long as a retry, and counts as a first try in the
--- a/forward/call.go
+++ b/forward/call.go
@@ -49,6 +49,8 @@
 	// rank is the request's rank among those for its service, 0 the most urgent; ranked is set where ranks differ.
 	rank   int
 	ranked bool
+	// share is the team's share when admission was decided last; nil before, and where callers don't compete.
+	share *admission.TeamShare
 	// sinceFirst is the time since the caller's first try as far as the entry knows; 0 on a first try.
 	sinceFirst time.Duration
 
@@ -272,7 +274,7 @@
 		return true
 	}
 	own := engine.TimeToFirstEvent(c.service.Engine, ch.load, c.info.PromptTokens) - engine.TimeToFirstEvent(c.service.Engine, ch.load, 1)
-	return c.entry.admission.Of(c.pool()).Admit(c.admissionRequest(), c.sinceFirst, ch.first-own)
+	return c.admitShared(ch.first - own)
 }
 
 // admissionRequest describes the request to admission control.
--- a/forward/entry.go
+++ b/forward/entry.go
@@ -57,6 +57,7 @@
 	upstreams        upstreams
 	budget           *retry.Budget
 	admission        admission.Services
+	rooms            admission.Rooms
 	retryDetector    admission.RetryDetector
 	peers            *peerNotifier
 	boxLinks         *boxLinks
--- a/forward/outcome.go
+++ b/forward/outcome.go
@@ -91,6 +91,9 @@
 	if c.sends+c.refusalCount > 1 {
 		fields["tries"] = c.attemptLog
 	}
+	if c.share != nil {
+		fields["rank"], fields["bounded"], fields["used_ms"] = c.rank, c.share.Bounded, c.share.Admitted.Milliseconds()
+	}
 	if c.connLost {
 		fields["fingerprint"] = c.fingerprint().String()
 	}
--- a/forward/peers.go
+++ b/forward/peers.go
@@ -75,10 +75,15 @@
 // serve sends queued refusals to the other entries of the site until ctx ends.
 func (pn *peerNotifier) serve(ctx context.Context) error {
 	defer pn.closeAll()
+	// tell fires only while teams compete for room.
+	var tell <-chan time.Time
 	for {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
+		case <-tell:
+			tell = pn.notifyTeams(ctx)
+			continue
 		case <-pn.wakeup:
 		case <-time.After(peerIdleTimeout):
 			pn.closeIdle()
@@ -90,6 +95,9 @@
 		case <-time.After(refusalBatchDelay):
 		}
 		pn.notifyPeers(ctx)
+		if tell == nil {
+			tell = pn.notifyTeams(ctx)
+		}
 	}
 }
 
@@ -109,8 +117,8 @@
 	}
 }
 
-// notifyPeer sends a message to one entry; an entry that misses it takes retries for first tries.
-func (pn *peerNotifier) notifyPeer(ctx context.Context, host string, msg *link.RefusedRequests) {
+// notifyPeer sends a message to one entry; an entry that misses it takes retries for first tries, or teams for smaller ones.
+func (pn *peerNotifier) notifyPeer(ctx context.Context, host string, msg link.Message) {
 	l := pn.links[host]
 	if l == nil {
 		l = &peerLink{}
--- a/forward/reader.go
+++ b/forward/reader.go
@@ -241,6 +241,8 @@
 			}
 		case *link.RefusedRequests:
 			lr.entry.peers.apply(msg)
+		case *link.TeamUses:
+			lr.entry.hearTeams(msg)
 		}
 	}
 }
--- a/link/frame_test.go
+++ b/link/frame_test.go
@@ -36,7 +36,10 @@
 		"follow the list": &Follow{List: true},
 		"evacuations":     &Evacuations{Known: discovery.Evacuations{AsOf: discovery.Cursor{Epoch: 1, Position: 7}, Sites: []string{"a"}, Lost: []string{"b"}, LostFor: time.Second}},
 		"declared change": &DeclaredChange{AsOf: discovery.Cursor{Position: 3}, Config: &contract.ConfigChange{Base: 1, Revision: 2, DropTeams: []string{"t"}}},
-		"target":          &Target{Model: "m", Version: 2, Age: time.Second},
+		"team uses": &TeamUses{Entry: "e", Rooms: []RoomUse{{
+			Service: "s", Rank: 1, Age: time.Second, Teams: []TeamUse{{Team: "t", Asked: 2 * time.Second, Admitted: time.Second}},
+		}}},
+		"target": &Target{Model: "m", Version: 2, Age: time.Second},
 	}
 }
 
--- a/link/message.go
+++ b/link/message.go
@@ -30,6 +30,7 @@
 	KindRefusedRequests
 	KindEvacuations
 	KindDeclaredChange
+	KindTeamUses
 )
 
 // Message is one typed message.
@@ -62,6 +63,7 @@
 	KindRefusedRequests:   func() Message { return new(RefusedRequests) },
 	KindEvacuations:       func() Message { return new(Evacuations) },
 	KindDeclaredChange:    func() Message { return new(DeclaredChange) },
+	KindTeamUses:          func() Message { return new(TeamUses) },
 }
 
 // newMessage returns an empty message of a kind, or nil if the kind is unknown.
