--- a/forward/call.go
+++ b/forward/call.go
@@ -51,6 +51,8 @@
 	ranked bool
 	// standing is how the request stands among those that wait at a server, as of the latest choice of one; guarded by mu.
 	standing admission.Standing
+	// share is the team's share when admission was decided last; nil before, and where callers don't compete.
+	share *admission.TeamShare
 	// sinceFirst is the time since the caller's first try as far as the entry knows; 0 on a first try.
 	sinceFirst time.Duration
 
@@ -279,7 +281,7 @@
 		return true
 	}
 	own := engine.TimeToFirstEvent(c.service.Engine, ch.ahead, c.info.PromptTokens) - engine.TimeToFirstEvent(c.service.Engine, ch.ahead, 1)
-	admitted := c.entry.admission.Of(c.pool()).Admit(c.admissionRequest(), c.sinceFirst, ch.first-own)
+	admitted := c.admitShared(ch.first - own)
 	admissions(c.rank, admitted).Inc()
 	return admitted
 }
