Tried: a version that is half drawn is finished first where an outage would leave a gap; schedules start with the bulk of a fleet

Version 2 was kept by all but some 7 boxes that restarted and know version 3 only. From the origin's return at 26.5 s the 16 pieces lacking took until 28.2 to 28.9 s, when what runs had ended; half of the boxes gave it up at 28.8 s, and version 3 stood at 33 s instead of 30.4 s. First the origin seen away was an input; 57 of 80 boxes gave version 2 up between 24.7 and 28.9 s, as it was not seen alike: the decision now takes times only, and a difference of at least a load. Found on the way, and kept: a box took the schedule's start from any piece held, so that pieces of a few boxes that ran ahead made all others download at once (version 3 took 8 s; the origin sent 3.8 copies, then 2.3): now most pieces before the slot must be held (TestScheduleStartsWithTheFleet, failed before). Backups retry an origin that was away after the ranks before them. A box whose linked boxes fetch another version downloads its own pieces only (TestBackupsLeaveTheOriginToTheFleet, failed before: 9 pieces of others).

--- a/fill/target.go
+++ b/fill/target.go
@@ -73,7 +73,7 @@
 	}
 	params, now := b.feedParams(old.manifest), clock.Now()
 	s := succession{
-		olderNamed: old.namedAt, newerNamed: named, originAway: old.feed.OriginAway(now),
+		olderNamed: old.namedAt, newerNamed: named,
 		olderRest: time.Duration(old.feed.Unheld()) * params.DownloadInterval, newerRest: params.DownloadTime(len(old.manifest.Digests)),
 	}
 	if s.newerRest == 0 {
@@ -86,7 +86,7 @@
 	if finish && old.finishedBefore != target || !finish {
 		b.log.WithFields(log.Fields{
 			"model": old.model, "version": int64(old.version), "newer": int64(target), "finished": finish, "unheld": old.feed.Unheld(),
-			"held": old.feed.Have(), "origin_away": s.originAway,
+			"held": old.feed.Have(),
 		}).Info("fill: an older version is finished first or given up")
 	}
 	old.finishedBefore = target
--- a/fill/versions.go
+++ b/fill/versions.go
@@ -8,6 +8,8 @@
 	// finishTimeout bounds how long an older version may still take once a newer one is named, while no time without any version
 	// is at stake.
 	finishTimeout = 4 * time.Second
+	// usualOutage is how long the origin is away when it starts again.
+	usualOutage = 5 * time.Second
 )
 
 // succession holds what decides whether an incomplete older version is finished before a newer one is fetched. Its times are
@@ -18,23 +20,25 @@
 	runsUntil, olderUntil time.Time
 	// olderRest is the origin link's time for the older version's pieces that no box holds, newerRest for the whole newer one.
 	olderRest, newerRest time.Duration
-	// originAway says that nothing can be fetched now.
-	originAway bool
 }
 
-// finishOlder decides for the load at which versions follow each other faster than an interrupted origin gives them: callers are
-// owed an answer at each moment, so the choice is the one that leaves less time in which no version may run. It must gain more
-// than a load costs, since servers load once more. While the origin is away the older version costs the newer one nothing.
+// finishOlder decides for the load at which versions follow each other faster than an interrupted origin gives them. Callers are
+// owed an answer at each moment: where an outage of the origin would leave no version to run, an older version that is far along
+// is kept as long as that leaves no more time without any version than to begin the newer one, and it can still be of use.
+// A difference of less than a load changes nothing, so that boxes that know different pieces agree.
 func (s succession) finishOlder(now time.Time) bool {
-	bounded := s.runsUntil.After(s.olderNamed)
-	ready := now.Add(s.olderRest + usualSpreadTime + usualLoadTime)
-	switch {
-	case bounded && s.unservedOlderFirst(now)+usualLoadTime < s.unservedNewerFirst(now):
-		return true
-	case bounded && s.originAway && ready.Add(usualLoadTime).Before(s.olderUntil):
-		return true
+	if !s.isTight() {
+		return s.newerNamed.Sub(s.olderNamed) >= s.newerRest && now.Sub(s.newerNamed) < finishTimeout
 	}
-	return s.newerNamed.Sub(s.olderNamed) >= s.newerRest && now.Sub(s.newerNamed) < finishTimeout
+	ready := now.Add(s.olderRest + usualSpreadTime + usualLoadTime)
+	return s.newerNamed.Sub(s.olderNamed) >= s.newerRest/2 && ready.Add(usualLoadTime).Before(s.olderUntil) &&
+		s.unservedOlderFirst(now) <= s.unservedNewerFirst(now)+usualLoadTime
+}
+
+// isTight reports whether a usual outage of the origin would make the newer version stand only after what runs has ended.
+func (s succession) isTight() bool {
+	ready := s.newerNamed.Add(s.newerRest + usualSpreadTime + usualLoadTime)
+	return s.runsUntil.After(s.olderNamed) && s.runsUntil.Sub(ready) < usualOutage
 }
 
 // unservedNewerFirst returns the time without any version if the newer one is fetched now.
--- a/swarm/feeddownload.go
+++ b/swarm/feeddownload.go
@@ -6,10 +6,11 @@
 func (f *Feed) DownloadFailed(piece int) { delete(f.downloading, piece) }
 
 // OriginUnreachable records that the origin was unreachable for a piece. The piece is retried in the next round of those that
-// nobody holds, so that the returning origin is not asked for all of them at once.
+// nobody holds, so that the returning origin is not asked for all of them at once; a backup retries later than the ranks before
+// it, so that it has heard if one of them succeeded.
 func (f *Feed) OriginUnreachable(piece int, now time.Time) {
 	delete(f.downloading, piece)
-	f.retryAt[piece] = f.retrySlot(piece, now.Add(1))
+	f.retryAt[piece] = f.retrySlot(piece, now.Add(1)).Add(time.Duration(max(f.downloadRank(piece), 0)) * f.params.RankDelay)
 	f.originDown = true
 }
 
@@ -64,15 +65,31 @@
 	return later(end, f.originUpAt.Add(time.Duration(f.backlog)*f.params.DownloadInterval))
 }
 
-// observeSchedule moves the schedule's start to the latest possible time given that some box holds a piece now, if this box began
+// observeSchedule moves the schedule's start to the latest possible time given the pieces that are held now, if this box began
 // much later: a box that restarts would otherwise leave its downloads until the whole schedule is over.
-func (f *Feed) observeSchedule(piece int, now time.Time) {
-	begun := now.Add(-f.params.StartDelay - time.Duration(piece)*f.params.DownloadInterval)
+func (f *Feed) observeSchedule(now time.Time) {
+	begun := now.Add(-f.params.StartDelay - time.Duration(f.passedSlots())*f.params.DownloadInterval)
 	if f.beganLate && begun.Before(f.started) || f.started.Sub(begun) > f.params.RankDelay {
 		f.started, f.beganLate = begun, true
 	}
 }
 
+// passedSlots returns how many slots have passed by the pieces known to be held. Scattered pieces of a few boxes that ran ahead
+// do not count: most of those before the slot must be held.
+func (f *Feed) passedSlots() int {
+	passed, lacking := 0, 0
+	for piece, seen := range f.firstSeen {
+		if !f.have[piece] && seen.IsZero() {
+			lacking++
+			continue
+		}
+		if lacking*minSeenPart <= piece {
+			passed = piece
+		}
+	}
+	return passed
+}
+
 // expectedBy returns when the downloader of a piece should have it: in its slot, or once the backlog is downloaded after the
 // origin came back.
 func (f *Feed) expectedBy(piece int) time.Time {
@@ -93,20 +110,13 @@
 	return unheld
 }
 
-// OriginAway reports whether pieces that no box holds cannot be downloaded now: this box found the origin unreachable, or none
-// of them has become known for so long that all who try must have.
-func (f *Feed) OriginAway(now time.Time) bool {
-	stalled := now.After(later(f.scheduleEnd(), later(f.joined, f.lastSeen)).Add(awayAfter))
-	return f.Unheld() > 0 && (f.originDown || stalled)
-}
-
 // recordSeen records that some box holds a piece, and updates the mean lag.
 func (f *Feed) recordSeen(piece int, now time.Time) {
 	if !f.firstSeen[piece].IsZero() {
 		return
 	}
-	f.observeSchedule(piece, now)
 	f.firstSeen[piece], f.lastSeen = now, now
+	f.observeSchedule(now)
 	lag := max(now.Sub(f.slot(piece, f.originUpAt)), 0)
 	f.meanLag += (min(lag, 2*f.meanLag) - f.meanLag) / lagSmoothing
 }
@@ -158,7 +168,7 @@
 		return !now.Before(f.slot(piece, f.started))
 	default:
 		// Backups wait until the piece is overdue, and do not retry while the origin is unreachable: its downloader does.
-		return !f.originDown && !now.Before(f.backupDue(piece, rank))
+		return !f.originDown && !now.Before(f.backupDue(piece, rank)) && !f.fleetElsewhere()
 	}
 }
 
--- a/swarm/feedparams.go
+++ b/swarm/feedparams.go
@@ -46,9 +46,8 @@
 	initialLag = 300 * time.Millisecond
 	// maxBackupRank bounds the ranks that are checked for boxes ahead that are gone: more than a rack's boxes rarely end together.
 	maxBackupRank = 2 * MaxPermits
-	// awayAfter is how long after the schedule's end no piece may become known before the origin counts as away: all backups
-	// have tried by then.
-	awayAfter = time.Second
+	// minSeenPart is the inverse of the part of pieces before a slot that may be unheld if the slot has passed.
+	minSeenPart = 4
 	// slowPause is how long a slow peer is asked only for pieces that no other holds.
 	slowPause = 4 * time.Second
 )
--- a/swarm/feedpeer.go
+++ b/swarm/feedpeer.go
@@ -6,6 +6,8 @@
 type feedPeer struct {
 	member Member
 	have   []bool
+	// takesPart says that the box has told which pieces of the version it holds.
+	takesPart bool
 	// inFlight counts this box's requests to the peer, queue is the queue length that the peer announced.
 	inFlight     int
 	queue        int
@@ -41,13 +43,25 @@
 	delete(f.peers, id)
 }
 
+// fleetElsewhere reports whether most linked boxes have told nothing of this version, since they fetch another one: they will
+// do their own downloads, and the origin's link is needed for that other version until then.
+func (f *Feed) fleetElsewhere() bool {
+	takePart := 0
+	for _, p := range f.peers {
+		if p.takesPart {
+			takePart++
+		}
+	}
+	return 2*takePart < len(f.peers)
+}
+
 // PeerHas records pieces that a box holds and its queue length; reset replaces the known set.
 func (f *Feed) PeerHas(id string, reset bool, pieces []uint32, queue int, now time.Time) {
 	p := f.peers[id]
 	if p == nil {
 		return
 	}
-	p.queue = queue
+	p.queue, p.takesPart = queue, true
 	if reset {
 		clear(p.have)
 	}
--- a/swarm/feedstandin_test.go
+++ b/swarm/feedstandin_test.go
@@ -93,3 +93,51 @@
 		})
 	})
 }
+
+// TestBackupsLeaveTheOriginToTheFleet checks that a box whose linked boxes fetch another version downloads its own pieces only.
+func TestBackupsLeaveTheOriginToTheFleet(t *testing.T) {
+	members := testMembers(20, 3)
+	for name, takingPart := range map[string]int{"none takes part": 0, "few take part": 4, "all take part": 19} {
+		t.Run(name, func(t *testing.T) {
+			f := NewFeed(FeedParams{DownloadInterval: originTime}, members[0], NewOrder("salt", feedPieces, members), nil, testStart)
+			for i, member := range members[1:] {
+				f.Peer(member)
+				if i < takingPart {
+					f.PeerHas(member.ID, true, nil, 0, testStart)
+				}
+			}
+			own, others := 0, 0
+			for now := testStart; now.Before(testStart.Add(10 * time.Second)); now = now.Add(simTick) {
+				for _, action := range f.Next(now) {
+					if action.Rank == 0 {
+						own++
+					} else {
+						others++
+					}
+					f.Received(action.Chunk, "", 0, now)
+				}
+			}
+			if own == 0 {
+				t.Error("it downloaded nothing of its own")
+			}
+			if stoodIn := takingPart == 19; stoodIn != (others > 0) {
+				t.Errorf("it downloaded %d pieces of others", others)
+			}
+		})
+	}
+}
+
+// TestScheduleStartsWithTheFleet checks that pieces of a few boxes that ran ahead do not make all others download at once.
+func TestScheduleStartsWithTheFleet(t *testing.T) {
+	w := newFeedSim(testMembers(76, 3), feedPieces, func(m Member) []int {
+		if m.ID < "b004" {
+			return []int{3, 9, 14, 22, 31, 40, 47, 52, 58, 63}
+		}
+		return nil
+	})
+	w.run(t, 4*time.Second)
+	t.Logf("%d downloaded, origin queue at most %s", w.downloads, w.maxOriginQueue)
+	if w.downloads > feedPieces || w.maxOriginQueue > 8*originTime {
+		t.Errorf("%d pieces downloaded, origin queue reached %s", w.downloads, w.maxOriginQueue)
+	}
+}
