fill: an older version is finished only if it should be whole, as before

What stays is the decision for a version that should be whole: kept as long as that leaves no more time without any version. fill passes; the case half drawn now expects the rule of calm times.

--- a/fill/versions.go
+++ b/fill/versions.go
@@ -23,16 +23,18 @@
 }
 
 // finishOlder decides for the load at which versions follow each other faster than an interrupted origin gives them. Callers are
-// owed an answer at each moment: where an outage of the origin would leave no version to run, an older version that is far along
-// is kept as long as that leaves no more time without any version than to begin the newer one, and it can still be of use.
+// owed an answer at each moment: where an outage of the origin would leave no version to run, an older version that should be
+// whole is kept as long as that leaves no more time without any version than to begin the newer one, and it can still be of use.
 // A difference of less than a load changes nothing, so that boxes that know different pieces agree.
 func (s succession) finishOlder(now time.Time) bool {
-	if !s.isTight() {
-		return s.newerNamed.Sub(s.olderNamed) >= s.newerRest && now.Sub(s.newerNamed) < finishTimeout
+	switch {
+	case s.newerNamed.Sub(s.olderNamed) < s.newerRest:
+		return false
+	case !s.isTight():
+		return now.Sub(s.newerNamed) < finishTimeout
 	}
 	ready := now.Add(s.olderRest + usualSpreadTime + usualLoadTime)
-	return s.newerNamed.Sub(s.olderNamed) >= s.newerRest/2 && ready.Add(usualLoadTime).Before(s.olderUntil) &&
-		s.unservedOlderFirst(now) <= s.unservedNewerFirst(now)+usualLoadTime
+	return ready.Add(usualLoadTime).Before(s.olderUntil) && s.unservedOlderFirst(now) <= s.unservedNewerFirst(now)+usualLoadTime
 }
 
 // isTight reports whether a usual outage of the origin would make the newer version stand only after what runs has ended.
--- a/fill/versions_test.go
+++ b/fill/versions_test.go
@@ -23,11 +23,11 @@
 const testFetchTime = 2200 * time.Millisecond
 
 var successionTests = map[string]successionTest{
-	"calm, the older one should be whole":       {newerNamed: 3 * time.Second, bound: time.Minute, olderRest: 50 * time.Millisecond, from: 3 * time.Second, until: 6900 * time.Millisecond, finished: true},
-	"calm, the older one takes too long":        {newerNamed: 3 * time.Second, bound: time.Minute, olderRest: 50 * time.Millisecond, from: 7 * time.Second, until: 20 * time.Second},
-	"calm, the older one is not far along":      {newerNamed: time.Second, bound: time.Minute, olderRest: time.Second, from: time.Second, until: 20 * time.Second},
-	"far along, but calm":                       {newerNamed: 1500 * time.Millisecond, bound: time.Minute, olderRest: 700 * time.Millisecond, from: 1500 * time.Millisecond, until: 20 * time.Second},
-	"far along, an outage would leave a gap":    {newerNamed: 1500 * time.Millisecond, bound: 8 * time.Second, olderRest: 700 * time.Millisecond, from: 1500 * time.Millisecond, until: 5400 * time.Millisecond, finished: true, differsFromCalmRule: true},
+	"calm, the older one should be whole":     {newerNamed: 3 * time.Second, bound: time.Minute, olderRest: 50 * time.Millisecond, from: 3 * time.Second, until: 6900 * time.Millisecond, finished: true},
+	"calm, the older one takes too long":      {newerNamed: 3 * time.Second, bound: time.Minute, olderRest: 50 * time.Millisecond, from: 7 * time.Second, until: 20 * time.Second},
+	"calm, the older one is not far along":    {newerNamed: time.Second, bound: time.Minute, olderRest: time.Second, from: time.Second, until: 20 * time.Second},
+	"half drawn, but calm":                    {newerNamed: 1500 * time.Millisecond, bound: time.Minute, olderRest: 700 * time.Millisecond, from: 1500 * time.Millisecond, until: 20 * time.Second},
+	"half drawn, an outage would leave a gap": {newerNamed: 1500 * time.Millisecond, bound: 8 * time.Second, olderRest: 700 * time.Millisecond, from: 1500 * time.Millisecond, until: 5400 * time.Millisecond},
 	"no bound":                                  {newerNamed: time.Second, olderRest: time.Second, from: time.Second, until: 20 * time.Second},
 	"the origin is away":                        {newerNamed: 3 * time.Second, bound: 10 * time.Second, olderRest: 50 * time.Millisecond, from: 7 * time.Second, until: 11 * time.Second, finished: true, differsFromCalmRule: true},
 	"back just before what runs ends":           {newerNamed: 3 * time.Second, bound: 10 * time.Second, olderRest: 50 * time.Millisecond, from: 8500 * time.Millisecond, until: 9900 * time.Millisecond, finished: true, differsFromCalmRule: true},
