forward: where ranks differ requests of all homes are admitted by one policy

Cause: a policy for each set of homes kept requests that compete at the same servers apart, so the less urgent of one set left no room for the urgent of another.

Change: pool() names the service where ranks differ; elsewhere as it was. Test: TestRankedCallsShareAPool, which fails without it.

--- a/forward/placement.go
+++ b/forward/placement.go
@@ -45,9 +45,10 @@
 	return !known
 }
 
-// pool names the servers that may serve a call: admission counts their room only.
+// pool names the servers that may serve a call: admission counts their room only. Where ranks differ all calls for a service share one pool:
+// requests compete at each server with those of other homes.
 func (c *call) pool() string {
-	if !c.homes.Limited() {
+	if c.ranked || !c.homes.Limited() {
 		return c.service.Name
 	}
 	return c.service.Name + "@" + c.homes.String()
--- a/forward/rank_test.go
+++ b/forward/rank_test.go
@@ -39,3 +39,25 @@
 		})
 	}
 }
+
+// TestRankedCallsShareAPool checks that admission counts calls of all homes together where ranks differ, and apart elsewhere.
+func TestRankedCallsShareAPool(t *testing.T) {
+	homes := contract.HomesOf(&contract.Route{Homes: []string{"r"}}, nil)
+	for name, test := range map[string]struct {
+		homes  contract.Homes
+		ranked bool
+		want   string
+	}{
+		"all homes":          {contract.Homes{}, false, "s"},
+		"some homes":         {homes, false, "s@" + homes.String()},
+		"all homes, ranked":  {contract.Homes{}, true, "s"},
+		"some homes, ranked": {homes, true, "s"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := &call{service: &contract.Service{Name: "s"}, homes: test.homes, ranked: test.ranked}
+			if got := c.pool(); got != test.want {
+				t.Errorf("pool %q, want %q", got, test.want)
+			}
+		})
+	}
+}
