--- a/forward/call.go
+++ b/forward/call.go
@@ -51,6 +51,12 @@
 	ranked bool
 	// sinceFirst is the time since the caller's first try as far as the entry knows; 0 on a first try.
 	sinceFirst time.Duration
+	// heldFor is how long the request waited for a server, heldWhy why it did, or why not; comeBack is when its caller should retry, 0 if
+	// that was not decided. Only the call's goroutine uses them.
+	heldFor  time.Duration
+	heldWhy  string
+	comeBack time.Duration
+	verdict  admission.Verdict
 
 	// mu guards the fields below: attempts run in goroutines of their own, next to the call's.
 	mu sync.Mutex
@@ -127,12 +133,15 @@
 	defer c.entry.calls.remove(c)
 	c.entry.admission.Of(c.pool()).Record(c.admissionRequest(), c.started)
 	c.sinceFirst = c.sinceFirstTry()
+	c.countFirstTry()
 	var kept *response
 	var err error
 	for {
 		if err := c.sendNextWithRetries(ctx); err != nil {
-			c.giveUp(ctx, kept, err)
-			return
+			if err = c.waitInRoom(ctx, err); err != nil {
+				c.giveUp(ctx, kept, err)
+				return
+			}
 		}
 		var winner *attempt
 		var failures []failure
@@ -296,6 +305,8 @@
 	errRetryBudget = errors.New("retry budget is exhausted")
 	errLeaving     = errors.New("entry is leaving")
 	errNoSite      = errors.New("no site may serve the request")
+	errGaveWay     = errors.New("a more urgent request took its place")
+	errSlipped     = errors.New("no server is expected to be ready in time any more")
 )
 
 // giveUp responds when no further attempt is allowed: with the server's 5xx response, or with an error of the entry's
@@ -325,6 +336,9 @@
 
 // retryAfter returns the value for Retry-After.
 func (c *call) retryAfter() time.Duration {
+	if c.comeBack > 0 {
+		return c.comeBack
+	}
 	return c.entry.retryAfter(c.service, c.route, c.homes, clock.Now())
 }
 
--- a/forward/entry.go
+++ b/forward/entry.go
@@ -58,6 +58,7 @@
 	budget           *retry.Budget
 	admission        admission.Services
 	retryDetector    admission.RetryDetector
+	rooms            rooms
 	peers            *peerNotifier
 	boxLinks         *boxLinks
 	reader           *listReader
--- a/forward/metrics.go
+++ b/forward/metrics.go
@@ -12,6 +12,8 @@
 	answerTime   = metrics.NewHistogram("coralstair_answer_seconds")
 	pushbacks    = metrics.NewCounter("coralstair_server_pushbacks_total")
 	reportsTaken = metrics.NewCounter("coralstair_reports_taken_total")
+	heldNow      = metrics.NewGauge("coralstair_requests_waiting_for_server", nil)
+	heldError    = metrics.NewHistogram("coralstair_gap_prediction_error_seconds")
 )
 
 func countOutcome(route, outcome string) {
@@ -22,3 +24,8 @@
 func handovers(result string) *metrics.Counter {
 	return metrics.GetOrCreateCounter(`coralstair_handovers_total{result="` + result + `"}`)
 }
+
+// countHeld counts a request that no server took, by what became of it.
+func countHeld(why string) {
+	metrics.GetOrCreateCounter(`coralstair_requests_without_server_total{outcome="` + why + `"}`).Inc()
+}
--- a/forward/outcome.go
+++ b/forward/outcome.go
@@ -85,6 +85,10 @@
 		"writing": c.lastChoice.load.Decoding, "reading": c.lastChoice.load.Prefilling, "attempts": c.sends + c.refusalCount, "waited_ms": c.sinceFirst.Milliseconds(),
 		"goal_ms": c.route.Goal.Milliseconds(), "report_ms": c.lastChoice.reportAge.Milliseconds(),
 	}
+	if c.heldWhy != "" {
+		fields["held_ms"], fields["held_why"], fields["come_back_ms"] = c.heldFor.Milliseconds(), c.heldWhy, c.comeBack.Milliseconds()
+		fields["opens_ms"], fields["room_ms"], fields["margin_ms"] = c.verdict.Opens.Milliseconds(), c.verdict.Room.Milliseconds(), c.verdict.Margin.Milliseconds()
+	}
 	if cause != nil {
 		fields["cause"] = cause.Error()
 	}
