--- a/admission/forecast.go
+++ b/admission/forecast.go
@@ -26,11 +26,9 @@
 // Forecast is what is predicted of the room at the servers of a service.
 type Forecast struct {
 	Openings []Opening
-	// SlotTime is how long a usual request occupies a slot, First the time to its first event at a server with a free slot, Rest that
-	// from there to its end.
+	// SlotTime is how long a usual request occupies a slot, First the time to its first event at a server with a free slot.
 	SlotTime time.Duration
 	First    time.Duration
-	Rest     time.Duration
 	// Error is by how much the predicted opening moves away per second that passes.
 	Error float64
 }
@@ -70,6 +68,20 @@
 	return room
 }
 
+// spareShare returns the part of the slots of the servers that stand by then which first tries leave over that come at a rate per second.
+func (f Forecast) spareShare(in time.Duration, perSecond float64) float64 {
+	slots := 0.0
+	for _, o := range f.Openings {
+		if o.In <= in {
+			slots += o.Share * float64(o.Slots)
+		}
+	}
+	if slots <= 0 {
+		return 0
+	}
+	return max(0, 1-perSecond*f.SlotTime.Seconds()/slots)
+}
+
 // freeNow returns this entry's share of the slots that are free now.
 func (f Forecast) freeNow() (free float64) {
 	for _, o := range f.Openings {
--- a/admission/hold.go
+++ b/admission/hold.go
@@ -48,11 +48,13 @@
 	InTime   time.Time
 	GivesUp  time.Time
 	Deadline time.Time
+	// Rest is how long its answer takes after the first event.
+	Rest time.Duration
 }
 
-// limit returns until when a first event is of use, if the rest of the answer takes a time.
-func (w Waiting) limit(rest time.Duration) time.Time {
-	if last := w.Deadline.Add(-rest); last.Before(w.GivesUp) {
+// limit returns until when a first event is of use.
+func (w Waiting) limit() time.Time {
+	if last := w.Deadline.Add(-w.Rest); last.Before(w.GivesUp) {
 		return last
 	}
 	return w.GivesUp
@@ -162,7 +164,7 @@
 	if !w.IsReturn && expected.After(w.InTime) {
 		return r.comeBack(w, f, opens, now)
 	}
-	if expected.After(w.limit(f.Rest)) {
+	if expected.After(w.limit()) {
 		return Verdict{Why: WhyTooLate, ComeBack: max(room, minReturn)}
 	}
 	var out *Held
@@ -204,17 +206,19 @@
 	}
 	passed := min(max(now.Sub(r.releasedAt), 0), fillTime)
 	r.releasedAt = now
-	r.credit = min(r.credit+f.freeNow()*passed.Seconds()/fillTime.Seconds(), max(f.freeNow(), 1))
+	free := f.freeNow() * passed.Seconds() / fillTime.Seconds()
 	for len(r.held) > 0 {
-		// First tries come first: what they take of the free slots is not given to held requests.
-		if r.credit < 1+r.rate(r.held[0].Rank, now)*passed.Seconds() {
+		// First tries of its rank and above come first: it gets what they leave over.
+		spare := f.spareShare(0, r.rate(r.held[0].Rank, now))
+		if r.credit+free*spare < 1 {
+			r.credit += free * spare
 			break
 		}
+		r.credit, free = 0, free-max(1-r.credit, 0)/spare
 		send = append(send, r.held[0])
 		r.held = r.held[1:]
-		r.credit--
 	}
-	r.credit = max(r.credit-r.rate(math.MaxInt, now)*passed.Seconds(), 0)
+	r.credit = min(r.credit, f.freeNow())
 	return send, r.dropSlipped(f, opens, ok, now)
 }
 
@@ -226,11 +230,11 @@
 	in := opens
 	kept := make([]*Held, 0, len(r.held))
 	for _, h := range r.held {
-		fresh := r.rate(h.Rank, now)
-		for in < forecastHorizon && f.RoomBy(in) < float64(len(kept)+1)+fresh*(in-opens).Seconds() {
+		rate := r.rate(h.Rank, now)
+		for in < forecastHorizon && f.RoomBy(in)*f.spareShare(in, rate) < float64(len(kept)+1) {
 			in += forecastStep
 		}
-		if now.Add(in + f.First).After(h.limit(f.Rest)) {
+		if now.Add(in + f.First).After(h.limit()) {
 			late = append(late, h)
 			continue
 		}
@@ -275,14 +279,13 @@
 			ahead++
 		}
 	}
-	fresh, in, promisedTo := r.rate(w.Rank, now), opens, w.Rank
+	rate, in, promisedTo := r.rate(w.Rank, now), opens, w.Rank
 	if w.IsReturn {
 		// Promised returns of its own rank have later deadlines.
 		promisedTo--
 	}
 	for ; in < forecastHorizon; in += forecastStep {
-		need := ahead + fresh*(in-opens).Seconds() + float64(r.promisedBy(now.Add(in), promisedTo))
-		if f.RoomBy(in) >= need {
+		if f.RoomBy(in)*f.spareShare(in, rate) >= ahead+float64(r.promisedBy(now.Add(in), promisedTo)) {
 			break
 		}
 	}
--- a/forward/hold.go
+++ b/forward/hold.go
@@ -168,7 +168,7 @@
 	patience := max(minPatience, patienceGoals*c.route.Goal, patiencePauses*c.route.PauseGoal)
 	w := admission.Waiting{
 		Rank: c.rank, IsReturn: c.sinceFirst > 0, InTime: c.started.Add(c.route.Goal - c.sinceFirst),
-		GivesUp: c.started.Add(patience), Deadline: c.deadline,
+		GivesUp: c.started.Add(patience), Deadline: c.deadline, Rest: c.restOfAnswer(),
 	}
 	if c.route.Kind != contract.KindStream {
 		w.GivesUp = c.deadline
--- a/forward/holdforecast.go
+++ b/forward/holdforecast.go
@@ -19,7 +19,6 @@
 	f := admission.Forecast{
 		SlotTime: engine.SlotTime(service.Engine, full),
 		First:    engine.TimeToFirstEvent(service.Engine, half, service.Engine.UsualPrompt),
-		Rest:     engine.DecodeTime(service.Engine, full, 0),
 	}
 	for _, up := range e.preferredFor(service.Name, homes) {
 		if c, ejectedUntil, fits := e.evaluate(up, want, now); fits && !now.Before(ejectedUntil) {
@@ -48,3 +47,16 @@
 	defer u.mu.Unlock()
 	return u.limitShare(entries)
 }
+
+// restOfAnswer returns how long the call's answer takes after its first event at a full server. Where the caller does not say how long it
+// becomes, it may exceed the usual length by leaveFactor, up to the caller's limit.
+func (c *call) restOfAnswer() time.Duration {
+	tokens := c.info.answerTokens()
+	if tokens == 0 {
+		tokens = leaveFactor * c.service.Engine.UsualAnswer
+		if c.info.MaxAnswerTokens > 0 {
+			tokens = min(tokens, c.info.MaxAnswerTokens)
+		}
+	}
+	return engine.DecodeTime(c.service.Engine, engine.Load{Decoding: c.service.Engine.Slots}, tokens)
+}
