Hold returns that no server takes, of services whose requests differ in rank

An entry whose share of the standing servers is below one slot never released (seen by TestOthersFillTheServers and TestReturnIsHeldOverAGap; TestSmallShareIsReleased fails without it).

--- a/admission/hold.go
+++ b/admission/hold.go
@@ -218,7 +218,7 @@
 		send = append(send, r.held[0])
 		r.held = r.held[1:]
 	}
-	r.credit = min(r.credit, f.freeNow())
+	r.credit = min(r.credit, max(f.freeNow(), 1))
 	return send, r.dropSlipped(f, opens, ok, now)
 }
 
--- a/admission/hold_test.go
+++ b/admission/hold_test.go
@@ -153,8 +153,9 @@
 // TestFirstTriesGoFirst checks that free slots that first tries take are not given to held requests.
 func TestFirstTriesGoFirst(t *testing.T) {
 	r := NewRoom(100)
-	for i := range 200 {
-		r.Arrive(0, start.Add(ms(10*(i-200))))
+	const tries = 1000
+	for i := range tries {
+		r.Arrive(0, start.Add(ms(10*(i-tries))))
 	}
 	if r.Offer(secondTry(0), gapIn(ms(100), 200), start).Held == nil {
 		t.Fatal("not held")
@@ -175,7 +176,7 @@
 		sent += len(send)
 	}
 	if sent != 1 {
-		t.Errorf("%d were sent while servers stand free", sent)
+		t.Errorf("%d were sent while servers stand free, want the one that was held", sent)
 	}
 }
 
@@ -191,3 +192,19 @@
 		t.Errorf("a more urgent one: held %v, %v gives way", got.Held != nil, got.GivesWay)
 	}
 }
+
+// TestSmallShareIsReleased checks that an entry to which less than one free slot falls sends a held request once it has waited for it.
+func TestSmallShareIsReleased(t *testing.T) {
+	r, sent := NewRoom(10), 0
+	if r.Offer(secondTry(0), gapIn(ms(100), 10), start).Held == nil {
+		t.Fatal("not held")
+	}
+	one := Forecast{SlotTime: time.Second, First: ms(100), Openings: []Opening{{Slots: 8, Free: 8, Share: 0.0625}}}
+	for i := range 25 {
+		send, _ := r.Release(one, start.Add(ms(20*i)))
+		sent += len(send)
+	}
+	if sent != 1 {
+		t.Errorf("%d were sent in 0.5 s", sent)
+	}
+}
