Held returns get the throughput that first tries leave over; returns wait behind those that are held

Cause: held returns were sent at a fraction of the free slots per interval; at the opening they took the slots that first tries needed a moment later, and later slots stood free while returns waited. Returns that came after the opening overtook more urgent ones that were held.

--- a/admission/forecast.go
+++ b/admission/forecast.go
@@ -26,7 +26,7 @@
 // Forecast is what is predicted of the room at the servers of a service.
 type Forecast struct {
 	Openings []Opening
-	// SlotTime is how long a usual request occupies a slot, First the time to its first event at a server with a free slot.
+	// SlotTime is how long a usual request occupies a slot (above 0), First the time to its first event at a server with a free slot.
 	SlotTime time.Duration
 	First    time.Duration
 	// Error is by how much the predicted opening moves away per second that passes.
@@ -53,43 +53,44 @@
 	return reportError + time.Duration(f.Error*float64(opens))
 }
 
-// RoomBy returns how many requests this entry's share of the servers can start within a time.
-func (f Forecast) RoomBy(in time.Duration) float64 {
-	room := 0.0
+// spareSlots returns how many slots of this entry's share of the servers that stand by then are left over by first tries that come at a
+// rate per second.
+func (f Forecast) spareSlots(in time.Duration, perSecond float64) float64 {
+	slots := 0.0
 	for _, o := range f.Openings {
-		if o.In > in {
-			continue
-		}
-		room += o.Share * float64(o.Free)
-		if f.SlotTime > 0 {
-			room += o.Share * float64(o.Slots) * float64(in-o.In) / float64(f.SlotTime)
+		if o.In <= in {
+			slots += o.Share * float64(o.Slots)
 		}
 	}
-	return room
+	return max(0, slots-perSecond*f.SlotTime.Seconds())
 }
 
-// spareShare returns the part of the slots of the servers that stand by then which first tries leave over that come at a rate per second.
-func (f Forecast) spareShare(in time.Duration, perSecond float64) float64 {
-	slots := 0.0
+// spareRoomBy returns how many requests this entry's share of the servers can start within a time beside such first tries.
+func (f Forecast) spareRoomBy(in time.Duration, perSecond float64) float64 {
+	room, slots := 0.0, 0.0
 	for _, o := range f.Openings {
-		if o.In <= in {
-			slots += o.Share * float64(o.Slots)
+		if o.In > in {
+			continue
 		}
+		slots += o.Share * float64(o.Slots)
+		room += o.Share * float64(o.Free)
+		room += o.Share * float64(o.Slots) * float64(in-o.In) / float64(f.SlotTime)
 	}
 	if slots <= 0 {
 		return 0
 	}
-	return max(0, 1-perSecond*f.SlotTime.Seconds()/slots)
+	return room * f.spareSlots(in, perSecond) / slots
 }
 
-// freeNow returns this entry's share of the slots that are free now.
-func (f Forecast) freeNow() (free float64) {
+// slotsNow returns how many slots of this entry's share of the servers are free now, and how many become free per second.
+func (f Forecast) slotsNow() (free, ending float64) {
 	for _, o := range f.Openings {
 		if o.In <= 0 {
 			free += o.Share * float64(o.Free)
+			ending += o.Share * float64(o.Slots-o.Free) / f.SlotTime.Seconds()
 		}
 	}
-	return free
+	return free, ending
 }
 
 // slippage is a decaying mean of how fast predicted openings move away.
--- a/admission/hold.go
+++ b/admission/hold.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 	"sync"
 	"time"
@@ -18,11 +17,6 @@
 	returnShare = 3
 	// minReturn is the soonest advised return: the other entries of the site have to hear of the refusal first.
 	minReturn = 100 * time.Millisecond
-	// fillTime is the time in which free slots are given to held requests: two intervals of reports, so that each entry sees what the
-	// others took.
-	fillTime = 200 * time.Millisecond
-	// rateTime is the time over which the rate of first tries is averaged.
-	rateTime = 2 * time.Second
 	// maxPromises bounds the promised returns that are counted.
 	maxPromises = 1024
 )
@@ -86,9 +80,12 @@
 	held     []*Held
 	promises []promise
 	slip     slippage
-	// fresh are the rates of first tries by rank; credit are releases that are due, as of releasedAt.
-	fresh      map[int]arrivals
+	// fresh is the rate of first tries, which go before held requests; credit are releases into free slots that are due, surplus those of the
+	// throughput that first tries leave over, spareSlots the slots that these leave over, all as of releasedAt.
+	fresh      arrivals
 	credit     float64
+	surplus    float64
+	spareSlots float64
 	releasedAt time.Time
 }
 
@@ -101,38 +98,11 @@
 // NewRoom returns a room for a number of requests.
 func NewRoom(limit int) *Room { return &Room{limit: limit} }
 
-// Arrive counts a first try of a rank.
-func (r *Room) Arrive(rank int, now time.Time) {
+// Arrive counts a first try.
+func (r *Room) Arrive(now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.fresh == nil {
-		r.fresh = make(map[int]arrivals)
-	}
-	r.fresh[rank] = r.fresh[rank].with(now)
-}
-
-// rate returns the current rate of first tries that go before a held request: those of its rank and of more urgent ones; mu is held.
-func (r *Room) rate(rank int, now time.Time) (perSecond float64) {
-	for other, a := range r.fresh {
-		if other <= rank {
-			perSecond += a.rate(now)
-		}
-	}
-	return perSecond
-}
-
-// arrivals is a decaying rate per second.
-type arrivals struct {
-	perSecond float64
-	at        time.Time
-}
-
-func (a arrivals) rate(now time.Time) float64 {
-	return a.perSecond * math.Exp(-now.Sub(a.at).Seconds()/rateTime.Seconds())
-}
-
-func (a arrivals) with(now time.Time) arrivals {
-	return arrivals{perSecond: a.rate(now) + 1/rateTime.Seconds(), at: now}
+	r.fresh = r.fresh.with(now)
 }
 
 // Len returns the number of requests in the room.
@@ -196,54 +166,6 @@
 	return Verdict{Why: WhyComeBack, ComeBack: after}
 }
 
-// Release returns the held requests to send now, and those to refuse because their first events are no longer expected in time.
-func (r *Room) Release(f Forecast, now time.Time) (send, refuse []*Held) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	opens, ok := f.FirstOpening()
-	if ok {
-		f.Error = r.observe(opens, now)
-	}
-	passed := min(max(now.Sub(r.releasedAt), 0), fillTime)
-	r.releasedAt = now
-	free := f.freeNow() * passed.Seconds() / fillTime.Seconds()
-	for len(r.held) > 0 {
-		// First tries of its rank and above come first: it gets what they leave over.
-		spare := f.spareShare(0, r.rate(r.held[0].Rank, now))
-		if r.credit+free*spare < 1 {
-			r.credit += free * spare
-			break
-		}
-		r.credit, free = 0, free-max(1-r.credit, 0)/spare
-		send = append(send, r.held[0])
-		r.held = r.held[1:]
-	}
-	r.credit = min(r.credit, max(f.freeNow(), 1))
-	return send, r.dropSlipped(f, opens, ok, now)
-}
-
-// dropSlipped removes the held requests whose first events would come too late; mu is held.
-func (r *Room) dropSlipped(f Forecast, opens time.Duration, known bool, now time.Time) (late []*Held) {
-	if !known {
-		opens = forecastHorizon
-	}
-	in := opens
-	kept := make([]*Held, 0, len(r.held))
-	for _, h := range r.held {
-		rate := r.rate(h.Rank, now)
-		for in < forecastHorizon && f.RoomBy(in)*f.spareShare(in, rate) < float64(len(kept)+1) {
-			in += forecastStep
-		}
-		if now.Add(in + f.First).After(h.limit()) {
-			late = append(late, h)
-			continue
-		}
-		kept = append(kept, h)
-	}
-	r.held = kept
-	return late
-}
-
 // Restore puts a request that was to be sent back into the room, since other requests took the place.
 func (r *Room) Restore(h *Held) {
 	r.mu.Lock()
@@ -279,13 +201,13 @@
 			ahead++
 		}
 	}
-	rate, in, promisedTo := r.rate(w.Rank, now), opens, w.Rank
+	rate, in, promisedTo := r.fresh.rate(now), opens, w.Rank
 	if w.IsReturn {
 		// Promised returns of its own rank have later deadlines.
 		promisedTo--
 	}
 	for ; in < forecastHorizon; in += forecastStep {
-		if f.RoomBy(in)*f.spareShare(in, rate) >= ahead+float64(r.promisedBy(now.Add(in), promisedTo)) {
+		if f.spareRoomBy(in, rate) >= ahead+float64(r.promisedBy(now.Add(in), promisedTo)) {
 			break
 		}
 	}
--- a/forward/call.go
+++ b/forward/call.go
@@ -137,11 +137,9 @@
 	var kept *response
 	var err error
 	for {
-		if err := c.sendNextWithRetries(ctx); err != nil {
-			if err = c.waitInRoom(ctx, err); err != nil {
-				c.giveUp(ctx, kept, err)
-				return
-			}
+		if err := c.sendOrWait(ctx); err != nil {
+			c.giveUp(ctx, kept, err)
+			return
 		}
 		var winner *attempt
 		var failures []failure
--- a/forward/hold.go
+++ b/forward/hold.go
@@ -80,10 +80,22 @@
 // countFirstTry counts a first try at the service's room.
 func (c *call) countFirstTry() {
 	if c.ranked && c.sinceFirst == 0 {
-		c.entry.roomOf(c).waiting.Arrive(c.rank, c.started)
+		c.entry.roomOf(c).waiting.Arrive(c.started)
 	}
 }
 
+// sendOrWait sends the request to the next server, or holds it until one takes it. A return waits behind those that are held already.
+func (c *call) sendOrWait(ctx context.Context) error {
+	var err error = &NoServerError{Service: c.service.Name, Reason: "others wait for a server"}
+	if c.sinceFirst == 0 || !c.mayBeHeld(err) || c.entry.roomOf(c).waiting.Len() == 0 {
+		err = c.sendNextWithRetries(ctx)
+	}
+	if err != nil {
+		err = c.waitInRoom(ctx, err)
+	}
+	return err
+}
+
 // mayBeHeld reports whether a request that was not sent for this reason may wait for a server. Where requests compete by rank only: a
 // held one of a low rank must not be served before a later one of a higher rank.
 func (c *call) mayBeHeld(err error) bool {
