--- a/admission/hold.go
+++ b/admission/hold.go
@@ -80,8 +80,6 @@
 	held     []*Held
 	promises []promise
 	slip     slippage
-	// answerTime is the decaying mean of the time that servers took for answers; 0 before the first.
-	answerTime time.Duration
 	// fresh is the rate of first tries, which go before held requests; credit are releases into free slots that are due, surplus those of the
 	// throughput that first tries leave over, spareSlots the slots that these leave over, all as of releasedAt.
 	fresh      arrivals
@@ -118,7 +116,6 @@
 func (r *Room) Offer(w Waiting, f Forecast, now time.Time) Verdict {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	f = r.corrected(f)
 	opens, ok := f.FirstOpening()
 	if !ok {
 		return Verdict{Why: WhyUnknown}
--- a/admission/hold_test.go
+++ b/admission/hold_test.go
@@ -211,22 +211,3 @@
 		t.Errorf("%d were sent in 1.2 s", sent)
 	}
 }
-
-// TestRoomFollowsAnswerTimes checks that servers that answer faster or slower than their engine's parameters say have more or less room.
-func TestRoomFollowsAnswerTimes(t *testing.T) {
-	held := func(took time.Duration) (n int) {
-		r := NewRoom(1000)
-		for range 100 {
-			r.Answered(took)
-		}
-		for range 200 {
-			if r.Offer(secondTry(0), gapIn(ms(500), 10), start).Held != nil {
-				n++
-			}
-		}
-		return n
-	}
-	if slow, usual, fast := held(ms(3000)), held(ms(1000)), held(ms(500)); slow >= usual || usual >= fast {
-		t.Errorf("%d are held at slow servers, %d at usual ones, %d at fast ones", slow, usual, fast)
-	}
-}
--- a/admission/release.go
+++ b/admission/release.go
@@ -9,35 +9,14 @@
 	// fillTime is the time in which free slots are given to held requests: two intervals of reports, so that each entry sees what the
 	// others took.
 	fillTime = 200 * time.Millisecond
-	// answerWeight is the weight of the latest answer in the mean time of answers: some twenty, a second's at a small entry.
-	answerWeight = 0.05
 	// rateTime is the time over which the rate of first tries is averaged.
 	rateTime = 2 * time.Second
 )
 
-// Answered takes how long a server took for an answer: the engine's parameters give only the usual time of a full server.
-func (r *Room) Answered(took time.Duration) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.answerTime == 0 {
-		r.answerTime = took
-	}
-	r.answerTime += time.Duration(answerWeight * float64(took-r.answerTime))
-}
-
-// corrected returns the forecast with the time of answers as measured, if it was; mu is held.
-func (r *Room) corrected(f Forecast) Forecast {
-	if r.answerTime > 0 {
-		f.SlotTime = r.answerTime
-	}
-	return f
-}
-
 // Release returns the held requests to send now, and those to refuse because their first events are no longer expected in time.
 func (r *Room) Release(f Forecast, now time.Time) (send, refuse []*Held) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	f = r.corrected(f)
 	opens, ok := f.FirstOpening()
 	if ok {
 		f.Error = r.observe(opens, now)
--- a/forward/hold.go
+++ b/forward/hold.go
@@ -84,13 +84,6 @@
 	}
 }
 
-// countAnswer counts how long servers took for an answer at the service's room.
-func (c *call) countAnswer(outcome string, took time.Duration) {
-	if c.ranked && outcome == "answered" {
-		c.entry.roomOf(c).waiting.Answered(took - c.heldFor)
-	}
-}
-
 // sendOrWait sends the request to the next server, or holds it until one takes it. A return waits behind those that are held already.
 func (c *call) sendOrWait(ctx context.Context) error {
 	var err error = &NoServerError{Service: c.service.Name, Reason: "others wait for a server"}
--- a/forward/outcome.go
+++ b/forward/outcome.go
@@ -76,7 +76,6 @@
 	took := clock.Since(c.started)
 	countOutcome(c.route.Name, outcome)
 	answerTime.Update(took.Seconds())
-	c.countAnswer(outcome, took)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	fields := log.Fields{
