--- a/admission/holdload_test.go
+++ b/admission/holdload_test.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -241,7 +242,7 @@
 		"gap of 5 s":   {5 * time.Second, 0.95, 0.5},
 	} {
 		for seed := range uint64(3) {
-			t.Run(name, func(t *testing.T) {
+			t.Run(fmt.Sprintf("%s, seed %d", name, seed), func(t *testing.T) {
 				before, beforeByRank := playGap(t, test.gap, seed, false)
 				held, byRank := playGap(t, test.gap, seed, true)
 				t.Logf("refused at once: %+v, by rank %+v", before, beforeByRank)
--- a/forward/hold.go
+++ b/forward/hold.go
@@ -96,8 +96,8 @@
 	return err
 }
 
-// mayBeHeld reports whether a request that was not sent for this reason may wait for a server. Where requests compete by rank only: a
-// held one of a low rank must not be served before a later one of a higher rank.
+// mayBeHeld reports whether a request that was not sent for this reason may wait for a server: one that no server has had, of a service
+// whose requests differ in rank.
 func (c *call) mayBeHeld(err error) bool {
 	if !c.ranked || c.route.Goal <= 0 || c.mayHaveRun || c.entry.leaving.Load() {
 		return false
@@ -120,7 +120,7 @@
 	if busy && !forecast.Coming() && r.waiting.Len() == 0 {
 		return cause
 	}
-	verdict := r.offer(c.waitingRequest(now), forecast, now)
+	verdict, released := r.offer(c.waitingRequest(now), forecast, now)
 	c.heldWhy, c.verdict = verdict.Why, verdict
 	if verdict.Held == nil {
 		if !busy {
@@ -132,17 +132,19 @@
 	heldNow.Inc()
 	defer heldNow.Dec()
 	defer func() { c.heldFor = clock.Since(now) }()
-	return c.awaitRelease(ctx, r, verdict.Held, cause)
+	defer r.unregister(verdict.Held)
+	return c.awaitRelease(ctx, r, verdict.Held, released, cause)
 }
 
 // awaitRelease waits until the room releases the request, and sends it then.
-func (c *call) awaitRelease(ctx context.Context, r *room, held *admission.Held, cause error) error {
-	released := r.register(held)
-	defer r.unregister(held)
+func (c *call) awaitRelease(ctx context.Context, r *room, held *admission.Held, released <-chan heldEnd, cause error) error {
 	for {
 		select {
 		case <-ctx.Done():
-			c.heldWhy = "its caller has gone"
+			c.heldWhy = "its time ran out"
+			if c.r.Context().Err() != nil {
+				c.heldWhy = "its caller has gone"
+			}
 			countHeld(c.heldWhy)
 			return cause
 		case end := <-released:
@@ -191,26 +193,25 @@
 	return w
 }
 
-// offer offers a request to the room, and ends the wait of one that gives way to it.
-func (r *room) offer(w admission.Waiting, f admission.Forecast, now time.Time) admission.Verdict {
-	verdict := r.waiting.Offer(w, f, now)
+// offer offers a request to the room, and ends the wait of one that gives way to it. A request that is held learns of its release on the
+// channel.
+func (r *room) offer(w admission.Waiting, f admission.Forecast, now time.Time) (verdict admission.Verdict, released <-chan heldEnd) {
+	r.mu.Lock()
+	verdict = r.waiting.Offer(w, f, now)
+	if verdict.Held != nil {
+		// The room may release it as soon as mu is free.
+		ends := make(chan heldEnd, 1)
+		r.calls[verdict.Held], released = ends, ends
+		if !r.running {
+			r.running = true
+			go r.serve()
+		}
+	}
+	r.mu.Unlock()
 	if verdict.GivesWay != nil {
 		r.end(verdict.GivesWay, heldEnd{err: errGaveWay, why: admission.WhyMoreUrgent})
 	}
-	return verdict
-}
-
-// register returns the channel on which a held request learns of its release, and has the room served.
-func (r *room) register(held *admission.Held) <-chan heldEnd {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	released := make(chan heldEnd, 1)
-	r.calls[held] = released
-	if !r.running {
-		r.running = true
-		go r.serve()
-	}
-	return released
+	return verdict, released
 }
 
 // unregister frees the place of a request.
--- a/forward/hold_test.go
+++ b/forward/hold_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -253,3 +254,35 @@
 		t.Errorf("status %d", got.status)
 	}
 }
+
+// TestNoHeldRequestIsForgotten checks that each of many returns that come around the opening of the servers ends, and that none stays in
+// the room.
+func TestNoHeldRequestIsForgotten(t *testing.T) {
+	t.Parallel()
+	const gaps, returns = 4, 30
+	// The server keeps its connections: one that it closes may take a request with it.
+	stream := streamEvents("s", 1, writeLastChunk)
+	server := newFakeServer(t, func(conn net.Conn, n int, r *http.Request) bool {
+		stream(conn, n, r)
+		return true
+	})
+	w := newRankedTestEnv(t, true, server.address)
+	for gap := range gaps {
+		stop := w.keepClosed(1, 50*time.Millisecond)
+		answered := make([]<-chan answer, returns)
+		for i := range answered {
+			answered[i] = w.askReturn("/first/"+strconv.Itoa(gap*returns+i), "x")
+			if i == returns/2 {
+				time.Sleep(30 * time.Millisecond)
+				stop()
+				w.open(1, link.Report{})
+			}
+		}
+		for i, c := range answered {
+			if got := <-c; got.err != nil || got.status != http.StatusOK && got.status != http.StatusServiceUnavailable || got.took > 3500*time.Millisecond {
+				t.Errorf("gap %d: the %dth got status %d after %s, %v", gap, i, got.status, got.took, got.err)
+			}
+		}
+		w.awaitHeld(0)
+	}
+}
--- a/forward/holdforecast.go
+++ b/forward/holdforecast.go
@@ -17,7 +17,7 @@
 	slots := service.Engine.Slots
 	full, half := engine.Load{Decoding: slots}, engine.Load{Decoding: slots / 2}
 	f := admission.Forecast{
-		SlotTime: engine.SlotTime(service.Engine, full),
+		SlotTime: max(engine.SlotTime(service.Engine, full), time.Millisecond),
 		First:    engine.TimeToFirstEvent(service.Engine, half, service.Engine.UsualPrompt),
 	}
 	for _, up := range e.preferredFor(service.Name, homes) {
