Comments of ranks, teams and shared allowances read without their history

Hard to read were: admission's doc, which said that all routes are treated alike; what a room, a standing and assumed requests are; which requests the fractions of ranks are taken of; how long a rank or a team over its share may wait; that Share bounds retries too and serve also sends what teams used; the purpose of Teams, told at its constants only; and which order the first two entries of a silent site are first in. The wait for the next check of the reader, the gathering of what teams used and the end of bounds are functions of their own. No behaviour changes: else only comments, the order of fields and the name of one parameter do.

--- a/admission/policy.go
+++ b/admission/policy.go
@@ -31,7 +31,7 @@
 	Goal  time.Duration
 	// Rank is the request's rank among those for the service, 0 the most urgent; 0 where ranks don't differ.
 	Rank int
-	// NoWait is the queueing delay at a server that lets the request in at once.
+	// NoWait is what counts as queueing delay at a server with one free slot and no prompt to read. Ranks don't shorten that.
 	NoWait time.Duration
 }
 
@@ -55,7 +55,8 @@
 	lastSeen time.Time
 }
 
-// Record records a request's route, whose goal then limits routes as urgent or less too. Decisions are as of the latest now.
+// Record records a request's route, whose goal then limits the wait of all requests that are as urgent or less. Later decisions are as of
+// the latest now.
 func (p *Policy) Record(req Request, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -87,8 +88,8 @@
 	return admitted
 }
 
-// Standing returns how a request stands among those that wait at a server, by what was admitted of late: all that waits goes before it
-// before any was.
+// Standing returns how a request stands among those that wait at a server, judged by the ranks of recently admitted requests and of this
+// entry's waiting ones. Without either it overtakes none and none overtakes it.
 func (p *Policy) Standing(req Request) Standing {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -114,9 +115,9 @@
 	return firstTryShare - (firstTryShare-retryShare)*min(1, p.pressure/saturatedPressure)
 }
 
-// maxDelay returns the longest queueing delay at which a request is admitted. It uses the tightest goal of all active routes
-// as urgent or more, so that a route with a tighter goal is not refused more often than the others. Less urgent requests are overtaken:
-// their goals limit none. A rank that leaves all room to others is admitted where it waits for nothing. mu is held.
+// maxDelay returns the longest queueing delay at which a request is admitted: a share of the tightest goal of all active routes as urgent
+// or more, so that a route with a tighter goal is not refused more often than the others. Goals of less urgent routes don't count, as
+// their requests are overtaken. While more urgent requests are refused, the delay falls towards NoWait. mu is held.
 func (p *Policy) maxDelay(req Request, share float64) time.Duration {
 	tightest, served := req.Goal, p.ranks.served(req.Rank)
 	for key, state := range p.routes {
--- a/admission/ranks.go
+++ b/admission/ranks.go
@@ -13,17 +13,18 @@
 	// refusalHalfLife is the half-life of the counts by which less urgent ranks leave room. Requests wait about that long for a slot: older
 	// refusals say nothing of the slots there are now.
 	refusalHalfLife = 250 * time.Millisecond
-	// roomShare is the fraction of the more urgent first tries refused from which a rank leaves them all room. Callers bear that
-	// a more urgent kind is served less often than a less urgent one by as much.
+	// roomShare is the refused fraction of more urgent first tries from which a rank leaves all room to them. Callers accept that a more
+	// urgent rank is served less often than a less urgent one by as much.
 	roomShare = 0.05
-	// assumedRequests is how many requests that go before any other are assumed beside those counted, so that a few say little.
+	// assumedRequests is how many admitted requests are assumed beside those counted, so that a few say little: more urgent ones where a
+	// rank leaves room, and in a standing ones that neither overtake nor are overtaken.
 	assumedRequests = 4
-	// waitingSmoothing is the weight of the latest count in the mean of this entry's requests that wait, by rank.
+	// waitingSmoothing is the weight of the latest number of waiting requests in its moving average.
 	waitingSmoothing = 0.1
-	// forgotten is the count below which one is taken as zero.
+	// forgotten is the value below which a decaying count becomes zero.
 	forgotten = 0.01
-	// leastShare is the share of first tries admitted, as a fraction of that of all ranks, below which a rank is served as the most urgent.
-	// No callers may get less than a quarter of what all get; the rest is room for noise.
+	// A rank is served as the most urgent while the fraction of its first tries that are admitted is below leastShare of the fraction over
+	// all ranks. No callers may get less than a quarter of what all get; the rest is a margin for noise.
 	leastShare = 0.3
 	// leastTries is the number of recent first tries of a rank below which its share says nothing.
 	leastTries = 3
@@ -34,8 +35,8 @@
 type Standing struct {
 	// Rank is the rank at which the request is served, 0 the most urgent.
 	Rank int
-	// Overtakes is the fraction of waiting requests unknown to this entry that the request overtakes, Overtaken the fraction of requests to
-	// come that overtake it.
+	// Overtakes is the fraction of other entries' waiting requests that the request overtakes, Overtaken the fraction of later requests that
+	// overtake it.
 	Overtakes, Overtaken float64
 }
 
@@ -48,12 +49,12 @@
 }
 
 // ranks count requests by rank; only requests of the same service are compared.
-// They answer load under which callers of several ranks compete for too few slots: servers let the more urgent in first, so entries that
-// count all that waits refuse the urgent for a wait that they won't have, and those that fill all slots with the less urgent leave the
-// urgent to wait for one.
+// They matter when ranks compete for too few slots. Servers let the more urgent in first: an entry that counted all waiting requests would
+// refuse urgent ones for a wait that they don't have, and one that filled all slots with less urgent ones would make the urgent wait.
 type ranks struct {
 	counts [rankCount]rankCounts
-	at     time.Time
+	// at is the time to which the counts are decayed.
+	at time.Time
 	// waiting is the mean number of this entry's requests that wait at full servers, by rank.
 	waiting Waiting
 }
@@ -99,11 +100,11 @@
 	}
 }
 
-// overtakes returns the fraction of waiting requests of other entries that one of a rank overtakes, given the fraction of those admitted
-// that are less urgent. The less urgent wait longer, so what waits is not made up like what was admitted: the entry's own requests that
-// wait stand for the others', and one more that is made up like those admitted, as few may say little.
-func (r *ranks) overtakes(rank int, ofAdmitted float64) float64 {
-	less, all := ofAdmitted, 1.0
+// overtakes returns the fraction of other entries' waiting requests that a request of a rank overtakes. The less urgent wait longer, so
+// more of those that wait are less urgent than of those admitted: the entry's own waiting requests stand for the others'. One more is
+// added, split like the admitted ones, of which admittedLess are less urgent: few waiting requests say little.
+func (r *ranks) overtakes(rank int, admittedLess float64) float64 {
+	less, all := admittedLess, 1.0
 	for i, n := range r.waiting {
 		all += n
 		if i > rank {
@@ -144,8 +145,8 @@
 	return index(rank)
 }
 
-// leave returns the fraction of the usual wait at which a request served at a rank is admitted: less, the more first tries of more urgent
-// ranks are refused, as nothing that has a slot gives it up to them. It falls linearly, so that no wave starts.
+// leave returns the fraction of the usual longest wait beyond NoWait that a request served at a rank may have. It falls as first tries of
+// more urgent ranks are refused, since a request in a slot doesn't give it up to them; linearly, so that admission doesn't swing.
 func (r *ranks) leave(rank int) float64 {
 	tries, admitted := float64(assumedRequests), float64(assumedRequests)
 	for _, c := range r.counts[:rank] {
@@ -155,7 +156,7 @@
 	return 1 - min(1, (tries-admitted)/tries/roomShare)
 }
 
-// standing returns how a request of a rank stands.
+// standing returns how a request of a rank stands, given the recently admitted and the waiting requests.
 func (r *ranks) standing(rank int) Standing {
 	s := Standing{Rank: r.served(rank)}
 	all, less, more := float64(assumedRequests), 0.0, 0.0
--- a/admission/services.go
+++ b/admission/services.go
@@ -26,10 +26,10 @@
 	return p
 }
 
-// maxRooms bounds the services and ranks whose teams are counted, as other entries name some of them.
+// maxRooms bounds the rooms whose teams are counted: messages of other entries may name any.
 const maxRooms = 256
 
-// Room names what teams share: the room of a service for requests of one rank.
+// Room names what teams share: the work that a service can take from requests of one rank.
 type Room struct {
 	Service string
 	Rank    int
@@ -41,7 +41,7 @@
 	teams map[Room]*Teams
 }
 
-// Of returns the teams that share a room, creating them on first use.
+// Of returns the teams that share a room, creating them on first use. Beyond maxRooms the teams are not kept, so that none gets bounded.
 func (r *Rooms) Of(room Room) *Teams {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/admission/teams.go
+++ b/admission/teams.go
@@ -11,21 +11,20 @@
 	"github.com/coralstair/coralstair/allowance"
 )
 
-// Shares of teams answer a shortage in which some teams ask for most of the room: a flood, instant retries, or large prompts. The room
-// that there is goes by max-min shares of work, and a team over its share may queue for less time than others, so what they leave is used.
 const (
 	// teamWindow is the time over which work is counted. Callers wait for a few seconds, so room that was borrowed has to be back sooner.
 	teamWindow = 2 * time.Second
-	// teamPressure is the fraction of first tries without room from which teams over their shares are bounded, and bounded fully. Callers under their shares should lose no more than one request in fifty to those over theirs.
+	// teamPressure is the fraction of first tries without room above which teams over their shares are bounded, and at which their queueing
+	// delay has fallen to overShare. Callers under their shares should lose no more than one request in fifty to those over theirs.
 	teamPressure = 0.02
-	// overShare is the queueing delay at which a team over its share is still admitted, as a fraction of the tightest goal. Steps and reports
-	// alone take up to a third of a goal at a server without a queue, so with less, room that nobody else wants would stay unused.
+	// overShare is the queueing delay at which a team over its share is still admitted, as a fraction of the tightest goal. At a server
+	// without a queue, steps and old reports alone take up to a third of a goal: with less, room that nobody else wants would stay unused.
 	overShare = 0.45
 	// shareTTL is how long computed shares are used; much shorter than a window, longer than the time between two requests.
 	shareTTL = 20 * time.Millisecond
 	// maxTeams bounds the teams that are counted; others are never bounded.
 	maxTeams = 1024
-	// MaxToldTeams bounds the teams that an entry tells others of, the largest first.
+	// MaxToldTeams bounds the teams of a room that an entry tells others of; it tells of the largest.
 	MaxToldTeams = 64
 	// Unlimited is the share while all teams get what they ask for.
 	Unlimited = time.Duration(math.MaxInt64)
@@ -72,21 +71,24 @@
 	Largest []string
 }
 
-// Teams shares the room of one service and rank between teams by the work they ask for. The zero value is ready to use and safe for
-// concurrent use.
+// Teams shares the room of one service and rank between teams by the work they ask for. It is for shortages in which some teams ask for
+// most of the room: by a flood, instant retries, or large prompts. What is admitted in a window goes by max-min shares; a team over its
+// share may queue for less time than others, so it still gets what they leave. The zero value is ready to use and safe for concurrent use.
 type Teams struct {
 	mu     sync.Mutex
 	window allowance.Window
-	own    map[string]*teamCounts
+	// own counts each team's work at this entry, told holds that at the others.
+	own  map[string]*teamCounts
+	told allowance.Told[map[string]TeamUse]
 	// firstTries is the work of all teams' first tries that this entry has decided on, firstWithoutRoom that of those which found no room.
 	firstTries, firstWithoutRoom allowance.Counts
-	told                         allowance.Told[map[string]TeamUse]
-	// total, share and limited, how many teams ask for more than the share, are computed at computedAt; own work since then is added.
+	// total is each team's work at all entries, limited how many teams ask for more than the share. They are computed at computedAt, and own
+	// work since then is added.
 	total      map[string]TeamUse
 	share      time.Duration
 	limited    int
 	computedAt time.Time
-	// boundedAt is when teams were last bounded.
+	// boundedAt is when requests of teams were last bounded, changes what Changes returns next.
 	boundedAt map[string]time.Time
 	changes   []TeamChange
 }
@@ -106,7 +108,7 @@
 	}
 }
 
-// Decided records whether a recorded request was admitted, and whether there was room for a first try.
+// Decided records whether a recorded request was admitted, and whether there was room for it, regardless of its team's share.
 func (t *Teams) Decided(ask Ask, admitted, room bool, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -123,13 +125,14 @@
 	if c := t.counts(ask.Team, now); c != nil {
 		c.admitted.Add(int64(ask.Work))
 		t.total[ask.Team] = t.total[ask.Team].plus(TeamUse{Admitted: ask.Work}, 1)
+		// The room is what was admitted: more of it goes to the teams that ask for more than the share.
 		if t.limited > 0 {
 			t.share += ask.Work / time.Duration(t.limited)
 		}
 	}
 }
 
-// Share returns a team's share, and whether its first tries are bounded now.
+// Share returns a team's share, and whether the team's requests are bounded now.
 func (t *Teams) Share(team string, now time.Time) TeamShare {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -154,7 +157,7 @@
 	t.told.Record(entry, uses, at)
 }
 
-// Use returns what the largest teams used at this entry, for the other entries; none without pressure.
+// Use returns what the largest teams used at this entry, for the other entries; nil while first tries find room.
 func (t *Teams) Use(now time.Time) map[string]TeamUse {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -189,7 +192,7 @@
 	return s
 }
 
-// pressed reports whether first tries find no room; mu is held.
+// pressed reports whether too many first tries, by work, find no room; mu is held.
 func (t *Teams) pressed() bool {
 	return float64(t.firstWithoutRoom.Sum()) > teamPressure*float64(t.firstTries.Sum())
 }
@@ -233,6 +236,11 @@
 		}
 	}
 	t.share, t.limited = maxMinShare(t.total)
+	t.endBounds(now)
+}
+
+// endBounds records the end of bounds that no request has met for a window; mu is held.
+func (t *Teams) endBounds(now time.Time) {
 	for team, at := range t.boundedAt {
 		if now.Sub(at) > teamWindow {
 			delete(t.boundedAt, team)
@@ -250,13 +258,13 @@
 	return teams[:min(most, len(teams))]
 }
 
-// use returns the sums of the window.
+// use returns the work in the window.
 func (c *teamCounts) use() TeamUse {
 	return TeamUse{Asked: time.Duration(c.asked.Sum()), Admitted: time.Duration(c.admitted.Sum())}
 }
 
-// maxMinShare returns the largest share such that all teams together, each with the less of its share and what it asked for, have no more
-// than what was admitted, and how many teams asked for more than the share.
+// maxMinShare returns the largest share at which all teams together get no more than what was admitted, when each gets the share or, if
+// less, what it asked for; and how many teams asked for more than the share.
 func maxMinShare(uses map[string]TeamUse) (share time.Duration, limited int) {
 	room, asked := time.Duration(0), make([]time.Duration, 0, len(uses))
 	for _, use := range uses {
@@ -274,8 +282,8 @@
 	return Unlimited, 0
 }
 
-// AdmitBounded is Admit for a request of a team over its share: the more first tries find no room, the less it may wait. A first try counts
-// in the pressure by room, whether there was room for one of another team: what is refused for the share alone says nothing of a shortage.
+// AdmitBounded is Admit for a request of a team over its share, which may wait less the more first tries find no room. It also returns
+// whether another team's request would find room: this is what counts in the pressure, as a refusal for the share alone is no shortage.
 func (p *Policy) AdmitBounded(req Request, sinceFirst, queueDelay time.Duration) (admitted, room bool) {
 	p.mu.Lock()
 	share := firstTryShare - (firstTryShare-overShare)*min(1, p.pressure/teamPressure)
--- a/allowance/allowance.go
+++ b/allowance/allowance.go
@@ -16,7 +16,7 @@
 	Slack int
 }
 
-// Part returns what one of the entries may use, which counted so many units itself and started age ago.
+// Part returns what one of the entries may use in a window, given the units that it counted itself and its age.
 func (a Allowance) Part(counted, entries int, age, window time.Duration) float64 {
 	fraction, slack := usableFraction, float64(a.Slack)/float64(entries)
 	if age < window {
--- a/allowance/sharers.go
+++ b/allowance/sharers.go
@@ -11,7 +11,7 @@
 // Sharers is how many entries share an allowance. The zero value assumes DefaultEntries. It is not safe for concurrent use.
 type Sharers struct {
 	entries int
-	// before are the larger numbers of entries that were replaced within the window.
+	// before holds the numbers of entries that were replaced within the window, the largest of each bucket.
 	before Counts
 }
 
--- a/allowance/told.go
+++ b/allowance/told.go
@@ -35,7 +35,7 @@
 }
 
 // All returns what each entry told and the weight at which it still counts: 1 while fresh, then falling to 0 over a window, as the use
-// of an entry that fell silent leaves its window. What counts no more is dropped.
+// of an entry that fell silent leaves its window. What no longer counts is dropped.
 func (t *Told[T]) All(window time.Duration, now time.Time) iter.Seq2[T, float64] {
 	return func(yield func(T, float64) bool) {
 		for sender, told := range t.bySender {
--- a/allowance/window.go
+++ b/allowance/window.go
@@ -6,7 +6,7 @@
 const bucketsPerWindow = 10
 
 // Window is a sliding window, whose buckets are numbered from Origin. The origin is a time of clock.Now: with wall-clock time, setting
-// it could end a window early and allow its part twice.
+// the clock could end a window early and allow its part twice.
 type Window struct {
 	Length time.Duration
 	Origin time.Time
@@ -17,7 +17,8 @@
 	return int64(now.Sub(w.Origin) / (w.Length / bucketsPerWindow))
 }
 
-// Counts hold a number for each bucket of a sliding window, the current bucket first. The zero value is empty.
+// Counts holds a number for each bucket of a sliding window, the current bucket first: that one is not over yet, so there is one more than
+// a window has. The zero value is empty.
 type Counts struct {
 	values  [bucketsPerWindow + 1]int64
 	current int64
@@ -54,7 +55,7 @@
 	return total
 }
 
-// Most returns the largest bucket of the window.
+// Most returns the largest number of a bucket of the window.
 func (c *Counts) Most() int64 {
 	most := c.values[0]
 	for _, value := range c.values {
--- a/contract/rank.go
+++ b/contract/rank.go
@@ -12,10 +12,10 @@
 	maxRank = 8
 )
 
-// ranks are the distinct priorities of the requests for one service, most urgent first.
+// ranks are the distinct priorities of the teams and of the routes with requests for one service, most urgent first.
 type ranks struct{ teams, routes []int }
 
-// newRanks returns the ranks of each service that a configuration names.
+// newRanks returns the ranks of each service that a route leads to; keyed is set if routes that are not public need a team's key.
 func newRanks(keyed bool, routes []Route, teams []Team) map[string]*ranks {
 	type priorities struct{ teams, routes map[int]bool }
 	ofTeams := make(map[int]bool)
--- a/contract/server.go
+++ b/contract/server.go
@@ -52,7 +52,7 @@
 }
 
 // sameLoaded reports whether two maps of loaded versions are equal. An entry that has not changed keeps its map, and lists of thousands
-// are compared with each change: one map is not compared with itself.
+// are compared with each change, so a map is not compared with itself.
 func sameLoaded(a, b map[string]Version) bool {
 	return reflect.ValueOf(a).UnsafePointer() == reflect.ValueOf(b).UnsafePointer() || maps.Equal(a, b)
 }
--- a/forward/ahead.go
+++ b/forward/ahead.go
@@ -16,6 +16,7 @@
 // doesn't overtake. mu is held.
 func (u *upstream) ahead(load engine.Load, s admission.Standing, e *contract.Engine) engine.Load {
 	load.Overtaken = s.Overtaken
+	// Of other entries' requests only the number is known, this entry's own are known one by one.
 	requests := s.Overtakes * float64(load.Prefilling-u.reading)
 	tokens := requests * float64(e.UsualPrompt)
 	for _, r := range u.pending {
@@ -47,14 +48,14 @@
 	return time.Duration(float64(l.lag) * math.Exp2(-float64(now.Sub(l.at))/float64(lagHalfLife)))
 }
 
-// observeLag adds the delay of one first event beyond its prediction to the lag of all ranks; mu is held.
+// observeLag adds the delay of one first event beyond its prediction to the lag of the most urgent rank, which counts for all; mu is held.
 func (u *upstream) observeLag(late time.Duration, now time.Time) { u.lags[0].observe(late, now) }
 
 // currentLag returns the decayed lag of the most urgent requests; mu is held.
 func (u *upstream) currentLag(now time.Time) time.Duration { return u.lags[0].current(now) }
 
-// lagOf returns the decayed lag that counts for a rank: the largest of it and the more urgent ones, as less urgent requests may only have
-// been overtaken. mu is held.
+// lagOf returns the decayed lag that counts for a rank: the largest of that rank and the more urgent ones, as less urgent requests may be
+// late only because others overtook them. mu is held.
 func (u *upstream) lagOf(rank int, now time.Time) time.Duration {
 	lag := time.Duration(0)
 	for i := range min(rank, lagRanks-1) + 1 {
--- a/forward/call.go
+++ b/forward/call.go
@@ -51,7 +51,7 @@
 	ranked bool
 	// standing is how the request stands among those that wait at a server, as of the latest choice of one; guarded by mu.
 	standing admission.Standing
-	// share is the team's share when admission was decided last; nil before, and where callers don't compete.
+	// share is the team's share when admission was decided last; nil before, for requests without a team, and where ranks don't differ.
 	share *admission.TeamShare
 	// sinceFirst is the time since the caller's first try as far as the entry knows; 0 on a first try.
 	sinceFirst time.Duration
--- a/forward/choose.go
+++ b/forward/choose.go
@@ -45,7 +45,7 @@
 	movable bool
 	// minOpen is the minimum time until the server closes to load another version.
 	minOpen time.Duration
-	// standing is how the request stands among those that wait at a server; policy, if any, learns of those that wait.
+	// standing is how the request stands among those that wait at a server; policy is told how many wait, nil where ranks don't differ.
 	standing admission.Standing
 	policy   *admission.Policy
 	excluded map[string]bool
@@ -67,8 +67,8 @@
 	first time.Duration
 	cost  time.Duration
 	load  engine.Load
-	// rank is the rank at which the server lets the request in, ahead the load that goes before it. overtakes is the fraction of requests
-	// not yet reported that it overtakes there.
+	// rank is the rank at which the server lets the request in, ahead the part of load that goes before it. overtakes is the fraction of
+	// other entries' requests not yet reported that it overtakes there, 0 unless the server is full.
 	rank      int
 	ahead     engine.Load
 	overtakes float64
@@ -176,7 +176,7 @@
 	return true
 }
 
-// predictAhead fills in the server's load and what of it goes before the request; up.mu is held.
+// predictAhead fills in the server's load, what of it goes before the request, and the request's rank there; the upstream's mu is held.
 func (e *Entry) predictAhead(c *choice, want requirements, now time.Time) {
 	c.load = c.upstream.load(want.service.Engine, now)
 	standing := want.standing
--- a/forward/metrics.go
+++ b/forward/metrics.go
@@ -22,7 +22,7 @@
 	metrics.GetOrCreateCounter(`coralstair_direct_requests_total{route="` + route + `",outcome="` + outcome + `"}`).Inc()
 }
 
-// admissions counts decisions on requests that came to a model server's admission, by rank.
+// admissions counts admission's decisions on requests for model servers, by rank.
 func admissions(rank int, admitted bool) *metrics.Counter {
 	outcome := "refused"
 	if admitted {
--- a/forward/peers.go
+++ b/forward/peers.go
@@ -72,10 +72,10 @@
 	}
 }
 
-// serve sends queued refusals to the other entries of the site until ctx ends.
+// serve sends queued refusals and what teams used to the other entries of the site until ctx ends.
 func (pn *peerNotifier) serve(ctx context.Context) error {
 	defer pn.closeAll()
-	// tell fires only while teams compete for room.
+	// tell fires when to send what teams used again; it is nil while there is no shortage.
 	var tell <-chan time.Time
 	for {
 		select {
@@ -117,7 +117,7 @@
 	}
 }
 
-// notifyPeer sends a message to one entry; an entry that misses it takes retries for first tries, or teams for smaller ones.
+// notifyPeer sends a message to one entry; an entry that misses it takes retries for first tries, or counts less work of teams.
 func (pn *peerNotifier) notifyPeer(ctx context.Context, host string, msg link.Message) {
 	l := pn.links[host]
 	if l == nil {
--- a/forward/pick.go
+++ b/forward/pick.go
@@ -25,7 +25,7 @@
 // requestCounts are the requests at a service's servers: this entry's own and the other entries'.
 type requestCounts struct {
 	servers, own, others int
-	// waiting are this entry's requests without a first event at full servers.
+	// waiting counts this entry's requests without a first event at full servers, by rank.
 	waiting admission.Waiting
 }
 
@@ -72,7 +72,7 @@
 }
 
 // pick chooses among servers whose load is known with a delay, and adds to the wait what other entries have probably
-// sent there since and the request does not overtake.
+// sent there since that the request doesn't overtake.
 func pick(choices []choice, sent balance.InFlight, added time.Duration) choice {
 	i, others := balance.Pick(costs(choices), sent, added, rand.Float64())
 	c := choices[i]
--- a/forward/reader.go
+++ b/forward/reader.go
@@ -54,6 +54,8 @@
 type listReader struct {
 	entry  *Entry
 	server *http.Server
+	// silentChecks counts how often in a row no other entry had a recent list; only serve's goroutine uses it.
+	silentChecks int
 
 	mu sync.Mutex
 	// hosts holds the entries of the site known to each box, by box address; failedUntil holds the failed readers and when they may be
@@ -61,8 +63,6 @@
 	hosts       map[string][]string
 	failedUntil map[string]time.Time
 	silent      map[string]bool
-	// silentChecks counts how often in a row no other entry had a recent list.
-	silentChecks int
 }
 
 func newListReader(e *Entry) *listReader {
@@ -134,17 +134,7 @@
 		lr.entry.cfg.PeerSource.SetReads(host == "")
 		if host == "" {
 			lr.readFullList()
-			interval := lr.checkInterval()
-			if delay > 0 {
-				interval = lr.silenceInterval()
-			}
-			select {
-			case <-ctx.Done():
-			case <-time.After(interval):
-			}
-			if delay > 0 {
-				lr.forgetSilence()
-			}
+			lr.waitForCheck(ctx, delay > 0)
 			continue
 		}
 		lr.entry.log.WithField("reader", host).Info("entry: the list of servers is heard from another entry")
@@ -161,6 +151,19 @@
 	return ctx.Err()
 }
 
+// waitForCheck waits until the reader is determined again; silent is set if the entries before this one have no recent list.
+func (lr *listReader) waitForCheck(ctx context.Context, silent bool) {
+	interval := lr.checkInterval()
+	if silent {
+		interval = lr.silenceInterval()
+		defer lr.forgetSilence()
+	}
+	select {
+	case <-ctx.Done():
+	case <-time.After(interval):
+	}
+}
+
 // readFullList has the full list read if no other entry reads it for the site. Before startupSettleTime, boxes may not know all entries
 // that start together, and each entry would take itself for the reader.
 func (lr *listReader) readFullList() {
--- a/forward/silence.go
+++ b/forward/silence.go
@@ -7,21 +7,22 @@
 	"github.com/coralstair/coralstair/clock"
 )
 
-// While the store is silent, each entry of a site would in turn find all before it without a recent list, and read the list itself: that
-// keeps a congested link to the store congested. Only the first two by rank read it then, and later one more at a time.
+// While the store is silent, each entry of a site would in turn find all entries before it without a recent list, and read the list
+// itself: that keeps a congested link to the store congested. So only the first two in the order of ranksBefore read it then, and later
+// one more at a time.
 
 const (
 	// silentReaders is how many entries of a site read the list while the store is silent: the reader, and one more in case that only the
 	// reader's connection has failed.
 	silentReaders = 2
-	// silentTurn is how long each further one waits for those before it, in case that only they lack the store. It is several times what
-	// a call and its hedges take, so that a link which is only slow is left alone.
+	// silentTurn is how long each further one waits for those before it; then it reads the list in case only they can't reach the store. It
+	// is several times what a call and its hedges take, so that a link which is only slow gets no further calls.
 	silentTurn = 10 * time.Second
-	// minSilenceInterval is how soon the first two are asked again at first: the second may not have noticed yet that the first is silent.
+	// minSilenceInterval is how soon the first two are first asked again: the second may not have noticed yet that the first is silent.
 	minSilenceInterval = 50 * time.Millisecond
 )
 
-// updateListDelay sets how long this entry leaves the list to those before it when it is told no more, and returns that.
+// updateListDelay sets how long this entry leaves reading the list to those before it once none tells it of the list, and returns that.
 func (lr *listReader) updateListDelay() time.Duration {
 	delay := time.Duration(0)
 	if lr.entry.budget.Entries() >= minEntriesForReader && !lr.entry.leaving.Load() {
@@ -40,8 +41,8 @@
 	return min(interval, readerCheckInterval)
 }
 
-// hostsBefore returns the entries of the site that rank before this one, the first one first, and whether all of them can be reached as far
-// as is known: one that cannot may be the reader of the others, which then do not read the store.
+// hostsBefore returns the entries of the site that rank before this one, in order, and whether all of them can be reached as far as is
+// known. The others may follow one that this entry can't reach, and then they don't read the store.
 func (lr *listReader) hostsBefore(now time.Time) (before []string, reached bool) {
 	self := lr.entry.cfg.Machine.Address
 	lr.mu.Lock()
@@ -88,7 +89,8 @@
 	}
 }
 
-// recordRecentList records that an entry has a recent list: those after it had none while there was no reader, which no longer counts.
+// recordRecentList records that an entry has a recent list. Those after it may have been silent only for lack of a reader: that no longer
+// counts.
 func (lr *listReader) recordRecentList(host string) {
 	lr.silentChecks = 0
 	lr.mu.Lock()
--- a/forward/teams.go
+++ b/forward/teams.go
@@ -14,8 +14,8 @@
 	"github.com/coralstair/coralstair/link"
 )
 
-// Where callers compete, the room for requests of a rank goes by shares of teams in a shortage. Entries of a site tell each other what
-// teams used there, as each one sees a part of them.
+// Where ranks differ, teams share the room for requests of a rank in a shortage. Entries of a site tell each other what teams used, as each
+// one sees only a part of their requests.
 
 // teamsInterval is the interval at which an entry that refuses first tries tells the others of its site what teams used: a quarter of the
 // window over which work is counted.
@@ -32,6 +32,7 @@
 	ask := admission.Ask{
 		Team: c.team.Name, Work: requestWork(c.service.Engine, c.info.PromptTokens, c.info.answerTokens()), Retry: c.sinceFirst > 0,
 	}
+	// A request that is decided on again asks for no more room.
 	if c.share == nil {
 		teams.Record(ask, now)
 	}
@@ -85,10 +86,23 @@
 // notifyTeams tells the other entries of the site what teams used here. It returns when to do so again, nil once no first tries are
 // refused and no team is bounded.
 func (pn *peerNotifier) notifyTeams(ctx context.Context) <-chan time.Time {
-	now, again := clock.Now(), false
-	msg := &link.TeamUses{Entry: pn.entry.cfg.Machine.ID}
-	for room, teams := range pn.entry.rooms.All() {
-		again = pn.entry.logTeamChanges(room, teams, now) || again
+	msg, bounded := pn.entry.teamUses(clock.Now())
+	if len(msg.Rooms) > 0 {
+		for _, host := range pn.entry.reader.peerHosts() {
+			pn.notifyPeer(ctx, host, msg)
+		}
+	}
+	if len(msg.Rooms) == 0 && !bounded {
+		return nil
+	}
+	return time.After(teamsInterval)
+}
+
+// teamUses returns what teams used here, and whether some team is bounded; it logs the changes.
+func (e *Entry) teamUses(now time.Time) (msg *link.TeamUses, bounded bool) {
+	msg = &link.TeamUses{Entry: e.cfg.Machine.ID}
+	for room, teams := range e.rooms.All() {
+		bounded = e.logTeamChanges(room, teams, now) || bounded
 		uses := teams.Use(now)
 		if len(uses) == 0 {
 			continue
@@ -99,16 +113,7 @@
 		}
 		msg.Rooms = append(msg.Rooms, told)
 	}
-	if len(msg.Rooms) > 0 {
-		again = true
-		for _, host := range pn.entry.reader.peerHosts() {
-			pn.notifyPeer(ctx, host, msg)
-		}
-	}
-	if !again {
-		return nil
-	}
-	return time.After(teamsInterval)
+	return msg, bounded
 }
 
 // hearTeams applies what teams used at another entry.
--- a/forward/teamtotals.go
+++ b/forward/teamtotals.go
@@ -16,7 +16,7 @@
 const (
 	// maxTeamMetrics is how many teams have metrics of their own, the largest; the others share one.
 	maxTeamMetrics = 32
-	// maxTeamTotals bounds the teams that are told apart at all.
+	// maxTeamTotals bounds the teams that are counted one by one; further ones count as otherTeams.
 	maxTeamTotals = 1024
 	// otherTeams names the teams that share metrics.
 	otherTeams = "other"
