admission: the end of a team's bound is told as such

Found by reading: a bound that no request met for a window was told as begun anew where the team is still over its share by what it uses at other entries, so the log said "bounded" instead of "no longer bounded". Test first: TestEndOfABoundIsTold, failed before.

--- a/admission/teams.go
+++ b/admission/teams.go
@@ -244,7 +244,10 @@
 	for team, at := range t.boundedAt {
 		if now.Sub(at) > teamWindow {
 			delete(t.boundedAt, team)
-			t.changes = append(t.changes, TeamChange{Team: team, TeamShare: t.shareOf(team), Largest: t.largest()})
+			// It may still be over its share by what it uses at other entries; here no request of it has met the bound.
+			share := t.shareOf(team)
+			share.Bounded = false
+			t.changes = append(t.changes, TeamChange{Team: team, TeamShare: share, Largest: t.largest()})
 		}
 	}
 }
--- a/admission/teams_test.go
+++ b/admission/teams_test.go
@@ -99,6 +99,23 @@
 	}
 }
 
+// TestEndOfABoundIsTold checks that a bound which no request met for a window is told as ended, though the team is still over its share by
+// what it uses at other entries.
+func TestEndOfABoundIsTold(t *testing.T) {
+	start := time.Unix(1000, 0)
+	var teams Teams
+	teams.play(start, teamRequests{team: "flood", asked: 100, admitted: 30}, teamRequests{team: "large", asked: 60, admitted: 10})
+	teams.Share("flood", start)
+	teams.Changes(start)
+	later := start.Add(2500 * time.Millisecond)
+	teams.play(later, teamRequests{team: "large", asked: 60, admitted: 10})
+	teams.Hear("another", map[string]TeamUse{"flood": {Asked: 100 * time.Second, Admitted: 50 * time.Second}}, later)
+	changes, _ := teams.Changes(later.Add(100 * time.Millisecond))
+	if len(changes) != 1 || changes[0].Team != "flood" || changes[0].Bounded {
+		t.Errorf("changes %+v, want the end of the flood's bound", changes)
+	}
+}
+
 // TestTeamsAreBounded checks that many names neither fill memory nor messages, and that a team beyond the bound is never bounded.
 func TestTeamsAreBounded(t *testing.T) {
 	start := time.Unix(1000, 0)
