admission: the test of an ended bound shows the fault

As committed before it failed with and without the mend: no bound had begun. Now it fails without the mend (Bounded:true) and passes with it.

--- a/admission/teams_test.go
+++ b/admission/teams_test.go
@@ -105,12 +105,12 @@
 	start := time.Unix(1000, 0)
 	var teams Teams
 	teams.play(start, teamRequests{team: "flood", asked: 100, admitted: 30}, teamRequests{team: "large", asked: 60, admitted: 10})
-	teams.Share("flood", start)
-	teams.Changes(start)
-	later := start.Add(2500 * time.Millisecond)
-	teams.play(later, teamRequests{team: "large", asked: 60, admitted: 10})
+	teams.Share("flood", start.Add(time.Second))
+	teams.Changes(start.Add(time.Second))
+	later := start.Add(2900 * time.Millisecond)
 	teams.Hear("another", map[string]TeamUse{"flood": {Asked: 100 * time.Second, Admitted: 50 * time.Second}}, later)
-	changes, _ := teams.Changes(later.Add(100 * time.Millisecond))
+	teams.play(later, teamRequests{team: "large", asked: 60, admitted: 10})
+	changes, _ := teams.Changes(later.Add(200 * time.Millisecond))
 	if len(changes) != 1 || changes[0].Team != "flood" || changes[0].Bounded {
 		t.Errorf("changes %+v, want the end of the flood's bound", changes)
 	}
