--- a/engine/model.go
+++ b/engine/model.go
@@ -16,12 +16,12 @@
 	PrefillTokens int
 	// Slowdown is the factor by which the engine is slower than usual; 0 and 1 mean as usual.
 	Slowdown float64
-	// Overtaken is the fraction of requests to come that get a slot before this one although they come later.
+	// Overtaken is the fraction of the requests yet to come that get a slot before the one whose wait is predicted.
 	Overtaken float64
 }
 
-// leastOwnSlots bounds the fraction of the slots that are left to a request that others overtake: none stays overtaken for ever, as
-// more urgent requests don't fill all slots for long.
+// leastOwnSlots is the least fraction of the freed slots that is assumed to go to requests which are not overtaken. Without it the
+// predicted wait would grow without bound as Overtaken nears 1, while more urgent requests don't fill all slots for long.
 const leastOwnSlots = 0.25
 
 // Units of an engine's parameters for context tokens and for pairs of tokens.
@@ -61,8 +61,9 @@
 	return first
 }
 
-// WithoutOvertaken returns the load that goes before a request which overtakes a number of those without a first event, and their prompt
-// tokens, provided that they wait for a slot. Which ones wait is not known, so each may.
+// WithoutOvertaken returns the part of the load that goes before a request which overtakes the given number of the requests without a first
+// event, with the given prompt tokens in all. Only those that wait for a slot can be overtaken. Which ones wait is not known, so the number
+// and the tokens count by the fraction that waits.
 func (l Load) WithoutOvertaken(e *contract.Engine, requests, tokens float64) Load {
 	queued := min(l.Decoding+l.Prefilling-e.Slots, l.Prefilling)
 	if queued <= 0 || e.Slots == 0 {
@@ -84,7 +85,7 @@
 	return TimeToFirstEvent(e, Load{Decoding: max(e.Slots-1, 0)}, 1)
 }
 
-// wait returns the time until a slot is free for one more request. Those that overtake it take their share of the slots that become free.
+// wait returns the time until a slot is free for one more request. Requests that overtake it take the Overtaken part of the freed slots.
 func wait(e *contract.Engine, load Load) time.Duration {
 	excess := load.Decoding + load.Prefilling + 1 - e.Slots
 	if excess <= 0 || e.Slots == 0 {
--- a/fill/target.go
+++ b/fill/target.go
@@ -11,10 +11,8 @@
 	"github.com/coralstair/coralstair/swarm"
 )
 
-const (
-	// defaultFetchTime is the assumed time to fetch a whole version when the origin's link rate is unknown.
-	defaultFetchTime = 2200 * time.Millisecond
-)
+// defaultFetchTime is the assumed time to fetch a whole version when the origin's link rate is unknown.
+const defaultFetchTime = 2200 * time.Millisecond
 
 // update brings the server on this machine to one version of a model; its fields are guarded by the box's mutex.
 type update struct {
@@ -35,7 +33,7 @@
 	orderedAt  time.Time
 	// accepted says that the server accepted the load order.
 	accepted bool
-	// finishedBefore is the newer version that waits until this one is complete.
+	// finishedBefore is the newer version for which it was last decided whether this one is finished first; kept to log that once.
 	finishedBefore contract.Version
 	ctx            context.Context
 	cancel         context.CancelFunc
@@ -64,14 +62,29 @@
 	return u
 }
 
-// finishOldFirst reports whether an incomplete older version is finished before a newer one is started, and logs it once.
-// What it depends on is shared by all boxes, so that they agree; one that decides otherwise gets its pieces of either version.
+// finishOldFirst reports whether an incomplete older version is finished before a newer one is started, and logs it when it is first
+// decided and when the older one is given up. It depends mostly on what all boxes share, so that they agree; one that decides
+// otherwise gets its pieces of either version. mu is held.
 func (b *Box) finishOldFirst(old *update, target contract.Version) bool {
 	newest, named := b.cfg.View.Target(old.model)
 	if newest != target || old.namedAt.IsZero() || old.feed == nil || old.feed.Complete() || b.state.Loaded[old.model] >= old.version {
 		return false
 	}
-	params, now := b.feedParams(old.manifest), clock.Now()
+	now := clock.Now()
+	finish := b.succession(old, named).finishOlder(now)
+	if finish && old.finishedBefore != target || !finish {
+		b.log.WithFields(log.Fields{
+			"model": old.model, "version": int64(old.version), "newer": int64(target), "finished": finish, "unheld": old.feed.Unheld(),
+			"held": old.feed.Have(),
+		}).Info("fill: an older version is finished first or given up")
+	}
+	old.finishedBefore = target
+	return finish
+}
+
+// succession returns what decides between an incomplete older version and one named at a time, which is taken to be as large; mu is held.
+func (b *Box) succession(old *update, named time.Time) succession {
+	params := b.feedParams(old.manifest)
 	s := succession{
 		olderNamed: old.namedAt, newerNamed: named,
 		olderRest: time.Duration(old.feed.Unheld()) * params.DownloadInterval, newerRest: params.DownloadTime(len(old.manifest.Digests)),
@@ -82,15 +95,7 @@
 	}
 	s.runsUntil, _ = b.cfg.View.VersionDeadline(old.model, old.version-1)
 	s.olderUntil, _ = b.cfg.View.VersionDeadline(old.model, old.version)
-	finish := s.finishOlder(now)
-	if finish && old.finishedBefore != target || !finish {
-		b.log.WithFields(log.Fields{
-			"model": old.model, "version": int64(old.version), "newer": int64(target), "finished": finish, "unheld": old.feed.Unheld(),
-			"held": old.feed.Have(),
-		}).Info("fill: an older version is finished first or given up")
-	}
-	old.finishedBefore = target
-	return finish
+	return s
 }
 
 // supersede cancels the active update, or makes it pending if only its load turn is outstanding; mu is held.
--- a/fill/versions.go
+++ b/fill/versions.go
@@ -3,29 +3,31 @@
 import "time"
 
 const (
-	// usualSpreadTime is how long after the last download all boxes usually hold all pieces.
+	// usualSpreadTime is how long after the last download from the origin all boxes usually hold all pieces.
 	usualSpreadTime = 500 * time.Millisecond
-	// finishTimeout bounds how long an older version may still take once a newer one is named, while no time without any version
-	// is at stake.
+	// finishTimeout bounds how long an older version may still take once a newer one is named, where an outage of the origin would
+	// leave no time without any version: finishing the older one then only delays the newer one.
 	finishTimeout = 4 * time.Second
-	// usualOutage is how long the origin is away when it starts again.
+	// usualOutage is how long the origin is usually away while it starts again.
 	usualOutage = 5 * time.Second
 )
 
-// succession holds what decides whether an incomplete older version is finished before a newer one is fetched. Its times are
-// the same for all boxes, up to the delay of messages.
+// succession holds what decides whether an incomplete older version is finished before a newer one is fetched. Its times of naming and
+// bounds are the same for all boxes, up to the delay of messages; olderRest depends on the pieces that a box knows of.
 type succession struct {
 	olderNamed, newerNamed time.Time
-	// runsUntil is until when requests may start on what precedes the older version, olderUntil until when on the older one.
+	// runsUntil is until when requests may start on the version before the older one, olderUntil until when on the older one; zero if
+	// not known.
 	runsUntil, olderUntil time.Time
 	// olderRest is the origin link's time for the older version's pieces that no box holds, newerRest for the whole newer one.
 	olderRest, newerRest time.Duration
 }
 
-// finishOlder decides for the load at which versions follow each other faster than an interrupted origin gives them. Callers are
-// owed an answer at each moment: where an outage of the origin would leave no version to run, an older version that should be
-// whole is kept as long as that leaves no more time without any version than to begin the newer one, and it can still be of use.
-// A difference of less than a load changes nothing, so that boxes that know different pieces agree.
+// finishOlder reports whether the older version is finished first. What counts is the time in which no version may run:
+//   - an older version that could not have been fetched whole before the newer one was named is given up;
+//   - where a usual outage leaves no such time, it is finished within finishTimeout;
+//   - else it is finished if it will stand a load's time before its bound, and if that leaves no more time without any version than to
+//     begin the newer one. A difference of up to a load's time counts as none, so that boxes that know of different pieces agree.
 func (s succession) finishOlder(now time.Time) bool {
 	switch {
 	case s.newerNamed.Sub(s.olderNamed) < s.newerRest:
@@ -37,7 +39,7 @@
 	return ready.Add(usualLoadTime).Before(s.olderUntil) && s.unservedOlderFirst(now) <= s.unservedNewerFirst(now)+usualLoadTime
 }
 
-// isTight reports whether a usual outage of the origin would make the newer version stand only after what runs has ended.
+// isTight reports whether a usual outage of the origin would make the newer version ready only after the one before the older has ended.
 func (s succession) isTight() bool {
 	ready := s.newerNamed.Add(s.newerRest + usualSpreadTime + usualLoadTime)
 	return s.runsUntil.After(s.olderNamed) && s.runsUntil.Sub(ready) < usualOutage
@@ -52,6 +54,7 @@
 // unservedOlderFirst returns the time without any version if the older one is finished first.
 func (s succession) unservedOlderFirst(now time.Time) time.Duration {
 	older := now.Add(s.olderRest + usualSpreadTime + usualLoadTime)
+	// The newer one's download begins when the older one's ends, while that one spreads and is loaded.
 	newer := older.Add(s.newerRest)
 	return max(older.Sub(latest(now, s.runsUntil)), 0) + max(newer.Sub(latest(older, s.olderUntil)), 0)
 }
--- a/lab/shortage/engine.go
+++ b/lab/shortage/engine.go
@@ -11,14 +11,14 @@
 // attempt is one admitted request at a server, with the tokens still to read and to write.
 type attempt struct {
 	caller *caller
-	// rank is the rank at which the server lets it in.
-	rank          int
-	server        int
+	// rank orders the attempts that wait at the server, the lowest first; server is the server's index.
+	rank, server  int
 	prefillTokens int
 	answerTokens  int
 }
 
-// server simulates an engine with batched passes, which lets the more urgent in first: each reads a bounded number of prompt tokens, then decodes tokens for the others.
+// server simulates an engine with batched passes: each reads a bounded number of prompt tokens, then decodes tokens for the others. Of the
+// attempts that wait for a slot the most urgent gets it first.
 type server struct {
 	engine  *contract.Engine
 	waiting []*attempt
--- a/lab/shortage/params.go
+++ b/lab/shortage/params.go
@@ -42,8 +42,8 @@
 	return p
 }
 
-// RankedParams returns a simulation of kinds of different ranks at servers near their capacity; the least urgent kind's rate is multiplied
-// by burst from second 4 to 9.
+// RankedParams returns a simulation of kinds of different ranks at servers near their capacity; from second 4 to 9 the rate of the least
+// urgent kind is multiplied by burst.
 func RankedParams(seed uint64, entries int, burst float64) Params {
 	engine := *defaultEngine
 	engine.Slots, engine.Stride, engine.Step, engine.PerContext, engine.ReadRate = 12, 5, 9300*time.Microsecond, 32*time.Microsecond, 20_000
--- a/lab/shortage/ranked.go
+++ b/lab/shortage/ranked.go
@@ -8,7 +8,7 @@
 	"github.com/coralstair/coralstair/engine"
 )
 
-// ranked chooses and admits by what goes before a request of its rank, as entries do where ranks differ.
+// ranked chooses a server and admits by the load that goes before a request of its rank, as entries do where ranks differ.
 type ranked struct{ spreadChoice }
 
 func (s *ranked) request(e *contract.Engine, c *caller) admission.Request {
@@ -17,6 +17,7 @@
 
 func (s *ranked) choose(e *contract.Engine, v view, c *caller) placement {
 	standing := s.policy.Standing(s.request(e, c))
+	// Of its own attempts the entry knows which ones the request overtakes, of those of other entries only the fraction.
 	ahead := make([]engine.Load, len(v.loads))
 	for i, load := range v.loads {
 		load.Overtaken = standing.Overtaken
--- a/lab/shortage/simulation.go
+++ b/lab/shortage/simulation.go
@@ -20,10 +20,12 @@
 	Prompt, Answer int
 	// Rate is in requests per second.
 	Rate float64
-	// Rank is 0 for the most urgent kind. LateShare is the fraction of the value of a late answer, lateValue if 0. Burst is the kind's factor
-	// in the burst; if 0 that of all.
-	Rank             int
-	LateShare, Burst float64
+	// Rank is 0 for the most urgent kind.
+	Rank int
+	// LateShare is the fraction of Value that a late answer has; lateValue if 0.
+	LateShare float64
+	// Burst multiplies the kind's rate in the burst; Params.BurstFactor if 0.
+	Burst float64
 }
 
 // Params configure a simulation.
@@ -113,8 +115,8 @@
 	count      int
 	servers    []*server
 	strategies []Strategy
-	// reported is the load last reported by each server, sent the load added since by each entry, pending its attempts without a first
-	// event.
+	// reported is the load last reported by each server; by entry and server, sent is the load added since, and pending are the attempts
+	// without a first event.
 	reported []engine.Load
 	sent     [][]engine.Load
 	pending  [][][]*attempt
--- a/lab/shortage/spread.go
+++ b/lab/shortage/spread.go
@@ -25,7 +25,8 @@
 	return s.chooseAhead(e, v.loads, v.loads, c, 0)
 }
 
-// chooseAhead chooses by the loads that go before the request at each server; it overtakes a fraction of those not yet reported.
+// chooseAhead chooses by the loads in ahead, the part of each server's load that goes before the request. overtakes is the fraction that
+// it overtakes, at a full server, of the requests that other entries have sent since the latest report.
 func (s *spreadChoice) chooseAhead(e *contract.Engine, loads, ahead []engine.Load, c *caller, overtakes float64) placement {
 	costs, total := make([]time.Duration, len(loads)), 0
 	for i, load := range loads {
--- a/lab/shortage/strategy.go
+++ b/lab/shortage/strategy.go
@@ -14,7 +14,7 @@
 	server      int
 	load        engine.Load
 	timeToFirst time.Duration
-	// rank is the rank at which the server lets the request in.
+	// rank is the rank by which the server orders the request among those that wait.
 	rank int
 }
 
--- a/lab/standin/server.go
+++ b/lab/standin/server.go
@@ -17,7 +17,7 @@
 	workTime        = 10 * time.Millisecond
 	corruptionGrace = 3 * time.Second
 	idleTimeout     = 3 * time.Second
-	// priorities is the number of priorities of requests; one without has defaultPriority.
+	// priorities is the number of priorities, 0 the most urgent; a request without a valid one has defaultPriority.
 	priorities      = 10
 	defaultPriority = 5
 )
@@ -242,7 +242,7 @@
 	return run, 0
 }
 
-// requestPriority returns a request's priority, 0 to 9.
+// requestPriority returns the priority that a request asks for, or the default.
 func requestPriority(r *http.Request) int {
 	priority, err := strconv.Atoi(r.Header.Get("X-Request-Priority"))
 	if err != nil || priority < 0 || priority >= priorities {
@@ -261,7 +261,7 @@
 	return false
 }
 
-// pollWait releases mu for one poll interval; the caller holds mu before and after.
+// pollWait waits for one poll interval as a request of a priority; the caller holds mu, which is released meanwhile.
 func (s *Server) pollWait(priority int) {
 	s.waiting++
 	s.waitingBy[priority]++
--- a/peersource/source.go
+++ b/peersource/source.go
@@ -60,7 +60,8 @@
 	fullReadDelay time.Duration
 
 	mu sync.Mutex
-	// listDelay is how long after the loss of the feed the list is read, if that is later than otherwise.
+	// listDelay is the least time from the loss of the feed to a read of the list, once a full list is known: another entry may read it
+	// for this one by then.
 	listDelay time.Duration
 	changed   chan struct{}
 	// inactiveSince is when the feed was lost; zero while an entry feeds this source.
@@ -130,7 +131,8 @@
 	}
 }
 
-// SetListDelay sets how long after the loss of a feed the list is read, once it is known; 0, as at first, means at once.
+// SetListDelay sets the least time from the loss of a feed to a read of the list; it holds once a full list is known. 0, the initial
+// value, adds no wait.
 func (s *EntrySource) SetListDelay(delay time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/report/report.go
+++ b/report/report.go
@@ -25,7 +25,7 @@
 type Report struct {
 	width time.Duration
 	slots map[int64]map[string]*Counts
-	// callers are the counts of each slot by who asked.
+	// callers are the counts of each slot, as in slots, by rank, team and entry.
 	callers map[int64]*callerCounts
 	total   Counts
 	routes  map[string]*routeStats
--- a/report/shortage.go
+++ b/report/shortage.go
@@ -7,14 +7,14 @@
 )
 
 const (
-	// shortagePercent is the share of refused requests from which a slot counts as one of shortage: in calm times a few are refused
-	// while a server leaves.
+	// shortagePercent is the percentage of refused requests from which a slot of time counts as one of shortage; fewer are refused in calm
+	// times too, while a server leaves.
 	shortagePercent = 5
 	// unranked names requests for services whose requests don't differ in rank.
 	unranked = "none"
 )
 
-// callerCounts are the counts of one slot by who asked.
+// callerCounts are the counts of one slot of time by the request's rank, its team, and the entry that it reached.
 type callerCounts struct {
 	ranks, teams, entries map[string]*Counts
 }
@@ -77,7 +77,7 @@
 	return slots, by
 }
 
-// writeShortages writes who waits and who pays while requests are refused.
+// writeShortages writes the counts by rank, team, site and entry over the slots of shortage: who waits and who pays. Nothing without any.
 func (r *Report) writeShortages(w io.Writer) {
 	slots, by := r.shortages()
 	if len(slots) == 0 {
--- a/soak/caller.go
+++ b/soak/caller.go
@@ -31,7 +31,7 @@
 	kindUnsafe requestKind = "once"
 	kindSafe   requestKind = "safe"
 	kindProbe  requestKind = "probe"
-	// kindReview requests are streams of the less urgent route.
+	// kindReview requests are streams on the less urgent of two routes to the model servers (Options.Ranks).
 	kindReview requestKind = "review"
 )
 
@@ -192,7 +192,7 @@
 	}
 	o.request.Path += fmt.Sprintf("%d", count)
 	if c.rng.Float64() < unknownKeyShare {
-		o.request.Key = "unknown"
+		o.request.Key = unknownKey
 	}
 	timeout := load.timeout + time.Second
 	if c.rng.Float64() < abandonShare {
--- a/soak/planned.go
+++ b/soak/planned.go
@@ -23,7 +23,8 @@
 	longStreams = workload{slots: 6, tokens: 500, tokenSpread: 500, timeout: 8 * time.Second, grace: 8 * time.Second}
 	// quickStreams take hardly longer than a failure, so that callers do not send more requests while servers fail.
 	quickStreams = workload{slots: 16, tokens: 1, tokenSpread: 4, timeout: callerTimeout, grace: bounds.Grace}
-	// rankedStreams take most of a second in few slots: the callers of the urgent route need less than half of them, a flood more than all.
+	// rankedStreams take most of a second each, in few slots: the callers of the urgent route need less than half of the slots, a flood of
+	// the other route more than all.
 	rankedStreams = workload{slots: 4, tokens: 200, tokenSpread: 100, timeout: callerTimeout, grace: bounds.Grace}
 )
 
--- a/soak/ranks.go
+++ b/soak/ranks.go
@@ -11,20 +11,20 @@
 )
 
 const (
-	// reviewPath begins the paths of the less urgent route to the model servers; the flooding team has floodKey.
+	// reviewPath begins the paths of the less urgent route to the model servers; floodTeam floods it, with floodKey.
 	reviewPath = "/review/"
 	floodKey   = "key-of-a-crowd"
 	floodTeam  = "crowd"
-	// floodCallers send reviews without a pause, and again at once when refused.
+	// floodCallers is how many callers send reviews one after the other; after a refusal each waits half a request interval only.
 	floodCallers = 60
 	floodTime    = 8 * time.Second
 	// rankTolerance is by how much a more urgent route may be served less often than a less urgent one.
 	rankTolerance = 0.05
-	// leastShare is the fraction of what all get that no route may fall below.
+	// leastShare is the least fraction of requests served on a route, relative to that of all.
 	leastShare = 0.25
 )
 
-// withRanks adds a less urgent route to the model servers and the team that floods it.
+// withRanks makes the first route the most urgent, and adds a less urgent one to the same model servers and the team that floods it.
 func withRanks(routes []standin.Route, teams []standin.Tenant) ([]standin.Route, []standin.Tenant) {
 	review := routes[0]
 	routes[0].Priority = 0
@@ -78,21 +78,20 @@
 	}
 }
 
-// rankShares are the requests of one kind during a flood, and how many of them were served.
+// rankShares counts the requests during a flood, and how many of them were served.
 type rankShares struct{ asked, served int }
 
 func (s rankShares) share() float64 { return float64(s.served) / float64(max(s.asked, 1)) }
 
-// checkRanks checks that during the flood the more urgent route is served no less often than the other, and that neither starves.
-func (c *checker) checkRanks() {
-	shares := make(map[requestKind]rankShares)
-	var all rankShares
+// floodShares counts the requests to model servers that began and ended during the flood and were served or refused, by kind and in all.
+func (c *checker) floodShares() (shares map[requestKind]rankShares, all rankShares) {
+	shares = make(map[requestKind]rankShares)
 	for _, span := range c.faultSpans {
 		if span.name != "flood" {
 			continue
 		}
 		for _, o := range c.outcomes {
-			if !o.kind.forModels() || o.abandoned || o.request.Key == "unknown" || o.sent.Before(span.from) || o.ended.After(span.to) ||
+			if !o.kind.forModels() || o.abandoned || o.request.Key == unknownKey || o.sent.Before(span.from) || o.ended.After(span.to) ||
 				!o.response.Complete() && !o.response.Refused() {
 				continue
 			}
@@ -106,6 +105,13 @@
 			shares[o.kind] = s
 		}
 	}
+	return shares, all
+}
+
+// checkRanks checks that during the flood nearly all urgent requests are served, no less often than the others, and that the less urgent
+// route does not starve.
+func (c *checker) checkRanks() {
+	shares, all := c.floodShares()
 	urgent, less := shares[kindStream], shares[kindReview]
 	c.rankShares = fmt.Sprintf("urgent %d of %d, less urgent %d of %d served", urgent.served, urgent.asked, less.served, less.asked)
 	switch {
--- a/soak/rig.go
+++ b/soak/rig.go
@@ -22,6 +22,7 @@
 	host         = "soak.example"
 	goodKey      = "key-of-a-team"
 	oldKey       = "key-that-goes"
+	unknownKey   = "unknown"
 	team         = "team"
 
 	streamPath = "/draft/"
@@ -29,7 +30,7 @@
 	safePath   = "/look/"
 )
 
-// teamOf returns the team that holds a key, by all configurations.
+// teamOf holds the teams of the keys that stay valid during a run; requests with other keys may be denied.
 var teamOf = map[string]string{goodKey: team, floodKey: floodTeam}
 
 const (
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -30,7 +30,7 @@
 	// Sites adds evacuations, servers that are cold, requests that have homes and callers that read slowly, at a higher rate than other
 	// faults.
 	Sites bool
-	// Ranks makes a team flood the least urgent of two routes to the model servers while entries are killed.
+	// Ranks makes a team flood the less urgent of two routes to the model servers while an entry is killed and a box is cut off.
 	Ranks bool
 	// Deadly is the number of distinct requests that crash each server that runs them.
 	Deadly int
--- a/swarm/feed.go
+++ b/swarm/feed.go
@@ -14,7 +14,8 @@
 	have    []bool
 	missing int
 	peers   map[string]*feedPeer
-	// gone are the boxes whose links ended since; one that is linked again has its own pieces to catch up with first.
+	// gone are the boxes whose links ended during the transfer. One that is linked again stays in it: it first fetches the pieces that it
+	// missed, which fills its own link.
 	gone map[string]bool
 	// requests are the pieces requested from peers, downloading those being downloaded from the origin.
 	requests    map[int]pieceRequest
@@ -29,7 +30,8 @@
 	// received counts the pieces received, the first of them at firstReceived.
 	received      int
 	firstReceived time.Time
-	// firstSeen is when a piece was first known to be held by any box, lastSeen the latest of these times; meanLag is the mean delay from a piece's slot to that.
+	// firstSeen is when a piece was first known to be held by any box, lastSeen the latest of these times; meanLag is the mean delay
+	// from a piece's slot to its firstSeen.
 	firstSeen []time.Time
 	lastSeen  time.Time
 	meanLag   time.Duration
@@ -41,7 +43,8 @@
 	lastReceived time.Time
 	// meanLatency is the mean time from a request to its piece, without the wait at the sender.
 	meanLatency time.Duration
-	// joined is when this box took part; the schedule started then, or earlier if beganLate.
+	// joined is when this box began to take part, started when the schedule of all began by what this box knows: the same time, or an
+	// earlier one if beganLate.
 	joined    time.Time
 	started   time.Time
 	beganLate bool
--- a/swarm/feeddownload.go
+++ b/swarm/feeddownload.go
@@ -6,8 +6,8 @@
 func (f *Feed) DownloadFailed(piece int) { delete(f.downloading, piece) }
 
 // OriginUnreachable records that the origin was unreachable for a piece. The piece is retried in the next round of those that
-// nobody holds, so that the returning origin is not asked for all of them at once; a backup retries later than the ranks before
-// it, so that it has heard if one of them succeeded.
+// nobody holds, so that the returning origin is not asked for all of them at once; a backup retries later than the lower ranks,
+// so that it has heard by then whether one of them succeeded.
 func (f *Feed) OriginUnreachable(piece int, now time.Time) {
 	delete(f.downloading, piece)
 	f.retryAt[piece] = f.retrySlot(piece, now.Add(1)).Add(time.Duration(max(f.downloadRank(piece), 0)) * f.params.RankDelay)
@@ -45,10 +45,11 @@
 	return slot
 }
 
-// backupDue returns when a backup of that rank downloads a piece: once the piece is overdue by more than the mean lag, plus
-// a delay per rank. The delay is long while the schedule keeps the origin's link busy, since further downloads would make
-// all others late; after its end, and once no more pieces become known, it is the time in which the link carries the pieces
-// that no box holds, or in which a box hears of them.
+// backupDue returns when a backup of a rank downloads a piece, the earlier of two times:
+//   - once the piece is overdue by more than the mean lag, plus RankDelay per rank: while the schedule keeps the origin's link busy,
+//     a further download makes all others late;
+//   - after the schedule's end and the latest piece that became known, plus, per rank, the link's time for the pieces that no box holds,
+//     but at least StartDelay, in which a box hears of them.
 func (f *Feed) backupDue(piece, rank int) time.Time {
 	during := f.expectedBy(piece).Add(f.meanLag + time.Duration(rank)*f.params.RankDelay)
 	perRank := max(time.Duration(f.Unheld())*f.params.DownloadInterval, f.params.StartDelay)
@@ -65,8 +66,8 @@
 	return later(end, f.originUpAt.Add(time.Duration(f.backlog)*f.params.DownloadInterval))
 }
 
-// observeSchedule moves the schedule's start to the latest possible time given the pieces that are held now, if this box began
-// much later: a box that restarts would otherwise leave its downloads until the whole schedule is over.
+// observeSchedule moves the schedule's start back to the latest time that agrees with the pieces held now, if this box began more than
+// RankDelay after it: a box that restarts would otherwise leave its downloads until the others' schedule is over.
 func (f *Feed) observeSchedule(now time.Time) {
 	begun := now.Add(-f.params.StartDelay - time.Duration(f.passedSlots())*f.params.DownloadInterval)
 	if f.beganLate && begun.Before(f.started) || f.started.Sub(begun) > f.params.RankDelay {
@@ -74,8 +75,8 @@
 	}
 }
 
-// passedSlots returns how many slots have passed by the pieces known to be held. Scattered pieces of a few boxes that ran ahead
-// do not count: most of those before the slot must be held.
+// passedSlots returns the latest slot that has passed, by the pieces known to be held. Most of the pieces before it must be held, so
+// that single pieces of boxes that ran ahead do not count.
 func (f *Feed) passedSlots() int {
 	passed, lacking := 0, 0
 	for piece, seen := range f.firstSeen {
@@ -124,8 +125,8 @@
 // IsDownloader reports whether this box is the piece's downloader, so that others wait for its announcement.
 func (f *Feed) IsDownloader(piece int) bool { return f.ranks[f.order.Group(piece)][0] == 0 }
 
-// downloadRank returns this box's rank for downloading a piece, without the boxes that are gone; -1 for a box that is not a
-// member. A box that has lost most of its links may be cut off itself and counts all boxes.
+// downloadRank returns this box's rank for downloading a piece, not counting the boxes that are gone; -1 for a box that is not a
+// member. A box that has lost at least as many links as it has left may be cut off itself, so it counts all boxes.
 func (f *Feed) downloadRank(piece int) int {
 	group := f.order.Group(piece)
 	rank := f.ranks[group][0]
--- a/swarm/feedparams.go
+++ b/swarm/feedparams.go
@@ -44,9 +44,10 @@
 	lagSmoothing = 8
 	// initialLag is the mean lag before the first piece.
 	initialLag = 300 * time.Millisecond
-	// maxBackupRank bounds the ranks that are checked for boxes ahead that are gone: more than a rack's boxes rarely end together.
+	// maxBackupRank is the rank from which boxes of lower ranks that are gone are not looked for: so many rarely end together that such a
+	// box would have to stand in.
 	maxBackupRank = 2 * MaxPermits
-	// minSeenPart is the inverse of the part of pieces before a slot that may be unheld if the slot has passed.
+	// minSeenPart: a slot counts as passed if at most one in so many of the pieces before it is held by no box.
 	minSeenPart = 4
 	// slowPause is how long a slow peer is asked only for pieces that no other holds.
 	slowPause = 4 * time.Second
--- a/swarm/feedpeer.go
+++ b/swarm/feedpeer.go
@@ -6,7 +6,7 @@
 type feedPeer struct {
 	member Member
 	have   []bool
-	// takesPart says that the box has told which pieces of the version it holds.
+	// takesPart is set once the box has told which pieces of this version it holds; one that fetches another version tells nothing.
 	takesPart bool
 	// inFlight counts this box's requests to the peer, queue is the queue length that the peer announced.
 	inFlight     int
@@ -43,8 +43,8 @@
 	delete(f.peers, id)
 }
 
-// fleetElsewhere reports whether most linked boxes have told nothing of this version, since they fetch another one: they will
-// do their own downloads, and the origin's link is needed for that other version until then.
+// fleetElsewhere reports whether most linked boxes have told nothing of this version, since they fetch another one. Backups then do not
+// stand in: the origin's link is needed for that other version, and those boxes download their own pieces once they come to this one.
 func (f *Feed) fleetElsewhere() bool {
 	takePart := 0
 	for _, p := range f.peers {
--- a/swarm/order.go
+++ b/swarm/order.go
@@ -77,7 +77,7 @@
 	return -1, -1
 }
 
-// ahead returns the boxes with lower ranks for a group than the given one.
+// ahead returns the boxes whose ranks for a group are lower than the given one, so that they download before it.
 func (o *Order) ahead(group, rank int) []Member {
 	var members []Member
 	for _, i := range o.ranked[group][:max(rank, 0)] {
