report, soak: what was left of holding goes; any response of a failure counts as not served

The report read held_ms, which nothing writes, as holding was not taken in. The soak's shares by rank left out failed answers (502): stricter now, only requests cut off by a killed entry are left out.

--- a/report/counts.go
+++ b/report/counts.go
@@ -12,8 +12,6 @@
 	Requests, InTime, Late, Refused, Failed, CallerGone int
 	// Retries are requests tried again after a refusal, RetriesAnswered those of them that were answered.
 	Retries, RetriesAnswered int
-	// Held are requests that waited at the entry until a server could take them.
-	Held int
 }
 
 func (c *Counts) add(l line) {
@@ -31,9 +29,6 @@
 	default:
 		c.Failed++
 	}
-	if l.Held > 0 {
-		c.Held++
-	}
 	if l.Waited > 0 {
 		c.Retries++
 		if result == inTime || result == late {
@@ -51,7 +46,6 @@
 	c.CallerGone += other.CallerGone
 	c.Retries += other.Retries
 	c.RetriesAnswered += other.RetriesAnswered
-	c.Held += other.Held
 }
 
 // percent returns part as a percentage of all requests.
--- a/report/line.go
+++ b/report/line.go
@@ -34,9 +34,7 @@
 	Prefilling int       `json:"reading"`
 	Attempts   int       `json:"attempts"`
 	// Rank is nil where requests for the service do not differ in rank.
-	Rank *int `json:"rank"`
-	// Held is how long the entry held the request until a server could take it; 0 in logs of entries that hold none.
-	Held    int64  `json:"held_ms"`
+	Rank    *int   `json:"rank"`
 	Cause   string `json:"cause"`
 	Version int64  `json:"version"`
 	Site    string `json:"site"`
--- a/report/shortage_test.go
+++ b/report/shortage_test.go
@@ -8,14 +8,14 @@
 
 // TestWhoWaitsAndWhoPays checks that counts by rank and team are of the times with refusals only.
 func TestWhoWaitsAndWhoPays(t *testing.T) {
-	asked := func(after float64, rank, team, outcome string, status, held int) string {
-		return logLine(after, fmt.Sprintf(`"msg":"request","route":"r","team":%q,"outcome":%q,"status":%d,"first_ms":100,"goal_ms":400%s,"held_ms":%d`,
-			team, outcome, status, rank, held))
+	asked := func(after float64, rank, team, outcome string, status int) string {
+		return logLine(after, fmt.Sprintf(`"msg":"request","route":"r","team":%q,"outcome":%q,"status":%d,"first_ms":100,"goal_ms":400%s`,
+			team, outcome, status, rank))
 	}
 	const first, second = `,"rank":0`, `,"rank":2`
 	var r Report
-	text := asked(0, first, "a", "answered", 200, 0) + asked(0.1, second, "b", "answered", 200, 0) +
-		asked(5, first, "a", "answered", 200, 900) + asked(5.1, second, "b", "not-run", 503, 0) + asked(5.2, "", "b", "answered", 200, 0)
+	text := asked(0, first, "a", "answered", 200) + asked(0.1, second, "b", "answered", 200) +
+		asked(5, first, "a", "answered", 200) + asked(5.1, second, "b", "not-run", 503) + asked(5.2, "", "b", "answered", 200)
 	if err := r.Read("log", strings.NewReader(text)); err != nil {
 		t.Fatal(err)
 	}
@@ -27,7 +27,7 @@
 		got  *Counts
 		want Counts
 	}{
-		"most urgent":  {by.ranks["0"], Counts{Requests: 1, InTime: 1, Held: 1}},
+		"most urgent":  {by.ranks["0"], Counts{Requests: 1, InTime: 1}},
 		"less urgent":  {by.ranks["2"], Counts{Requests: 1, Refused: 1}},
 		"without rank": {by.ranks[unranked], Counts{Requests: 1, InTime: 1}},
 		"team":         {by.teams["b"], Counts{Requests: 2, InTime: 1, Refused: 1}},
--- a/soak/ranks.go
+++ b/soak/ranks.go
@@ -83,7 +83,8 @@
 
 func (s rankShares) share() float64 { return float64(s.served) / float64(max(s.asked, 1)) }
 
-// floodShares counts the requests to model servers that began and ended during the flood and were served or refused, by kind and in all.
+// floodShares counts the requests to model servers that began and ended during the flood and got a response, by kind and in all; those cut
+// off with a killed entry say nothing of ranks.
 func (c *checker) floodShares() (shares map[requestKind]rankShares, all rankShares) {
 	shares = make(map[requestKind]rankShares)
 	for _, span := range c.faultSpans {
@@ -92,7 +93,7 @@
 		}
 		for _, o := range c.outcomes {
 			if !o.kind.forModels() || o.abandoned || o.request.Key == unknownKey || o.sent.Before(span.from) || o.ended.After(span.to) ||
-				!o.response.Complete() && !o.response.Refused() {
+				o.response.Err != nil {
 				continue
 			}
 			s := shares[o.kind]
