Take back: two entries of a site read a silent store

Besides, a site of which only the first two entries lack the store would keep an old list for up to 10 s, against the bound on leaving servers.

--- a/forward/reader.go
+++ b/forward/reader.go
@@ -54,19 +54,16 @@
 type listReader struct {
 	entry  *Entry
 	server *http.Server
-	// silentChecks counts how often in a row no other entry had a recent list; only serve's goroutine uses it.
-	silentChecks int
 
 	mu sync.Mutex
 	// hosts holds the entries of the site known to each box, by box address; failedUntil holds the failed readers and when they may be
-	// followed again, silent those of them that have no recent list, but responded.
+	// followed again.
 	hosts       map[string][]string
 	failedUntil map[string]time.Time
-	silent      map[string]bool
 }
 
 func newListReader(e *Entry) *listReader {
-	lr := &listReader{entry: e, hosts: make(map[string][]string), failedUntil: make(map[string]time.Time), silent: make(map[string]bool)}
+	lr := &listReader{entry: e, hosts: make(map[string][]string), failedUntil: make(map[string]time.Time)}
 	lr.server = &http.Server{Handler: http.HandlerFunc(lr.accept), ReadHeaderTimeout: headerTimeout}
 	return lr
 }
@@ -130,11 +127,13 @@
 	for ctx.Err() == nil {
 		lr.entry.cfg.PeerSource.SetShared(lr.entry.budget.Entries() >= minEntriesForReader)
 		host := lr.currentReader(clock.Now())
-		delay := lr.updateListDelay()
 		lr.entry.cfg.PeerSource.SetReads(host == "")
 		if host == "" {
 			lr.readFullList()
-			lr.waitForCheck(ctx, delay > 0)
+			select {
+			case <-ctx.Done():
+			case <-time.After(lr.checkInterval()):
+			}
 			continue
 		}
 		lr.entry.log.WithField("reader", host).Info("entry: the list of servers is heard from another entry")
@@ -144,26 +143,12 @@
 			lr.failedUntil[host] = clock.Now().Add(readerBackoff)
 			lr.mu.Unlock()
 		}
-		lr.updateListDelay()
 		lr.entry.cfg.PeerSource.PeerLost()
 		lr.entry.log.WithFields(log.Fields{"reader": host, "failed": failed}).Info("entry: the list of servers is read from the store")
 	}
 	return ctx.Err()
 }
 
-// waitForCheck waits until the reader is determined again; silent is set if the entries before this one have no recent list.
-func (lr *listReader) waitForCheck(ctx context.Context, silent bool) {
-	interval := lr.checkInterval()
-	if silent {
-		interval = lr.silenceInterval()
-		defer lr.forgetSilence()
-	}
-	select {
-	case <-ctx.Done():
-	case <-time.After(interval):
-	}
-}
-
 // readFullList has the full list read if no other entry reads it for the site. Before startupSettleTime, boxes may not know all entries
 // that start together, and each entry would take itself for the reader.
 func (lr *listReader) readFullList() {
@@ -183,7 +168,6 @@
 // follow receives the list from a reader until another entry becomes the reader, or this one fails, times out or does not read the
 // store itself.
 func (lr *listReader) follow(ctx context.Context, host string) (failed bool) {
-	lr.setSilent(host, false)
 	dialCtx, cancel := context.WithTimeout(ctx, linkDialTimeout)
 	defer cancel()
 	conn, err := link.Dial(dialCtx, lr.entry.boxLinks.client, lr.entry.cfg.Machine.LinkAddress(host), nil)
@@ -207,7 +191,6 @@
 		timeout.Reset(listTimeout)
 		switch msg := msg.(type) {
 		case *link.Servers:
-			lr.recordRecentList(host)
 			lr.entry.cfg.PeerSource.ApplyServers(msg)
 		case *link.QuarantineRecords:
 			lr.entry.cfg.Quarantine.Merge(msg.Records)
@@ -216,7 +199,6 @@
 				return true
 			}
 		case *link.Declared:
-			lr.setSilent(host, true)
 			return true
 		}
 		if lr.currentReader(clock.Now()) != host {
--- a/peersource/source.go
+++ b/peersource/source.go
@@ -59,11 +59,8 @@
 	// fullReadDelay is how long after a partial read the full list is read.
 	fullReadDelay time.Duration
 
-	mu sync.Mutex
-	// listDelay is the least time from the loss of the feed to a read of the list, once a full list is known: another entry may read it
-	// for this one by then.
-	listDelay time.Duration
-	changed   chan struct{}
+	mu      sync.Mutex
+	changed chan struct{}
 	// inactiveSince is when the feed was lost; zero while an entry feeds this source.
 	inactiveSince  time.Time
 	declared       *contract.Config
@@ -131,17 +128,6 @@
 	}
 }
 
-// SetListDelay sets the least time from the loss of a feed to a read of the list; it holds once a full list is known. 0, the initial
-// value, adds no wait.
-func (s *EntrySource) SetListDelay(delay time.Duration) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.listDelay != delay {
-		s.listDelay = delay
-		s.notify()
-	}
-}
-
 // ServersAfter waits for a change of the list of servers.
 func (s *EntrySource) ServersAfter(ctx context.Context, cursor discovery.Cursor, wait time.Duration) (discovery.Servers, error) {
 	if s.shared.Load() {
@@ -221,11 +207,7 @@
 	if s.partial && !s.fullReadRequested {
 		interval = s.fullReadDelay
 	}
-	next := latest(s.feedDeadline(), s.listReadAt.Add(interval))
-	if s.serversKnown && !s.partial {
-		next = latest(next, s.inactiveSince.Add(s.listDelay))
-	}
-	return next
+	return latest(s.feedDeadline(), s.listReadAt.Add(interval))
 }
 
 // nextDeclaredRead returns when what is declared may next be read from the store; mu is held.
