--- a/swarm/feedstandin_test.go
+++ b/swarm/feedstandin_test.go
@@ -26,7 +26,6 @@
 func TestStandInsFollowAtThePaceOfTheOrigin(t *testing.T) {
 	for name, test := range standInTests {
 		t.Run(name, func(t *testing.T) {
-			t.Parallel()
 			for _, n := range []int{20, 76} {
 				members := testMembers(n, 3)
 				order := NewOrder("salt", feedPieces, members)
