forward: log why a request that may have run finds no further server

A lost request's line told neither the only attempt's reason, nor what each server was believed to refuse for, nor what the retry budget held when it refused a retry; of 39 requests lost in planned work the cause could not be told apart.

The line now has the tries of each request that was not answered, for how long a connection had been idle that broke, and for a search without a result the number of servers by reason. A retry that the budget refuses gets a line, once a request.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -47,8 +47,10 @@
 	primary   *attempt
 	lastEvent string
 	// newConn forces a new connection.
-	newConn       bool
-	conn          *conn
+	newConn bool
+	conn    *conn
+	// connIdle is how long the connection had been idle; 0 for a new one.
+	connIdle      time.Duration
 	writtenBefore int64
 	resp          *http.Response
 	reply         ResponseInfo
--- a/forward/call.go
+++ b/forward/call.go
@@ -88,6 +88,8 @@
 	lastChoice      choice
 	firstEventAfter time.Duration
 	attemptLog      []string
+	// budgetRefused is set once the retry budget has refused a retry.
+	budgetRefused bool
 
 	// fp is computed on first use. connLost is set once a connection broke during the request.
 	fp       quarantine.Fingerprint
--- a/forward/choose.go
+++ b/forward/choose.go
@@ -97,10 +97,10 @@
 	usable, ejected := make([]choice, 0, len(ups)), []choice(nil)
 	var counts requestCounts
 	for _, up := range ups {
-		c, until, fits := e.evaluate(up, want, now)
+		c, until, why := e.evaluate(up, want, now)
 		counts.add(up, want.service.Engine, now)
 		switch {
-		case !fits:
+		case why != accepted:
 		case now.Before(until):
 			ejected = append(ejected, c)
 		default:
@@ -125,16 +125,26 @@
 	return best, true
 }
 
-// evaluate predicts the cost of a request at a server; fits is false when the server can't take it, until is the end
-// of its ejection.
-func (e *Entry) evaluate(up *upstream, want requirements, now time.Time) (c choice, until time.Time, fits bool) {
+// evaluate predicts the cost of a request at a server, or returns why the server can't take it; until is the end of its
+// ejection.
+func (e *Entry) evaluate(up *upstream, want requirements, now time.Time) (c choice, until time.Time, why rejection) {
 	up.mu.Lock()
 	defer up.mu.Unlock()
 	server := up.server
 	siteCost, may := e.mayServe(want.homes, server.Site)
-	gone := up.missing && now.After(up.unusableAt)
-	if !may || up.isLeaving() || gone || want.excluded[server.ID] || now.Sub(up.misdirectedAt) < misdirectedBackoff || up.availableIn(want.entries, now) > 0 {
-		return choice{}, time.Time{}, false
+	switch {
+	case !may:
+		return choice{}, time.Time{}, rejectedSite
+	case up.isLeaving():
+		return choice{}, time.Time{}, rejectedLeaving
+	case up.missing && now.After(up.unusableAt):
+		return choice{}, time.Time{}, rejectedGone
+	case want.excluded[server.ID]:
+		return choice{}, time.Time{}, rejectedTried
+	case now.Sub(up.misdirectedAt) < misdirectedBackoff:
+		return choice{}, time.Time{}, rejectedMisdirected
+	case up.availableIn(want.entries, now) > 0:
+		return choice{}, time.Time{}, rejectedLimited
 	}
 	c = choice{upstream: up, server: server, entries: want.entries}
 	if !up.reportAt.IsZero() {
@@ -142,30 +152,38 @@
 	}
 	if want.service.Engine == nil {
 		c.first = plainRequestCost*time.Duration(1+up.inFlight/max(server.Slots, 1)) + time.Duration(up.inFlight)*time.Millisecond
-	} else if !e.predict(&c, want, now) {
-		return choice{}, time.Time{}, false
+	} else if why := e.predict(&c, want, now); why != accepted {
+		return choice{}, time.Time{}, why
 	}
 	c.cost += c.first + up.reportDelay(now) + e.siteCost(server.Site) + siteCost + rand.N(costJitter)
 	if up.missing {
 		c.cost += unlistedPenalty
 	}
-	return c, up.ejectedUntil, true
+	return c, up.ejectedUntil, accepted
 }
 
-// predict fills in the choice of a server with an engine and reports whether the server may take the request; up.mu
-// is held.
-func (e *Entry) predict(c *choice, want requirements, now time.Time) bool {
+// predict fills in the choice of a server with an engine, or returns why the server can't take the request; up.mu is
+// held.
+func (e *Entry) predict(c *choice, want requirements, now time.Time) rejection {
 	up := c.upstream
 	c.version = up.version(want.model, now)
-	if c.version == 0 || want.version != 0 && c.version != want.version || up.closing(now) {
-		return false
+	switch {
+	case c.version == 0:
+		return rejectedNotLoaded
+	case want.version != 0 && c.version != want.version:
+		return rejectedVersion
+	case up.closing(now):
+		return rejectedClosing
 	}
 	e.predictAhead(c, want, now)
 	late := up.lagOf(c.rank, now) + overdueFactor*up.oldestOverdue(c.rank, c.load.IsFull(want.service.Engine), now) + up.rtt.delay(now)
 	c.first = engine.TimeToFirstEvent(want.service.Engine, c.ahead, want.promptTokens) + late
 	c.closesIn = up.closesIn(now)
-	if e.missesVersionDeadline(up, want.model, *c, now) || c.closesIn < want.minOpen {
-		return false
+	if e.missesVersionDeadline(up, want.model, *c, now) {
+		return rejectedOutdated
+	}
+	if c.closesIn < want.minOpen {
+		return rejectedClosing
 	}
 	if want.urgent {
 		c.load.Prefilling, c.load.PrefillTokens = 0, 0
@@ -173,7 +191,7 @@
 		c.first = engine.TimeToFirstEvent(want.service.Engine, c.ahead, want.promptTokens) + late
 	}
 	c.overrun = max(c.first+engine.DecodeTime(want.service.Engine, c.load, want.answerTokens)-c.closesIn, 0)
-	return true
+	return accepted
 }
 
 // predictAhead fills in the server's load, what of it goes before the request, and the request's rank there; the upstream's mu is held.
--- a/forward/outcome.go
+++ b/forward/outcome.go
@@ -27,6 +27,9 @@
 	if err != nil {
 		reason += ": " + err.Error()
 	}
+	if lost && a.connIdle > 0 {
+		reason += ", connection was idle for " + a.connIdle.Round(time.Millisecond).String()
+	}
 	c.mu.Lock()
 	c.attemptLog = append(c.attemptLog, a.choice.server.ID+" "+reason)
 	c.connLost = c.connLost || lost
@@ -91,9 +94,16 @@
 	if cause != nil {
 		fields["cause"] = cause.Error()
 	}
-	if c.sends+c.refusalCount > 1 {
+	if c.sends+c.refusalCount > 1 || outcome != "answered" && len(c.attemptLog) > 0 {
 		fields["tries"] = c.attemptLog
 	}
+	if (c.mayHaveRun || c.stream != nil) && errors.As(cause, new(*NoServerError)) {
+		want := c.requirements()
+		if c.stream != nil {
+			want.version = c.stream.version
+		}
+		fields["rejected"] = c.entry.rejections(want, clock.Now())
+	}
 	if c.share != nil {
 		fields["rank"], fields["bounded"], fields["used_ms"] = c.rank, c.share.Bounded, c.share.Admitted.Milliseconds()
 	}
--- a/forward/request.go
+++ b/forward/request.go
@@ -43,6 +43,9 @@
 func (a *attempt) gotConn(info httptrace.GotConnInfo) {
 	if c, ok := info.Conn.(*conn); ok {
 		a.conn = c
+		if info.WasIdle {
+			a.connIdle = info.IdleTime
+		}
 		a.writtenBefore = c.beginRequest()
 		a.inFlight.setConnectedAt(c.opened)
 	}
--- a/forward/retrybudget.go
+++ b/forward/retrybudget.go
@@ -16,15 +16,20 @@
 	if optional {
 		take = c.entry.budget.TakeOptionalRetry
 	}
-	if !take(c.service.Name, now) {
-		return false
-	}
+	taken := take(c.service.Name, now)
 	usage := c.entry.budget.Usage(c.service.Name, now)
-	c.entry.log.WithFields(log.Fields{
+	line := c.entry.log.WithFields(log.Fields{
 		"id": c.info.ID, "service": c.service.Name, "requests": usage.Requests, "retries": usage.Retries,
 		"allowed": math.Floor(usage.Allowed), "entries": usage.Entries,
-	}).Info("forward: retry taken")
-	return true
+	})
+	switch {
+	case taken:
+		line.Info("forward: retry taken")
+	case !c.budgetRefused:
+		c.budgetRefused = true
+		line.WithField("optional", optional).Info("forward: retry refused by the budget")
+	}
+	return taken
 }
 
 // updateEntryCount sets the number of entries that share the retry budget from a box's report: the most entries connected to one box
