forward: keep idle connections by server, not by address

Callers saw: in planned work, requests that may run only once got 502 (EOF, 0 to 17 ms) right after a server had been replaced at its address.

Cause: net/http keeps idle connections by the URL's host, which was the address. The new server's first requests took a connection to the old process whose end had not been read. Evidence: the request's line names the new server's id, and a new connection would have been refused rather than closed; the test shows it without load.

Each incarnation of a server now has a pool of its own; the address to dial goes with the request's context. Requests that may be repeated met the fault too and cost a retry.

TestNextServerAtAnAddressGetsNewConnections failed in all three cases before (502).

--- a/forward/choose.go
+++ b/forward/choose.go
@@ -59,6 +59,7 @@
 type choice struct {
 	upstream *upstream
 	server   contract.Server
+	pool     connPool
 	version  contract.Version
 	// entries is the number of entries that share the server's limit.
 	entries int
@@ -146,7 +147,7 @@
 	case up.availableIn(want.entries, now) > 0:
 		return choice{}, time.Time{}, rejectedLimited
 	}
-	c = choice{upstream: up, server: server, entries: want.entries}
+	c = choice{upstream: up, server: server, pool: up.pool, entries: want.entries}
 	if !up.reportAt.IsZero() {
 		c.reportAge = now.Sub(up.reportAt)
 	}
--- a/forward/conn.go
+++ b/forward/conn.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -123,6 +125,32 @@
 	}
 }
 
+// connPool names the idle connections to one incarnation of a server: another server may get its address, and a request sent on a
+// connection to the previous one is lost. Its zero value stands for all connections to an address.
+type connPool struct {
+	host    string
+	address string
+}
+
+// poolCount numbers the pools.
+var poolCount atomic.Uint64
+
+// newConnPool returns a pool of its own for connections to an address.
+func newConnPool(address string) connPool {
+	return connPool{host: fmt.Sprintf("pool-%d", poolCount.Add(1)), address: address}
+}
+
+// connPoolKey is the context key of the pool of a request.
+type connPoolKey struct{}
+
+// dialAddress returns the address to dial for a request whose URL has the given one: net/http keeps idle connections by the URL's host.
+func dialAddress(ctx context.Context, address string) string {
+	if pool, ok := ctx.Value(connPoolKey{}).(connPool); ok {
+		return pool.address
+	}
+	return address
+}
+
 // newTransport returns a transport to the servers that never resends a request: net/http cannot rewind the bodies.
 func newTransport() *http.Transport {
 	dialer := &net.Dialer{
@@ -132,7 +160,7 @@
 	}
 	return &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			c, err := dialer.DialContext(ctx, network, address)
+			c, err := dialer.DialContext(ctx, network, dialAddress(ctx, address))
 			if err != nil {
 				return nil, err
 			}
--- a/forward/incarnation.go
+++ b/forward/incarnation.go
@@ -48,6 +48,7 @@
 	defer u.mu.Unlock()
 	next := &upstream{server: u.server, born: born, listedBorn: u.listedBorn, weight: u.weight, missing: u.missing, unusableAt: u.unusableAt}
 	next.server.Born, next.server.Loaded = born, nil
+	next.pool = newConnPool(u.server.Address)
 	return next
 }
 
--- a/forward/request.go
+++ b/forward/request.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"io"
 	"net/http"
 	"net/http/httptrace"
@@ -31,12 +32,16 @@
 		header["User-Agent"] = []string{""}
 	}
 	c.entry.cfg.Wire.SetRequestHeaders(header, extra)
+	ctx, host := a.ctx, a.choice.server.Address
+	if pool := a.choice.pool; pool.host != "" {
+		ctx, host = context.WithValue(ctx, connPoolKey{}, pool), pool.host
+	}
 	req := &http.Request{
-		Method: c.r.Method, URL: target(c.r, a.choice.server.Address), Host: c.r.Host, Header: header,
+		Method: c.r.Method, URL: target(c.r, host), Host: c.r.Host, Header: header,
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 	}
 	setBody(req, c.body, c.r.ContentLength)
-	return req.WithContext(httptrace.WithClientTrace(a.ctx, &httptrace.ClientTrace{GotConn: a.gotConn}))
+	return req.WithContext(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: a.gotConn}))
 }
 
 // gotConn records the connection that the request uses.
@@ -69,13 +74,13 @@
 	return method == http.MethodPost || method == http.MethodPut || method == http.MethodPatch
 }
 
-// target returns the request's URL at a server, with path and query exactly as the caller wrote them.
-func target(r *http.Request, address string) *url.URL {
+// target returns the request's URL at a host, with path and query exactly as the caller wrote them.
+func target(r *http.Request, host string) *url.URL {
 	if strings.HasPrefix(r.RequestURI, "/") && !strings.HasPrefix(r.RequestURI, "//") {
-		return &url.URL{Scheme: "http", Host: address, Opaque: r.RequestURI}
+		return &url.URL{Scheme: "http", Host: host, Opaque: r.RequestURI}
 	}
 	u := *r.URL
-	u.Scheme, u.Host = "http", address
+	u.Scheme, u.Host = "http", host
 	return &u
 }
 
--- a/forward/upstream.go
+++ b/forward/upstream.go
@@ -38,6 +38,8 @@
 type upstream struct {
 	mu     sync.Mutex
 	server contract.Server
+	// pool holds the idle connections to the server.
+	pool connPool
 	// born is the start time of the server's incarnation, as last reported by its box or the list; listedBorn is the
 	// list's value, which may lag. Both are 0 while unknown.
 	born       int64
@@ -195,6 +197,9 @@
 	if !u.server.Equal(server.Server) {
 		u.misdirectedAt = time.Time{}
 	}
+	if u.pool.address != server.Address {
+		u.pool = newConnPool(server.Address)
+	}
 	u.server, u.missing, u.unusableAt = server.Server, !server.MissingSince.IsZero(), server.GoneAt
 	u.listedBorn = server.Born
 	if u.born == 0 {
