forward: requests that can't be repeated avoid idle connections

Cause: the server closes a connection that is idle just as the request is sent.

A request that can't be repeated now gets no connection that was idle for more than 0.5 s at a server which announces no timeout; it is closed before anything is written.

Failed before: TestServerClosesAnIdleConnection (502), TestOnceRequestsAvoidIdleConnections (1 connection).

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -50,7 +50,9 @@
 	newConn bool
 	conn    *conn
 	// connIdle is how long the connection had been idle; 0 for a new one.
-	connIdle      time.Duration
+	connIdle time.Duration
+	// connDiscarded is set when the connection was closed before the request was written, so that it needs another one.
+	connDiscarded bool
 	writtenBefore int64
 	resp          *http.Response
 	reply         ResponseInfo
@@ -133,12 +135,15 @@
 	if !a.staysHome() {
 		return resultNotRun, &InvalidPlacementError{Server: a.choice.server.ID}
 	}
-	req := a.request(extra)
 	transport := a.call.entry.transport
 	if a.newConn {
 		transport = a.call.entry.oneShotTransport
 	}
-	resp, err := transport.RoundTrip(req)
+	resp, err := transport.RoundTrip(a.request(extra))
+	for err != nil && a.connDiscarded {
+		a.connDiscarded = false
+		resp, err = transport.RoundTrip(a.request(extra))
+	}
 	if err != nil {
 		return a.sendFailed(err)
 	}
--- a/forward/conn.go
+++ b/forward/conn.go
@@ -26,7 +26,10 @@
 	// idleTimeout applies unless the server announces a shorter timeout; idleMargin is subtracted from an announced one.
 	idleTimeout = 4 * time.Second
 	idleMargin  = 500 * time.Millisecond
-	connBuffer  = 2 << 10
+	// unannouncedIdle is how long a connection may be idle before a request that can't be repeated, unless its server announces a timeout:
+	// servers announce whole seconds, so one that announces none may close the connection within a second.
+	unannouncedIdle = 500 * time.Millisecond
+	connBuffer      = 2 << 10
 	// kernelBuffer bounds what the kernel holds of an answer on each side, so that a caller that does not read presses back on the server.
 	kernelBuffer   = 64 << 10
 	maxIdlePerHost = 64
@@ -115,6 +118,18 @@
 	c.timer.Reset(c.idleLimit)
 }
 
+// discardIfIdle closes the connection, which no request uses yet, if it was idle for long and its server announces no timeout.
+func (c *conn) discardIfIdle(idle time.Duration) (discarded bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if idle <= unannouncedIdle || c.idleLimit > 0 {
+		return false
+	}
+	c.cut = true
+	_ = c.Conn.Close()
+	return true
+}
+
 // expire closes a connection that was idle too long. A request that takes it at the same time blocks on mu and sends
 // nothing.
 func (c *conn) expire() {
--- a/forward/request.go
+++ b/forward/request.go
@@ -44,9 +44,14 @@
 	return req.WithContext(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: a.gotConn}))
 }
 
-// gotConn records the connection that the request uses.
+// gotConn records the connection that the request uses. A request that can't be repeated gets no connection that its server may be about
+// to close.
 func (a *attempt) gotConn(info httptrace.GotConnInfo) {
 	if c, ok := info.Conn.(*conn); ok {
+		a.connDiscarded = info.WasIdle && !a.call.route.Repeatable() && c.discardIfIdle(info.IdleTime)
+		if a.connDiscarded {
+			return
+		}
 		a.conn = c
 		if info.WasIdle {
 			a.connIdle = info.IdleTime
