forward: search for a server while the caller waits

Cause: a request that had to leave a server before the bound on its version looked for another one for 1.5 s, the bound for a stream that broke; a caller who has seen nothing waits longer. Limits were ruled out (none was limited), the budget too (no refused retry).

Such a request now searches for as long as an idle server could still serve it in time and the entry stays, also while the retry budget is exhausted; the server that it left may be chosen again with its next version.

TestRequestTakenAwaySearchesWhileItsCallerWaits failed before in all three cases (502).

--- a/forward/call.go
+++ b/forward/call.go
@@ -24,6 +24,9 @@
 	// maxRefusals bounds refusals of a request that another server runs or may have run: each one draws on the retry
 	// budget.
 	maxRefusals = 4
+	// searchIntervalDivisor makes the pause between searches for a server grow with the duration of the search: many requests may
+	// search at once.
+	searchIntervalDivisor = 8
 	// topPriority is the priority that servers admit first.
 	topPriority = 0
 )
@@ -163,18 +166,18 @@
 	}
 }
 
-// sendNextWithRetries sends the request to the next server. A repeatable request that may have run keeps looking for
-// a server for up to resumeTimeout, since its caller would otherwise get an unknown outcome.
+// sendNextWithRetries sends the request to the next server. A repeatable request that may have run keeps looking for a
+// server while there is time to serve it, since its caller would otherwise get an unknown outcome.
 func (c *call) sendNextWithRetries(ctx context.Context) error {
-	for until := clock.Now().Add(resumeTimeout); ; {
+	for began := clock.Now(); ; {
 		err := c.sendNext()
-		if !errors.As(err, new(*NoServerError)) || !c.mayHaveRun || !c.route.Repeatable() || c.noServerBy(until) {
+		if err == nil || !c.mayFindServer(err) {
 			return err
 		}
 		select {
 		case <-ctx.Done():
 			return err
-		case <-time.After(retryInterval):
+		case <-time.After(max(retryInterval, clock.Since(began)/searchIntervalDivisor)):
 		}
 		c.mu.Lock()
 		c.readmit(clock.Now())
@@ -182,6 +185,32 @@
 	}
 }
 
+// mayFindServer reports whether another search for a server may succeed in time after one that failed with err.
+func (c *call) mayFindServer(err error) bool {
+	if !errors.As(err, new(*NoServerError)) && !errors.Is(err, errRetryBudget) {
+		return false
+	}
+	return c.mayHaveRun && c.route.Repeatable() && !c.noServerBy(c.latestStart())
+}
+
+// latestStart returns when a server must get the request at the latest for its answer to be complete in time.
+func (c *call) latestStart() time.Time {
+	end := c.deadline
+	if closes := c.entry.closesIdleAt.Load(); closes != nil && closes.Before(end) {
+		end = *closes
+	}
+	return end.Add(-c.serviceTime())
+}
+
+// serviceTime returns how long an idle server takes for the request.
+func (c *call) serviceTime() time.Duration {
+	e := c.service.Engine
+	if e == nil || e.ReadRate <= 0 {
+		return responseMargin
+	}
+	return engine.TimeToFirstEvent(e, engine.Load{}, c.info.PromptTokens) + engine.DecodeTime(e, engine.Load{}, c.info.answerTokens())
+}
+
 // noServerBy reports whether until has passed, or no server is known to accept a request before it.
 func (c *call) noServerBy(until time.Time) bool {
 	now := clock.Now()
--- a/forward/enginefixture_test.go
+++ b/forward/enginefixture_test.go
@@ -29,6 +29,10 @@
 			Name: "stream", Host: "h", Prefix: "/stream/", Kind: contract.KindStream, TimeLimit: 3 * time.Second, Attempts: 2,
 			Goal: 500 * time.Millisecond, PauseGoal: 400 * time.Millisecond, Resumable: true, Priority: testPriority,
 		},
+		{
+			Name: "long stream", Host: "h", Prefix: "/stream/long/", Kind: contract.KindStream, TimeLimit: 8 * time.Second, Attempts: 2,
+			Goal: 500 * time.Millisecond, PauseGoal: 400 * time.Millisecond, Resumable: true, Priority: testPriority,
+		},
 		{
 			Name: "stream once", Host: "h", Prefix: "/stream/once/", Kind: contract.KindStream, TimeLimit: 3 * time.Second, Attempts: 2,
 			Goal: 500 * time.Millisecond,
--- a/forward/handover.go
+++ b/forward/handover.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"time"
 
@@ -136,6 +137,11 @@
 		c.refusalCount++
 		c.refusedAt[a.choice.server.ID] = clock.Now()
 	}
+	if errors.As(err, new(*VersionDeadlineError)) {
+		// The server may take the request again once it runs a newer version; the request has waited its turn already.
+		delete(c.excluded, a.choice.server.ID)
+		c.urgent = true
+	}
 	c.failures = append(c.failures, failure{response: a.complete, result: result, err: err})
 	s, continues := c.stream, c.continues()
 	c.mu.Unlock()
--- a/forward/outcome.go
+++ b/forward/outcome.go
@@ -27,6 +27,9 @@
 	if err != nil {
 		reason += ": " + err.Error()
 	}
+	if result != resultDone || err != nil {
+		reason += " after " + clock.Since(a.inFlight.sent).Round(time.Millisecond).String()
+	}
 	if lost && a.connIdle > 0 {
 		reason += ", connection was idle for " + a.connIdle.Round(time.Millisecond).String()
 	}
--- a/forward/overdue_test.go
+++ b/forward/overdue_test.go
@@ -86,3 +86,47 @@
 		t.Errorf("status %d, body %q, error %v, %d arrivals", got.status, got.body, got.err, arrivals.Load())
 	}
 }
+
+// TestRequestTakenAwaySearchesWhileItsCallerWaits guards against an unknown outcome for a request that had to leave its server, although a
+// server can take it while its caller still waits.
+func TestRequestTakenAwaySearchesWhileItsCallerWaits(t *testing.T) {
+	const untilDeadline, freeAfter = dispatchMargin + time.Second, 4 * time.Second
+	load := func(w *testEnv, server int) {
+		w.entry.upstreams.applyReport(link.Report{Server: serverName(server), Model: testModel, Version: 2}, time.Now())
+	}
+	for name, test := range map[string]struct {
+		// before is applied before the request, frees ends what keeps the servers from taking it; used is the server that had the request.
+		before func(w *testEnv)
+		frees  func(w *testEnv, used int)
+	}{
+		"another server loads the newer version": {func(*testEnv) {}, func(w *testEnv, used int) { load(w, 1-used) }},
+		"its own server loads the newer version": {func(*testEnv) {}, load},
+		"the retry budget is exhausted at first": {
+			func(w *testEnv) { w.entry.budget.SetAllowance(0, 0) },
+			func(w *testEnv, used int) {
+				w.entry.budget.SetAllowance(0.2, 100)
+				load(w, 1-used)
+			},
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			waits := func(conn net.Conn, _ int, _ *http.Request) bool {
+				_, _ = conn.Read(make([]byte, 1))
+				return false
+			}
+			both := firstThen(waits, streamEvents("b", 6, writeLastChunk))
+			one, two := newFakeServer(t, both), newFakeServer(t, both)
+			w := newModelTestEnv(t, one.address, two.address)
+			w.applyReport(0, link.Report{HasAllPieces: true})
+			w.applyReport(1, link.Report{HasAllPieces: true})
+			w.entry.cfg.View.ObservePeerTarget(contract.Target{Model: testModel, Version: 2}, -untilDeadline)
+			test.before(w)
+			time.AfterFunc(freeAfter, func() { test.frees(w, min(two.arrivals(), 1)) })
+			got := w.ask(http.MethodPost, "/stream/long/a", "x", nil)
+			if got.err != nil || got.body != allEvents(6) {
+				t.Errorf("status %d, body %q, error %v", got.status, got.body, got.err)
+			}
+		})
+	}
+}
