discovery: daemons tell each other when versions were named

Cause: an entry that starts reads the newest target only and estimates since when it holds; the target before it, by which requests may begin on an older version no more, it never hears of. So it sent requests to servers that the others no longer used, for 1.1 s too long by the logs (version 3 named at 9.16, taken as named at 10.22), and had to take them away. Ruled out: late boxes alone, which met all entries alike. The same fault could let requests begin on a version after its bound.

A box no longer tells another an older version with the newest one's age.

--- a/discovery/apply.go
+++ b/discovery/apply.go
@@ -40,12 +40,15 @@
 	changed := v.applyConfig(declared.Config)
 	changed = v.applyEvacuations(declared, full) || changed
 	for _, target := range declared.Targets {
-		at := v.now()
-		if first && v.config != nil && v.targets[target.Model] == nil {
+		h, observed := v.targets[target.Model], ObservedTarget{Target: target, At: v.now()}
+		if newest, _ := h.newest(); newest >= target.Version {
+			continue
+		}
+		if first && v.config != nil && h == nil {
 			// The target's age is unknown; half the bound limits the error in either direction.
-			at = at.Add(-v.opts.VersionBound / 2)
+			observed.At, observed.Estimated = observed.At.Add(-v.opts.VersionBound/2), true
 		}
-		changed = v.addTarget(target, at) || changed
+		changed = v.addTarget(observed) || changed
 	}
 	if changed {
 		v.notify()
@@ -67,17 +70,25 @@
 	return true
 }
 
-// addTarget adds a target version and when it was named, and reports whether it is newer than the known ones; mu is held.
-func (v *View) addTarget(target contract.Target, at time.Time) bool {
+// addTarget adds a target version or corrects when it was named, and reports whether that changed anything; mu is held.
+func (v *View) addTarget(target ObservedTarget) bool {
 	h := v.targets[target.Model]
 	if h == nil {
 		h = &history{}
 		v.targets[target.Model] = h
 	}
-	if !h.add(target.Version, at) {
+	changed, newest := h.add(namedVersion{version: target.Version, at: target.At, estimated: target.Estimated})
+	if !changed {
 		return false
 	}
-	v.opts.Log.WithFields(log.Fields{"model": target.Model, "version": int64(target.Version)}).Info("view: version named")
+	line := v.opts.Log.WithFields(log.Fields{
+		"model": target.Model, "version": int64(target.Version), "ago_ms": v.now().Sub(target.At).Milliseconds(), "estimated": target.Estimated,
+	})
+	if newest {
+		line.Info("view: version named")
+	} else {
+		line.Info("view: it is known better when a version was named")
+	}
 	return true
 }
 
--- a/discovery/view.go
+++ b/discovery/view.go
@@ -242,25 +242,45 @@
 	return v.newestLoaded(model), time.Time{}
 }
 
-// ObservedTarget is a target and when it was first seen.
+// ObservedTarget is a target and when it was named.
 type ObservedTarget struct {
 	contract.Target
 	At time.Time
+	// Estimated says that the time is only assumed: the daemon has started since.
+	Estimated bool
 }
 
-// Targets returns the newest target of each model, sorted by model.
+// Targets returns the latest targets of each model, sorted by model and version: older ones tell until when servers may run the versions
+// before them.
 func (v *View) Targets() []ObservedTarget {
 	v.mu.RLock()
 	defer v.mu.RUnlock()
 	var targets []ObservedTarget
 	for model, h := range v.targets {
-		version, at := h.newest()
-		targets = append(targets, ObservedTarget{Target: contract.Target{Model: model, Version: version}, At: at})
+		for _, n := range h.versions {
+			targets = append(targets, ObservedTarget{Target: contract.Target{Model: model, Version: n.version}, At: n.at, Estimated: n.estimated})
+		}
 	}
-	slices.SortFunc(targets, func(a, b ObservedTarget) int { return strings.Compare(a.Model, b.Model) })
+	slices.SortFunc(targets, func(a, b ObservedTarget) int {
+		return cmp.Or(strings.Compare(a.Model, b.Model), cmp.Compare(a.Version, b.Version))
+	})
 	return targets
 }
 
+// NamedAt returns when a version of a model was named as the target, the zero time if that is not known.
+func (v *View) NamedAt(model string, version contract.Version) time.Time {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	if h := v.targets[model]; h != nil {
+		for _, n := range h.versions {
+			if n.version == version {
+				return n.at
+			}
+		}
+	}
+	return time.Time{}
+}
+
 // newestLoaded returns the newest version of a model that a server runs; mu is held.
 func (v *View) newestLoaded(model string) contract.Version {
 	var newest contract.Version
@@ -280,9 +300,14 @@
 
 // ObservePeerTarget applies a target that a peer reports, with the time since it was named.
 func (v *View) ObservePeerTarget(target contract.Target, ago time.Duration) {
+	v.ObserveTarget(ObservedTarget{Target: target, At: v.now().Add(-ago)})
+}
+
+// ObserveTarget applies a target that a peer reports.
+func (v *View) ObserveTarget(target ObservedTarget) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if v.addTarget(target, v.now().Add(-ago)) {
+	if v.addTarget(target) {
 		v.notify()
 	}
 }
--- a/fill/inbound.go
+++ b/fill/inbound.go
@@ -61,7 +61,7 @@
 	case *link.Hello:
 		l.links.setWeight(l, m.Weight)
 	case *link.Target:
-		b.cfg.View.ObservePeerTarget(contract.Target{Model: m.Model, Version: contract.Version(m.Version)}, m.Age)
+		b.cfg.View.ObserveTarget(m.Observed())
 	case *link.Evacuations:
 		b.cfg.View.ObservePeerEvacuations(m.Known)
 	case *link.WantManifest:
@@ -77,6 +77,13 @@
 	}
 }
 
+// sendTargets tells an entry that has just linked when versions were named: one that has started since can't know.
+func (l *inboundLink) sendTargets() {
+	for _, target := range l.links.box.cfg.View.Targets() {
+		l.send(link.NewTarget(target))
+	}
+}
+
 // handleWantManifest records which manifest the other box wants, and sends it if it is known.
 func (l *inboundLink) handleWantManifest(m *link.WantManifest) {
 	l.mu.Lock()
--- a/fill/links.go
+++ b/fill/links.go
@@ -101,6 +101,7 @@
 	if l.entry {
 		ls.box.sendReport()
 		l.sendEvacuations()
+		l.sendTargets()
 		ls.chooseRelay()
 	}
 }
--- a/fill/loader.go
+++ b/fill/loader.go
@@ -91,7 +91,7 @@
 	}
 	turn := clock.Now()
 	if deadline, ok := b.cfg.View.VersionDeadline(u.model, old); old != 0 && ok {
-		turn = b.loadTurn(u.namedAt, deadline)
+		turn = b.loadTurn(b.cfg.View.NamedAt(u.model, u.version), deadline)
 	}
 	b.mu.Lock()
 	b.loadAt = turn
--- a/fill/outbound.go
+++ b/fill/outbound.go
@@ -24,7 +24,7 @@
 // run handles incoming messages until the link ends.
 func (l *outboundLink) run() {
 	b := l.links.box
-	l.sendTarget()
+	l.sendTargets()
 	defer func() {
 		b.mu.Lock()
 		if b.active != nil && b.active.feed != nil {
@@ -45,15 +45,14 @@
 	}
 }
 
-// sendTarget notifies the other box which version this box is updating to, and joins that version.
-func (l *outboundLink) sendTarget() {
-	b := l.links.box
-	u := b.current()
+// sendTargets notifies the other box of the target versions and joins the one to which this box is updating.
+func (l *outboundLink) sendTargets() {
+	u := l.links.box.current()
 	if u == nil {
 		return
 	}
-	if _, named := b.cfg.View.Target(u.model); !named.IsZero() {
-		l.send(&link.Target{Model: u.model, Version: int64(u.version), Age: clock.Since(named)})
+	for _, target := range l.links.box.cfg.View.Targets() {
+		l.send(link.NewTarget(target))
 	}
 	l.join(u)
 }
@@ -85,7 +84,7 @@
 			b.takeManifest(manifest, l.member.ID)
 		}
 	case *link.Target:
-		b.cfg.View.ObservePeerTarget(contract.Target{Model: m.Model, Version: contract.Version(m.Version)}, m.Age)
+		b.cfg.View.ObserveTarget(m.Observed())
 	case *link.Have:
 		if u := b.updateByKey(m.Manifest); u != nil {
 			b.mu.Lock()
--- a/fill/target.go
+++ b/fill/target.go
@@ -18,7 +18,6 @@
 type update struct {
 	model               string
 	version             contract.Version
-	namedAt             time.Time
 	startedAt           time.Time
 	manifest            *Manifest
 	key                 uint64
@@ -48,7 +47,6 @@
 	}
 	b.supersede(model)
 	u := &update{model: model, version: target, startedAt: clock.Now()}
-	_, u.namedAt = b.cfg.View.Target(model)
 	u.ctx, u.cancel = context.WithCancel(ctx)
 	b.active = u
 	if b.pending == nil {
@@ -67,7 +65,7 @@
 // otherwise gets its pieces of either version. mu is held.
 func (b *Box) finishOldFirst(old *update, target contract.Version) bool {
 	newest, named := b.cfg.View.Target(old.model)
-	if newest != target || old.namedAt.IsZero() || old.feed == nil || old.feed.Complete() || b.state.Loaded[old.model] >= old.version {
+	if newest != target || b.cfg.View.NamedAt(old.model, old.version).IsZero() || old.feed == nil || old.feed.Complete() || b.state.Loaded[old.model] >= old.version {
 		return false
 	}
 	now := clock.Now()
@@ -86,7 +84,7 @@
 func (b *Box) succession(old *update, named time.Time) succession {
 	params := b.feedParams(old.manifest)
 	s := succession{
-		olderNamed: old.namedAt, newerNamed: named,
+		olderNamed: b.cfg.View.NamedAt(old.model, old.version), newerNamed: named,
 		olderRest: time.Duration(old.feed.Unheld()) * params.DownloadInterval, newerRest: params.DownloadTime(len(old.manifest.Digests)),
 	}
 	if s.newerRest == 0 {
--- a/forward/boxlinks.go
+++ b/forward/boxlinks.go
@@ -209,6 +209,8 @@
 			bl.updateEntryCount(address, msg)
 		case *link.Follow:
 			bl.setFollower(conn, msg.Service)
+		case *link.Target:
+			bl.entry.cfg.View.ObserveTarget(msg.Observed())
 		case *link.Evacuations:
 			bl.entry.cfg.View.ObservePeerEvacuations(msg.Known)
 		case *link.Entries:
@@ -223,7 +225,7 @@
 	bl.links[address] = &boxLink{conn: conn}
 	bl.mu.Unlock()
 	for _, target := range bl.entry.cfg.View.Targets() {
-		sendTarget(conn, target)
+		_ = trySend(conn, link.NewTarget(target))
 	}
 	if known, ok := bl.entry.cfg.View.Evacuations(); ok && len(known.Sites)+len(known.Lost) > 0 {
 		trySend(conn, &link.Evacuations{Known: known})
@@ -240,20 +242,18 @@
 	}
 }
 
-// sendTargets sends new target versions to all boxes, which would learn of them later by themselves.
+// sendTargets sends target versions that are new, or whose naming times were corrected, to all boxes, which would learn of them later by
+// themselves. A message is dropped if a link is full: the box receives it from other entries too.
 func (bl *boxLinks) sendTargets() {
 	targets := bl.entry.cfg.View.Targets()
 	bl.mu.Lock()
-	if slices.Equal(targets, bl.sentTargets) {
-		bl.mu.Unlock()
-		return
-	}
+	changed := slices.DeleteFunc(slices.Clone(targets), func(t discovery.ObservedTarget) bool { return slices.Contains(bl.sentTargets, t) })
 	bl.sentTargets = targets
 	conns := slices.Collect(maps.Values(bl.links))
 	bl.mu.Unlock()
 	for _, l := range conns {
-		for _, target := range targets {
-			sendTarget(l.conn, target)
+		for _, target := range changed {
+			_ = trySend(l.conn, link.NewTarget(target))
 		}
 	}
 }
@@ -274,11 +274,6 @@
 	}
 }
 
-// sendTarget sends a target version. It is dropped if the link is full: the box receives it from other entries too.
-func sendTarget(conn *link.Conn, target discovery.ObservedTarget) {
-	_ = trySend(conn, &link.Target{Model: target.Model, Version: int64(target.Version), Age: clock.Since(target.At)})
-}
-
 // trySend queues a message and reports whether the link had room.
 func trySend(conn *link.Conn, msg link.Message) bool {
 	return conn.SendWithin(sendTimeout, msg) == nil
--- a/forward/declaredpublisher.go
+++ b/forward/declaredpublisher.go
@@ -4,7 +4,6 @@
 	"slices"
 	"time"
 
-	"github.com/coralstair/coralstair/clock"
 	"github.com/coralstair/coralstair/contract"
 	"github.com/coralstair/coralstair/discovery"
 	"github.com/coralstair/coralstair/link"
@@ -75,7 +74,7 @@
 	msg := &link.DeclaredChange{AsOf: v.DeclaredAt()}
 	msg.Evacuations, _ = v.Evacuations()
 	for _, target := range v.Targets() {
-		msg.Targets = append(msg.Targets, link.Target{Model: target.Model, Version: int64(target.Version), Age: clock.Since(target.At)})
+		msg.Targets = append(msg.Targets, *link.NewTarget(target))
 	}
 	return msg
 }
@@ -87,8 +86,8 @@
 		return false
 	}
 	v.ObservePeerEvacuations(msg.Evacuations)
-	for _, target := range msg.Targets {
-		v.ObservePeerTarget(contract.Target{Model: target.Model, Version: contract.Version(target.Version)}, target.Age)
+	for i := range msg.Targets {
+		v.ObserveTarget(msg.Targets[i].Observed())
 	}
 	return true
 }
--- a/link/daemon.go
+++ b/link/daemon.go
@@ -3,7 +3,9 @@
 import (
 	"time"
 
+	"github.com/coralstair/coralstair/clock"
 	"github.com/coralstair/coralstair/contract"
+	"github.com/coralstair/coralstair/discovery"
 	"github.com/coralstair/coralstair/fleet"
 )
 
@@ -101,11 +103,25 @@
 	ColdLeft time.Duration `cbor:"19,keyasint,omitempty"`
 }
 
-// Target carries the target version of a model, and how long ago it was named.
+// Target carries a target version of a model, and how long ago it was named.
 type Target struct {
 	Model   string        `cbor:"1,keyasint"`
 	Version int64         `cbor:"2,keyasint"`
 	Age     time.Duration `cbor:"3,keyasint"`
+	// Estimated says that the age is only assumed.
+	Estimated bool `cbor:"4,keyasint,omitempty"`
+}
+
+// NewTarget returns the message for a target that a daemon observed.
+func NewTarget(t discovery.ObservedTarget) *Target {
+	return &Target{Model: t.Model, Version: int64(t.Version), Age: clock.Since(t.At), Estimated: t.Estimated}
+}
+
+// Observed returns the target as of the receipt of the message.
+func (t *Target) Observed() discovery.ObservedTarget {
+	return discovery.ObservedTarget{
+		Target: contract.Target{Model: t.Model, Version: contract.Version(t.Version)}, At: clock.Now().Add(-t.Age), Estimated: t.Estimated,
+	}
 }
 
 // Kind returns KindHello.
