forward: a leaving entry allows for slow servers

Cause: whether a request ends in time was judged by twice the expected length of its answer up to the caller's limit; where the length is known, a server slower than its stated pace outlasted the leave. Evidence: both came 2.3 to 2.5 s after the signal, had at most 3 s of answer at that pace, and ran for 4.6 s. A leave that ended early is ruled out: they lasted 7.3 s.

Twice the whole prediction has to fit now. The case too_long_for_a_slow_model of TestLeavingEntryRefusesLongRequests failed before (status 200).

--- a/forward/leave.go
+++ b/forward/leave.go
@@ -94,7 +94,7 @@
 }
 
 // finishesBeforeLeave reports whether the request ends before a leaving entry stops, by its own deadline or by the prediction for the
-// best server. Queue wait and answer length may exceed their predictions by leaveFactor, the length up to the caller's limit.
+// best server. The queue wait, the answer's length and the server's pace may exceed their predictions by leaveFactor.
 func (c *call) finishesBeforeLeave(now time.Time) bool {
 	closes := c.entry.closesIdleAt.Load()
 	if closes == nil || !c.deadline.After(*closes) {
@@ -112,11 +112,7 @@
 	if tokens == 0 {
 		tokens = model.UsualAnswer
 	}
-	tokens *= leaveFactor
-	if c.info.MaxAnswerTokens > 0 {
-		tokens = min(tokens, c.info.MaxAnswerTokens)
-	}
-	duration := leaveFactor*ch.first + engine.DecodeTime(model, ch.load, tokens) + leaveMargin
+	duration := leaveFactor*(ch.first+engine.DecodeTime(model, ch.load, tokens)) + leaveMargin
 	if now.Add(duration).Before(*closes) {
 		return true
 	}
--- a/forward/leave_test.go
+++ b/forward/leave_test.go
@@ -106,6 +106,7 @@
 		"plain route with a short time limit": {contract.Service{}, "/short/a", "", true},
 		"caller with a short timeout":         {contract.Service{}, "/safe/a", "Wait: 300\r\n", true},
 		"long answer of a model":              {model, "/safe/a", "Most: 5000\r\n", false},
+		"too long for a slow model":           {model, "/safe/a", "Most: 1500\r\n", false},
 		"short answer of a model":             {model, "/safe/a", "Most: 50\r\n", true},
 		"usual answer of a model":             {model, "/safe/a", "", true},
 		"long answer with a short timeout":    {model, "/safe/a", "Most: 5000\r\nWait: 300\r\n", true},
