admission: keep slots for more urgent requests of other entries

Cause: an entry left room to more urgent requests as it refused them itself. Callers keep their connections, so some entries see few or none: these let less urgent requests wait for up to 0.8 s and filled all slots, while another entry refused 15 of 20 urgent ones in the same second. An entry that has just started did so with 33 requests before the first server's report. Evidence: the policy's inputs in the line. Ruled out: the floor for starved ranks (13 of 127 sent so), the short memory of refusals (2 s: 82 of 241 served). Room: 27 requests a second are served, the urgent ask 14.

Where few requests can wait at a server within the most urgent goal, less urgent ones now wait for no slot while any request does, by the servers' reports, and leave two free slots; an entry that starts waits for most reports. Elsewhere nothing changes.

--- /dev/null
+++ b/admission/demand_test.go
@@ -0,0 +1,45 @@
+package admission
+
+import (
+	"testing"
+	"time"
+)
+
+// TestSlotsAreKeptForMoreUrgentRequests guards against an entry that sees no urgent request and fills all slots with less urgent ones,
+// while other entries have to refuse urgent requests.
+func TestSlotsAreKeptForMoreUrgentRequests(t *testing.T) {
+	const noWait = 90 * time.Millisecond
+	fewSlots := Request{Route: "dossier", Goal: ms(1000), Rank: 2, NoWait: noWait, SlotWait: ms(190), ServiceGoal: ms(400)}
+	manySlots, mostUrgent := fewSlots, fewSlots
+	manySlots.SlotWait, mostUrgent.Rank = ms(50), 0
+	busy, full := Demand{Queued: 1, FreeSlots: reservedSlots + 1, Reported: true}, Demand{Queued: 1, FreeSlots: reservedSlots, Reported: true}
+	for name, test := range map[string]struct {
+		req    Request
+		demand Demand
+		// known is for how long the demand has been known.
+		known time.Duration
+		delay time.Duration
+		want  bool
+	}{
+		"none waits":                           {fewSlots, Demand{Reported: true}, time.Minute, ms(700), true},
+		"none waits, no free slot":             {fewSlots, Demand{Reported: true}, time.Minute, noWait, true},
+		"others wait, free slots":              {fewSlots, busy, time.Minute, noWait, true},
+		"others wait, it would wait too":       {fewSlots, busy, time.Minute, ms(200), false},
+		"others wait, the last free slots":     {fewSlots, full, time.Minute, noWait, false},
+		"others wait, most urgent":             {mostUrgent, full, time.Minute, ms(200), true},
+		"others wait, many slots":              {manySlots, full, time.Minute, ms(200), true},
+		"an entry that starts, no reports yet": {fewSlots, Demand{FreeSlots: 100}, 0, noWait, false},
+		"no reports for long":                  {fewSlots, Demand{FreeSlots: 100}, time.Minute, ms(200), true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var p Policy
+			for i := range 100 {
+				p.Record(test.req, start.Add(test.known*time.Duration(i)/100))
+				p.ObserveDemand(test.demand)
+			}
+			if got := p.Admit(test.req, 0, test.delay); got != test.want {
+				t.Errorf("admitted %t, want %t", got, test.want)
+			}
+		})
+	}
+}
--- a/admission/policy.go
+++ b/admission/policy.go
@@ -33,6 +33,10 @@
 	Rank int
 	// NoWait is what counts as queueing delay at a server with one free slot and no prompt to read. Ranks don't shorten that.
 	NoWait time.Duration
+	// SlotWait is the mean time until one of a full server's slots is free, ServiceGoal the tightest goal of all routes to the service, on
+	// which this entry may see no request; both are 0 where ranks don't differ.
+	SlotWait    time.Duration
+	ServiceGoal time.Duration
 }
 
 // Policy admits the requests of one service. The zero value is ready to use and safe for concurrent use.
@@ -42,6 +46,7 @@
 	// pressure is a moving average of the fraction of first tries refused.
 	pressure float64
 	ranks    ranks
+	demand   slotDemand
 }
 
 // routeKey is a route with the rank of requests on it.
@@ -103,6 +108,13 @@
 	p.ranks.observe(waiting)
 }
 
+// ObserveDemand records the demand for the service's slots.
+func (p *Policy) ObserveDemand(demand Demand) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.demand.observe(demand, p.ranks.at)
+}
+
 // Pressure returns the recent fraction of first tries that were refused, 0 to 1.
 func (p *Policy) Pressure() float64 {
 	p.mu.Lock()
@@ -117,7 +129,8 @@
 
 // maxDelay returns the longest queueing delay at which a request is admitted: a share of the tightest goal of all active routes as urgent
 // or more, so that a route with a tighter goal is not refused more often than the others. Goals of less urgent routes don't count, as
-// their requests are overtaken. While more urgent requests are refused, the delay falls towards NoWait. mu is held.
+// their requests are overtaken. The delay falls towards NoWait while more urgent requests are refused, or may be at other entries; it is
+// negative while all free slots are kept for these. mu is held.
 func (p *Policy) maxDelay(req Request, share float64) time.Duration {
 	tightest, served := req.Goal, p.ranks.served(req.Rank)
 	for key, state := range p.routes {
@@ -126,5 +139,12 @@
 		}
 	}
 	longest := time.Duration(share * float64(tightest))
-	return min(longest, req.NoWait+time.Duration(p.ranks.leave(served)*float64(longest-req.NoWait)))
+	fraction := p.ranks.leave(served)
+	if served > 0 && req.keepsSlots() {
+		if p.demand.isReserved() {
+			return -1
+		}
+		fraction = min(fraction, p.demand.waitFraction())
+	}
+	return min(longest, req.NoWait+time.Duration(fraction*float64(longest-req.NoWait)))
 }
--- a/contract/rank_test.go
+++ b/contract/rank_test.go
@@ -1,6 +1,9 @@
 package contract
 
-import "testing"
+import (
+	"testing"
+	"time"
+)
 
 func TestRank(t *testing.T) {
 	routes := []Route{
@@ -51,3 +54,15 @@
 		t.Errorf("least urgent rank %d, want %d", got, maxRank)
 	}
 }
+
+func TestTightestGoal(t *testing.T) {
+	to := func(service string) []Share { return []Share{{Service: service, Weight: 1}} }
+	cfg := NewConfig(1, Limits{}, []Route{
+		{Goal: 900 * time.Millisecond, Split: to("models")}, {Goal: 400 * time.Millisecond, Priority: 3, Split: to("models")}, {Split: to("models")}, {Split: to("plain")},
+	}, nil, nil)
+	for service, want := range map[string]time.Duration{"models": 400 * time.Millisecond, "plain": 0, "none": 0} {
+		if got := cfg.TightestGoal(service); got != want {
+			t.Errorf("%s: goal %s, want %s", service, got, want)
+		}
+	}
+}
--- a/engine/model.go
+++ b/engine/model.go
@@ -80,6 +80,12 @@
 	return e.Slots > 0 && l.Decoding+l.Prefilling >= e.Slots
 }
 
+// Free returns the number of free slots.
+func (l Load) Free(e *contract.Engine) int { return max(e.Slots-l.Decoding-l.Prefilling, 0) }
+
+// Queued returns the number of requests that wait for a slot.
+func (l Load) Queued(e *contract.Engine) int { return max(l.Decoding+l.Prefilling-e.Slots, 0) }
+
 // NoWait returns the time to the first event at an engine with one free slot and no prompt to prefill, without the request's own prompt.
 func NoWait(e *contract.Engine) time.Duration {
 	return TimeToFirstEvent(e, Load{Decoding: max(e.Slots-1, 0)}, 1)
@@ -106,6 +112,14 @@
 	return PrefillTime(e, e.UsualPrompt*max(decoding, 1), max(decoding, 1)) + time.Duration(e.UsualAnswer)*step
 }
 
+// SlotWait returns the mean time until one of a full engine's slots is free.
+func SlotWait(e *contract.Engine) time.Duration {
+	if e.Slots == 0 {
+		return 0
+	}
+	return SlotTime(e, Load{Decoding: e.Slots}) / time.Duration(e.Slots)
+}
+
 // DecodeTime returns the time to decode a number of tokens after the first at a load; 0 tokens mean the usual number.
 func DecodeTime(e *contract.Engine, load Load, tokens int) time.Duration {
 	if tokens <= 0 {
--- a/forward/call.go
+++ b/forward/call.go
@@ -52,6 +52,8 @@
 	// rank is the request's rank among those for its service, 0 the most urgent; ranked is set where ranks differ.
 	rank   int
 	ranked bool
+	// serviceGoal is the tightest goal of all routes to the service; 0 if none has one.
+	serviceGoal time.Duration
 	// standing is how the request stands among those that wait at a server, as of the latest choice of one; guarded by mu.
 	standing admission.Standing
 	// share is the team's share when admission was decided last; nil before, for requests without a team, and where ranks don't differ.
@@ -322,6 +324,7 @@
 	req := admission.Request{Route: c.route.Name, Goal: c.route.Goal}
 	if c.ranked {
 		req.Rank, req.NoWait = c.rank, engine.NoWait(c.service.Engine)
+		req.SlotWait, req.ServiceGoal = engine.SlotWait(c.service.Engine), c.serviceGoal
 	}
 	return req
 }
@@ -377,7 +380,7 @@
 // setRank sets the request's rank by a configuration. Ranks order requests for model servers only.
 func (c *call) setRank(cfg *contract.Config) {
 	c.rank, c.ranked = cfg.Rank(c.service.Name, c.route, c.team), c.service.Engine != nil && cfg.Ranked(c.service.Name)
-	c.standing.Rank = c.rank
+	c.standing.Rank, c.serviceGoal = c.rank, cfg.TightestGoal(c.service.Name)
 }
 
 // priority returns what servers order waiting requests by: topPriority for urgent requests, then the rank where ranks differ, else the
--- a/forward/choose.go
+++ b/forward/choose.go
@@ -108,12 +108,13 @@
 			usable = append(usable, c)
 		}
 	}
-	if want.policy != nil {
-		want.policy.ObserveWaiting(counts.waiting)
-	}
 	if len(ejected) > len(usable) {
 		usable = append(usable, ejected...)
 	}
+	if want.policy != nil {
+		want.policy.ObserveWaiting(counts.waiting)
+		want.policy.ObserveDemand(counts.demand(usable, want.service.Engine))
+	}
 	if len(usable) == 0 {
 		return choice{}, false
 	}
--- a/forward/pick.go
+++ b/forward/pick.go
@@ -25,8 +25,11 @@
 // requestCounts are the requests at a service's servers: this entry's own and the other entries'.
 type requestCounts struct {
 	servers, own, others int
-	// waiting counts this entry's requests without a first event at full servers, by rank.
+	// reported counts the servers whose load is known from a recent report.
+	reported int
+	// waiting counts this entry's requests without a first event at full servers, by rank, queued all entries' requests that wait for a slot.
 	waiting admission.Waiting
+	queued  int
 }
 
 // add counts the requests at a server.
@@ -36,16 +39,31 @@
 	s.servers++
 	s.own += up.inFlight
 	if now.Sub(up.reportAt) < reportTTL {
+		s.reported++
 		s.others += up.othersWriting + up.othersReading
 	}
-	if e == nil || len(up.pending) == 0 || !up.load(e, now).IsFull(e) {
+	if e == nil {
 		return
 	}
+	load := up.load(e, now)
+	if !load.IsFull(e) {
+		return
+	}
+	s.queued += load.Queued(e)
 	for _, r := range up.pending {
 		s.waiting.Add(r.rank)
 	}
 }
 
+// demand returns what the choices and the requests at servers say of the demand for slots.
+func (s requestCounts) demand(choices []choice, e *contract.Engine) admission.Demand {
+	d := admission.Demand{Queued: float64(s.queued) / float64(max(s.servers, 1)), Reported: 2*s.reported > s.servers}
+	for i := range choices {
+		d.FreeSlots += choices[i].load.Free(e)
+	}
+	return d
+}
+
 // estimateInFlight estimates how many requests all entries send before a report shows them, the current one included,
 // and over how many requests the choice of a server is spread.
 func (s requestCounts) estimateInFlight(e *contract.Engine) balance.InFlight {
