forward: two entries of a site read a silent store; the next reader keeps followers waiting

Cause of the first: each entry finds those before it without a list in turn and reads for itself. It now keeps a new follower waiting for 0.8 s. Relayed evacuations are applied before the configuration that comes with them.

--- a/discovery/hedge.go
+++ b/discovery/hedge.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 )
 
@@ -33,6 +34,15 @@
 	return !ok || source.Probe(ctx) == nil
 }
 
+// Probe makes a call whose response is short; it fails if the source has none.
+func (s hedgedSource) Probe(ctx context.Context) error {
+	source, ok := s.source.(prober)
+	if !ok {
+		return errors.ErrUnsupported
+	}
+	return source.Probe(ctx)
+}
+
 // Declared reads all that is declared.
 func (s hedgedSource) Declared(ctx context.Context) (Declared, error) {
 	return callHedged(ctx, 0, fullReadHedgeAfter, s.probe, func(ctx context.Context, _ time.Duration) (Declared, error) { return s.source.Declared(ctx) })
--- a/forward/declaredpublisher.go
+++ b/forward/declaredpublisher.go
@@ -79,15 +79,13 @@
 	return msg
 }
 
-// applyDeclaredChange applies what the site's reader relays, and reports whether it fits what this entry has.
+// applyDeclaredChange applies what the site's reader relays, and reports whether it fits what this entry has. Evacuations come first, so
+// that a configuration is never in force without them.
 func (lr *listReader) applyDeclaredChange(msg *link.DeclaredChange) bool {
 	v := lr.entry.cfg.View
-	if !lr.entry.cfg.PeerSource.ApplyDeclaredChange(msg, v.Config()) {
-		return false
-	}
 	v.ObservePeerEvacuations(msg.Evacuations)
 	for i := range msg.Targets {
 		v.ObserveTarget(msg.Targets[i].Observed())
 	}
-	return true
+	return lr.entry.cfg.PeerSource.ApplyDeclaredChange(msg, v.Config())
 }
--- a/forward/listpublisher.go
+++ b/forward/listpublisher.go
@@ -22,9 +22,10 @@
 	snapshot link.Encoded
 }
 
-// listFollower holds what was sent to an entry that follows the list: the version of the list, 0 for none, the time of the latest
-// message, and the quarantine records, nil before the first message.
+// listFollower holds since when an entry follows the list and what was sent to it: the version of the list, 0 for none, the time of the
+// latest message, and the quarantine records, nil before the first message.
 type listFollower struct {
+	since       time.Time
 	version     int
 	sentAt      time.Time
 	sentRecords map[string]int
--- a/forward/reader.go
+++ b/forward/reader.go
@@ -29,6 +29,9 @@
 	// Entries relay the list at least every listHeartbeat; a follower that receives nothing for listTimeout reads it itself.
 	listHeartbeat = 400 * time.Millisecond
 	listTimeout   = 1200 * time.Millisecond
+	// followGrace is how long an entry that does not read the list keeps a new follower waiting: it may be about to become the reader, as the
+	// one before it has failed for both of them.
+	followGrace = 800 * time.Millisecond
 	// readerBackoff is how long a failed reader is not followed.
 	readerBackoff = 3 * time.Second
 	// A reader polls for one listWaitDivisor-th of the drain timeout, so that followers detect a hung poll and read the list
@@ -54,16 +57,21 @@
 type listReader struct {
 	entry  *Entry
 	server *http.Server
+	// silentChecks counts how often in a row no other entry had a recent list, storeAnswersSince is since when the store answers this entry
+	// meanwhile; only serve's goroutine uses them.
+	silentChecks      int
+	storeAnswersSince time.Time
 
 	mu sync.Mutex
 	// hosts holds the entries of the site known to each box, by box address; failedUntil holds the failed readers and when they may be
-	// followed again.
+	// followed again, silent those of them that have no recent list, but responded.
 	hosts       map[string][]string
 	failedUntil map[string]time.Time
+	silent      map[string]bool
 }
 
 func newListReader(e *Entry) *listReader {
-	lr := &listReader{entry: e, hosts: make(map[string][]string), failedUntil: make(map[string]time.Time)}
+	lr := &listReader{entry: e, hosts: make(map[string][]string), failedUntil: make(map[string]time.Time), silent: make(map[string]bool)}
 	lr.server = &http.Server{Handler: http.HandlerFunc(lr.accept), ReadHeaderTimeout: headerTimeout}
 	return lr
 }
@@ -127,13 +135,11 @@
 	for ctx.Err() == nil {
 		lr.entry.cfg.PeerSource.SetShared(lr.entry.budget.Entries() >= minEntriesForReader)
 		host := lr.currentReader(clock.Now())
+		delay := lr.updateListDelay()
 		lr.entry.cfg.PeerSource.SetReads(host == "")
 		if host == "" {
 			lr.readFullList()
-			select {
-			case <-ctx.Done():
-			case <-time.After(lr.checkInterval()):
-			}
+			lr.waitForCheck(ctx, delay > 0)
 			continue
 		}
 		lr.entry.log.WithField("reader", host).Info("entry: the list of servers is heard from another entry")
@@ -143,12 +149,27 @@
 			lr.failedUntil[host] = clock.Now().Add(readerBackoff)
 			lr.mu.Unlock()
 		}
+		lr.updateListDelay()
 		lr.entry.cfg.PeerSource.PeerLost()
 		lr.entry.log.WithFields(log.Fields{"reader": host, "failed": failed}).Info("entry: the list of servers is read from the store")
 	}
 	return ctx.Err()
 }
 
+// waitForCheck waits until the reader is determined again; silent is set if the entries before this one have no recent list.
+func (lr *listReader) waitForCheck(ctx context.Context, silent bool) {
+	interval := lr.checkInterval()
+	if silent {
+		interval = lr.silenceInterval()
+		lr.probeStore(ctx)
+		defer lr.forgetSilence()
+	}
+	select {
+	case <-ctx.Done():
+	case <-time.After(interval):
+	}
+}
+
 // readFullList has the full list read if no other entry reads it for the site. Before startupSettleTime, boxes may not know all entries
 // that start together, and each entry would take itself for the reader.
 func (lr *listReader) readFullList() {
@@ -168,6 +189,7 @@
 // follow receives the list from a reader until another entry becomes the reader, or this one fails, times out or does not read the
 // store itself.
 func (lr *listReader) follow(ctx context.Context, host string) (failed bool) {
+	lr.setSilent(host, false)
 	dialCtx, cancel := context.WithTimeout(ctx, linkDialTimeout)
 	defer cancel()
 	conn, err := link.Dial(dialCtx, lr.entry.boxLinks.client, lr.entry.cfg.Machine.LinkAddress(host), nil)
@@ -191,6 +213,7 @@
 		timeout.Reset(listTimeout)
 		switch msg := msg.(type) {
 		case *link.Servers:
+			lr.recordRecentList(host)
 			lr.entry.cfg.PeerSource.ApplyServers(msg)
 		case *link.QuarantineRecords:
 			lr.entry.cfg.Quarantine.Merge(msg.Records)
@@ -199,6 +222,7 @@
 				return true
 			}
 		case *link.Declared:
+			lr.setSilent(host, true)
 			return true
 		}
 		if lr.currentReader(clock.Now()) != host {
@@ -250,7 +274,7 @@
 // addListFollower makes an entry that has the configuration of a revision a follower.
 func (bl *boxLinks) addListFollower(conn *link.Conn, revision contract.Revision) {
 	bl.mu.Lock()
-	bl.listFollowers[conn] = &listFollower{declared: declaredFollower{revision: revision}}
+	bl.listFollowers[conn] = &listFollower{since: clock.Now(), declared: declaredFollower{revision: revision}}
 	bl.mu.Unlock()
 	bl.wake()
 }
@@ -279,6 +303,9 @@
 	}
 	for conn, f := range bl.listFollowers {
 		if !reads {
+			if clock.Since(f.since) < followGrace {
+				continue
+			}
 			trySend(conn, &link.Declared{StoreLost: true})
 			delete(bl.listFollowers, conn)
 		} else if !bl.publishListTo(conn, f, clock.Now()) {
--- a/peersource/source.go
+++ b/peersource/source.go
@@ -59,8 +59,11 @@
 	// fullReadDelay is how long after a partial read the full list is read.
 	fullReadDelay time.Duration
 
-	mu      sync.Mutex
-	changed chan struct{}
+	mu sync.Mutex
+	// listDelay is the least time from the loss of the feed to a read of the list, once a full list is known: another entry may read it
+	// for this one by then.
+	listDelay time.Duration
+	changed   chan struct{}
 	// inactiveSince is when the feed was lost; zero while an entry feeds this source.
 	inactiveSince  time.Time
 	declared       *contract.Config
@@ -128,6 +131,25 @@
 	}
 }
 
+// StoreAnswers reports whether the store answers a short call. A store that can't be asked so counts as one that does not.
+func (s *EntrySource) StoreAnswers(ctx context.Context) bool {
+	store, ok := s.store.(interface {
+		Probe(ctx context.Context) error
+	})
+	return ok && store.Probe(ctx) == nil
+}
+
+// SetListDelay sets the least time from the loss of a feed to a read of the list; it holds once a full list is known. 0, the initial
+// value, adds no wait.
+func (s *EntrySource) SetListDelay(delay time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.listDelay != delay {
+		s.listDelay = delay
+		s.notify()
+	}
+}
+
 // ServersAfter waits for a change of the list of servers.
 func (s *EntrySource) ServersAfter(ctx context.Context, cursor discovery.Cursor, wait time.Duration) (discovery.Servers, error) {
 	if s.shared.Load() {
@@ -207,7 +229,11 @@
 	if s.partial && !s.fullReadRequested {
 		interval = s.fullReadDelay
 	}
-	return latest(s.feedDeadline(), s.listReadAt.Add(interval))
+	next := latest(s.feedDeadline(), s.listReadAt.Add(interval))
+	if s.serversKnown && !s.partial {
+		next = latest(next, s.inactiveSince.Add(s.listDelay))
+	}
+	return next
 }
 
 // nextDeclaredRead returns when what is declared may next be read from the store; mu is held.
--- a/peersource/source_test.go
+++ b/peersource/source_test.go
@@ -260,3 +260,40 @@
 		})
 	}
 }
+
+// TestAnEntryLeavesTheListToOthers checks that an entry with a delay reads the list only when no feed has started until then, and that the
+// delay ends when it is taken back.
+func TestAnEntryLeavesTheListToOthers(t *testing.T) {
+	const delay = 5 * time.Second
+	for name, test := range map[string]struct {
+		// during runs a second after the feed is lost.
+		during func(source *EntrySource)
+		want   time.Duration
+		reads  int
+	}{
+		"no feed":                   {func(*EntrySource) {}, delay, 1},
+		"a feed starts":             {func(s *EntrySource) { s.ApplyServers(&link.Servers{Reset: true, Present: serversWithIDs("a")}) }, time.Second, 0},
+		"the delay is taken back":   {func(s *EntrySource) { s.SetListDelay(0) }, time.Second, 1},
+		"the delay becomes shorter": {func(s *EntrySource) { s.SetListDelay(delay / 2) }, delay / 2, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store := &countingStore{servers: discovery.Servers{Present: serversWithIDs("a"), Cursor: discovery.Cursor{Position: 7}}}
+				source := NewEntrySource(store, time.Second)
+				source.SetListDelay(delay)
+				source.ApplyServers(&link.Servers{Reset: true, Present: serversWithIDs("a", "b")})
+				full, err := source.Servers(t.Context())
+				if err != nil {
+					t.Fatal(err)
+				}
+				source.PeerLost()
+				began := time.Now()
+				time.AfterFunc(time.Second, func() { test.during(source) })
+				changes, err := source.ServersAfter(t.Context(), full.Cursor, 10*time.Second)
+				if took := time.Since(began); err != nil || !slices.Equal(changes.Removed, []string{"b"}) || took != test.want || store.reads != test.reads {
+					t.Errorf("%+v, %v after %s with %d reads, want %s and %d", changes, err, took, store.reads, test.want, test.reads)
+				}
+			})
+		})
+	}
+}
