relay: a refusal carries when it came

Callers saw: a request that all boxes refuse for a moment waits until a box's next heartbeat, or its deadline (503), though a box reopened.

Cause: the refusal was noted when the request's goroutine ran again; a heartbeat that came in between counted as older. TestRefusalTellsWhenItCame is new with the field.

--- a/entry/deliver.go
+++ b/entry/deliver.go
@@ -43,7 +43,7 @@
 		body, complete, err := readWhole(ctx, a)
 		if err != nil {
 			t.recordFailure(ctx, err)
-			if t.req.repeatable && ctx.Err() == nil && !t.quarantined() && e.budget.Spend() && t.nextBox(ctx) {
+			if t.req.repeatable && ctx.Err() == nil && !t.quarantined() && e.budget.Spend() && t.nextBox(ctx, refusedAt(err)) {
 				continue
 			}
 			return err
--- a/entry/run.go
+++ b/entry/run.go
@@ -136,7 +136,7 @@
 				return nil, err
 			}
 		}
-		if !t.nextBox(ctx) {
+		if !t.nextBox(ctx, refusedAt(err)) {
 			return nil, err
 		}
 	}
@@ -231,9 +231,19 @@
 	}
 }
 
-// nextBox moves the request to another box. If none is available that is untried or updated since, the request waits for admission again.
-func (t *task) nextBox(ctx context.Context) bool {
-	t.tried[t.box] = time.Now()
+// refusedAt returns when a box refused a request, now unless it said so.
+func refusedAt(err error) time.Time {
+	var notRunErr *relay.NotRunError
+	if errors.As(err, &notRunErr) && !notRunErr.At.IsZero() {
+		return notRunErr.At
+	}
+	return time.Now()
+}
+
+// nextBox moves the request, which its box refused or lost at a time, to another box. If none is available that is untried or updated
+// since, the request waits for admission again.
+func (t *task) nextBox(ctx context.Context, at time.Time) bool {
+	t.tried[t.box] = at
 	t.release()
 	if box, ok := t.controller.Reserve(t.admitRequest()); ok {
 		t.box = box
--- a/entry/stream.go
+++ b/entry/stream.go
@@ -134,7 +134,7 @@
 	t.pinnedDigest = digest
 	t.req.deadline = time.Now().Add(resumeTimeout)
 	t.req.header.Set(HeaderResume, strconv.Itoa(s.eventsSent))
-	if !t.nextBox(ctx) {
+	if !t.nextBox(ctx, refusedAt(cause)) {
 		return cause
 	}
 	a, err := t.start(ctx)
--- a/relay/call.go
+++ b/relay/call.go
@@ -5,6 +5,7 @@
 	"io"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/coralstair/coralstair/link"
 )
@@ -115,7 +116,7 @@
 	case link.OutcomeRan:
 		c.end(nil)
 	case link.OutcomeNotRun:
-		c.end(&NotRunError{Reason: m.Reason})
+		c.end(&NotRunError{Reason: m.Reason, At: time.Now()})
 	default:
 		c.end(&LostError{Reason: m.Reason, EndedIncarnation: m.EndedIncarnation})
 	}
--- a/relay/errors.go
+++ b/relay/errors.go
@@ -1,9 +1,16 @@
 package relay
 
-import "fmt"
+import (
+	"fmt"
+	"time"
+)
 
 // NotRunError reports that a request certainly did not run.
-type NotRunError struct{ Reason string }
+type NotRunError struct {
+	Reason string
+	// At is when the box said so; zero if it did not.
+	At time.Time
+}
 
 // Error gives the reason.
 func (e *NotRunError) Error() string { return "not run: " + e.Reason }
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -246,3 +246,20 @@
 		})
 	}
 }
+
+// TestRefusalTellsWhenItCame guards against a box that counts as not heard since it refused a request, although it reopened before the
+// request's goroutine ran again.
+func TestRefusalTellsWhenItCame(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		client := NewClient(t.Context(), newPipe(t.Context(), func(link.Message) {}))
+		call := newCall(client, 1)
+		client.add(call)
+		came := time.Now()
+		client.Handle(&link.End{ID: 1, Outcome: link.OutcomeNotRun, Reason: "closed"})
+		time.Sleep(time.Second)
+		var notRun *NotRunError
+		if err := call.awaitHead(t.Context()); !errors.As(err, &notRun) || !notRun.At.Equal(came) {
+			t.Errorf("%v, refused at %v, want %v", err, notRun, came)
+		}
+	})
+}
