forward: tests of moves wait until the request has arrived

TestMove (no_other_server, server_found_later) and TestRequestTakenAwayWaitsForAPlace left 100 ms until the request was sent; on a busy machine the server closed before it came, so that nothing was to be moved. The moves now begin 100 ms after the request has arrived, and the bound on the version a second later; what is checked is the same.

--- a/forward/move_test.go
+++ b/forward/move_test.go
@@ -74,7 +74,11 @@
 			both := firstThen(seen.recorded(test.first), seen.recorded(streamEvents("b", 6, writeLastChunk)))
 			one, two := newFakeServer(t, both), newFakeServer(t, both)
 			w := newModelTestEnv(t, one.address, two.address)
-			time.AfterFunc(100*time.Millisecond, func() {
+			go func() {
+				for one.arrivals()+two.arrivals() == 0 {
+					time.Sleep(time.Millisecond)
+				}
+				time.Sleep(100 * time.Millisecond)
 				asked := 0
 				if two.arrivals() > 0 {
 					asked = 1
@@ -84,7 +88,7 @@
 				if test.opens > 0 {
 					time.AfterFunc(test.opens, func() { w.reportClosing(1-asked, false) })
 				}
-			})
+			}()
 			got := w.ask(http.MethodPost, test.path, "x", nil)
 			if got.status != http.StatusOK || got.err != nil || got.body != allEvents(6) || got.header.Get("Seal") != test.seal {
 				t.Errorf("status %d, seal %q, body %q, error %v", got.status, got.header.Get("Seal"), got.body, got.err)
--- a/forward/overdue_test.go
+++ b/forward/overdue_test.go
@@ -62,7 +62,7 @@
 	answer := func(conn net.Conn, n int, r *http.Request) bool {
 		switch arrivals.Add(1) {
 		case 1:
-			_ = conn.SetReadDeadline(time.Now().Add(1500 * time.Millisecond))
+			_ = conn.SetReadDeadline(time.Now().Add(3 * time.Second))
 			_, _ = conn.Read(make([]byte, 1))
 			return false
 		case 2:
@@ -75,7 +75,7 @@
 	w := newModelTestEnv(t, one.address, two.address)
 	w.applyReport(0, link.Report{HasAllPieces: true})
 	w.applyReport(1, link.Report{HasAllPieces: true})
-	const untilDeadline = dispatchMargin + 100*time.Millisecond
+	const untilDeadline = dispatchMargin + time.Second
 	w.entry.cfg.View.ObservePeerTarget(contract.Target{Model: testModel, Version: 2}, -untilDeadline)
 	time.AfterFunc(300*time.Millisecond, func() {
 		other := 1 - min(two.arrivals(), 1)
