admission: keep slots only while most requests of a rank are refused

A rank of which most requests are refused gains nothing by waiting, since a free slot finds its next request at once; only then does it wait nowhere and leave two free slots. An entry that starts still waits for reports.

--- a/admission/demand.go
+++ b/admission/demand.go
@@ -3,8 +3,9 @@
 import "time"
 
 // Where servers have few slots and requests take long, more urgent requests that come together find no room by overtaking those that wait:
-// the slots themselves are taken. Less urgent requests then wait nowhere and leave the last free slots (trunk reservation). An entry may
-// see none of the more urgent requests, so this goes by the demand at the servers, which their reports tell all entries alike.
+// the slots themselves are taken. While most requests of a less urgent rank are refused, a free slot finds the next of them at once, so
+// these gain nothing by waiting: they wait nowhere then and leave the last free slots (trunk reservation). An entry may see none of the more
+// urgent requests, so this goes by the demand at the servers, which their reports tell all entries alike.
 
 const (
 	// shortQueue is how many requests must be able to wait at a server, within the longest wait of the most urgent ones, for slots not to be
@@ -34,17 +35,18 @@
 	// queued is the moving average of the queue length, freeSlots the latest number of free slots.
 	queued    float64
 	freeSlots int
-	// since is when the demand was first observed.
-	since time.Time
+	// since is when the demand was first observed; assumed is set while no reports have come since.
+	since   time.Time
+	assumed bool
 }
 
 // observe updates the demand. An entry that has just started and knows only its own requests assumes that no slot is free.
 func (d *slotDemand) observe(latest Demand, now time.Time) {
 	if d.since.IsZero() {
-		d.queued, d.since = contendedQueue, now
+		d.queued, d.since, d.assumed = contendedQueue, now, true
 	}
-	if !latest.Reported && now.Sub(d.since) < reportsDue {
-		d.freeSlots = 0
+	d.assumed = d.assumed && !latest.Reported && now.Sub(d.since) < reportsDue
+	if d.assumed {
 		return
 	}
 	d.freeSlots = latest.FreeSlots
@@ -53,11 +55,18 @@
 	}
 }
 
-// isReserved reports whether the free slots are kept for more urgent requests.
-func (d *slotDemand) isReserved() bool { return d.queued > 0 && d.freeSlots <= reservedSlots }
-
-// waitFraction returns the fraction of the usual longest wait beyond NoWait that a less urgent request may have.
-func (d *slotDemand) waitFraction() float64 { return 1 - min(1, d.queued/contendedQueue) }
+// limit returns the fraction of the usual longest wait beyond NoWait that a less urgent request may have, and whether it is refused even
+// without a wait. flooded says that most requests of its rank are refused.
+func (d *slotDemand) limit(flooded bool) (fraction float64, refused bool) {
+	switch {
+	case d.assumed:
+		return 0, true
+	case !flooded:
+		return 1, false
+	default:
+		return 1 - min(1, d.queued/contendedQueue), d.queued > 0 && d.freeSlots <= reservedSlots
+	}
+}
 
 // keepsSlots reports whether slots have to be kept for the service's most urgent requests.
 func (r Request) keepsSlots() bool {
--- a/admission/policy.go
+++ b/admission/policy.go
@@ -141,10 +141,11 @@
 	longest := time.Duration(share * float64(tightest))
 	fraction := p.ranks.leave(served)
 	if served > 0 && req.keepsSlots() {
-		if p.demand.isReserved() {
+		limit, refused := p.demand.limit(p.ranks.mostRefused(req.Rank))
+		if refused {
 			return -1
 		}
-		fraction = min(fraction, p.demand.waitFraction())
+		fraction = min(fraction, limit)
 	}
 	return min(longest, req.NoWait+time.Duration(fraction*float64(longest-req.NoWait)))
 }
--- a/admission/ranks.go
+++ b/admission/ranks.go
@@ -145,6 +145,12 @@
 	return index(rank)
 }
 
+// mostRefused reports whether most recent first tries of a rank were refused.
+func (r *ranks) mostRefused(rank int) bool {
+	c := r.counts[index(rank)]
+	return c.firstTries >= leastTries && 2*c.firstAdmitted < c.firstTries
+}
+
 // leave returns the fraction of the usual longest wait beyond NoWait that a request served at a rank may have. It falls as first tries of
 // more urgent ranks are refused, since a request in a slot doesn't give it up to them; linearly, so that admission doesn't swing.
 func (r *ranks) leave(rank int) float64 {
