forward: a server at which a request only waited is no attempt

Cause: a request that leaves a server before the bound on its version used up an attempt though it had only waited there; two of them, by hedge or by search, left none. Evidence: both tries of each line are "left", after 1.1 to 2.6 s, and none of the servers' records has a run. Ruled out for these: the retry budget (retries 1 to 3 of 7 to 89 allowed), no server (their lines have no rejections).

One such server now counts as no attempt; each send still takes a retry from the budget. TestRequestLeavesTwoServers failed before (502).

--- a/forward/call.go
+++ b/forward/call.go
@@ -84,6 +84,8 @@
 	// sends counts servers that may have run the request, refusalCount those that said that they did not.
 	sends        int
 	refusalCount int
+	// waited is set once the request has left a server at which it had only waited.
+	waited bool
 	// excluded are servers that are not tried again; refusedAt is when those of them that did not run the request
 	// refused it.
 	excluded  map[string]bool
@@ -275,7 +277,11 @@
 
 // mayHedge reports whether a request that may have run may go to one more server; mu is held.
 func (c *call) mayHedge() bool {
-	return c.route.Repeatable() && c.sends < c.route.Attempts && c.refusalCount < maxRefusals && !c.quarantined()
+	attempts := c.route.Attempts
+	if c.waited {
+		attempts++
+	}
+	return c.route.Repeatable() && c.sends < attempts && c.refusalCount < maxRefusals && !c.quarantined()
 }
 
 // chooseNext chooses the next server; mu is held.
--- a/forward/handover.go
+++ b/forward/handover.go
@@ -138,9 +138,10 @@
 		c.refusedAt[a.choice.server.ID] = clock.Now()
 	}
 	if errors.As(err, new(*VersionDeadlineError)) {
-		// The server may take the request again once it runs a newer version; the request has waited its turn already.
+		// The request has only waited: it does not count as an attempt, and goes before others at the next server. This one may take it
+		// again once it runs a newer version.
 		delete(c.excluded, a.choice.server.ID)
-		c.urgent = true
+		c.urgent, c.waited = true, true
 	}
 	c.failures = append(c.failures, failure{response: a.complete, result: result, err: err})
 	s, continues := c.stream, c.continues()
--- a/forward/overdue_test.go
+++ b/forward/overdue_test.go
@@ -130,3 +130,35 @@
 		})
 	}
 }
+
+// TestRequestLeavesTwoServers guards against an unknown outcome for a request that had to leave two servers while it waited there, as
+// versions were named in quick succession.
+func TestRequestLeavesTwoServers(t *testing.T) {
+	t.Parallel()
+	var arrivals atomic.Int64
+	answer := func(conn net.Conn, n int, r *http.Request) bool {
+		if arrivals.Add(1) > 2 {
+			return streamEvents("b", 6, writeLastChunk)(conn, n, r)
+		}
+		_, _ = conn.Read(make([]byte, 1))
+		return false
+	}
+	one, two := newFakeServer(t, answer), newFakeServer(t, answer)
+	w := newModelTestEnv(t, one.address, two.address)
+	name := func(version contract.Version, deadline time.Duration) {
+		w.entry.cfg.View.ObservePeerTarget(contract.Target{Model: testModel, Version: version}, -deadline)
+	}
+	load := func(server int, version int64) {
+		w.entry.upstreams.applyReport(link.Report{Server: serverName(server), Model: testModel, Version: version, HasAllPieces: true}, time.Now())
+	}
+	w.applyReport(0, link.Report{HasAllPieces: true})
+	w.applyReport(1, link.Report{HasAllPieces: true})
+	name(2, 2*time.Second)
+	time.AfterFunc(time.Second, func() { name(3, 3*time.Second) })
+	time.AfterFunc(2500*time.Millisecond, func() { load(1-min(two.arrivals(), 1), 2) })
+	time.AfterFunc(4500*time.Millisecond, func() { load(0, 3) })
+	got := w.ask(http.MethodPost, "/stream/long/a", "x", nil)
+	if got.err != nil || got.body != allEvents(6) || arrivals.Load() != 3 {
+		t.Errorf("status %d, body %q, error %v, %d arrivals", got.status, got.body, got.err, arrivals.Load())
+	}
+}
