--- a/fill/evacuation_test.go
+++ b/fill/evacuation_test.go
@@ -1,7 +1,6 @@
 package fill
 
 import (
-	"net/http"
 	"slices"
 	"testing"
 	"time"
@@ -32,18 +31,7 @@
 func TestBoxTellsEvacuations(t *testing.T) {
 	s := newSite(t, 1, time.Minute)
 	s.start(0, 1)
-	dial := func(id string) *link.Conn {
-		conn, err := link.Dial(t.Context(), http.DefaultClient, s.linkAt(0), nil)
-		if err != nil {
-			t.Fatal(err)
-		}
-		t.Cleanup(conn.Close)
-		if err := conn.Send(t.Context(), &link.Hello{ID: id, Role: link.RoleEntry, Site: "site0"}); err != nil {
-			t.Fatal(err)
-		}
-		return conn
-	}
-	knows, hears := dial("knows"), dial("hears")
+	knows, hears := s.dialAsEntry("knows"), s.dialAsEntry("hears")
 	told := evacuationsOf(hears)
 	for i, sites := range [][]string{{"a"}, {"a", "b"}, {}} {
 		known := discovery.Evacuations{AsOf: discovery.Cursor{Position: int64(1000 + i)}, Sites: sites}
@@ -52,7 +40,7 @@
 		}
 		awaitSites(t, told, sites)
 		if len(sites) > 0 {
-			awaitSites(t, evacuationsOf(dial("late")), sites)
+			awaitSites(t, evacuationsOf(s.dialAsEntry("late")), sites)
 		}
 	}
 }
--- a/fill/sitefixture_test.go
+++ b/fill/sitefixture_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"net/http"
 	"strconv"
 	"testing"
 	"time"
@@ -13,6 +14,7 @@
 
 	"github.com/coralstair/coralstair/contract"
 	"github.com/coralstair/coralstair/discovery"
+	"github.com/coralstair/coralstair/link"
 	"github.com/coralstair/coralstair/machine"
 	"github.com/coralstair/coralstair/peersource"
 )
@@ -60,6 +62,20 @@
 	}, nil)
 }
 
+// dialAsEntry opens a link to the first box as an entry does.
+func (s *site) dialAsEntry(id string) *link.Conn {
+	s.t.Helper()
+	conn, err := link.Dial(s.t.Context(), http.DefaultClient, s.linkAt(0), nil)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.t.Cleanup(conn.Close)
+	if err := conn.Send(s.t.Context(), &link.Hello{ID: id, Role: link.RoleEntry, Site: "site0"}); err != nil {
+		s.t.Fatal(err)
+	}
+	return conn
+}
+
 func (s *site) host(i int) string { return fmt.Sprintf("127.0.7.%d", i+1) }
 
 // newSiteOfTwoVersions returns three boxes that run version 1, hold version 2 and have just learned of version 3.
--- a/fill/target_test.go
+++ b/fill/target_test.go
@@ -1,7 +1,6 @@
 package fill
 
 import (
-	"net/http"
 	"testing"
 	"time"
 
@@ -15,18 +14,7 @@
 	ages := map[int64]time.Duration{3: 6 * time.Second, 4: 2 * time.Second}
 	s := newSite(t, 1, time.Minute)
 	s.start(0, 1)
-	dial := func(id string) *link.Conn {
-		conn, err := link.Dial(t.Context(), http.DefaultClient, s.linkAt(0), nil)
-		if err != nil {
-			t.Fatal(err)
-		}
-		t.Cleanup(conn.Close)
-		if err := conn.Send(t.Context(), &link.Hello{ID: id, Role: link.RoleEntry, Site: "site0"}); err != nil {
-			t.Fatal(err)
-		}
-		return conn
-	}
-	knows := dial("knows")
+	knows := s.dialAsEntry("knows")
 	for version, age := range ages {
 		if err := knows.Send(t.Context(), &link.Target{Model: "other model", Version: version, Age: age}); err != nil {
 			t.Fatal(err)
@@ -34,7 +22,7 @@
 	}
 	// Both versions reach the box before an entry links that does not know them.
 	time.Sleep(200 * time.Millisecond)
-	starts := dial("starts")
+	starts := s.dialAsEntry("starts")
 	told := make(map[int64]time.Duration)
 	timeout := time.AfterFunc(2*time.Second, starts.Close)
 	defer timeout.Stop()
