--- a/discovery/apply.go
+++ b/discovery/apply.go
@@ -87,7 +87,7 @@
 	if newest {
 		line.Info("view: version named")
 	} else {
-		line.Info("view: it is known better when a version was named")
+		line.Info("view: naming time of a version corrected")
 	}
 	return true
 }
