peersource: end a waiting call for the list once other entries depend on it

Callers saw a configuration up to a second late at some entries of a site, at its start.

Cause: calls of an entry on which no other depends wait for as long as 9 s. When others began to depend on it, the call in flight went on waiting; meanwhile the age of its list passed the limit, and the entry told its followers that the store was lost (StoreLost), though it answered. They went over to the next entry for 3 s: a second reader of the site.

Change: SetShared replaces a waiting call by one that returns at once, and an entry counts as shared as soon as another follows it. Ruled out: delayed heartbeats under load (virtual time has none). TestWaitingCallEndsWhenOthersDepend failed before: 10 s, 2 s wanted.

--- a/forward/reader.go
+++ b/forward/reader.go
@@ -133,7 +133,7 @@
 // serve follows the site's reader until ctx ends, and reads the list itself while there is none.
 func (lr *listReader) serve(ctx context.Context) error {
 	for ctx.Err() == nil {
-		lr.entry.cfg.PeerSource.SetShared(lr.entry.budget.Entries() >= minEntriesForReader)
+		lr.updateShared()
 		host := lr.currentReader(clock.Now())
 		delay := lr.updateListDelay()
 		lr.entry.cfg.PeerSource.SetReads(host == "")
@@ -156,6 +156,11 @@
 	return ctx.Err()
 }
 
+// updateShared sets whether other entries depend on this one: those that follow it, or in a large fleet may do so.
+func (lr *listReader) updateShared() {
+	lr.entry.cfg.PeerSource.SetShared(lr.entry.budget.Entries() >= minEntriesForReader || lr.entry.boxLinks.hasListFollowers())
+}
+
 // waitForCheck waits until the reader is determined again; silent is set if the entries before this one have no recent list.
 func (lr *listReader) waitForCheck(ctx context.Context, silent bool) {
 	interval := lr.checkInterval()
@@ -276,9 +281,16 @@
 	bl.mu.Lock()
 	bl.listFollowers[conn] = &listFollower{since: clock.Now(), declared: declaredFollower{revision: revision}}
 	bl.mu.Unlock()
+	bl.entry.reader.updateShared()
 	bl.wake()
 }
 
+func (bl *boxLinks) hasListFollowers() bool {
+	bl.mu.Lock()
+	defer bl.mu.Unlock()
+	return len(bl.listFollowers) > 0
+}
+
 func (bl *boxLinks) removeListFollower(conn *link.Conn) {
 	bl.mu.Lock()
 	defer bl.mu.Unlock()
--- a/peersource/declared.go
+++ b/peersource/declared.go
@@ -99,7 +99,7 @@
 		r.delivered = r.changes
 		return discovery.Declared{Config: r.config, Cursor: discovery.Cursor{Epoch: cursor.Epoch, Position: max(cursor.Position, r.asOf.Position)}}, true, nil
 	}, func(ctx context.Context) (discovery.Declared, error) {
-		if s.shared.Load() {
+		if isClosed(s.shared()) {
 			wait = min(wait, s.maxWait)
 		}
 		return s.store.DeclaredAfter(ctx, cursor, wait)
--- a/peersource/source.go
+++ b/peersource/source.go
@@ -6,7 +6,6 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/coralstair/coralstair/clock"
@@ -95,7 +94,7 @@
 		Source: &Source{
 			store: store, changed: make(chan struct{}), inactiveSince: clock.Now(), fullReadDelay: entryFullReadDelay + rand.N(entryFullReadDelay),
 		},
-		maxWait: maxWait,
+		maxWait: maxWait, sharing: make(chan struct{}),
 	}
 }
 
@@ -103,16 +102,42 @@
 type EntrySource struct {
 	*Source
 	maxWait time.Duration
-	shared  atomic.Bool
 
-	// relayed and reads are guarded by the source's mutex.
+	// The source's mutex guards the fields below. sharing is closed while other entries depend on this one.
+	sharing chan struct{}
 	relayed relayedDeclared
 	reads   bool
 }
 
 // SetShared sets whether other entries depend on this one for the list of servers. If not, calls may wait longer, which saves
-// billed calls.
-func (s *EntrySource) SetShared(shared bool) { s.shared.Store(shared) }
+// billed calls. A call for the list that is waiting when others begin to depend on this entry is replaced by one that returns at once.
+func (s *EntrySource) SetShared(shared bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case shared == isClosed(s.sharing):
+	case shared:
+		close(s.sharing)
+	default:
+		s.sharing = make(chan struct{})
+	}
+}
+
+// shared returns a channel that is closed as soon as other entries depend on this one.
+func (s *EntrySource) shared() <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.sharing
+}
+
+func isClosed(c <-chan struct{}) bool {
+	select {
+	case <-c:
+		return true
+	default:
+		return false
+	}
+}
 
 // AwaitingFullList reports whether the full list has not been read or received yet.
 func (s *EntrySource) AwaitingFullList() bool {
@@ -152,10 +177,24 @@
 
 // ServersAfter waits for a change of the list of servers.
 func (s *EntrySource) ServersAfter(ctx context.Context, cursor discovery.Cursor, wait time.Duration) (discovery.Servers, error) {
-	if s.shared.Load() {
-		wait = min(wait, s.maxWait)
+	sharing := s.shared()
+	if isClosed(sharing) {
+		return s.Source.ServersAfter(ctx, cursor, min(wait, s.maxWait))
+	}
+	pollCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() {
+		select {
+		case <-sharing:
+			cancel()
+		case <-pollCtx.Done():
+		}
+	}()
+	servers, err := s.Source.ServersAfter(pollCtx, cursor, wait)
+	if err != nil && ctx.Err() == nil && pollCtx.Err() != nil {
+		return s.Source.ServersAfter(ctx, cursor, 0)
 	}
-	return s.Source.ServersAfter(ctx, cursor, wait)
+	return servers, err
 }
 
 var (
--- a/peersource/source_test.go
+++ b/peersource/source_test.go
@@ -209,6 +209,28 @@
 	}
 }
 
+// TestWaitingCallEndsWhenOthersDepend guards against a reader whose list seems outdated until a call ends that was sent while no other entry
+// depended on it.
+func TestWaitingCallEndsWhenOthersDepend(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		source := NewEntrySource(&countingStore{servers: discovery.Servers{Present: serversWithIDs("a")}}, time.Second)
+		full, err := source.Servers(t.Context())
+		if err != nil {
+			t.Fatal(err)
+		}
+		time.AfterFunc(2*time.Second, func() { source.SetShared(true) })
+		for _, want := range []time.Duration{2 * time.Second, time.Second} {
+			began := time.Now()
+			if _, err := source.ServersAfter(t.Context(), full.Cursor, 10*time.Second); err != nil {
+				t.Fatal(err)
+			}
+			if took := time.Since(began); took != want {
+				t.Errorf("the call waits %s, want %s", took, want)
+			}
+		}
+	})
+}
+
 // longStore is a store with more servers than the first read returns.
 type longStore struct {
 	countingStore
