forward: the age that a reader's list may have includes the delay after a change

Callers saw a configuration up to a second late at the entries of a site, after changes of its list of servers.

Cause: after a change the view makes no call for the coalesce delay, a fifth of the drain timeout; the next call waits a quarter of it. The limit on the age of a healthy list was the poll timeout and 1 s, so from a drain timeout of 5 s on a reader whose store answered told its followers StoreLost after changes.

The limit stays 1.5 s for a drain timeout of 2 s and is 3.25 s for 5 s. It goes by the bounds of the start, as poll timeout and coalesce delay do.

--- a/forward/reader.go
+++ b/forward/reader.go
@@ -39,8 +39,10 @@
 	listWaitDivisor = 4
 	minListWait     = 500 * time.Millisecond
 	maxListWait     = 1500 * time.Millisecond
-	// listCallSlack is how much longer than its poll timeout a call usually takes at most.
-	listCallSlack = time.Second
+	// listCallSlack is how much longer than its poll timeout a call usually takes at most, hedged once; one listSlackDivisor-th of the drain
+	// timeout if that is longer.
+	listCallSlack    = 600 * time.Millisecond
+	listSlackDivisor = 5
 	// readerCheckInterval is how often the reader is determined, startupCheckInterval the same until the full list is known.
 	readerCheckInterval  = time.Second
 	startupCheckInterval = 200 * time.Millisecond
@@ -53,6 +55,12 @@
 	return min(max(drain/listWaitDivisor, minListWait), maxListWait)
 }
 
+// maxListAge returns how old the list of an entry may be that the store answers: after a change there is no call for the coalesce delay, then
+// one that takes its poll timeout and the slack.
+func maxListAge(drain time.Duration) time.Duration {
+	return discovery.ServersCoalesceDelayWithin(drain) + ListWait(drain) + max(listCallSlack, drain/listSlackDivisor)
+}
+
 // listReader receives the server list from the site's reader, or reads it from the store while this entry is the reader.
 type listReader struct {
 	entry  *Entry
@@ -306,7 +314,7 @@
 		// notified that the store is lost.
 		return
 	}
-	reads := v.Ready() && v.StoreReachable() && (source == nil || !source.PeerActive()) && v.ListAge() < ListWait(bl.entry.bounds().Drain)+listCallSlack
+	reads := v.Ready() && v.StoreReachable() && (source == nil || !source.PeerActive()) && v.ListAge() < maxListAge(bl.entry.cfg.Machine.Bounds.Drain)
 	bl.mu.Lock()
 	defer bl.mu.Unlock()
 	if reads && len(bl.listFollowers) > 0 {
--- /dev/null
+++ b/forward/virtualsite_test.go
@@ -0,0 +1,415 @@
+package forward
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"slices"
+	"strconv"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+
+	"github.com/coralstair/coralstair/clock"
+	"github.com/coralstair/coralstair/contract"
+	"github.com/coralstair/coralstair/discovery"
+	"github.com/coralstair/coralstair/machine"
+	"github.com/coralstair/coralstair/peersource"
+)
+
+// memNetwork connects entries in memory, so that they can run in virtual time; latency is the one-way delay.
+type memNetwork struct {
+	latency time.Duration
+
+	mu        sync.Mutex
+	listeners map[string]*memListener
+}
+
+// memListener accepts the connections to one address of a memNetwork.
+type memListener struct {
+	conns  chan net.Conn
+	closed chan struct{}
+	close  sync.Once
+}
+
+func (l *memListener) Accept() (net.Conn, error) {
+	select {
+	case conn := <-l.conns:
+		return conn, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *memListener) Addr() net.Addr { return &net.TCPAddr{} }
+
+func (l *memListener) Close() error {
+	l.close.Do(func() { close(l.closed) })
+	return nil
+}
+
+func (n *memNetwork) listen(address string) *memListener {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	l := &memListener{conns: make(chan net.Conn), closed: make(chan struct{})}
+	if n.listeners == nil {
+		n.listeners = make(map[string]*memListener)
+	}
+	n.listeners[address] = l
+	return l
+}
+
+func (n *memNetwork) dial(ctx context.Context, _, address string) (net.Conn, error) {
+	n.mu.Lock()
+	l := n.listeners[address]
+	n.mu.Unlock()
+	time.Sleep(2 * n.latency)
+	if l == nil {
+		return nil, net.ErrClosed
+	}
+	near, nearEnd := net.Pipe()
+	farEnd, far := net.Pipe()
+	select {
+	case l.conns <- far:
+	case <-l.closed:
+		return nil, net.ErrClosed
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	go n.forward(nearEnd, farEnd)
+	go n.forward(farEnd, nearEnd)
+	return near, nil
+}
+
+// forward copies bytes from one connection to another with the network's latency, until one of them is closed.
+func (n *memNetwork) forward(from, to net.Conn) {
+	defer func() { _, _ = from.Close(), to.Close() }()
+	buf := make([]byte, 64<<10)
+	for {
+		size, err := from.Read(buf)
+		if err != nil {
+			return
+		}
+		time.Sleep(n.latency)
+		if _, err := to.Write(buf[:size]); err != nil {
+			return
+		}
+	}
+}
+
+// siteState is what the store of a virtualSite holds.
+type siteState struct {
+	mu       sync.Mutex
+	list     discovery.Servers
+	declared discovery.Declared
+	changed  chan struct{}
+}
+
+func (s *siteState) update(change func(s *siteState)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	change(s)
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// setServers lists the servers 1 to n.
+func (s *siteState) setServers(n int) {
+	s.update(func(s *siteState) {
+		s.list = discovery.Servers{Cursor: discovery.Cursor{Position: s.list.Cursor.Position + 1}}
+		for i := range n {
+			s.list.Present = append(s.list.Present, contract.Server{ID: fmt.Sprint(i + 1), Service: "s", Address: fmt.Sprintf("h:%d", i+1), Slots: 1})
+		}
+	})
+}
+
+// setRevision declares a configuration of a revision.
+func (s *siteState) setRevision(revision contract.Revision) {
+	s.update(func(s *siteState) {
+		routes := []contract.Route{{Host: "h", Attempts: int(revision)}}
+		cfg := contract.NewConfig(revision, contract.Limits{}, routes, []contract.Service{{Name: "s"}}, nil)
+		s.declared = discovery.Declared{Config: cfg, Cursor: discovery.Cursor{Position: int64(revision)}}
+	})
+}
+
+// virtualStore is one entry's access to the store; it counts the calls.
+type virtualStore struct {
+	state   *siteState
+	latency time.Duration
+
+	mu sync.Mutex
+	// hung makes the calls in flight and all later ones get no response.
+	hung chan struct{}
+	// listCalls counts the calls for the list, configReads those that returned a configuration.
+	listCalls, configReads int
+}
+
+// setHung sets whether calls get no response; calls that already hang go on hanging.
+func (s *virtualStore) setHung(hung bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if hung {
+		close(s.hung)
+	} else {
+		s.hung = make(chan struct{})
+	}
+}
+
+// roundTrip waits for what call finds in the state, and for the latency both ways.
+func (s *virtualStore) roundTrip(ctx context.Context, wait time.Duration, count *int, call func() bool) error {
+	s.mu.Lock()
+	hung := s.hung
+	*count++
+	s.mu.Unlock()
+	sleep := func(d time.Duration) error {
+		select {
+		case <-time.After(d):
+			return nil
+		case <-hung:
+			<-ctx.Done()
+			return ctx.Err()
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	if err := sleep(s.latency); err != nil {
+		return err
+	}
+	over := time.After(wait)
+	for found, timedOut := false, false; !found && !timedOut; {
+		s.state.mu.Lock()
+		found = call()
+		changed := s.state.changed
+		s.state.mu.Unlock()
+		if found {
+			break
+		}
+		select {
+		case <-changed:
+		case <-over:
+			timedOut = true
+		case <-hung:
+			<-ctx.Done()
+			return ctx.Err()
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	return sleep(s.latency)
+}
+
+func (s *virtualStore) Declared(ctx context.Context) (declared discovery.Declared, err error) {
+	err = s.roundTrip(ctx, 0, &s.configReads, func() bool {
+		declared = s.state.declared
+		return true
+	})
+	return declared, err
+}
+
+func (s *virtualStore) DeclaredAfter(ctx context.Context, cursor discovery.Cursor, wait time.Duration) (discovery.Declared, error) {
+	declared, calls := discovery.Declared{Cursor: cursor}, 0
+	err := s.roundTrip(ctx, wait, &calls, func() bool {
+		if s.state.declared.Cursor.Position <= cursor.Position {
+			return false
+		}
+		declared = s.state.declared
+		return true
+	})
+	if declared.Config != nil {
+		s.mu.Lock()
+		s.configReads++
+		s.mu.Unlock()
+	}
+	return declared, err
+}
+
+func (s *virtualStore) Servers(ctx context.Context) (servers discovery.Servers, err error) {
+	err = s.roundTrip(ctx, 0, &s.listCalls, func() bool {
+		servers = s.state.list
+		return true
+	})
+	return servers, err
+}
+
+func (s *virtualStore) ServersAfter(ctx context.Context, cursor discovery.Cursor, wait time.Duration) (discovery.Servers, error) {
+	servers := discovery.Servers{Cursor: cursor}
+	err := s.roundTrip(ctx, wait, &s.listCalls, func() bool {
+		if s.state.list.Cursor == cursor {
+			return false
+		}
+		servers = s.state.list
+		return true
+	})
+	return servers, err
+}
+
+// Probe makes a call whose response is short.
+func (s *virtualStore) Probe(ctx context.Context) error {
+	calls := 0
+	return s.roundTrip(ctx, 0, &calls, func() bool { return true })
+}
+
+func (s *virtualStore) counts() (listCalls, configReads int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.listCalls, s.configReads
+}
+
+// virtualSite is a site of entries in virtual time, with timings drawn from a seed.
+type virtualSite struct {
+	t       *testing.T
+	rng     *rand.Rand
+	drain   time.Duration
+	state   *siteState
+	network memNetwork
+	entries []*Entry
+	stores  []*virtualStore
+	stops   []context.CancelFunc
+}
+
+// runVirtualSites runs check on sites of n entries, with the seeds from 1 to CORALSTAIR_SITES or 60.
+func runVirtualSites(t *testing.T, n int, check func(site *virtualSite)) {
+	t.Helper()
+	count := 60
+	if more, err := strconv.Atoi(os.Getenv("CORALSTAIR_SITES")); err == nil {
+		count = more
+	}
+	for seed := range count {
+		t.Run(fmt.Sprintf("seed %d", seed+1), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				site := newVirtualSite(t, rand.New(rand.NewPCG(uint64(seed+1), 0)), n)
+				defer site.stop()
+				check(site)
+			})
+		})
+	}
+}
+
+// newVirtualSite starts the entries one after the other, which know each other a while later, as boxes tell them.
+func newVirtualSite(t *testing.T, rng *rand.Rand, n int) *virtualSite {
+	t.Helper()
+	site := &virtualSite{t: t, rng: rng, drain: time.Duration(2+rng.IntN(9)) * time.Second, state: &siteState{changed: make(chan struct{})}}
+	site.network.latency = site.between(time.Millisecond, 30*time.Millisecond)
+	site.state.setServers(2)
+	site.state.setRevision(1)
+	var hosts []string
+	for i := range n {
+		hosts = append(hosts, fmt.Sprintf("127.0.8.%d", i+1))
+	}
+	pollTimeout := site.between(time.Second, 9*time.Second)
+	for _, host := range hosts {
+		site.startEntry(host, pollTimeout)
+		time.Sleep(site.between(0, 100*time.Millisecond))
+	}
+	for _, e := range site.entries {
+		time.AfterFunc(site.between(0, 400*time.Millisecond), func() {
+			e.reader.setHosts("box", hosts)
+			e.budget.SetEntries(minEntriesForReader, clock.Now())
+		})
+	}
+	return site
+}
+
+// stop ends all entries, and waits until their dials have ended too.
+func (site *virtualSite) stop() {
+	for _, stop := range site.stops {
+		stop()
+	}
+	time.Sleep(time.Minute)
+}
+
+// between returns a duration drawn from [least, most).
+func (site *virtualSite) between(least, most time.Duration) time.Duration {
+	return least + time.Duration(site.rng.Int64N(int64(most-least)))
+}
+
+func (site *virtualSite) startEntry(host string, pollTimeout time.Duration) {
+	logger := &log.Logger{Handler: discard.Default, Level: log.InfoLevel}
+	store := &virtualStore{state: site.state, latency: site.between(time.Millisecond, 100*time.Millisecond), hung: make(chan struct{})}
+	m := machine.Machine{ID: host, Address: host, Site: "z", LinkPort: 1, Bounds: machine.Bounds{Drain: site.drain}}
+	source := peersource.NewEntrySource(discovery.Hedge(store), ListWait(site.drain))
+	v := discovery.New(source, discovery.Options{Log: logger, PollTimeout: pollTimeout, ServersCoalesceDelay: discovery.ServersCoalesceDelayWithin(site.drain)})
+	ctx, cancel := context.WithCancel(context.Background())
+	links := site.network.listen(m.LinkAddress(host))
+	e := New(Config{Machine: m, View: v, Wire: testWire{}, Log: logger, Links: links, PeerSource: source})
+	e.boxLinks.client = &http.Client{Transport: &http.Transport{DialContext: site.network.dial}}
+	for _, part := range []func(context.Context) error{v.ServeDeclared, v.ServeServers, e.followServers, e.boxLinks.serve, e.reader.serveLinks, e.reader.serve} {
+		go func() { _ = part(ctx) }()
+	}
+	site.entries, site.stores, site.stops = append(site.entries, e), append(site.stores, store), append(site.stops, cancel)
+}
+
+// ranked returns the indexes of the entries by rank; the first one is the reader.
+func (site *virtualSite) ranked() []int {
+	order := make([]int, len(site.entries))
+	for i := range order {
+		order[i] = i
+	}
+	slices.SortFunc(order, func(a, b int) int {
+		if ranksBefore(site.entries[a].cfg.Machine.Address, site.entries[b].cfg.Machine.Address) {
+			return -1
+		}
+		return 1
+	})
+	return order
+}
+
+// awaitFollowers waits until all entries but the reader receive the list from an entry.
+func (site *virtualSite) awaitFollowers() {
+	site.t.Helper()
+	for deadline := time.Now().Add(6 * time.Second); time.Now().Before(deadline); time.Sleep(10 * time.Millisecond) {
+		if following := slices.DeleteFunc(slices.Clone(site.entries), func(e *Entry) bool { return !e.cfg.PeerSource.PeerActive() }); len(following) == len(site.entries)-1 {
+			return
+		}
+	}
+	site.t.Fatal("not all entries receive the list from the reader")
+}
+
+// readersDuring returns the ranks of the entries that call the store for the list, and of those that read a configuration, while f runs.
+func (site *virtualSite) readersDuring(f func()) (list, config []int) {
+	type count struct{ list, config int }
+	before := make([]count, len(site.stores))
+	for i, store := range site.stores {
+		before[i].list, before[i].config = store.counts()
+	}
+	f()
+	for rank, i := range site.ranked() {
+		listCalls, configReads := site.stores[i].counts()
+		if listCalls > before[i].list {
+			list = append(list, rank)
+		}
+		if configReads > before[i].config {
+			config = append(config, rank)
+		}
+	}
+	return list, config
+}
+
+// TestHealthyReaderKeepsItsFollowers guards against a reader that sends its followers away while its store answers, since its
+// calls take longer than it allows for.
+func TestHealthyReaderKeepsItsFollowers(t *testing.T) {
+	const entries, observed = 6, 20 * time.Second
+	runVirtualSites(t, entries, func(site *virtualSite) {
+		site.awaitFollowers()
+		list, config := site.readersDuring(func() {
+			for end, revision := time.Now().Add(observed), contract.Revision(2); time.Now().Before(end); revision++ {
+				time.Sleep(site.between(0, 4*time.Second))
+				if site.rng.IntN(2) == 0 {
+					site.state.setRevision(revision)
+				} else {
+					site.state.setServers(2 + site.rng.IntN(3))
+				}
+			}
+		})
+		if !slices.Equal(list, []int{0}) || len(config) > 0 && !slices.Equal(config, []int{0}) {
+			site.t.Errorf("drain timeout %s: entries %v by rank call for the list and %v read a configuration, only 0 may", site.drain, list, config)
+		}
+	})
+}
