forward: answer a waiting follower before it gives up

Callers saw nothing by themselves; the link to the store of a site's region stayed congested, as up to four entries read the list over it where two may.

Cause: an entry that does not read the list answered a new follower at its first heartbeat after followGrace: 0.8 s and up to 0.4 s, which is the listTimeout after which the follower closes the link. A link that ends so counts as an entry that can't be reached, so that the follower waits for nobody and reads the list.

Change: the answer is sent when followGrace ends, 0.4 s before the follower gives up. Ruled out: answers delayed by load.

--- a/forward/boxlinks.go
+++ b/forward/boxlinks.go
@@ -90,6 +90,7 @@
 		bl.updateLinks(ctx)
 		bl.sendTargets()
 		bl.sendEvacuations()
+		bl.publishList()
 		bl.updateFollowers()
 		for woken := false; !woken; {
 			select {
--- a/forward/followers.go
+++ b/forward/followers.go
@@ -36,7 +36,6 @@
 	if cfg == nil || !v.Ready() {
 		return
 	}
-	bl.publishList()
 	listed := listedByService(v.Servers())
 	bl.mu.Lock()
 	defer bl.mu.Unlock()
--- a/forward/reader.go
+++ b/forward/reader.go
@@ -291,6 +291,8 @@
 	bl.mu.Unlock()
 	bl.entry.reader.updateShared()
 	bl.wake()
+	// The next heartbeat may be too late: the follower gives up after listTimeout.
+	time.AfterFunc(followGrace, bl.wake)
 }
 
 func (bl *boxLinks) hasListFollowers() bool {
--- a/forward/virtualsite_test.go
+++ b/forward/virtualsite_test.go
@@ -413,3 +413,21 @@
 		}
 	})
 }
+
+// TestSilentStoreHasTwoReaders guards against entries that wait for nobody while the store is silent, since the reader has not told them in
+// time that it responds.
+func TestSilentStoreHasTwoReaders(t *testing.T) {
+	const entries, settleTime, observed, maxReaders = 6, 4 * time.Second, 3 * time.Second, 2
+	runVirtualSites(t, entries, func(site *virtualSite) {
+		site.awaitFollowers()
+		time.Sleep(site.between(0, 2*time.Second))
+		for _, store := range site.stores {
+			store.setHung(true)
+		}
+		time.Sleep(settleTime + 2*ListWait(site.drain))
+		list, _ := site.readersDuring(func() { time.Sleep(observed) })
+		if len(list) > maxReaders {
+			site.t.Errorf("drain timeout %s: entries %v by rank call for the list, %d may", site.drain, list, maxReaders)
+		}
+	})
+}
