forward: followers stay with a reader that has the list

Callers saw a configuration up to a second late at all but one entry of a site, each 3 s for as long as the reader of the site could not read the store; entries also read it for themselves.

Cause: an entry that failed as a reader may be followed again after 3 s. Then all entries left the reader that served them for that one, were told after 0.8 to 1.2 s that it has no list, and returned.

Change: a follower goes on following a host that sends it the list when it could follow one that ranks before. The host itself asks that one, and reads until it has the list; then it names it to its followers (Declared.Reader). Ruled out: delays by load.

--- a/forward/reader.go
+++ b/forward/reader.go
@@ -76,6 +76,8 @@
 	hosts       map[string][]string
 	failedUntil map[string]time.Time
 	silent      map[string]bool
+	// followed is the host of the entry that sends this one the list, empty while none does.
+	followed string
 }
 
 func newListReader(e *Entry) *listReader {
@@ -152,6 +154,7 @@
 		}
 		lr.entry.log.WithField("reader", host).Info("entry: the list of servers is heard from another entry")
 		failed := lr.follow(ctx, host)
+		lr.setFollowed("")
 		if failed {
 			lr.mu.Lock()
 			lr.failedUntil[host] = clock.Now().Add(readerBackoff)
@@ -227,6 +230,7 @@
 		switch msg := msg.(type) {
 		case *link.Servers:
 			lr.recordRecentList(host)
+			lr.setFollowed(host)
 			lr.entry.cfg.PeerSource.ApplyServers(msg)
 		case *link.QuarantineRecords:
 			lr.entry.cfg.Quarantine.Merge(msg.Records)
@@ -236,14 +240,43 @@
 			}
 		case *link.Declared:
 			lr.setSilent(host, true)
+			lr.allowReader(msg.Reader)
 			return true
 		}
-		if lr.currentReader(clock.Now()) != host {
+		if !lr.keepsFollowing(host) {
 			return false
 		}
 	}
 }
 
+// keepsFollowing reports whether this entry goes on following a host that sends it the list. It does so when it could follow one that ranks
+// before: the host follows that one itself as soon as it has the list, and names it then. So a site never leaves a reader that has the list for
+// one that may lack it.
+func (lr *listReader) keepsFollowing(host string) bool {
+	reader := lr.currentReader(clock.Now())
+	return reader == host || reader != "" && ranksBefore(reader, host)
+}
+
+// allowReader lets an entry be followed again that has the list, as another one reports.
+func (lr *listReader) allowReader(host string) {
+	lr.mu.Lock()
+	defer lr.mu.Unlock()
+	delete(lr.failedUntil, host)
+}
+
+func (lr *listReader) setFollowed(host string) {
+	lr.mu.Lock()
+	defer lr.mu.Unlock()
+	lr.followed = host
+}
+
+// followedReader returns the host of the entry that sends this one the list, empty while none does.
+func (lr *listReader) followedReader() string {
+	lr.mu.Lock()
+	defer lr.mu.Unlock()
+	return lr.followed
+}
+
 // serveLinks serves links of other entries until ctx ends.
 func (lr *listReader) serveLinks(ctx context.Context) error {
 	return supervise.ServeHTTP(ctx, lr.server, lr.entry.cfg.Links)
@@ -317,6 +350,7 @@
 		return
 	}
 	reads := v.Ready() && v.StoreReachable() && (source == nil || !source.PeerActive()) && v.ListAge() < maxListAge(bl.entry.cfg.Machine.Bounds.Drain)
+	reader := bl.entry.reader.followedReader()
 	bl.mu.Lock()
 	defer bl.mu.Unlock()
 	if reads && len(bl.listFollowers) > 0 {
@@ -328,7 +362,7 @@
 			if clock.Since(f.since) < followGrace {
 				continue
 			}
-			trySend(conn, &link.Declared{StoreLost: true})
+			trySend(conn, &link.Declared{StoreLost: true, Reader: reader})
 			delete(bl.listFollowers, conn)
 		} else if !bl.publishListTo(conn, f, clock.Now()) {
 			delete(bl.listFollowers, conn)
--- a/forward/virtualsite_test.go
+++ b/forward/virtualsite_test.go
@@ -372,6 +372,20 @@
 	site.t.Fatal("not all entries receive the list from the reader")
 }
 
+// awaitRevision waits until all entries but one have a revision.
+func (site *virtualSite) awaitRevision(revision contract.Revision, limit time.Duration, except int) {
+	site.t.Helper()
+	declared := time.Now()
+	for i, e := range site.entries {
+		for i != except && e.cfg.View.Config().Revision != revision && time.Since(declared) < limit {
+			time.Sleep(5 * time.Millisecond)
+		}
+		if got := e.cfg.View.Config().Revision; i != except && got != revision {
+			site.t.Errorf("drain timeout %s: entry %d has revision %d after %s, want %d", site.drain, i, got, limit, revision)
+		}
+	}
+}
+
 // readersDuring returns the ranks of the entries that call the store for the list, and of those that read a configuration, while f runs.
 func (site *virtualSite) readersDuring(f func()) (list, config []int) {
 	type count struct{ list, config int }
@@ -431,3 +445,34 @@
 		}
 	})
 }
+
+// TestNextReaderTakesOver guards against entries that each read the configuration when their reader dies or its store falls silent, and
+// against ones that get it late, then or while the next reader serves them.
+func TestNextReaderTakesOver(t *testing.T) {
+	const entries, maxOthers, soon = 6, 2, time.Second
+	for name, fail := range map[string]func(site *virtualSite, reader int){
+		"reader dies":  func(site *virtualSite, reader int) { site.stops[reader]() },
+		"reader hangs": func(site *virtualSite, reader int) { site.stores[reader].setHung(true) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			runVirtualSites(t, entries, func(site *virtualSite) {
+				site.awaitFollowers()
+				time.Sleep(site.between(0, 3*time.Second))
+				reader := site.ranked()[0]
+				limit := maxListAge(site.drain) + 2*time.Second
+				_, config := site.readersDuring(func() {
+					fail(site, reader)
+					for revision := contract.Revision(2); revision < 6; revision++ {
+						site.state.setRevision(revision)
+						site.awaitRevision(revision, limit, reader)
+						time.Sleep(site.between(0, 2*time.Second))
+						limit = soon
+					}
+				})
+				if others := slices.DeleteFunc(config, func(rank int) bool { return rank == 0 }); len(others) > maxOthers {
+					site.t.Errorf("drain timeout %s: entries %v by rank read a configuration, %d may besides the reader", site.drain, others, maxOthers)
+				}
+			})
+		})
+	}
+}
--- a/link/follow.go
+++ b/link/follow.go
@@ -20,12 +20,13 @@
 	Hosts []string `cbor:"1,keyasint,omitempty"`
 }
 
-// Declared carries the services of a configuration that a box needs: its own and the origins. StoreLost says that the entry has lost
-// the store and ends its feed, so that the box must follow another entry.
+// Declared carries the services of a configuration that a box needs: its own and the origins. StoreLost says that the entry does not read
+// the store and ends its feed, so that another entry must be followed: Reader, if it is the host of the one that this entry follows.
 type Declared struct {
 	Revision  contract.Revision  `cbor:"1,keyasint,omitempty"`
 	Services  []contract.Service `cbor:"2,keyasint,omitempty"`
 	StoreLost bool               `cbor:"3,keyasint,omitempty"`
+	Reader    string             `cbor:"4,keyasint,omitempty"`
 }
 
 // DeclaredChange carries what operators declared to an entry that follows another one: the configuration if it changed, the target
