peersource: a feed cancels reads of the store itself, at once

Callers saw nothing by themselves; at a site's start entries read the whole configuration though another one relays it. A read of a call that hangs could go on for good, and a cancelled one counted as a lost store.

Cause: a goroutine of each read waited for the start of a feed. In readStore it looked for the feed and took the channel of changes under two locks: a feed between them was missed. A feed that ended soon made a cancelled read a failure.

Change: reads are bound to a phase that ends with the message that starts the feed, under the lock that decides whether to read; a hedged call whose context has ended is not made. Ruled out: entries that start to read after the feed has begun (by the log they had begun before).

TestReadCancelledByAShortFeedIsNoFailure hung and TestCancelledCallIsNotMade made a call before.

--- a/discovery/hedge.go
+++ b/discovery/hedge.go
@@ -117,7 +117,12 @@
 		}
 	})
 	send := func(wait time.Duration, first bool) {
-		value, err := call(ctx, wait)
+		var value T
+		// The call may have been cancelled since it was started.
+		err := ctx.Err()
+		if err == nil {
+			value, err = call(ctx, wait)
+		}
 		results <- callResult[T]{value, err, first}
 	}
 	go send(wait, true)
--- a/discovery/hedge_test.go
+++ b/discovery/hedge_test.go
@@ -296,3 +296,15 @@
 		})
 	}
 }
+
+// TestCancelledCallIsNotMade guards against a call to the store that is cancelled before it is sent, and is made all the same.
+func TestCancelledCallIsNotMade(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &fakeStore{revision: 1, changed: make(chan struct{}), began: time.Now()}
+		ctx, cancel := context.WithCancel(t.Context())
+		cancel()
+		if _, err := Hedge(store).Declared(ctx); !errors.Is(err, context.Canceled) || store.calls != 0 {
+			t.Errorf("%d calls, %v", store.calls, err)
+		}
+	})
+}
--- a/peersource/declared.go
+++ b/peersource/declared.go
@@ -47,6 +47,7 @@
 		}
 		base = next
 	}
+	s.unrelayed.end()
 	r.active, r.config, r.asOf, r.evacuated = true, base, msg.AsOf, msg.Evacuations.Sites
 	r.changes++
 	s.notify()
@@ -67,7 +68,7 @@
 func (s *EntrySource) PeerLost() {
 	s.mu.Lock()
 	if s.relayed.active {
-		s.relayed.active = false
+		s.relayed.active, s.unrelayed = false, newPhase()
 		s.relayed.readFrom = clock.Now().Add(declaredReadDelay + rand.N(declaredReadDelay))
 	}
 	s.mu.Unlock()
@@ -99,7 +100,7 @@
 		r.delivered = r.changes
 		return discovery.Declared{Config: r.config, Cursor: discovery.Cursor{Epoch: cursor.Epoch, Position: max(cursor.Position, r.asOf.Position)}}, true, nil
 	}, func(ctx context.Context) (discovery.Declared, error) {
-		if isClosed(s.shared()) {
+		if s.currentAlone().ended() {
 			wait = min(wait, s.maxWait)
 		}
 		return s.store.DeclaredAfter(ctx, cursor, wait)
@@ -123,11 +124,13 @@
 			}
 			until = deadline
 		}
-		mayRead := !active && (s.reads || !clock.Now().Before(until))
+		mayRead, unrelayed := !active && (s.reads || !clock.Now().Before(until)), s.unrelayed
 		s.mu.Unlock()
 		if mayRead {
-			declared, relayedNow, err := s.readUnlessRelayed(ctx, read)
-			if !relayedNow {
+			readCtx, cancel := unrelayed.bind(ctx)
+			declared, err := read(readCtx)
+			cancel()
+			if err == nil || ctx.Err() != nil || !unrelayed.ended() {
 				return declared, err
 			}
 			continue
@@ -137,31 +140,3 @@
 		}
 	}
 }
-
-// readUnlessRelayed reads the store; a read that has not ended when an entry begins to relay is cancelled,
-// and relayed is set.
-func (s *EntrySource) readUnlessRelayed(
-	ctx context.Context, read func(ctx context.Context) (discovery.Declared, error),
-) (declared discovery.Declared, relayed bool, err error) {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	go func() {
-		for ctx.Err() == nil {
-			s.mu.Lock()
-			changed, active := s.changed, s.relayed.active
-			s.mu.Unlock()
-			if active {
-				cancel()
-				return
-			}
-			select {
-			case <-ctx.Done():
-			case <-changed:
-			}
-		}
-	}()
-	declared, err = read(ctx)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return declared, err != nil && s.relayed.active, err
-}
--- a/peersource/source.go
+++ b/peersource/source.go
@@ -63,8 +63,9 @@
 	// for this one by then.
 	listDelay time.Duration
 	changed   chan struct{}
-	// inactiveSince is when the feed was lost; zero while an entry feeds this source.
+	// inactiveSince is when the feed was lost; zero while an entry feeds this source. unfed lasts while none does.
 	inactiveSince  time.Time
+	unfed          phase
 	declared       *contract.Config
 	servers        map[string]contract.Server
 	listReadAt     time.Time
@@ -83,7 +84,7 @@
 func New(store discovery.Source) *Source {
 	return &Source{
 		store: store, entryTimeout: entryTimeout + rand.N(entryTimeoutJitter), perServerDelay: perServerDelay, listReadInterval: listReadInterval, declaredReadInterval: declaredReadInterval,
-		changed: make(chan struct{}), inactiveSince: clock.Now(), fullReadDelay: boxFullReadDelay + rand.N(boxFullReadDelay),
+		changed: make(chan struct{}), inactiveSince: clock.Now(), unfed: newPhase(), fullReadDelay: boxFullReadDelay + rand.N(boxFullReadDelay),
 	}
 }
 
@@ -92,9 +93,9 @@
 func NewEntrySource(store discovery.Source, maxWait time.Duration) *EntrySource {
 	return &EntrySource{
 		Source: &Source{
-			store: store, changed: make(chan struct{}), inactiveSince: clock.Now(), fullReadDelay: entryFullReadDelay + rand.N(entryFullReadDelay),
+			store: store, changed: make(chan struct{}), inactiveSince: clock.Now(), unfed: newPhase(), fullReadDelay: entryFullReadDelay + rand.N(entryFullReadDelay),
 		},
-		maxWait: maxWait, sharing: make(chan struct{}),
+		maxWait: maxWait, alone: newPhase(), unrelayed: newPhase(),
 	}
 }
 
@@ -103,10 +104,12 @@
 	*Source
 	maxWait time.Duration
 
-	// The source's mutex guards the fields below. sharing is closed while other entries depend on this one.
-	sharing chan struct{}
-	relayed relayedDeclared
-	reads   bool
+	// The source's mutex guards the fields below. alone lasts while no other entry depends on this one, unrelayed while none relays what is
+	// declared.
+	alone     phase
+	unrelayed phase
+	relayed   relayedDeclared
+	reads     bool
 }
 
 // SetShared sets whether other entries depend on this one for the list of servers. If not, calls may wait longer, which saves
@@ -115,28 +118,19 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch {
-	case shared == isClosed(s.sharing):
+	case shared == s.alone.ended():
 	case shared:
-		close(s.sharing)
+		s.alone.end()
 	default:
-		s.sharing = make(chan struct{})
+		s.alone = newPhase()
 	}
 }
 
-// shared returns a channel that is closed as soon as other entries depend on this one.
-func (s *EntrySource) shared() <-chan struct{} {
+// currentAlone returns the phase in which no other entry depends on this one; it has ended if some do.
+func (s *EntrySource) currentAlone() phase {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.sharing
-}
-
-func isClosed(c <-chan struct{}) bool {
-	select {
-	case <-c:
-		return true
-	default:
-		return false
-	}
+	return s.alone
 }
 
 // AwaitingFullList reports whether the full list has not been read or received yet.
@@ -177,21 +171,14 @@
 
 // ServersAfter waits for a change of the list of servers.
 func (s *EntrySource) ServersAfter(ctx context.Context, cursor discovery.Cursor, wait time.Duration) (discovery.Servers, error) {
-	sharing := s.shared()
-	if isClosed(sharing) {
+	alone := s.currentAlone()
+	if alone.ended() {
 		return s.Source.ServersAfter(ctx, cursor, min(wait, s.maxWait))
 	}
-	pollCtx, cancel := context.WithCancel(ctx)
+	pollCtx, cancel := alone.bind(ctx)
 	defer cancel()
-	go func() {
-		select {
-		case <-sharing:
-			cancel()
-		case <-pollCtx.Done():
-		}
-	}()
 	servers, err := s.Source.ServersAfter(pollCtx, cursor, wait)
-	if err != nil && ctx.Err() == nil && pollCtx.Err() != nil {
+	if err != nil && ctx.Err() == nil && alone.ended() {
 		return s.Source.ServersAfter(ctx, cursor, 0)
 	}
 	return servers, err
@@ -376,7 +363,7 @@
 		s.mu.Unlock()
 		if inactive && !clock.Now().Before(until) {
 			// A successful read is already recorded as delivered, so it must be returned even if a feed has started.
-			if err := s.readStore(ctx, lastRead, read); err == nil || ctx.Err() != nil || !s.PeerActive() {
+			if cancelled, err := s.readStore(ctx, lastRead, read); err == nil || ctx.Err() != nil || !cancelled {
 				return err
 			}
 			continue
@@ -403,28 +390,23 @@
 	return nil
 }
 
-// readStore reads the store, cancels the read when a feed starts, and records when it ended.
-func (s *Source) readStore(ctx context.Context, lastRead *time.Time, read func(context.Context) error) error {
-	ctx, cancel := context.WithCancel(ctx)
+// readStore reads the store and records when the read ended. The read is cancelled when a feed starts, which cancelled reports.
+func (s *Source) readStore(ctx context.Context, lastRead *time.Time, read func(context.Context) error) (cancelled bool, err error) {
+	s.mu.Lock()
+	unfed := s.unfed
+	s.mu.Unlock()
+	ctx, cancel := unfed.bind(ctx)
 	defer cancel()
 	defer func() {
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		*lastRead = clock.Now()
 	}()
-	go func() {
-		for ctx.Err() == nil && !s.PeerActive() {
-			s.mu.Lock()
-			changed := s.changed
-			s.mu.Unlock()
-			select {
-			case <-ctx.Done():
-			case <-changed:
-			}
-		}
-		cancel()
-	}()
-	return read(ctx)
+	if unfed.ended() {
+		return true, ctx.Err()
+	}
+	err = read(ctx)
+	return unfed.ended(), err
 }
 
 // PeerActive reports whether an entry feeds this source.
@@ -439,7 +421,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.inactiveSince.IsZero() {
-		s.inactiveSince = clock.Now()
+		s.inactiveSince, s.unfed = clock.Now(), newPhase()
 	}
 	s.declared, s.servers = nil, nil
 	s.notify()
@@ -461,6 +443,7 @@
 	case msg.Reset:
 		s.servers = make(map[string]contract.Server, len(msg.Present))
 		s.inactiveSince = time.Time{}
+		s.unfed.end()
 		s.serversKnown, s.partial = true, false
 	case s.servers == nil:
 		return
--- a/peersource/source_test.go
+++ b/peersource/source_test.go
@@ -231,6 +231,59 @@
 	})
 }
 
+// slowToCancelStore is a store whose first read ends some time after it was cancelled.
+type slowToCancelStore struct {
+	countingStore
+	declared int
+}
+
+func (s *slowToCancelStore) Declared(ctx context.Context) (discovery.Declared, error) {
+	s.declared++
+	return discovery.Declared{}, awaitCancel(ctx, s.declared)
+}
+
+func (s *slowToCancelStore) Servers(ctx context.Context) (discovery.Servers, error) {
+	s.reads++
+	return s.servers, awaitCancel(ctx, s.reads)
+}
+
+func awaitCancel(ctx context.Context, call int) error {
+	if call > 1 {
+		return nil
+	}
+	<-ctx.Done()
+	time.Sleep(10 * time.Millisecond)
+	return ctx.Err()
+}
+
+// TestReadCancelledByAShortFeedIsNoFailure guards against a store that counts as lost since a feed has started and ended during a read.
+func TestReadCancelledByAShortFeedIsNoFailure(t *testing.T) {
+	for name, read := range map[string]func(ctx context.Context, source *EntrySource) error{
+		"list": func(ctx context.Context, source *EntrySource) error {
+			_, err := source.Servers(ctx)
+			return err
+		},
+		"declared": func(ctx context.Context, source *EntrySource) error {
+			_, err := source.Declared(ctx)
+			return err
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				source := NewEntrySource(&slowToCancelStore{}, time.Second)
+				time.AfterFunc(time.Second, func() {
+					source.ApplyDeclaredChange(&link.DeclaredChange{}, nil)
+					source.ApplyServers(&link.Servers{Reset: true})
+					source.PeerLost()
+				})
+				if err := read(t.Context(), source); err != nil {
+					t.Error(err)
+				}
+			})
+		})
+	}
+}
+
 // longStore is a store with more servers than the first read returns.
 type longStore struct {
 	countingStore
