forward: a relayed configuration carries a position that is not ahead of it

What callers could see: an entry that goes on with an old configuration after it has lost the reader of its site.

Cause: the position was read from the view after the configuration, which may change between the two. A follower goes on from that position at the store, whose history then no longer holds the configuration it lacks.

Change: the publisher takes the position first and keeps it with what it relays.

--- a/forward/declaredpublisher.go
+++ b/forward/declaredpublisher.go
@@ -16,7 +16,9 @@
 // declaredPublisher computes and encodes changes of what operators declare for all entries that follow this one. The zero value has
 // published nothing.
 type declaredPublisher struct {
-	version     int
+	version int
+	// asOf is a position as of which the rest is read; the rest may be newer.
+	asOf        discovery.Cursor
 	config      *contract.Config
 	targets     []discovery.ObservedTarget
 	evacuations discovery.Evacuations
@@ -33,23 +35,26 @@
 
 // update publishes what is declared if it has changed.
 func (dp *declaredPublisher) update(v *discovery.View) {
+	// A follower goes on from this position without its reader, so it must not be newer than the configuration.
+	dp.asOf = v.DeclaredAt()
 	cfg, targets := v.Config(), v.Targets()
 	evacuations, _ := v.Evacuations()
 	if cfg == nil || dp.version > 0 && cfg == dp.config && slices.Equal(targets, dp.targets) && evacuations.Equal(dp.evacuations) {
 		return
 	}
-	msg := newDeclaredChange(v)
-	if cfg != dp.config {
-		change := contract.DiffConfigs(dp.config, cfg)
-		msg.Config = &change
-	}
+	previous := dp.config
 	dp.version++
 	dp.config, dp.targets, dp.evacuations = cfg, targets, evacuations
+	msg := dp.message()
+	if cfg != previous {
+		change := contract.DiffConfigs(previous, cfg)
+		msg.Config = &change
+	}
 	dp.delta, dp.whole = encodeMessage(msg), nil
 }
 
 // next returns the message that is due for a follower, nil if there is none, and records it as sent.
-func (dp *declaredPublisher) next(f *declaredFollower, v *discovery.View, now time.Time) link.Encoded {
+func (dp *declaredPublisher) next(f *declaredFollower, now time.Time) link.Encoded {
 	behind := dp.version - f.version
 	if dp.version == 0 || behind == 0 && now.Sub(f.sentAt) < declaredRefresh {
 		return nil
@@ -60,20 +65,19 @@
 	case behind == 1 && known:
 		return dp.delta
 	case hasConfig:
-		return encodeMessage(newDeclaredChange(v))
+		return encodeMessage(dp.message())
 	case dp.whole == nil:
-		msg, change := newDeclaredChange(v), contract.DiffConfigs(nil, dp.config)
+		msg, change := dp.message(), contract.DiffConfigs(nil, dp.config)
 		msg.Config = &change
 		dp.whole = encodeMessage(msg)
 	}
 	return dp.whole
 }
 
-// newDeclaredChange returns a message with all that is declared but the configuration.
-func newDeclaredChange(v *discovery.View) *link.DeclaredChange {
-	msg := &link.DeclaredChange{AsOf: v.DeclaredAt()}
-	msg.Evacuations, _ = v.Evacuations()
-	for _, target := range v.Targets() {
+// message returns a message with all that is declared but the configuration.
+func (dp *declaredPublisher) message() *link.DeclaredChange {
+	msg := &link.DeclaredChange{AsOf: dp.asOf, Evacuations: dp.evacuations}
+	for _, target := range dp.targets {
 		msg.Targets = append(msg.Targets, *link.NewTarget(target))
 	}
 	return msg
--- a/forward/declaredpublisher_test.go
+++ b/forward/declaredpublisher_test.go
@@ -174,7 +174,7 @@
 	current := declaredFollower{revision: 1}
 	sizes := func() (int, int) {
 		dp.update(v)
-		return len(dp.next(&fresh, v, time.Now())), len(dp.next(&current, v, time.Now()))
+		return len(dp.next(&fresh, time.Now())), len(dp.next(&current, time.Now()))
 	}
 	for v.Config() == nil {
 		time.Sleep(time.Millisecond)
@@ -196,3 +196,36 @@
 		t.Error(err)
 	}
 }
+
+// TestFollowersGoOnFromTheirConfiguration guards against followers that never get a configuration, since they were told the position of one
+// that their reader had read, but not relayed.
+func TestFollowersGoOnFromTheirConfiguration(t *testing.T) {
+	store := newDeclaringStore(&countingStore{})
+	declare := func(revision contract.Revision) {
+		cfg := contract.NewConfig(revision, contract.Limits{}, nil, nil, nil)
+		store.declare(discovery.Declared{Config: cfg, Cursor: discovery.Cursor{Position: int64(revision)}})
+	}
+	declare(1)
+	v := discovery.New(store, discovery.Options{})
+	go func() { _ = v.ServeDeclared(t.Context()) }()
+	awaitPosition := func(position int64) {
+		for v.DeclaredAt().Position != position {
+			time.Sleep(time.Millisecond)
+		}
+	}
+	awaitPosition(1)
+	var dp declaredPublisher
+	dp.update(v)
+	declare(2)
+	awaitPosition(2)
+	for name, f := range map[string]*declaredFollower{"without a configuration": {}, "with it": {revision: 1}} {
+		msg, err := link.Decode(dp.next(f, time.Now()))
+		if err != nil {
+			t.Fatal(err)
+		}
+		change := msg.(*link.DeclaredChange)
+		if change.AsOf.Position != 1 || change.Config != nil && change.Config.Revision != 1 {
+			t.Errorf("a follower %s of revision 1 goes on from position %d", name, change.AsOf.Position)
+		}
+	}
+}
--- a/forward/reader.go
+++ b/forward/reader.go
@@ -376,7 +376,7 @@
 	if records := f.quarantineUpdate(bl.entry.cfg.Quarantine); records != nil && !trySend(conn, records) {
 		return false
 	}
-	if change := bl.declared.next(&f.declared, bl.entry.cfg.View, now); change != nil && conn.SendEncodedWithin(sendTimeout, change) != nil {
+	if change := bl.declared.next(&f.declared, now); change != nil && conn.SendEncodedWithin(sendTimeout, change) != nil {
 		return false
 	}
 	update := bl.list.next(f, now)
