engine: decode times count by how much a server is slower than usual

Callers saw streams cut by the planned end of their entry, as it had let them in at a server that was slower than usual.

Cause: TimeToFirstEvent multiplies by the slowdown that a server reports, DecodeTime did not. A leaving entry asks whether twice the predicted time fits into what is left; at a server 2.5 times slower it does not, though it seems to.

TestDecodeTimeGrows/slow_engine and TestLeavingEntryRefusesLongRequests/short_answer_of_a_slowed_model failed before.

--- a/engine/model.go
+++ b/engine/model.go
@@ -54,11 +54,12 @@
 	if e.Chunk > 0 && load.Decoding > 0 {
 		first += time.Duration(math.Ceil(float64(tokens)/float64(e.Chunk))) * stride
 	}
-	first += stride + wait(e, load)
-	if load.Slowdown > 1 {
-		first = time.Duration(float64(first) * load.Slowdown)
-	}
-	return first
+	return load.slowed(first + stride + wait(e, load))
+}
+
+// slowed returns the time that the engine needs for what usually takes d.
+func (l Load) slowed(d time.Duration) time.Duration {
+	return time.Duration(float64(d) * max(l.Slowdown, 1))
 }
 
 // WithoutOvertaken returns the part of the load that goes before a request which overtakes the given number of the requests without a first
@@ -128,5 +129,5 @@
 	decoding := max(load.Decoding+load.Prefilling, 1)
 	// While one request decodes, the prompts of the other slots are prefilled in turn.
 	prefill := PrefillTime(e, e.UsualPrompt, 1) * time.Duration(decoding) * time.Duration(tokens) / time.Duration(max(e.UsualAnswer, 1))
-	return time.Duration(tokens)*StepTime(e, decoding) + prefill
+	return load.slowed(time.Duration(tokens)*StepTime(e, decoding) + prefill)
 }
--- a/engine/model_test.go
+++ b/engine/model_test.go
@@ -62,3 +62,21 @@
 		})
 	}
 }
+
+func TestDecodeTimeGrows(t *testing.T) {
+	for name, test := range map[string]struct {
+		load   Load
+		tokens int
+	}{
+		"more tokens":       {Load{Decoding: 4}, 200},
+		"decoding requests": {Load{Decoding: 12}, 94},
+		"slow engine":       {Load{Decoding: 4, Slowdown: 2.5}, 94},
+	} {
+		t.Run(name, func(t *testing.T) {
+			less, more := DecodeTime(testEngine, Load{Decoding: 4}, 94), DecodeTime(testEngine, test.load, test.tokens)
+			if less <= 0 || more <= less {
+				t.Errorf("%s is not less than %s", less, more)
+			}
+		})
+	}
+}
--- a/forward/leave_test.go
+++ b/forward/leave_test.go
@@ -11,6 +11,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/coralstair/coralstair/contract"
+	"github.com/coralstair/coralstair/link"
 )
 
 // maxLeaveDelay is the longest time that an entry may take to stop after its last request, even with a keep-alive connection open.
@@ -100,21 +101,28 @@
 	for name, test := range map[string]struct {
 		service      contract.Service
 		path, header string
-		started      bool
+		// slowdown is the factor by which the server is slower than usual, as its box reports.
+		slowdown float64
+		started  bool
 	}{
-		"plain route with a long time limit":  {contract.Service{}, "/safe/a", "", false},
-		"plain route with a short time limit": {contract.Service{}, "/short/a", "", true},
-		"caller with a short timeout":         {contract.Service{}, "/safe/a", "Wait: 300\r\n", true},
-		"long answer of a model":              {model, "/safe/a", "Most: 5000\r\n", false},
-		"too long for a slow model":           {model, "/safe/a", "Most: 1500\r\n", false},
-		"short answer of a model":             {model, "/safe/a", "Most: 50\r\n", true},
-		"usual answer of a model":             {model, "/safe/a", "", true},
-		"long answer with a short timeout":    {model, "/safe/a", "Most: 5000\r\nWait: 300\r\n", true},
+		"plain route with a long time limit":  {contract.Service{}, "/safe/a", "", 0, false},
+		"plain route with a short time limit": {contract.Service{}, "/short/a", "", 0, true},
+		"caller with a short timeout":         {contract.Service{}, "/safe/a", "Wait: 300\r\n", 0, true},
+		"long answer of a model":              {model, "/safe/a", "Most: 5000\r\n", 0, false},
+		"too long for a slow model":           {model, "/safe/a", "Most: 1500\r\n", 0, false},
+		"short answer of a model":             {model, "/safe/a", "Most: 50\r\n", 0, true},
+		"short answer of a slowed model":      {model, "/safe/a", "Most: 600\r\n", 2.5, false},
+		"short answer of a usual model":       {model, "/safe/a", "Most: 600\r\n", 1, true},
+		"usual answer of a model":             {model, "/safe/a", "", 0, true},
+		"long answer with a short timeout":    {model, "/safe/a", "Most: 5000\r\nWait: 300\r\n", 0, true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			server := newFakeServer(t, respondOK)
 			w := newLeavingEnv(t, test.service, time.Second, 3*time.Second, server.address)
+			if test.slowdown > 0 {
+				w.applyReport(0, link.Report{Slowdown: test.slowdown})
+			}
 			w.startLeave()
 			got := w.mustConnect().ask(test.path, test.header)
 			if test.started {
