--- a/lab/standin/answer.go
+++ b/lab/standin/answer.go
@@ -124,15 +124,12 @@
 	w.Header().Set("X-Weight-Versions", strconv.FormatInt(run.Version, 10))
 	w.WriteHeader(http.StatusOK)
 	flush := http.NewResponseController(w).Flush
-	began := time.Now()
 	for n := last + 1; n <= EventCount(tokens); n++ {
 		select {
 		case <-r.Context().Done():
 			return
 		case <-time.After(eventInterval):
 		}
-		s.recordPace(time.Since(began))
-		began = time.Now()
 		if truncate && n > EventCount(tokens)/2 {
 			_, _ = fmt.Fprintf(w, "id: %d\nda", n)
 			_ = flush()
--- a/lab/standin/orders.go
+++ b/lab/standin/orders.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"math"
 	"net/http"
 	"slices"
 	"strconv"
@@ -13,9 +12,6 @@
 	"time"
 )
 
-// paceResolution is the number of steps in which a pace of 1 is reported.
-const paceResolution = 10
-
 type reportBody struct {
 	Stage   string        `json:"stage"`
 	Models  []LoadedModel `json:"models"`
@@ -24,15 +20,12 @@
 	Waiting int           `json:"waiting"`
 	Running int           `json:"running"`
 	Born    int64         `json:"born"`
-	// Pace is by how much the server is slower than its configured rates, as a factor.
-	Pace float64 `json:"pace"`
 }
 
 func (s *Server) serveReport(w http.ResponseWriter) {
 	s.mu.Lock()
 	body := reportBody{
 		Stage: "both", Models: s.models(), Busy: s.loading, Seq: s.seq, Waiting: s.waiting, Running: s.running, Born: s.born,
-		Pace: math.Round(s.slowdown*paceResolution) / paceResolution,
 	}
 	s.mu.Unlock()
 	writeJSON(w, body)
--- a/lab/standin/server.go
+++ b/lab/standin/server.go
@@ -20,8 +20,6 @@
 	// priorities is the number of priorities, 0 the most urgent; a request without a valid one has defaultPriority.
 	priorities      = 10
 	defaultPriority = 5
-	// slowdownWeight is the weight of one event in the average slowdown.
-	slowdownWeight = 1.0 / 32
 )
 
 // Faults is the set of faults that a server injects; the zero value is none. A number n selects every n-th request.
@@ -72,11 +70,9 @@
 	faults      Faults
 	pushback    Pushback
 	requests    int
-	// slowdown is by how much recent events took longer than eventInterval, as a factor; 0 before the first event.
-	slowdown  float64
-	coldUntil time.Time
-	idle      chan struct{}
-	http      *http.Server
+	coldUntil   time.Time
+	idle        chan struct{}
+	http        *http.Server
 }
 
 // Start starts the server under a new ID; staged pieces survive a crash.
@@ -285,17 +281,6 @@
 	return s.running == 0
 }
 
-// recordPace records how long one event took.
-func (s *Server) recordPace(took time.Duration) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	slowdown := float64(took) / float64(eventInterval)
-	if s.slowdown == 0 {
-		s.slowdown = slowdown
-	}
-	s.slowdown += (slowdown - s.slowdown) * slowdownWeight
-}
-
 func (s *Server) endRequest() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
