admission: refused less urgent requests do not shorten the wait of urgent ones

Callers of the most urgent route were refused again when they returned during a flood of the least urgent route, though there was room.

Cause: retries may wait a shorter time the more first tries are refused.

TestRefusedFloodShortensNoUrgentWait failed before for a flood of a less urgent rank. With one rank nothing changes (TestOneRankIsDecidedAsWithoutRanks).

--- a/admission/policy.go
+++ b/admission/policy.go
@@ -43,8 +43,9 @@
 type Policy struct {
 	mu     sync.Mutex
 	routes map[routeKey]routeState
-	// pressure is a moving average of the fraction of first tries refused.
-	pressure float64
+	// pressure is, by rank, a moving average of the fraction of first tries refused, of those as urgent or more: the less urgent take no room
+	// from the others.
+	pressure [rankCount]float64
 	ranks    ranks
 	demand   slotDemand
 }
@@ -79,7 +80,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if sinceFirst > 0 {
-		admitted := queueDelay <= p.maxDelay(req, p.retryShare())
+		admitted := queueDelay <= p.maxDelay(req, p.retryShare(req.Rank))
 		p.ranks.count(req.Rank, false, admitted)
 		return admitted
 	}
@@ -89,7 +90,9 @@
 	if admitted {
 		refused = 0
 	}
-	p.pressure += pressureSmoothing * (refused - p.pressure)
+	for rank := index(req.Rank); rank < rankCount; rank++ {
+		p.pressure[rank] += pressureSmoothing * (refused - p.pressure[rank])
+	}
 	return admitted
 }
 
@@ -119,12 +122,12 @@
 func (p *Policy) Pressure() float64 {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.pressure
+	return p.pressure[rankCount-1]
 }
 
-// retryShare returns the fraction of the tightest goal that a retry may wait at the current pressure; mu is held.
-func (p *Policy) retryShare() float64 {
-	return firstTryShare - (firstTryShare-retryShare)*min(1, p.pressure/saturatedPressure)
+// retryShare returns the fraction of the tightest goal that a retry of a rank may wait at the current pressure; mu is held.
+func (p *Policy) retryShare(rank int) float64 {
+	return firstTryShare - (firstTryShare-retryShare)*min(1, p.pressure[index(rank)]/saturatedPressure)
 }
 
 // maxDelay returns the longest queueing delay at which a request is admitted: a share of the tightest goal of all active routes as urgent
--- a/admission/ranks_test.go
+++ b/admission/ranks_test.go
@@ -128,6 +128,31 @@
 	}
 }
 
+// TestRefusedFloodShortensNoUrgentWait guards against urgent requests that are refused when they return, since a flood of less urgent ones
+// was refused.
+func TestRefusedFloodShortensNoUrgentWait(t *testing.T) {
+	for name, test := range map[string]struct {
+		flood, req Request
+		want       bool
+	}{
+		"flood of a less urgent rank": {dossier, quote, true},
+		"flood of the own rank":       {quote, quote, false},
+		"flood of a more urgent rank": {quote, dossier, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var p Policy
+			admitAll(&p, 5, start, quote, dossier)
+			for range 100 {
+				p.Record(test.flood, start)
+				p.Admit(test.flood, 0, time.Hour)
+			}
+			if got := p.Admit(test.req, ms(900), ms(200)); got != test.want {
+				t.Errorf("admitted %t after a first try was refused, want %t", got, test.want)
+			}
+		})
+	}
+}
+
 // TestLessUrgentLeaveRoom checks that less urgent requests are admitted at shorter waits, the more of the more urgent ones are refused.
 func TestLessUrgentLeaveRoom(t *testing.T) {
 	for name, test := range map[string]struct {
--- a/admission/teams.go
+++ b/admission/teams.go
@@ -289,7 +289,7 @@
 // whether another team's request would find room: this is what counts in the pressure, as a refusal for the share alone is no shortage.
 func (p *Policy) AdmitBounded(req Request, sinceFirst, queueDelay time.Duration) (admitted, room bool) {
 	p.mu.Lock()
-	share := firstTryShare - (firstTryShare-overShare)*min(1, p.pressure/teamPressure)
+	share := firstTryShare - (firstTryShare-overShare)*min(1, p.pressure[index(req.Rank)]/teamPressure)
 	admitted = queueDelay <= p.maxDelay(req, share)
 	p.mu.Unlock()
 	room = p.Admit(req, sinceFirst, queueDelay)
