admission: an entry that starts does not let a flood in

Callers of the most urgent route were refused at all entries for a second after an entry had started during a flood of the least urgent route.

Cause: an entry takes all slots for taken until most servers have reported, which they do within 10 ms. Then it keeps slots only while most requests of a less urgent rank are refused, of which it knows nothing yet.

TestSlotsAreKeptForMoreUrgentRequests, a new case, failed before.

Ruled out: the floor for starved ranks (the admitted ones were sent at rank 1).

--- a/admission/demand.go
+++ b/admission/demand.go
@@ -17,6 +17,8 @@
 	reservedSlots = 2
 	// reportsDue is how long after its first request an entry waits for the servers' reports.
 	reportsDue = 1500 * time.Millisecond
+	// floodKnown is how long after its first request an entry knows of a rank whether most of its requests are refused.
+	floodKnown = shareHalfLife
 	// queueSmoothing is the weight of the latest queue length in its moving average.
 	queueSmoothing = 0.05
 )
@@ -56,12 +58,13 @@
 }
 
 // limit returns the fraction of the usual longest wait beyond NoWait that a less urgent request may have, and whether it is refused even
-// without a wait. flooded says that most requests of its rank are refused.
-func (d *slotDemand) limit(flooded bool) (fraction float64, refused bool) {
+// without a wait. flooded says that most requests of its rank are refused; an entry that has just started assumes it, as the other entries may
+// know.
+func (d *slotDemand) limit(flooded bool, now time.Time) (fraction float64, refused bool) {
 	switch {
 	case d.assumed:
 		return 0, true
-	case !flooded:
+	case !flooded && now.Sub(d.since) >= floodKnown:
 		return 1, false
 	default:
 		return 1 - min(1, d.queued/contendedQueue), d.queued > 0 && d.freeSlots <= reservedSlots
--- a/admission/demand_test.go
+++ b/admission/demand_test.go
@@ -32,6 +32,8 @@
 		"others wait, most urgent":             {mostUrgent, full, time.Minute, 100, ms(200), true},
 		"others wait, many slots":              {manySlots, full, time.Minute, 100, ms(200), true},
 		"an entry that starts, no reports yet": {fewSlots, Demand{FreeSlots: 100}, 0, 0, noWait, false},
+		"an entry that starts, others wait":    {fewSlots, busy, 0, 0, ms(200), false},
+		"an entry that starts, none waits":     {fewSlots, Demand{FreeSlots: 100, Reported: true}, 0, 0, noWait, true},
 		"no reports for long":                  {fewSlots, Demand{FreeSlots: 100}, time.Minute, 100, ms(200), true},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/admission/policy.go
+++ b/admission/policy.go
@@ -144,7 +144,7 @@
 	longest := time.Duration(share * float64(tightest))
 	fraction := p.ranks.leave(served)
 	if served > 0 && req.keepsSlots() {
-		limit, refused := p.demand.limit(p.ranks.mostRefused(req.Rank))
+		limit, refused := p.demand.limit(p.ranks.mostRefused(req.Rank), p.ranks.at)
 		if refused {
 			return -1
 		}
