retry: less urgent requests leave most of the budget to others

Callers of the most urgent route got "retry budget is exhausted" in the first 0.3 s of a flood of the least urgent route, after a full server had refused them.

Change: where ranks differ, optional retries of less urgent requests use at most a quarter of the allowed ones. Those of requests that may have run are as before.

--- a/forward/retrybudget.go
+++ b/forward/retrybudget.go
@@ -13,7 +13,10 @@
 // for a request that is in progress elsewhere, or whose caller would get a definite answer without it; mu is held.
 func (c *call) takeRetry(optional bool) bool {
 	now, take := clock.Now(), c.entry.budget.TakeRetry
-	if optional {
+	switch {
+	case optional && c.ranked && c.rank > 0:
+		take = c.entry.budget.TakeLessUrgentRetry
+	case optional:
 		take = c.entry.budget.TakeOptionalRetry
 	}
 	taken := take(c.service.Name, now)
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -38,8 +38,12 @@
 // timeOrigin is the time from which the buckets of windows are numbered.
 var timeOrigin = clock.Now()
 
-// optionalFraction is the fraction of the allowed retries that optional ones may use.
-const optionalFraction = 0.9
+// optionalFraction is the fraction of the allowed retries that optional ones may use, lessUrgentFraction that of optional ones of less
+// urgent requests: a flood of these would leave none to the others.
+const (
+	optionalFraction   = 0.9
+	lessUrgentFraction = 0.25
+)
 
 // NewBudget returns a budget that allows, over all entries and per window, ratio retries per request plus slack.
 func NewBudget(ratio float64, slack int, window time.Duration) *Budget {
@@ -97,6 +101,11 @@
 	return b.take(service, optionalFraction, now)
 }
 
+// TakeLessUrgentRetry is like TakeOptionalRetry, and leaves a reserve for more urgent requests too.
+func (b *Budget) TakeLessUrgentRetry(service string, now time.Time) bool {
+	return b.take(service, lessUrgentFraction, now)
+}
+
 // take takes one retry unless a fraction of the allowed ones is used.
 func (b *Budget) take(service string, fraction float64, now time.Time) bool {
 	b.mu.Lock()
--- a/retry/budget_test.go
+++ b/retry/budget_test.go
@@ -107,3 +107,22 @@
 		t.Errorf("%d optional retries and %d others, want 63 and 70 together", optional, reserve)
 	}
 }
+
+// TestLessUrgentRetriesLeaveAReserve guards against a flood of less urgent requests that leaves no retry to the others.
+func TestLessUrgentRetriesLeaveAReserve(t *testing.T) {
+	const slack = 100
+	b, now := NewBudget(0.2, slack, 10*time.Second), time.Unix(1000, 0)
+	b.SetEntries(1, now)
+	count := func(take func(service string, now time.Time) bool) (n int) {
+		for range slack {
+			if take("s", now) {
+				n++
+			}
+		}
+		return n
+	}
+	less, optional := count(b.TakeLessUrgentRetry), count(b.TakeOptionalRetry)
+	if less == 0 || optional < 2*less {
+		t.Errorf("%d retries of less urgent requests, then %d of others", less, optional)
+	}
+}
