forward: log why followers are rejected

A reader that ends its followers' feed was seen only at the followers, without the reason: the line names the age of its list, whether the store responds, and the reader that it follows itself.

--- a/forward/reader.go
+++ b/forward/reader.go
@@ -357,6 +357,7 @@
 		bl.declared.update(v)
 		bl.list.update(v.Servers())
 	}
+	rejected := 0
 	for conn, f := range bl.listFollowers {
 		if !reads {
 			if clock.Since(f.since) < followGrace {
@@ -364,11 +365,17 @@
 			}
 			trySend(conn, &link.Declared{StoreLost: true, Reader: reader})
 			delete(bl.listFollowers, conn)
+			rejected++
 		} else if !bl.publishListTo(conn, f, clock.Now()) {
 			delete(bl.listFollowers, conn)
 			conn.Close()
 		}
 	}
+	if rejected > 0 {
+		bl.entry.log.WithFields(log.Fields{
+			"followers": rejected, "reader": reader, "list_age_ms": v.ListAge().Milliseconds(), "store_reachable": v.StoreReachable(),
+		}).Info("entry: followers are rejected")
+	}
 }
 
 // publishListTo sends an entry the updates it lacks, and reports whether the link had room; mu is held.
