--- a/forward/virtualsite_test.go
+++ b/forward/virtualsite_test.go
@@ -272,6 +272,8 @@
 	entries []*Entry
 	stores  []*virtualStore
 	stops   []context.CancelFunc
+	// pollTimeout is that of the entries' views.
+	pollTimeout time.Duration
 }
 
 // runVirtualSites runs check on sites of n entries, with the seeds from 1 to CORALSTAIR_SITES or 60.
@@ -303,20 +305,25 @@
 	for i := range n {
 		hosts = append(hosts, fmt.Sprintf("127.0.8.%d", i+1))
 	}
-	pollTimeout := site.between(time.Second, 9*time.Second)
+	site.pollTimeout = site.between(time.Second, 9*time.Second)
 	for _, host := range hosts {
-		site.startEntry(host, pollTimeout)
+		site.startEntry(host)
 		time.Sleep(site.between(0, 100*time.Millisecond))
 	}
 	for _, e := range site.entries {
-		time.AfterFunc(site.between(0, 400*time.Millisecond), func() {
-			e.reader.setHosts("box", hosts)
-			e.budget.SetEntries(minEntriesForReader, clock.Now())
-		})
+		site.introduce(e, hosts)
 	}
 	return site
 }
 
+// introduce has a box tell an entry of the others, a while later.
+func (site *virtualSite) introduce(e *Entry, hosts []string) {
+	time.AfterFunc(site.between(0, 400*time.Millisecond), func() {
+		e.reader.setHosts("box", hosts)
+		e.budget.SetEntries(minEntriesForReader, clock.Now())
+	})
+}
+
 // stop ends all entries, and waits until their dials have ended too.
 func (site *virtualSite) stop() {
 	for _, stop := range site.stops {
@@ -330,12 +337,12 @@
 	return least + time.Duration(site.rng.Int64N(int64(most-least)))
 }
 
-func (site *virtualSite) startEntry(host string, pollTimeout time.Duration) {
+func (site *virtualSite) startEntry(host string) {
 	logger := &log.Logger{Handler: discard.Default, Level: log.InfoLevel}
 	store := &virtualStore{state: site.state, latency: site.between(time.Millisecond, 100*time.Millisecond), hung: make(chan struct{})}
 	m := machine.Machine{ID: host, Address: host, Site: "z", LinkPort: 1, Bounds: machine.Bounds{Drain: site.drain}}
 	source := peersource.NewEntrySource(discovery.Hedge(store), ListWait(site.drain))
-	v := discovery.New(source, discovery.Options{Log: logger, PollTimeout: pollTimeout, ServersCoalesceDelay: discovery.ServersCoalesceDelayWithin(site.drain)})
+	v := discovery.New(source, discovery.Options{Log: logger, PollTimeout: site.pollTimeout, ServersCoalesceDelay: discovery.ServersCoalesceDelayWithin(site.drain)})
 	ctx, cancel := context.WithCancel(context.Background())
 	links := site.network.listen(m.LinkAddress(host))
 	e := New(Config{Machine: m, View: v, Wire: testWire{}, Log: logger, Links: links, PeerSource: source})
@@ -476,3 +483,29 @@
 		})
 	}
 }
+
+// TestReaderThatReturnsIsFollowed guards against entries that get configurations late, or go on reading the store, after their reader has
+// restarted.
+func TestReaderThatReturnsIsFollowed(t *testing.T) {
+	const entries, soon, settleTime, observed = 6, time.Second, 10 * time.Second, 5 * time.Second
+	runVirtualSites(t, entries, func(site *virtualSite) {
+		site.awaitFollowers()
+		reader := site.ranked()[0]
+		host := site.entries[reader].cfg.Machine.Address
+		site.stops[reader]()
+		time.Sleep(site.between(100*time.Millisecond, 6*time.Second))
+		site.startEntry(host)
+		site.introduce(site.entries[entries], site.entries[(reader+1)%entries].reader.hosts["box"])
+		site.entries[reader], site.stores[reader] = site.entries[entries], site.stores[entries]
+		site.entries, site.stores = site.entries[:entries], site.stores[:entries]
+		time.Sleep(site.between(2*time.Second, 4*time.Second))
+		for revision, end := contract.Revision(2), time.Now().Add(settleTime); time.Now().Before(end); revision++ {
+			site.state.setRevision(revision)
+			site.awaitRevision(revision, soon, reader)
+			time.Sleep(site.between(0, 2*time.Second))
+		}
+		if list, _ := site.readersDuring(func() { time.Sleep(observed) }); !slices.Equal(list, []int{0}) {
+			site.t.Errorf("drain timeout %s: entries %v by rank call for the list, only 0 may", site.drain, list)
+		}
+	})
+}
