forward: less urgent requests leave retries to others only while slots are short

Callers of less urgent routes were left with a server that stays silent, where others would have been asked, also without any shortage.

Change: the reserve counts while requests wait for slots and no more slots are free than are kept.

--- a/admission/demand.go
+++ b/admission/demand.go
@@ -67,10 +67,13 @@
 	case !flooded && now.Sub(d.since) >= floodKnown:
 		return 1, false
 	default:
-		return 1 - min(1, d.queued/contendedQueue), d.queued > 0 && d.freeSlots <= reservedSlots
+		return 1 - min(1, d.queued/contendedQueue), d.contended()
 	}
 }
 
+// contended reports whether requests wait for a slot while no more slots are free than are kept.
+func (d *slotDemand) contended() bool { return d.queued > 0 && d.freeSlots <= reservedSlots }
+
 // keepsSlots reports whether slots have to be kept for the service's most urgent requests.
 func (r Request) keepsSlots() bool {
 	return time.Duration(firstTryShare*float64(r.ServiceGoal)) < shortQueue*r.SlotWait
--- a/admission/demand_test.go
+++ b/admission/demand_test.go
@@ -51,3 +51,26 @@
 		})
 	}
 }
+
+// TestContended guards against less urgent requests that leave retries to others while there is room for all.
+func TestContended(t *testing.T) {
+	for name, test := range map[string]struct {
+		demand Demand
+		want   bool
+	}{
+		"none waits":                      {Demand{Reported: true}, false},
+		"others wait, free slots":         {Demand{Queued: 1, FreeSlots: reservedSlots + 1, Reported: true}, false},
+		"others wait, the last free slot": {Demand{Queued: 1, FreeSlots: 1, Reported: true}, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var p Policy
+			for i := range 100 {
+				p.Record(quote, start.Add(time.Duration(i)*time.Second))
+				p.ObserveDemand(test.demand)
+			}
+			if got := p.Contended(); got != test.want {
+				t.Errorf("contended: %t, want %t", got, test.want)
+			}
+		})
+	}
+}
--- a/admission/policy.go
+++ b/admission/policy.go
@@ -118,6 +118,13 @@
 	p.demand.observe(demand, p.ranks.at)
 }
 
+// Contended reports whether requests wait for the service's slots and hardly any is free.
+func (p *Policy) Contended() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.demand.contended()
+}
+
 // Pressure returns the recent fraction of first tries that were refused, 0 to 1.
 func (p *Policy) Pressure() float64 {
 	p.mu.Lock()
--- a/forward/retrybudget.go
+++ b/forward/retrybudget.go
@@ -14,7 +14,7 @@
 func (c *call) takeRetry(optional bool) bool {
 	now, take := clock.Now(), c.entry.budget.TakeRetry
 	switch {
-	case optional && c.ranked && c.rank > 0:
+	case optional && c.ranked && c.rank > 0 && c.entry.admission.Of(c.pool()).Contended():
 		take = c.entry.budget.TakeLessUrgentRetry
 	case optional:
 		take = c.entry.budget.TakeOptionalRetry
