forward: log the parts of a prompt whose request lost a connection

The adapter tells the parts (all but the last, which is the request's own) on demand, so a request that loses no connection costs nothing.

--- a/forward/fixture_test.go
+++ b/forward/fixture_test.go
@@ -34,6 +34,9 @@
 	}
 }
 
+// SharedParts returns the space-separated words of the header Parts.
+func (testWire) SharedParts(h http.Header) []string { return strings.Fields(h.Get("Parts")) }
+
 func (testWire) SetRequestHeaders(h http.Header, info AttemptInfo) {
 	h.Del("Key")
 	h.Set("Wait", strconv.FormatInt(info.TimeLeft.Milliseconds(), 10))
--- a/forward/outcome.go
+++ b/forward/outcome.go
@@ -112,6 +112,7 @@
 	}
 	if c.connLost {
 		fields["fingerprint"] = c.fingerprint().String()
+		fields["parts"] = c.entry.cfg.Wire.SharedParts(c.r.Header)
 	}
 	c.entry.log.WithFields(fields).Info("request")
 }
--- a/forward/wire.go
+++ b/forward/wire.go
@@ -61,6 +61,8 @@
 // Wire translates between the headers of callers and servers and the types of this package.
 type Wire interface {
 	ParseRequest(r *http.Request) RequestInfo
+	// SharedParts returns the IDs of the parts of the prompt that other requests may have too, in order.
+	SharedParts(header http.Header) []string
 	// SetRequestHeaders sets the headers of an attempt in a copy of the caller's header, and removes those that servers must not see.
 	SetRequestHeaders(header http.Header, info AttemptInfo)
 	ParseResponse(resp *http.Response) ResponseInfo
