forward: an answer without a length is no answer if its server has exited

The exit was not recorded either, and what was known of the request was cleared as by a response: one and the same request ended seven or eight servers where three should do. Cause: the end of the connection is the only mark of such a response's end, and it is the same for a server that exits. Ruled out: streams that end inside an event, which were seen as broken off before. Change: at the end of such a response the server is asked whether it still listens, one connection; if it refuses, the attempt is lost, as if the connection had broken: repeated or resumed where that is allowed, else an honest error or a cut connection. Why it works: a process that ends closes its listener together with its connections, and a server needs seconds to be back. What remains: a machine that loses power sends no end at all (a timeout shows it); a server that ends right after a whole answer is taken for one that cut it.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -13,6 +13,7 @@
 
 	"github.com/coralstair/coralstair/clock"
 	"github.com/coralstair/coralstair/contract"
+	"github.com/coralstair/coralstair/probe"
 )
 
 const (
@@ -221,6 +222,9 @@
 	if err == nil && len(body) > maxComplete {
 		err = &InvalidResponseError{Reason: "body is too long"}
 	}
+	if err == nil {
+		err = a.verifyEnd()
+	}
 	if err != nil {
 		return resultLost, a.abort(err)
 	}
@@ -255,8 +259,10 @@
 	for {
 		event, err := readEvent(a.events, a.nextEvent[:0])
 		if errors.Is(err, io.EOF) && len(event) == 0 {
-			a.streamEnded = true
-			return resultDone, nil
+			if err = a.verifyEnd(); err == nil {
+				a.streamEnded = true
+				return resultDone, nil
+			}
 		}
 		if err != nil {
 			return resultLost, a.abort(err)
@@ -274,6 +280,14 @@
 	}
 }
 
+// verifyEnd checks that a response did not end because its server exited.
+func (a *attempt) verifyEnd() error {
+	if probe.EndedByExit(a.resp, a.choice.server.Address) {
+		return errEndedByExit
+	}
+	return nil
+}
+
 // expectedVersion returns the version that every event must have: the stream's, or else the server's.
 func (a *attempt) expectedVersion() contract.Version {
 	if s := a.callerStream(); s != nil {
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -30,6 +30,7 @@
 	idPrefix          = []byte("id:")
 	errLongEvent      = &InvalidResponseError{Reason: "event is too long"}
 	errTruncatedEvent = &InvalidResponseError{Reason: "stream ends within an event"}
+	errEndedByExit    = &InvalidResponseError{Reason: "server has exited at the end of a response without a length"}
 	errNotResumable   = errors.New("stream is not resumable")
 )
 
@@ -173,7 +174,9 @@
 		a.stopSilenceTimer()
 		if err != nil {
 			if errors.Is(err, io.EOF) && len(event) == 0 {
-				return s.complete(a)
+				if err = a.verifyEnd(); err == nil {
+					return s.complete(a)
+				}
 			}
 			return a.abort(err)
 		}
--- a/probe/probe.go
+++ b/probe/probe.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"net/http"
 	"syscall"
 	"time"
 )
@@ -21,3 +22,9 @@
 	}
 	return errors.Is(err, syscall.ECONNREFUSED)
 }
+
+// EndedByExit reports whether a response ended because the process at host:port exited. Only responses without a length or chunks are
+// checked: the end of their connection looks the same when they are incomplete.
+func EndedByExit(resp *http.Response, address string) bool {
+	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.Body != http.NoBody && Refuses(address)
+}
