box: a response without a length is no answer if its upstream has exited

Looked for elsewhere: pieces and manifests are checked by digest, answers of the store are parsed as a whole.

--- a/box/ended.go
+++ b/box/ended.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"net/url"
 	"sync"
 	"time"
@@ -39,3 +40,9 @@
 	}
 	return end
 }
+
+// endedByExit reports whether a response without a length ended because the upstream exited.
+func (b *Box) endedByExit(resp *http.Response) bool {
+	u, err := url.Parse(b.cfg.UpstreamURL)
+	return err == nil && probe.EndedByExit(resp, u.Host)
+}
--- a/box/session.go
+++ b/box/session.go
@@ -232,7 +232,7 @@
 				return link.End{Outcome: link.OutcomeUnknown, Reason: sendErr.Error()}
 			}
 		}
-		if errors.Is(err, io.EOF) {
+		if errors.Is(err, io.EOF) && !b.endedByExit(upstreamResp) {
 			break
 		}
 		if err != nil {
