soak: a part of prompts crashes servers; streams without a length or chunks

Checked: a part reaches servers three times at most from the contact time after its fifth crash on, sound prompts that share its other parts begin at least half as often as before, and no cut stream looks whole.

--- a/lab/standin/answer.go
+++ b/lab/standin/answer.go
@@ -72,6 +72,9 @@
 	case isNth(faults.Fail, count):
 		s.respond(w, run, http.StatusInternalServerError, faults, count)
 	case s.Model != "":
+		if isNth(s.Unframed, count) {
+			w.Header().Set("Transfer-Encoding", "identity")
+		}
 		s.streamEvents(w, r, run, isNth(faults.Truncate, count))
 	default:
 		time.Sleep(workTime)
--- a/lab/standin/server.go
+++ b/lab/standin/server.go
@@ -50,6 +50,8 @@
 	Recorder *Recorder
 	// ColdStart is how long the server is cold after each start but its first.
 	ColdStart time.Duration
+	// Unframed makes every n-th stream have neither a length nor chunks, for a number n.
+	Unframed int
 	// OnCrash, if set, is called after a request has crashed the server.
 	OnCrash func(request string)
 
--- a/soak/deadly.go
+++ b/soak/deadly.go
@@ -25,6 +25,10 @@
 	templatePart = "aa01"
 	promptGroups = 4
 	partPrefix   = "part-"
+	// unframedInterval is how many streams a server sends with a length or chunks until one without.
+	unframedInterval = 3
+	// minBegunShare is the least fraction of the rate before, at which requests that share parts with known ones must begin.
+	minBegunShare = 0.5
 	// minOthersServedShare is the least fraction of other requests served once the deadly ones are quarantined.
 	minOthersServedShare = 0.9
 )
@@ -189,6 +193,48 @@
 		}
 	}
 	c.checkOthersServed(knownAt)
+	if c.rig.opts.DeadlyParts > 0 {
+		c.checkBeginnings(knownAt)
+	}
+}
+
+// checkBeginnings checks that prompts that share other parts with the deadly ones begin at their first attempt about as often as before.
+func (c *checker) checkBeginnings(knownAt map[string]time.Time) {
+	var known, faultsFrom time.Time
+	for _, at := range knownAt {
+		if known.Before(at) {
+			known = at
+		}
+	}
+	for _, s := range c.faultSpans {
+		if faultsFrom.IsZero() || s.from.Before(faultsFrom) {
+			faultsFrom = s.from
+		}
+	}
+	known = known.Add(bounds.Contact)
+	begun := make(map[string]bool)
+	for _, run := range c.runs {
+		begun[run.ID] = true
+	}
+	var sentBefore, begunBefore, sentAfter, begunAfter int
+	for _, o := range c.outcomes {
+		if o.kind != kindStream || o.abandoned || o.request.Key != goodKey || deadlyName(o.request.ID) != "" || c.entryRestarting(o.sent) {
+			continue
+		}
+		n := 0
+		if begun[o.request.ID] {
+			n = 1
+		}
+		switch {
+		case o.sent.Before(faultsFrom):
+			sentBefore, begunBefore = sentBefore+1, begunBefore+n
+		case o.sent.After(known):
+			sentAfter, begunAfter = sentAfter+1, begunAfter+n
+		}
+	}
+	if min(sentBefore, sentAfter) < minRequests || float64(begunAfter*sentBefore) < minBegunShare*float64(begunBefore*sentAfter) {
+		c.reportf("deadly: %d of %d sound prompts began once the parts were known, %d of %d before", begunAfter, sentAfter, begunBefore, sentBefore)
+	}
 }
 
 // entryRestarting reports whether an entry was down, or so recently started that it may lack the quarantine records.
--- a/soak/rig.go
+++ b/soak/rig.go
@@ -165,6 +165,9 @@
 		if r.opts.Deadly+r.opts.DeadlyParts > 0 {
 			r.crashOnDeadly(s)
 		}
+		if r.opts.DeadlyParts > 0 {
+			s.Unframed = unframedInterval
+		}
 		if service == modelService {
 			s.Model = model
 			r.engines = append(r.engines, s)
