--- a/quarantine/ledger.go
+++ b/quarantine/ledger.go
@@ -221,9 +221,13 @@
 	if len(l.learnedAt) <= maxRecords {
 		return
 	}
+	concerns := make(map[string]bool, len(l.learnedAt))
+	for key := range l.learnedAt {
+		concerns[key] = l.concernsQuarantined(key)
+	}
 	keys := slices.SortedFunc(maps.Keys(l.learnedAt), func(a, b string) int {
-		if inA, inB := l.concernsQuarantined(a), l.concernsQuarantined(b); inA != inB {
-			if inB {
+		if concerns[a] != concerns[b] {
+			if concerns[b] {
 				return -1
 			}
 			return 1
--- a/quarantine/verdict.go
+++ b/quarantine/verdict.go
@@ -128,7 +128,8 @@
 	return suspects
 }
 
-// partExit returns an exit with a part in flight; explained says that a request is as likely a cause, which is more specific.
+// partExit returns an exit with a part in flight; explained says that a request is as likely a cause, which is more specific. incarnations
+// are the sorted exits of all suspects.
 func (l *Ledger) partExit(part Fingerprint, incarnation string, incarnations map[Fingerprint][]string) (exit partExit, explained bool) {
 	exit = l.exitOf(part, incarnation)
 	own := len(incarnations[part])
@@ -148,10 +149,10 @@
 			shared := slices.Contains(prompt.Parts, part)
 			for _, other := range prompt.Parts {
 				n := len(incarnations[other])
-				if !slices.Contains(incarnations[other], incarnation) {
+				if n <= own && (!shared || n < minUnexplained || n*companionDivisor < own) {
 					continue
 				}
-				if n > own || shared && n >= minUnexplained && n*companionDivisor >= own {
+				if _, uncleared := slices.BinarySearch(incarnations[other], incarnation); uncleared {
 					explain(other)
 				}
 			}
