discovery: servers listed at once share log lines

Operators saw: a daemon that starts in a fleet of 3,000 servers writes a line for each, which is all of a second's 500 lines; what else happened in that second was dropped. Change: over 50 changes at once are written 50 to a line, by id and address, which explain reads as before; a first list is no longer copied twice, and its maps have their size from the start. TestWholeListLeavesLogLines failed before (10,000 lines, 250 may).

--- a/discovery/apply.go
+++ b/discovery/apply.go
@@ -92,6 +92,9 @@
 	return true
 }
 
+// serversPerLine is how many servers one log line names; up to so many changes at once have a line each.
+const serversPerLine = 50
+
 // applyServers applies changed entries, or all of them if full. The first full list of an epoch may be older than what is known.
 func (v *View) applyServers(servers Servers, full bool) {
 	v.mu.Lock()
@@ -107,13 +110,18 @@
 	}
 	v.listEpoch = max(v.listEpoch, servers.Cursor.Epoch)
 	present := make(map[string]bool, len(servers.Present))
-	for _, server := range append(v.confirmRelisted(now), servers.Present...) {
-		present[server.ID] = true
-		delete(v.missing, server.ID)
-		delete(v.relisted, server.ID)
-		v.logServer(server)
-		v.markReplaced(server)
-		v.putServer(server)
+	if len(v.servers) == 0 {
+		v.servers, v.idsByAddress = make(map[string]contract.Server, len(servers.Present)), make(map[string][]string, len(servers.Present))
+	}
+	for _, listed := range [][]contract.Server{v.confirmRelisted(now), servers.Present} {
+		v.logServers(listed)
+		for _, server := range listed {
+			present[server.ID] = true
+			delete(v.missing, server.ID)
+			delete(v.relisted, server.ID)
+			v.markReplaced(server)
+			v.putServer(server)
+		}
 	}
 	for _, id := range servers.Unreadable {
 		v.removeServer(id)
@@ -195,15 +203,41 @@
 	return !missing
 }
 
-// logServer logs a server whose entry is new or has changed; mu is held.
-func (v *View) logServer(server contract.Server) {
-	old, known := v.servers[server.ID]
-	if known && old.Leaving == server.Leaving && old.Address == server.Address && old.Born == server.Born {
+// logServers logs those of listed servers whose entries are new or have changed. Many share a line, so that a whole list does not use up
+// all lines of a second. mu is held.
+func (v *View) logServers(listed []contract.Server) {
+	var changed []int
+	for i, server := range listed {
+		old, known := v.servers[server.ID]
+		if !known || old.Leaving != server.Leaving || old.Address != server.Address || old.Born != server.Born {
+			changed = append(changed, i)
+		}
+	}
+	if len(changed) > serversPerLine {
+		for chunk := range slices.Chunk(changed, serversPerLine) {
+			v.logServersTogether(listed, chunk)
+		}
 		return
 	}
-	v.opts.Log.WithFields(log.Fields{
-		"server": server.ID, "address": server.Address, "service": server.Service, "leaving": server.Leaving, "born": server.Born,
-	}).Info("view: server listed")
+	for _, i := range changed {
+		server := listed[i]
+		v.opts.Log.WithFields(log.Fields{
+			"server": server.ID, "address": server.Address, "service": server.Service, "leaving": server.Leaving, "born": server.Born,
+		}).Info("view: server listed")
+	}
+}
+
+// logServersTogether logs the listed servers with the given indexes in one line.
+func (v *View) logServersTogether(listed []contract.Server, indexes []int) {
+	texts := make([]string, len(indexes))
+	for i, index := range indexes {
+		server := listed[index]
+		texts[i] = server.ID + " " + server.Address
+		if server.Leaving {
+			texts[i] += " leaving"
+		}
+	}
+	v.opts.Log.WithField("servers", texts).Info("view: servers listed")
 }
 
 // markMissing starts the grace period of a server that is no longer listed; mu is held.
--- a/discovery/restore.go
+++ b/discovery/restore.go
@@ -47,6 +47,9 @@
 func (v *View) filterFullList(servers []contract.Server, maybeOld bool, now time.Time) []contract.Server {
 	pending := v.relisted
 	v.relisted = make(map[string]relisted)
+	if !maybeOld && len(pending) == 0 {
+		return servers
+	}
 	lapsed := maybeOld && v.mostLapsed(servers)
 	usable := make([]contract.Server, 0, len(servers))
 	for _, server := range servers {
--- a/discovery/size_test.go
+++ b/discovery/size_test.go
@@ -62,6 +62,37 @@
 	}
 }
 
+// lineCounter counts log lines.
+type lineCounter struct{ n int }
+
+// HandleLog implements log.Handler.
+func (c *lineCounter) HandleLog(*log.Entry) error {
+	c.n++
+	return nil
+}
+
+// TestWholeListLeavesLogLines guards against a list of servers whose lines use up all that a daemon writes in a second.
+func TestWholeListLeavesLogLines(t *testing.T) {
+	for name, test := range map[string]struct{ servers, maxLines int }{
+		"few servers":  {20, 20},
+		"many servers": {10000, 250},
+	} {
+		t.Run(name, func(t *testing.T) {
+			lines := &lineCounter{}
+			v := New(nil, Options{Log: &log.Logger{Handler: lines}})
+			v.applyServers(Servers{Present: manyServers(test.servers)}, true)
+			if lines.n == 0 || lines.n > test.maxLines {
+				t.Errorf("%d lines, want 1 to %d", lines.n, test.maxLines)
+			}
+			lines.n = 0
+			v.applyServers(Servers{Present: manyServers(test.servers)}, true)
+			if lines.n != 0 {
+				t.Errorf("%d lines for an unchanged list", lines.n)
+			}
+		})
+	}
+}
+
 // threadCPUTime returns the CPU time of the current thread.
 func threadCPUTime(t *testing.T) time.Duration {
 	t.Helper()
--- a/explain/explain.go
+++ b/explain/explain.go
@@ -46,11 +46,28 @@
 		if err != nil {
 			continue
 		}
-		l.lines = append(l.lines, line{at: parsed, fields: fields})
+		l.lines = append(l.lines, expand(line{at: parsed, fields: fields})...)
 	}
 	return scanner.Err()
 }
 
+// expand returns one line for each server of a line that lists many, as "ID ADDRESS" with " leaving" behind if it leaves.
+func expand(ln line) []line {
+	servers, _ := ln.fields["servers"].([]any)
+	if ln.text("msg") != "view: servers listed" {
+		return []line{ln}
+	}
+	lines := make([]line, 0, len(servers))
+	for _, one := range servers {
+		text, _ := one.(string)
+		id, rest, _ := strings.Cut(text, " ")
+		address, leaving, _ := strings.Cut(rest, " ")
+		fields := map[string]any{"msg": "view: server listed", "node": ln.fields["node"], "server": id, "address": address, "leaving": leaving != ""}
+		lines = append(lines, line{at: ln.at, fields: fields})
+	}
+	return lines
+}
+
 // NotFoundError reports that no line has the request's ID.
 type NotFoundError struct{ ID string }
 
--- a/explain/explain_test.go
+++ b/explain/explain_test.go
@@ -14,6 +14,9 @@
 {"at":"2026-01-01T00:00:03.000Z","msg":"fill: order to load","node":"b1","upstream":"h:1","version":2}
 {"at":"2026-01-01T00:00:04.000Z","msg":"request","node":"e1","id":"r1","server":"s1","outcome":"not-run"}
 {"at":"2026-01-01T00:00:05.000Z","msg":"view: configuration taken","node":"e1","revision":9}
+{"at":"2026-01-01T00:00:06.000Z","msg":"view: servers listed","node":"e3","servers":["s3 h:3","s4 h:4 leaving"]}
+{"at":"2026-01-01T00:00:06.500Z","msg":"fill: order to load","node":"b4","upstream":"h:4","version":2}
+{"at":"2026-01-01T00:00:07.000Z","msg":"request","node":"e3","id":"r2","server":"s4","outcome":"not-run"}
 `
 
 func TestWriteTimeline(t *testing.T) {
@@ -25,6 +28,9 @@
 		"own line, state of its entry and server": {
 			"r1", []string{"not-run", "revision: 4", "server listed", "order to load", "believed for 1s"}, []string{"revision: 9", "h:2", "e2"},
 		},
+		"server of a line that lists many": {
+			"r2", []string{"server listed", "address: h:4", "leaving: true", "order to load"}, []string{"h:3", "servers listed"},
+		},
 		"unknown request": {"r9", nil, nil},
 	} {
 		t.Run(name, func(t *testing.T) {
