--- a/link/frame_test.go
+++ b/link/frame_test.go
@@ -8,6 +8,7 @@
 	"github.com/coralstair/coralstair/contract"
 	"github.com/coralstair/coralstair/discovery"
 	"github.com/coralstair/coralstair/fleet"
+	"github.com/coralstair/coralstair/quarantine"
 )
 
 func messages() map[string]Message {
@@ -39,6 +40,13 @@
 		"team uses": &TeamUses{Entry: "e", Rooms: []RoomUse{{
 			Service: "s", Rank: 1, Age: time.Second, Teams: []TeamUse{{Team: "t", Asked: 2 * time.Second, Admitted: time.Second}},
 		}}},
+		"quarantine records": &QuarantineRecords{Reset: true, Records: quarantine.Records{
+			Exits: []quarantine.Exit{{
+				Incarnation: "s@1", Entry: "e", Requests: []quarantine.Fingerprint{{1}}, At: 9,
+				Prompts: []quarantine.Prompt{{Parts: []quarantine.Fingerprint{{2}, {3}}, Sent: 8}},
+			}},
+			Responses: []quarantine.Response{{Request: quarantine.Fingerprint{2}, Incarnations: []string{"s@0"}}},
+		}},
 		"target": &Target{Model: "m", Version: 2, Age: time.Second},
 	}
 }
--- a/quarantine/fleet_test.go
+++ b/quarantine/fleet_test.go
@@ -15,6 +15,7 @@
 
 const (
 	fleetDuration = 30 * time.Second
+	storeOutage   = 4 * time.Second
 	// crashesUntilKnown is how many servers may exit until a part must be known, contactTime how long entries may take to learn of them.
 	crashesUntilKnown = 5
 	contactTime       = 3 * time.Second
@@ -43,6 +44,8 @@
 	badCallers bool
 	// siteLoss makes half of the servers exit at once.
 	siteLoss bool
+	// restart makes an entry lose what it knows, storeAway the store unavailable for storeOutage.
+	restart, storeAway bool
 }
 
 func drawFleet(t *rapid.T) fleetParams {
@@ -51,6 +54,7 @@
 		soundPerS: rapid.Float64Range(20, 120).Draw(t, "sound"), badPerS: rapid.Float64Range(1, 16).Draw(t, "bad"),
 		killsPerS: rapid.SampledFrom([]float64{0, 0, 0.2, 1}).Draw(t, "kills"), groups: rapid.IntRange(1, 20).Draw(t, "groups"),
 		badFirst: rapid.Bool().Draw(t, "first"), badParts: rapid.IntRange(0, 2).Draw(t, "bad parts"), siteLoss: rapid.Bool().Draw(t, "site loss"), badCallers: rapid.Bool().Draw(t, "bad callers"),
+		restart: rapid.Bool().Draw(t, "restart"), storeAway: rapid.Bool().Draw(t, "store away"),
 	}
 }
 
@@ -86,15 +90,19 @@
 type fleet struct {
 	fleetParams
 	rng      *rand.Rand
+	store    *sharedStore
 	qs       []*Quarantine
+	stops    []func()
 	inFlight [][]*fleetRequest
 	upAt     []time.Time
 	starts   []int
 	events   eventQueue
 	next     int
 
-	crashes map[string][]time.Time
-	late    map[string]int
+	// inTouchFrom is when all entries are in touch again.
+	inTouchFrom time.Time
+	crashes     map[string][]time.Time
+	late        map[string]int
 	// callers counts sound requests by caller, if there are bad parts since one must be known; wrong are all that were refused.
 	callers     map[string]*beginnings
 	wrong, sent int
@@ -185,7 +193,7 @@
 	}
 	server := up[f.rng.IntN(len(up))]
 	start := f.starts[server]
-	if r.bad != "" && f.known(r.bad) {
+	if r.bad != "" && f.known(r.bad) && !time.Now().Before(f.inTouchFrom) {
 		f.late[r.bad]++
 	}
 	r.sentAt = time.Now()
@@ -336,6 +344,28 @@
 	return fmt.Sprint("caller", min(f.rng.IntN(f.groups), f.rng.IntN(f.groups)))
 }
 
+// restartEntry replaces an entry by one that has to read what it knows.
+func (f *fleet) restartEntry(t *testing.T) {
+	t.Helper()
+	entry := f.rng.IntN(f.entries)
+	f.stops[entry]()
+	f.qs[entry], f.stops[entry] = startEntry(t, fmt.Sprint("entry", entry), f.store)
+	f.noTouchUntil(time.Now().Add(contactTime))
+}
+
+// loseStore makes the store unavailable for storeOutage.
+func (f *fleet) loseStore() {
+	f.store.update(func() { f.store.unavailable = true })
+	f.after(storeOutage, func() { f.store.update(func() { f.store.unavailable = false }) })
+	f.noTouchUntil(time.Now().Add(storeOutage + contactTime))
+}
+
+func (f *fleet) noTouchUntil(until time.Time) {
+	if until.After(f.inTouchFrom) {
+		f.inTouchFrom = until
+	}
+}
+
 func simulateFleet(t *testing.T, params fleetParams) *fleet {
 	t.Helper()
 	f := &fleet{
@@ -343,10 +373,16 @@
 		upAt: make([]time.Time, params.servers), starts: make([]int, params.servers), crashes: make(map[string][]time.Time), late: make(map[string]int),
 		callers: make(map[string]*beginnings),
 	}
-	store := newSharedStore()
+	f.store = newSharedStore()
 	for entry := range params.entries {
-		q, _ := startEntry(t, fmt.Sprint("entry", entry), store)
-		f.qs = append(f.qs, q)
+		q, stop := startEntry(t, fmt.Sprint("entry", entry), f.store)
+		f.qs, f.stops = append(f.qs, q), append(f.stops, stop)
+	}
+	if params.restart {
+		f.after(6*time.Second, func() { f.restartEntry(t) })
+	}
+	if params.storeAway {
+		f.after(2*time.Second, func() { f.loseStore() })
 	}
 	f.every(params.soundPerS, func() {
 		f.sent++
