--- a/soak/deadly.go
+++ b/soak/deadly.go
@@ -198,42 +198,37 @@
 	}
 }
 
-// checkBeginnings checks that prompts that share other parts with the deadly ones begin at their first attempt about as often as before.
+// checkBeginnings checks that, once a deadly part must be known, prompts that share other parts with it begin at their first attempt about as
+// often as before. A part that must be known only at the end of the run leaves too few to tell.
 func (c *checker) checkBeginnings(knownAt map[string]time.Time) {
-	var known, faultsFrom time.Time
-	for _, at := range knownAt {
-		if known.Before(at) {
-			known = at
-		}
-	}
+	var faultsFrom time.Time
 	for _, s := range c.faultSpans {
 		if faultsFrom.IsZero() || s.from.Before(faultsFrom) {
 			faultsFrom = s.from
 		}
 	}
-	known = known.Add(bounds.Contact)
 	begun := make(map[string]bool)
 	for _, run := range c.runs {
 		begun[run.ID] = true
 	}
-	var sentBefore, begunBefore, sentAfter, begunAfter int
-	for _, o := range c.outcomes {
-		if o.kind != kindStream || o.abandoned || o.request.Key != goodKey || deadlyName(o.request.ID) != "" || c.entryRestarting(o.sent) {
-			continue
-		}
-		n := 0
-		if begun[o.request.ID] {
-			n = 1
-		}
-		switch {
-		case o.sent.Before(faultsFrom):
-			sentBefore, begunBefore = sentBefore+1, begunBefore+n
-		case o.sent.After(known):
-			sentAfter, begunAfter = sentAfter+1, begunAfter+n
+	count := func(sent func(time.Time) bool) (all, began int) {
+		for _, o := range c.outcomes {
+			if o.kind != kindStream || o.abandoned || o.request.Key != goodKey || deadlyName(o.request.ID) != "" || c.entryRestarting(o.sent) || !sent(o.sent) {
+				continue
+			}
+			all++
+			if begun[o.request.ID] {
+				began++
+			}
 		}
+		return all, began
 	}
-	if min(sentBefore, sentAfter) < minRequests || float64(begunAfter*sentBefore) < minBegunShare*float64(begunBefore*sentAfter) {
-		c.reportf("deadly: %d of %d sound prompts began once the parts were known, %d of %d before", begunAfter, sentAfter, begunBefore, sentBefore)
+	sentBefore, begunBefore := count(faultsFrom.After)
+	for name, at := range knownAt {
+		sent, began := count(at.Add(bounds.Contact).Before)
+		if min(sentBefore, sent) >= minRequests && float64(began*sentBefore) < minBegunShare*float64(begunBefore*sent) {
+			c.reportf("deadly: %d of %d sound prompts began once %s was known, %d of %d before", began, sent, name, begunBefore, sentBefore)
+		}
 	}
 }
 
