--- a/forward/call.go
+++ b/forward/call.go
@@ -374,7 +374,7 @@
 	case c.mayHaveRun:
 		c.refuse(http.StatusBadGateway, "unknown", "no complete response; the request may have run", 0, err)
 	case errors.As(err, new(*QuarantinedError)):
-		c.refuse(http.StatusServiceUnavailable, "held", "servers exited while running this request; it is sent to no more of them", c.quarantineRetryAfter(), err)
+		c.refuse(http.StatusServiceUnavailable, "held", "servers exited while running this request, or prompts that share a part with it; it is sent to no more of them", c.quarantineRetryAfter(), err)
 	case errors.Is(err, errNoSite):
 		c.refuse(http.StatusServiceUnavailable, "no-site", "all sites that may serve the request are being evacuated", evacuatedRetryAfter, err)
 	case errors.Is(err, errLeaving):
--- a/quarantine/ledger.go
+++ b/quarantine/ledger.go
@@ -28,7 +28,7 @@
 	suspects    []suspectPart
 }
 
-// Merge merges records and drops removed ones; it reports whether another request or set of prompt parts was quarantined.
+// Merge merges records and drops removed ones; it reports whether more requests or prompts may be quarantined.
 func (l *Ledger) Merge(records Records, now time.Time) bool {
 	if l.exits == nil {
 		l.exits, l.responses, l.learnedAt = make(map[string]Exit), make(map[string]Response), make(map[string]time.Time)
--- a/quarantine/trial.go
+++ b/quarantine/trial.go
@@ -9,8 +9,8 @@
 )
 
 const (
-	// minTrialDelay is how long after a prompt part was quarantined one request with it is tried; trialDelayFactor is by what each further
-	// exit multiplies it.
+	// minTrialDelay is how long after a prompt part was quarantined one request with it is tried. Each further exit multiplies the delay by
+	// trialDelayFactor.
 	minTrialDelay    = 2 * time.Second
 	trialDelayFactor = 8
 	maxTrialDelay    = Retention
