quarantine: the end of a part's quarantine is not announced as another one

By reading: after a part was cleared all requests in progress were looked through for held ones, and the line of what is held was written once more. TestClearedPartsAddNothing failed before (announced twice).

--- a/quarantine/ledger.go
+++ b/quarantine/ledger.go
@@ -266,7 +266,7 @@
 	for request := range l.quarantined {
 		added = added || !oldRequests[request]
 	}
-	return added || !slices.EqualFunc(l.suspects, oldParts, suspectPart.equal)
+	return added || slices.ContainsFunc(l.suspects, func(suspect suspectPart) bool { return !slices.ContainsFunc(oldParts, suspect.equal) })
 }
 
 // covers reports whether this ledger's record is at least as complete as another ledger's.
--- a/quarantine/prompt_test.go
+++ b/quarantine/prompt_test.go
@@ -188,3 +188,22 @@
 		}
 	})
 }
+
+// TestClearedPartsAddNothing checks that the end of a part's quarantine is not announced as another one.
+func TestClearedPartsAddNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		q, _ := startEntry(t, "a", newSharedStore())
+		announced := 0
+		q.OnChange(func(added bool) {
+			if added {
+				announced++
+			}
+		})
+		recordPromptExits(q, "p", "1", "2", "3")
+		q.RecordAnswer(partsOf("p"), time.Now())
+		time.Sleep(time.Second)
+		if announced != 1 {
+			t.Errorf("announced %d times, want once", announced)
+		}
+	})
+}
