quarantine: entries agree on whose turn a trial is by the records' times

Found by TestFleets with the store away: entries that learn of the exits at different times each counted the turns from their own start, and several tried a part in the same second (five late sends, three may; 2 of some 900 such fleets). Both the start and the delay follow from the exits' own times now.

--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -53,8 +53,7 @@
 	missing map[string]bool
 	// unshared counts the exits that responses cleared of a prompt part and that other entries have not been told of.
 	unshared map[Fingerprint]int
-	// heldAt is when prompts were quarantined for a part as far as this entry knows, triedAt when it last tried one.
-	heldAt   map[Fingerprint]time.Time
+	// triedAt is when this entry last tried a quarantined part.
 	triedAt  map[Fingerprint]time.Time
 	onChange func(added bool)
 	// empty mirrors ledger.Empty, which is asked for each response.
@@ -172,7 +171,6 @@
 func (q *Quarantine) mergeLocked(records Records) (added bool) {
 	added = q.ledger.Merge(records, clock.Now())
 	q.empty.Store(q.ledger.Empty())
-	q.trackHeld()
 	return added
 }
 
@@ -226,7 +224,6 @@
 	}
 	added := apply(records, clock.Now())
 	q.empty.Store(q.ledger.Empty())
-	q.trackHeld()
 	q.mu.Unlock()
 	q.notify(added)
 }
