review: a server gets weights mixed of two versions (case 2)

Cause: a box that has verified the pieces of a version at an empty server sends the order to load it without checking again that the version is still the one aimed at. If a newer one is named while the server answers slowly, its pieces are put over the verified ones before the order. Done: a script with stand-ins of model servers, origin and store; entries and boxes run with the commands of the deploy file. Nothing is fixed.

--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -22,6 +22,7 @@
 // cases are the scripts by the names under which run.sh starts them. Each returns how often its rule was broken.
 var cases = map[string]func(r *rig) (broken int, err error){
 	"twice": playTwice,
+	"whole": playWhole,
 }
 
 func main() { os.Exit(run(os.Args)) }
