--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -21,8 +21,10 @@
 
 // cases are the scripts by the names under which run.sh starts them. Each returns how often its rule was broken.
 var cases = map[string]func(r *rig) (broken int, err error){
-	"twice": playTwice,
-	"whole": playWhole,
+	"attempts": playAttempts,
+	"cutoff":   playCutoff,
+	"twice":    playTwice,
+	"whole":    playWhole,
 }
 
 func main() { os.Exit(run(os.Args)) }
