review: the stand-ins lie beside the cases, not in a folder of their own

Done: its files are moved to review/ unchanged but for the name in the package comment, and build.sh builds them from there.

--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-go build -trimpath -o target/review/standins ./review/standins
+go build -trimpath -o target/review/standins ./review
