--- a/review/plain.go
+++ b/review/plain.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"io"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"strings"
@@ -57,8 +56,10 @@
 	runs    *runLog
 
 	mu sync.Mutex
-	// lossShare is the share of the requests it runs of which it loses the answer: it resets the channel instead.
+	// lossShare is the largest share of the requests it runs of which it loses the answer: it resets the channel instead. ran and lost
+	// count from when the share was set.
 	lossShare float64
+	ran, lost int
 }
 
 // addPlain starts the n-th server of a plain service and lists it.
@@ -81,13 +82,19 @@
 func (s *plainServer) setLossShare(share float64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.lossShare = share
+	s.lossShare, s.ran, s.lost = share, 0, 0
 }
 
+// losesAnswer counts a run and reports whether its answer is lost. At no time more than lossShare of the answers are.
 func (s *plainServer) losesAnswer() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return rand.Float64() < s.lossShare
+	s.ran++
+	if float64(s.lost+1) > s.lossShare*float64(s.ran) {
+		return false
+	}
+	s.lost++
+	return true
 }
 
 // ServeHTTP runs a request and answers it, or loses the answer.
