fill: a load order is logged with the age of its verification

The box's log says that the order was sent, but not whether the pieces were wrong when they were verified, were replaced after it, or were replaced while the order was on its way. Change: the line of an order has the version named last (target), the time since the verification of its pieces began (verified_ms), the pieces that were written to the server since then (staged_since) and the time to its reply (reply_ms). A counter of pieces written.

--- a/fill/box.go
+++ b/fill/box.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -52,6 +53,8 @@
 	wakeup   chan struct{}
 	// targetChanged wakes the loader.
 	targetChanged chan struct{}
+	// staged counts the pieces written to the server.
+	staged atomic.Uint64
 
 	mu      sync.Mutex
 	state   State
--- a/fill/loader.go
+++ b/fill/loader.go
@@ -70,7 +70,7 @@
 	b.mu.Unlock()
 	for piece, data := range pieces {
 		ctx, cancel := context.WithTimeout(u.ctx, stageTimeout)
-		err := b.cfg.Engine.StagePiece(ctx, u.model, piece, data)
+		err := b.stagePiece(ctx, u, piece, data)
 		cancel()
 		if err != nil {
 			b.mu.Lock()
@@ -149,6 +149,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, originTimeout)
 	defer cancel()
+	began := clock.Now()
 	m := u.manifest
 	bad := 0
 	for piece := range m.Digests {
@@ -172,7 +173,7 @@
 		b.wake()
 		return false
 	}
-	u.verifiedAt = clock.Now()
+	u.verifiedAt, u.stagedAtVerification = began, b.staged.Load()
 	return true
 }
 
@@ -185,6 +186,8 @@
 		b.setState(state, err)
 		return
 	}
+	target, _ := b.cfg.View.Target(u.model)
+	verifiedFor, staged := clock.Since(u.verifiedAt), b.staged.Load()-u.stagedAtVerification
 	b.mu.Lock()
 	u.orderedAt = clock.Now()
 	b.mu.Unlock()
@@ -192,7 +195,8 @@
 	ordersSent.Inc()
 	fields := log.Fields{
 		"model": u.model, "version": int64(u.version), "seq": state.Seq, "running": state.Running, "waiting": state.Waiting,
-		"ms": clock.Since(u.startedAt).Milliseconds(), "cause": "",
+		"ms": clock.Since(u.startedAt).Milliseconds(), "target": int64(target), "verified_ms": verifiedFor.Milliseconds(), "staged_since": staged,
+		"reply_ms": clock.Since(u.orderedAt).Milliseconds(), "cause": "",
 	}
 	if err != nil {
 		ordersFailed.Inc()
--- a/fill/piece.go
+++ b/fill/piece.go
@@ -134,7 +134,7 @@
 	}
 	ctx, cancel := context.WithTimeout(u.ctx, stageTimeout)
 	defer cancel()
-	if err := b.cfg.Engine.StagePiece(ctx, u.model, piece, data); err != nil {
+	if err := b.stagePiece(ctx, u, piece, data); err != nil {
 		if u.ctx.Err() == nil {
 			b.log.WithField("piece", piece).WithField("cause", err.Error()).Warn("fill: a piece was not staged")
 		}
@@ -143,6 +143,13 @@
 	return true, nil
 }
 
+// stagePiece writes a piece to the server and counts it.
+func (b *Box) stagePiece(ctx context.Context, u *update, piece int, data []byte) error {
+	b.staged.Add(1)
+	piecesStaged.Inc()
+	return b.cfg.Engine.StagePiece(ctx, u.model, piece, data)
+}
+
 // readPiece returns a piece from the buffer or from the server.
 func (b *Box) readPiece(ctx context.Context, u *update, piece int) ([]byte, error) {
 	b.mu.Lock()
--- a/fill/target.go
+++ b/fill/target.go
@@ -27,9 +27,12 @@
 	downloadingManifest bool
 	corruptPieces       int
 	// buffered holds pieces received while the server's staging area still holds an older version that is due to load.
-	buffered   map[int][]byte
-	verifiedAt time.Time
-	orderedAt  time.Time
+	buffered map[int][]byte
+	// verifiedAt is when the last verification of all pieces began; stagedAtVerification is how many pieces had been written to the
+	// server when it ended.
+	verifiedAt           time.Time
+	stagedAtVerification uint64
+	orderedAt            time.Time
 	// accepted says that the server accepted the load order.
 	accepted bool
 	// finishedBefore is the newer version for which it was last decided whether this one is finished first; kept to log that once.
