fill: a load order is bound to the server whose pieces were verified

Cause: a server without power restarts with neither pieces nor orders taken. An empty server has taken none either, so an order that was prepared before the restart, and sent after it by a box that was held up, is taken by the new incarnation with no piece there. Ruled out: the count of orders and the start time in the state tell it too late, they are read before the verification. Why it works: the server itself compares the ids as it takes the order.

--- a/fill/box.go
+++ b/fill/box.go
@@ -69,6 +69,8 @@
 	// loadAt is when the server's turn to load comes; zero while none is set.
 	loadAt       time.Time
 	siblingCache siblingCache
+	// outdatedID is the listed id that the server said is not its own; orders are not bound to it.
+	outdatedID string
 	// needsRelist says that the pieces staged at the server must be listed again.
 	needsRelist   bool
 	newestAskedAt time.Time
--- a/fill/engine.go
+++ b/fill/engine.go
@@ -29,11 +29,13 @@
 	Pushback pushback.Signal
 }
 
-// Order tells the server to load a staged version, provided that its count of accepted orders still is Seq.
+// Order tells the server to load a staged version, provided that its count of accepted orders still is Seq and that its id is Server,
+// unless that is empty.
 type Order struct {
 	Model   string
 	Version contract.Version
 	Seq     int64
+	Server  string
 }
 
 // Engine is the server on this machine. ReadPiece returns a NotHeldError for a piece that is not staged.
@@ -42,7 +44,7 @@
 	StagePiece(ctx context.Context, model string, piece int, data []byte) error
 	ReadPiece(ctx context.Context, model string, piece int) ([]byte, error)
 	StagedPieces(ctx context.Context, model string) ([]int, error)
-	// StartLoad sends an order; a RefusedError means that it was not accepted, any other error leaves that open.
+	// StartLoad sends an order; a RefusedError or an OtherServerError means that it was not accepted, any other error leaves that open.
 	StartLoad(ctx context.Context, order Order) error
 }
 
@@ -84,6 +86,12 @@
 // Error gives the reason.
 func (e *RefusedError) Error() string { return "the order was refused: " + e.Reason }
 
+// OtherServerError says that a call was meant for a server with another id.
+type OtherServerError struct{}
+
+// Error returns a fixed text.
+func (*OtherServerError) Error() string { return "the server has another id" }
+
 // SupersededError says that the origin no longer serves a version.
 type SupersededError struct{}
 
--- a/fill/loader.go
+++ b/fill/loader.go
@@ -132,13 +132,17 @@
 // prepareLoad verifies that the server can be ordered to load the version now. The pieces are verified last, since they may turn bad
 // while a slow server is asked for its state.
 func (b *Box) prepareLoad(ctx context.Context, u *update) bool {
+	server := b.serverID()
 	state, err := b.refreshState(ctx)
 	if err != nil || state.Busy || state.Loaded[u.model] >= u.version || !b.verifyStaged(ctx, u) {
 		return false
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	u.verifiedSeq = state.Seq
+	u.verifiedSeq, u.verifiedServer = state.Seq, server
+	if server == b.outdatedID {
+		u.verifiedServer = ""
+	}
 	// Meanwhile the update may have been given up, a piece found bad, or the server found restarted.
 	return b.isCurrent(u) && u.isStaged() && !state.isRestart(b.state)
 }
@@ -227,12 +231,12 @@
 	fields := log.Fields{
 		"model": u.model, "version": int64(u.version), "seq": u.verifiedSeq, "running": b.state.Running, "waiting": b.state.Waiting,
 		"ms": u.orderedAt.Sub(u.startedAt).Milliseconds(), "target": int64(target), "verified_ms": u.orderedAt.Sub(u.verifiedAt).Milliseconds(),
-		"staged_since": b.piecesWritten.Load() - u.writtenAtVerification, "cause": "",
+		"staged_since": b.piecesWritten.Load() - u.writtenAtVerification, "server": u.verifiedServer, "cause": "",
 	}
 	b.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, stateTimeout)
 	defer cancel()
-	err := b.cfg.Engine.StartLoad(ctx, Order{Model: u.model, Version: u.version, Seq: u.verifiedSeq})
+	err := b.cfg.Engine.StartLoad(ctx, Order{Model: u.model, Version: u.version, Seq: u.verifiedSeq, Server: u.verifiedServer})
 	ordersSent.Inc()
 	if err != nil {
 		ordersFailed.Inc()
@@ -240,6 +244,9 @@
 	}
 	b.mu.Lock()
 	u.accepted = err == nil
+	if errors.As(err, new(*OtherServerError)) {
+		b.outdatedID = u.verifiedServer
+	}
 	switch {
 	case u.accepted:
 		b.staging.orderAnswered()
--- a/fill/piece.go
+++ b/fill/piece.go
@@ -166,7 +166,8 @@
 // mayBeCarriedOut reports whether the server may still carry out a call that ended with an error.
 func mayBeCarriedOut(err error) bool {
 	var op *net.OpError
-	return err != nil && !errors.As(err, new(*RefusedError)) && !(errors.As(err, &op) && op.Op == opDial)
+	answered := errors.As(err, new(*RefusedError)) || errors.As(err, new(*OtherServerError))
+	return err != nil && !answered && !(errors.As(err, &op) && op.Op == opDial)
 }
 
 // readPiece returns a piece from the buffer or from the server.
--- a/fill/servermodel_test.go
+++ b/fill/servermodel_test.go
@@ -136,6 +136,9 @@
 
 func (s *serverModel) StartLoad(ctx context.Context, order Order) error {
 	_, err := callServer(ctx, s, "order", -1, func() (struct{}, error) {
+		if order.Server != "" && order.Server != s.id() {
+			return struct{}{}, &OtherServerError{}
+		}
 		if order.Seq != s.seq || s.busy {
 			return struct{}{}, &RefusedError{Reason: "another order came first"}
 		}
@@ -149,6 +152,9 @@
 	return err
 }
 
+// id returns the id of the server's incarnation; mu is held.
+func (s *serverModel) id() string { return fmt.Sprint("server", s.born) }
+
 // checkPieces records the pieces that are not of an ordered version; mu is held.
 func (s *serverModel) checkPieces(version contract.Version) {
 	for piece := range testPieces {
@@ -253,7 +259,7 @@
 		}, nil),
 		Targets: []contract.Target{{Model: testModel, Version: newest}},
 	}
-	l.source.servers.Present = []contract.Server{{ID: "server", Service: "s", Address: m.UpstreamAddress, Site: m.Site}}
+	l.source.servers.Present = []contract.Server{{ID: l.server.id(), Service: "s", Address: m.UpstreamAddress, Site: m.Site}}
 	logger := &log.Logger{Handler: discard.Default, Level: log.InfoLevel}
 	v := discovery.New(l.source, discovery.Options{Log: logger, VersionBound: l.bound})
 	l.box = New(Config{Machine: m, View: v, Engine: l.server, Origin: l.origin, Log: logger})
--- a/fill/wholeversion_test.go
+++ b/fill/wholeversion_test.go
@@ -145,6 +145,16 @@
 			}
 			l.start(2)
 		},
+		"the server loses its pieces after their verification": func(l *loneBox) {
+			var restarted bool
+			l.server.afterRead = func(piece int) {
+				if piece == testPieces-1 && !restarted {
+					restarted = true
+					l.server.restart(true)
+				}
+			}
+			l.start(2)
+		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
