fill: an order is given up in time for its pieces to be fresh when it is taken

Cause: reading all pieces back may take 2 s at a slow server, its order up to 1 s, and it may take the order up to abandonedCallTime after that was given up: 3.9 s after the first piece was read. Change: the order is given up at pieceDecayTime less abandonedCallTime after the verification began. Test: case "a piece turns bad before a slow server takes its order late" of TestServerIsNotOrderedToLoadPiecesOfAnotherVersion; fails without the bound.

--- a/fill/loader.go
+++ b/fill/loader.go
@@ -16,6 +16,8 @@
 	// passed: the server refuses requests that arrive after the order or are still queued then.
 	// 24 of 25 streams that were cut beside planned work met that.
 	drainNotice = 120 * time.Millisecond
+	// pieceDecayTime is how long before a server takes an order one of its pieces may have turned bad.
+	pieceDecayTime = 3 * time.Second
 	// orderRetryDelay is the pause after an order that was refused or not answered.
 	orderRetryDelay = 200 * time.Millisecond
 )
@@ -223,7 +225,8 @@
 	return true
 }
 
-// orderLoad sends the load order; if the reply is lost, the server's next state shows the result.
+// orderLoad sends the load order; if the reply is lost, the server's next state shows the result. It is given up early enough that a
+// server that still takes it does so within pieceDecayTime of the verification.
 func (b *Box) orderLoad(ctx context.Context, u *update) {
 	target, _ := b.cfg.View.Target(u.model)
 	b.mu.Lock()
@@ -233,8 +236,9 @@
 		"ms": u.orderedAt.Sub(u.startedAt).Milliseconds(), "target": int64(target), "verified_ms": u.orderedAt.Sub(u.verifiedAt).Milliseconds(),
 		"staged_since": b.piecesWritten.Load() - u.writtenAtVerification, "server": u.verifiedServer, "cause": "",
 	}
+	timeout := min(stateTimeout, clock.Until(u.verifiedAt.Add(pieceDecayTime-abandonedCallTime)))
 	b.mu.Unlock()
-	ctx, cancel := context.WithTimeout(ctx, stateTimeout)
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	err := b.cfg.Engine.StartLoad(ctx, Order{Model: u.model, Version: u.version, Seq: u.verifiedSeq, Server: u.verifiedServer})
 	ordersSent.Inc()
--- a/fill/wholeversion_test.go
+++ b/fill/wholeversion_test.go
@@ -145,6 +145,28 @@
 			}
 			l.start(2)
 		},
+		"a piece turns bad before a slow server takes its order late": func(l *loneBox) {
+			var orders int
+			l.server.delay = func(call string, _ int) callDelay {
+				switch call {
+				case "read":
+					return callDelay{after: 115 * time.Millisecond}
+				case "order":
+					if orders++; orders == 1 {
+						return callDelay{before: stateTimeout + 500*time.Millisecond}
+					}
+				case "stage":
+					return callDelay{before: 900 * time.Millisecond}
+				}
+				return callDelay{after: time.Millisecond}
+			}
+			l.server.afterRead = func(piece int) {
+				if piece == 0 && len(l.server.decayedAt) == 0 {
+					l.server.decay(piece)
+				}
+			}
+			l.start(2)
+		},
 		"the server loses its pieces after their verification": func(l *loneBox) {
 			var restarted bool
 			l.server.afterRead = func(piece int) {
