--- a/fill/fixture_test.go
+++ b/fill/fixture_test.go
@@ -178,6 +178,8 @@
 	declared discovery.Declared
 	servers  discovery.Servers
 	named    chan contract.Target
+	// listed delivers changed lists of servers; nil if the list does not change.
+	listed chan discovery.Servers
 }
 
 func (s *fakeSource) Declared(context.Context) (discovery.Declared, error) { return s.declared, nil }
@@ -194,8 +196,12 @@
 func (s *fakeSource) Servers(context.Context) (discovery.Servers, error) { return s.servers, nil }
 
 func (s *fakeSource) ServersAfter(ctx context.Context, _ discovery.Cursor, _ time.Duration) (discovery.Servers, error) {
-	<-ctx.Done()
-	return discovery.Servers{}, ctx.Err()
+	select {
+	case servers := <-s.listed:
+		return servers, nil
+	case <-ctx.Done():
+		return discovery.Servers{}, ctx.Err()
+	}
 }
 
 // loadVersion makes the server hold and run a version.
--- a/fill/servermodel_test.go
+++ b/fill/servermodel_test.go
@@ -251,7 +251,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	l.end = cancel
 	m := machine.Machine{ID: "box", Address: "127.0.7.1", Site: "site", Service: "s", UpstreamAddress: "127.0.7.1:1", LinkRate: 1e8}
-	l.source = &fakeSource{named: make(chan contract.Target, 4)}
+	l.source = &fakeSource{named: make(chan contract.Target, 100), listed: make(chan discovery.Servers, 100)}
 	l.source.declared = discovery.Declared{
 		Config: contract.NewConfig(1, contract.Limits{}, nil, []contract.Service{
 			{Name: "s", Engine: &contract.Engine{Models: []contract.Model{{Name: testModel}}}},
