fill: a restarted server is ordered to load once it is listed anew

What callers could see: tokens from layers with missing pieces (WHOLE). Cause: after an order was refused for the server's id, the next ones named no id, so that a server that lost its pieces once more before it was listed took an order prepared before that. Change: an order always names the id under which the server is or was last listed, and none is sent while the server has refused that id. Until a server is listed anew entries send it nothing, so no request waits for it longer.

--- a/fill/box.go
+++ b/fill/box.go
@@ -69,7 +69,7 @@
 	// loadAt is when the server's turn to load comes; zero while none is set.
 	loadAt       time.Time
 	siblingCache siblingCache
-	// outdatedID is the listed id that the server said is not its own; orders are not bound to it.
+	// outdatedID is the listed id that the server said is not its own: it has restarted and is not listed anew yet.
 	outdatedID string
 	// needsRelist says that the pieces staged at the server must be listed again.
 	needsRelist   bool
@@ -149,6 +149,19 @@
 	return ""
 }
 
+// lastServerID returns the id under which the server on this machine is or was last listed; empty while none is known.
+func (b *Box) lastServerID() string {
+	if id := b.serverID(); id != "" {
+		return id
+	}
+	for _, server := range b.cfg.View.Servers() {
+		if server.Address == b.cfg.Machine.UpstreamAddress {
+			return server.ID
+		}
+	}
+	return ""
+}
+
 func (b *Box) hasServerState() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/fill/engine.go
+++ b/fill/engine.go
@@ -29,8 +29,7 @@
 	Pushback pushback.Signal
 }
 
-// Order tells the server to load a staged version, provided that its count of accepted orders still is Seq and that its id is Server,
-// unless that is empty.
+// Order tells the server to load a staged version, provided that its count of accepted orders still is Seq and that its id is Server.
 type Order struct {
 	Model   string
 	Version contract.Version
--- a/fill/loader.go
+++ b/fill/loader.go
@@ -88,8 +88,10 @@
 
 // load orders the server to run the version once all pieces are staged and the server's turn has come.
 func (b *Box) load(ctx context.Context, u *update) {
+	server := b.lastServerID()
 	b.mu.Lock()
-	ready := u.isStaged() && !u.accepted && !b.state.Busy && clock.Since(u.orderedAt) > orderRetryDelay
+	listed := server != "" && server != b.outdatedID
+	ready := listed && u.isStaged() && !u.accepted && !b.state.Busy && clock.Since(u.orderedAt) > orderRetryDelay
 	old := b.state.Loaded[u.model]
 	b.mu.Unlock()
 	if !ready {
@@ -134,7 +136,7 @@
 // prepareLoad verifies that the server can be ordered to load the version now. The pieces are verified last, since they may turn bad
 // while a slow server is asked for its state.
 func (b *Box) prepareLoad(ctx context.Context, u *update) bool {
-	server := b.serverID()
+	server := b.lastServerID()
 	state, err := b.refreshState(ctx)
 	if err != nil || state.Busy || state.Loaded[u.model] >= u.version || !b.verifyStaged(ctx, u) {
 		return false
@@ -142,9 +144,6 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	u.verifiedSeq, u.verifiedServer = state.Seq, server
-	if server == b.outdatedID {
-		u.verifiedServer = ""
-	}
 	// Meanwhile the update may have been given up, a piece found bad, or the server found restarted.
 	return b.isCurrent(u) && u.isStaged() && !state.isRestart(b.state)
 }
--- a/fill/servermodel_test.go
+++ b/fill/servermodel_test.go
@@ -5,13 +5,13 @@
 	"context"
 	"errors"
 	"fmt"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/apex/log"
-	"github.com/apex/log/handlers/discard"
 
 	"github.com/coralstair/coralstair/contract"
 	"github.com/coralstair/coralstair/discovery"
@@ -34,6 +34,8 @@
 // serverModel is a server in virtual time. It carries out calls late, also when their caller has given up, and records each order
 // that it takes while a piece is not of the ordered version.
 type serverModel struct {
+	trace *trace
+
 	mu sync.Mutex
 	// delay returns the delays of a call; piece is negative for calls that concern none.
 	delay func(call string, piece int) callDelay
@@ -50,8 +52,8 @@
 	wrong     []string
 }
 
-func newServerModel() *serverModel {
-	return &serverModel{born: 1, pieces: make(map[int][]byte), decayedAt: make(map[int]time.Time)}
+func newServerModel(t *trace) *serverModel {
+	return &serverModel{trace: t, born: 1, pieces: make(map[int][]byte), decayedAt: make(map[int]time.Time)}
 }
 
 // callServer carries out a call after its delay, unless the server has restarted or the caller gave up too long ago.
@@ -78,6 +80,9 @@
 			r.value, r.err = do()
 		}
 		s.mu.Unlock()
+		if name == "order" || name == "stage" || r.err != nil {
+			s.trace.addf("%s %d carried out, given up %t: %v", name, piece, at != nil, r.err)
+		}
 		time.Sleep(d.after)
 		replies <- r
 	}()
@@ -194,6 +199,7 @@
 func (s *serverModel) decay(piece int) {
 	if _, bad := s.decayedAt[piece]; !bad && s.pieces[piece] != nil {
 		s.pieces[piece] = []byte("corrupt")
+		s.trace.addf("piece %d turns bad", piece)
 		s.decayedAt[piece] = time.Now()
 	}
 }
@@ -201,6 +207,7 @@
 // restart starts the server again with nothing loaded; without power it loses its pieces too. mu is held.
 func (s *serverModel) restart(losePower bool) {
 	s.born++
+	s.trace.addf("the server restarts as %s, without pieces %t", s.id(), losePower)
 	s.seq, s.busy, s.loaded = 0, false, 0
 	if losePower {
 		clear(s.pieces)
@@ -220,9 +227,56 @@
 	return len(s.orders)
 }
 
+// killableEngine ends the calls of a box when it is killed.
+type killableEngine struct {
+	*serverModel
+	killed context.Context
+}
+
+func (e *killableEngine) context(ctx context.Context) context.Context {
+	ctx, cancel := context.WithCancel(ctx)
+	context.AfterFunc(e.killed, cancel)
+	return ctx
+}
+
+func (e *killableEngine) State(ctx context.Context) (State, error) {
+	return e.serverModel.State(e.context(ctx))
+}
+
+func (e *killableEngine) StagePiece(ctx context.Context, model string, piece int, data []byte) error {
+	return e.serverModel.StagePiece(e.context(ctx), model, piece, data)
+}
+
+func (e *killableEngine) ReadPiece(ctx context.Context, model string, piece int) ([]byte, error) {
+	return e.serverModel.ReadPiece(e.context(ctx), model, piece)
+}
+
+func (e *killableEngine) StartLoad(ctx context.Context, order Order) error {
+	return e.serverModel.StartLoad(e.context(ctx), order)
+}
+
+// trace collects what happens in a play, to be shown if it fails.
+type trace struct {
+	mu    sync.Mutex
+	lines []string
+}
+
+func (t *trace) addf(format string, args ...any) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.lines = append(t.lines, time.Now().Format("05.000 ")+fmt.Sprintf(format, args...))
+}
+
+// HandleLog adds an entry of a box's log.
+func (t *trace) HandleLog(e *log.Entry) error {
+	t.addf("%s %v", e.Message, e.Fields)
+	return nil
+}
+
 // loneBox runs a box without neighbours beside a serverModel; all of it may be used in a bubble of virtual time.
 type loneBox struct {
 	t      *testing.T
+	trace  *trace
 	server *serverModel
 	origin *fakeOrigin
 	// linkRate is that of the origin, bound the time for which an older version may be used.
@@ -236,11 +290,15 @@
 }
 
 func newLoneBox(t *testing.T) *loneBox {
-	l := &loneBox{t: t, server: newServerModel(), origin: &fakeOrigin{newest: 1}, linkRate: 1e9, bound: 8 * time.Second}
+	lines := &trace{}
+	l := &loneBox{t: t, trace: lines, server: newServerModel(lines), origin: &fakeOrigin{newest: 1}, linkRate: 1e9, bound: 8 * time.Second}
 	t.Cleanup(func() {
 		l.stop()
 		// The goroutines of a bubble of virtual time must end within it.
 		time.Sleep(10 * time.Second)
+		if t.Failed() {
+			t.Log(strings.Join(lines.lines, "\n"))
+		}
 	})
 	return l
 }
@@ -248,6 +306,7 @@
 // start starts the box when a version is the newest one.
 func (l *loneBox) start(newest contract.Version) {
 	l.newest = newest
+	l.trace.addf("the box starts, version %d is the newest", newest)
 	ctx, cancel := context.WithCancel(context.Background())
 	l.end = cancel
 	m := machine.Machine{ID: "box", Address: "127.0.7.1", Site: "site", Service: "s", UpstreamAddress: "127.0.7.1:1", LinkRate: 1e8}
@@ -260,9 +319,9 @@
 		Targets: []contract.Target{{Model: testModel, Version: newest}},
 	}
 	l.source.servers.Present = []contract.Server{{ID: l.server.id(), Service: "s", Address: m.UpstreamAddress, Site: m.Site}}
-	logger := &log.Logger{Handler: discard.Default, Level: log.InfoLevel}
+	logger := &log.Logger{Handler: l.trace, Level: log.InfoLevel}
 	v := discovery.New(l.source, discovery.Options{Log: logger, VersionBound: l.bound})
-	l.box = New(Config{Machine: m, View: v, Engine: l.server, Origin: l.origin, Log: logger})
+	l.box = New(Config{Machine: m, View: v, Engine: &killableEngine{l.server, ctx}, Origin: l.origin, Log: logger})
 	for _, run := range []func(context.Context) error{v.ServeDeclared, v.ServeServers, l.box.runSteps, l.box.runLoads, l.box.runReports} {
 		go func() { _ = run(ctx) }()
 	}
@@ -271,6 +330,7 @@
 // stop kills the box.
 func (l *loneBox) stop() {
 	if l.end != nil {
+		l.trace.addf("the box is killed")
 		l.end()
 	}
 }
@@ -278,6 +338,7 @@
 // name names a newer version.
 func (l *loneBox) name(version contract.Version) {
 	l.newest = version
+	l.trace.addf("version %d is named", version)
 	l.source.named <- contract.Target{Model: testModel, Version: version}
 }
 
--- a/fill/target.go
+++ b/fill/target.go
@@ -29,8 +29,7 @@
 	// buffered holds pieces that were received while the update may not write to the server.
 	buffered map[int][]byte
 	// verifiedAt is when the last verification of all pieces began, at which the server had accepted verifiedSeq orders and
-	// writtenAtVerification pieces had been written to it. verifiedServer is the id under which it was listed; empty if it was not, or
-	// under that of an earlier incarnation.
+	// writtenAtVerification pieces had been written to it. verifiedServer is the id under which it was listed.
 	verifiedAt            time.Time
 	verifiedSeq           int64
 	verifiedServer        string
--- a/fill/wholeversion_test.go
+++ b/fill/wholeversion_test.go
@@ -173,6 +173,7 @@
 				if piece == testPieces-1 && !restarted {
 					restarted = true
 					l.server.restart(true)
+					l.listServer(time.Second)
 				}
 			}
 			l.start(2)
