fill: a reply from before a restart does not count as a load under way

What callers saw: a server that stays empty until the next version is named. Cause: a server took its load order and restarted; the box saw the restart in the server's state and forgot the order, and then the reply to that order came and was recorded as accepted. Each incarnation gets one order that it accepts. TestRestartBeforeTheReplyToAnOrder fails before the change. Change: a reply counts only if the box knows of no restart since it sent the order.

--- a/fill/box.go
+++ b/fill/box.go
@@ -59,7 +59,9 @@
 	mu      sync.Mutex
 	state   State
 	stateAt time.Time
-	active  *update
+	// restarts counts the restarts of the server that the box knows of.
+	restarts int
+	active   *update
 	// pending is an older version, all staged, that has not been loaded yet.
 	pending *update
 	staging staging
--- a/fill/loader.go
+++ b/fill/loader.go
@@ -230,6 +230,7 @@
 	target, _ := b.cfg.View.Target(u.model)
 	b.mu.Lock()
 	u.orderedAt = clock.Now()
+	orderedAt, restarts := u.orderedAt, b.restarts
 	fields := log.Fields{
 		"model": u.model, "version": int64(u.version), "seq": u.verifiedSeq, "running": b.state.Running, "waiting": b.state.Waiting,
 		"ms": u.orderedAt.Sub(u.startedAt).Milliseconds(), "target": int64(target), "verified_ms": u.orderedAt.Sub(u.verifiedAt).Milliseconds(),
@@ -246,18 +247,19 @@
 		fields["cause"] = err.Error()
 	}
 	b.mu.Lock()
-	u.accepted = err == nil
+	// A server that has restarted meanwhile has forgotten the order.
+	u.accepted = err == nil && b.restarts == restarts
 	if errors.As(err, new(*OtherServerError)) {
 		b.outdatedID = u.verifiedServer
 	}
 	switch {
-	case u.accepted:
+	case err == nil:
 		b.staging.orderAnswered()
 	case mayBeCarriedOut(err):
 		b.staging.orderUnanswered(u.verifiedSeq)
 	}
 	b.loadAt = time.Time{}
-	fields["reply_ms"] = clock.Since(u.orderedAt).Milliseconds()
+	fields["reply_ms"] = clock.Since(orderedAt).Milliseconds()
 	b.mu.Unlock()
 	b.log.WithFields(fields).Info("fill: order to load")
 }
--- a/fill/restart.go
+++ b/fill/restart.go
@@ -25,6 +25,7 @@
 	}
 	b.clearTurn()
 	b.needsRelist = true
+	b.restarts++
 	b.log.WithFields(log.Fields{"born": next.Born, "seq": next.Seq}).Warn("fill: the server has started again")
 }
 
--- a/fill/restart_test.go
+++ b/fill/restart_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/apex/log"
@@ -61,6 +62,20 @@
 	}
 }
 
+// TestRestartBeforeTheReplyToAnOrder guards against a server that stays empty: it restarted after it took its load order, and the reply
+// arrived once the box knew of the restart.
+func TestRestartBeforeTheReplyToAnOrder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newLoneBox(t)
+		l.server.delay = delayCall("order", callDelay{after: 600 * time.Millisecond}, nil)
+		l.start(2)
+		l.waitFor("an order is taken", func() bool { return l.server.orderCount() > 0 })
+		l.server.change(func(s *serverModel) { s.restart(false) })
+		l.listServer(100 * time.Millisecond)
+		l.check()
+	})
+}
+
 // TestReportTellsTheLife checks that a new incarnation is reported at once.
 func TestReportTellsTheLife(t *testing.T) {
 	older := link.Report{Server: "a", Born: 1, Running: 3}
