soak: versions in quick succession at servers slow towards their boxes

Cause: the stand-in of a model server answered reports, orders and writes at once, so no play of the soak could show an order that meets the pieces of the next version. Change: the stand-in can be slow towards its box, and answers 421 to an order for another incarnation.

--- a/lab/standin/orders.go
+++ b/lab/standin/orders.go
@@ -23,6 +23,7 @@
 }
 
 func (s *Server) serveReport(w http.ResponseWriter) {
+	time.Sleep(s.delays().Report)
 	s.mu.Lock()
 	body := reportBody{
 		Stage: "both", Models: s.models(), Busy: s.loading, Seq: s.seq, Waiting: s.waiting, Running: s.running, Born: s.born,
@@ -43,9 +44,14 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	start := s.startCount()
+	time.Sleep(s.delays().Order)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	instance := r.Header.Get("X-Expect-Instance")
 	switch {
+	case s.starts != start, instance != "" && instance != s.id:
+		w.WriteHeader(http.StatusMisdirectedRequest)
 	case order.Version == s.loaded:
 		w.WriteHeader(http.StatusOK)
 	case s.loading || order.ExpectRev != nil && *order.ExpectRev != s.seq:
@@ -59,6 +65,13 @@
 	}
 }
 
+// startCount returns how many times the server has started.
+func (s *Server) startCount() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.starts
+}
+
 // checkStaged records a violation for each staged piece with wrong content unless it was corrupted recently; the caller holds mu.
 func (s *Server) checkStaged(version int64) {
 	for piece := range Pieces {
@@ -92,6 +105,7 @@
 func (s *Server) serveStage(w http.ResponseWriter, r *http.Request) {
 	num := r.URL.Query().Get("num")
 	piece, err := strconv.Atoi(num)
+	time.Sleep(s.delays().Stage)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch {
--- a/lab/standin/server.go
+++ b/lab/standin/server.go
@@ -37,6 +37,12 @@
 	Shed int
 }
 
+// BoxDelays are how long a model server takes for calls of its box.
+type BoxDelays struct {
+	// Report and Stage are for a report, and for writing or reading a piece; Order is until an order is taken.
+	Report, Stage, Order time.Duration
+}
+
 // Server is a model server, or a plain service when Model is empty.
 type Server struct {
 	// Address is where callers reach the server, Listen where it listens; they differ behind a proxy.
@@ -70,6 +76,7 @@
 	staged      map[int][]byte
 	corruptedAt map[int]time.Time
 	faults      Faults
+	boxDelays   BoxDelays
 	pushback    Pushback
 	requests    int
 	coldUntil   time.Time
@@ -95,7 +102,7 @@
 		s.id = s.newID()
 	}
 	s.draining, s.loaded, s.loading, s.seq = time.Time{}, version, false, 0
-	s.faults, s.pushback = Faults{}, Pushback{}
+	s.faults, s.boxDelays, s.pushback = Faults{}, BoxDelays{}, Pushback{}
 	if s.starts > 1 {
 		s.turnCold(s.ColdStart)
 	}
@@ -163,6 +170,19 @@
 	s.faults = faults
 }
 
+// SetBoxDelays sets how long the server takes for calls of its box.
+func (s *Server) SetBoxDelays(delays BoxDelays) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.boxDelays = delays
+}
+
+func (s *Server) delays() BoxDelays {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.boxDelays
+}
+
 // CorruptPiece corrupts a staged piece.
 func (s *Server) CorruptPiece(piece int) {
 	s.mu.Lock()
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -30,6 +30,8 @@
 	// Sites adds evacuations, servers that are cold, requests that have homes and callers that read slowly, at a higher rate than other
 	// faults.
 	Sites bool
+	// Versions names versions in quick succession while servers are empty or slow towards their boxes.
+	Versions bool
 	// Ranks makes a team flood the less urgent of two routes to the model servers while an entry is killed and a box is cut off.
 	Ranks bool
 	// Deadly is the number of distinct requests that crash each server that runs them.
@@ -124,6 +126,9 @@
 		faults.run(r.failingPlan())
 	case opts.Ranks:
 		faults.run(r.floodPlan(ctx, &out))
+	case opts.Versions:
+		faults.run(r.versionPlan())
+		recovery = r.runRecovery(ctx, &faults)
 	default:
 		faults.run(r.planFaults())
 		recovery = r.runRecovery(ctx, &faults)
