forward: net/http does not send a request again by itself

Cause: net/http repeats a request that it can rewind when a kept connection fails before the first byte of the response, if its method or a header Idempotency-Key or X-Idempotency-Key lets it. A POST with an empty body can be rewound, and the headers are the caller's. The entry counted one attempt. Ruled out: a second attempt of the entry (its log says one), one of the client. Change: an attempt is written to one connection. When the transport has got another one for it, and some of it may have been written to the first, the second is closed before anything is written, and the attempt ends as one that may have run. Why it works: the hook runs before the transport writes to a connection, and a connection that is cut refuses all bytes. No method, header or body matters.

--- a/forward/conn.go
+++ b/forward/conn.go
@@ -125,9 +125,21 @@
 	if idle <= unannouncedIdle || c.idleLimit > 0 {
 		return false
 	}
+	c.cutNow()
+	return true
+}
+
+// discard closes the connection, which no request uses yet.
+func (c *conn) discard() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.cutNow()
+}
+
+// cutNow stops all further writes; mu is held.
+func (c *conn) cutNow() {
 	c.cut = true
 	_ = c.Conn.Close()
-	return true
 }
 
 // expire closes a connection that was idle too long. A request that takes it at the same time blocks on mu and sends
@@ -166,7 +178,7 @@
 	return address
 }
 
-// newTransport returns a transport to the servers that never resends a request: net/http cannot rewind the bodies.
+// newTransport returns a transport to the servers. Requests sent with it must not be sent again by net/http (see attempt.gotConn).
 func newTransport() *http.Transport {
 	dialer := &net.Dialer{
 		Timeout:         dialTimeout,
--- a/forward/errors.go
+++ b/forward/errors.go
@@ -11,6 +11,14 @@
 // Error gives the reason.
 func (e *InvalidResponseError) Error() string { return "invalid response: " + e.Reason }
 
+// ConnectionLostError means that the connection to a server ended after some of the request was written to it.
+type ConnectionLostError struct{ Server string }
+
+// Error names the server.
+func (e *ConnectionLostError) Error() string {
+	return fmt.Sprintf("the connection to server %s ended without a response", e.Server)
+}
+
 // SilentServerError means that a server exceeded its silence timeout.
 type SilentServerError struct{ Server string }
 
--- a/forward/request.go
+++ b/forward/request.go
@@ -41,24 +41,33 @@
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 	}
 	setBody(req, c.body, c.r.ContentLength)
-	return req.WithContext(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: a.gotConn}))
+	ctx, stop := context.WithCancelCause(ctx)
+	return req.WithContext(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { a.gotConn(info, stop) }}))
 }
 
 // gotConn records the connection that the request uses. A request that can't be repeated gets no connection that its server may be about
-// to close.
-func (a *attempt) gotConn(info httptrace.GotConnInfo) {
-	if c, ok := info.Conn.(*conn); ok {
-		a.connDiscarded = info.WasIdle && !a.call.route.Repeatable() && c.discardIfIdle(info.IdleTime)
-		if a.connDiscarded {
-			return
-		}
-		a.conn = c
-		if info.WasIdle {
-			a.connIdle = info.IdleTime
-		}
-		a.writtenBefore = c.beginRequest()
-		a.inFlight.setConnectedAt(c.opened)
+// to close. If some of the request was written to an earlier connection, net/http is about to send it again: stop ends that before
+// anything is written, since the entry alone decides what is sent how often.
+func (a *attempt) gotConn(info httptrace.GotConnInfo, stop context.CancelCauseFunc) {
+	c, ok := info.Conn.(*conn)
+	if !ok {
+		return
+	}
+	if a.conn != nil && !a.conn.cutUnlessWritten(a.writtenBefore) {
+		c.discard()
+		stop(&ConnectionLostError{Server: a.choice.server.ID})
+		return
+	}
+	a.connDiscarded = info.WasIdle && !a.call.route.Repeatable() && c.discardIfIdle(info.IdleTime)
+	if a.connDiscarded {
+		return
+	}
+	a.conn = c
+	if info.WasIdle {
+		a.connIdle = info.IdleTime
 	}
+	a.writtenBefore = c.beginRequest()
+	a.inFlight.setConnectedAt(c.opened)
 }
 
 // setBody sets the request's body; declared is the caller's Content-Length.
@@ -67,14 +76,14 @@
 	if len(body) > 0 {
 		return
 	}
-	// With an unknown length net/http sends no empty body and doesn't retry the request by itself.
+	// With an unknown length net/http sends no empty body.
 	req.ContentLength = -1
 	if declared == 0 && methodHasBody(req.Method) {
 		req.Body, req.ContentLength = http.NoBody, 0
 	}
 }
 
-// methodHasBody reports whether net/http sends Content-Length: 0 for the method; it doesn't retry these by itself.
+// methodHasBody reports whether net/http sends Content-Length: 0 for the method.
 func methodHasBody(method string) bool {
 	return method == http.MethodPost || method == http.MethodPut || method == http.MethodPatch
 }
