upstream: a box sends a caller's request once

What callers could see: a request with an Idempotency-Key, which the product runs at most once, running twice at the same upstream. Change: once the head of a request was written, a second connection for it is closed before anything is written, and the call ends as one that may have run.

--- a/upstream/client.go
+++ b/upstream/client.go
@@ -29,10 +29,18 @@
 	HTTP *http.Client
 }
 
-// Do sends a caller's request to the upstream; an UnsentError means that the upstream did not receive it.
+// Do sends a caller's request to the upstream, once: net/http would send it again when a kept connection fails, as the caller's method,
+// body and headers let it. An UnsentError means that the upstream did not receive it.
 func (c *Client) Do(ctx context.Context, method, path string, header http.Header, body []byte) (*http.Response, error) {
 	var sent atomic.Bool
+	ctx, stop := context.WithCancelCause(ctx)
 	trace := &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) {
+			if sent.Load() {
+				_ = info.Conn.Close()
+				stop(&ConnectionLostError{})
+			}
+		},
 		WroteHeaders: func() { sent.Store(true) },
 	}
 	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), method, c.URL+path, bytes.NewReader(body))
--- a/upstream/errors.go
+++ b/upstream/errors.go
@@ -28,6 +28,12 @@
 // Error names the status.
 func (e *StatusError) Error() string { return fmt.Sprintf("status %d", e.Status) }
 
+// ConnectionLostError says that a connection ended after some of a request may have been written to it.
+type ConnectionLostError struct{}
+
+// Error returns a fixed text.
+func (*ConnectionLostError) Error() string { return "the connection ended without a response" }
+
 // UnsentError says that a request did not reach the upstream, so it did not run.
 type UnsentError struct{ Err error }
 
