upstream: a box does not follow redirects

Cause: http.Client follows redirections unless told otherwise. Change: the response goes to the caller as it is. Test: TestRedirectIsNotFollowed, failed before with an error.

--- a/upstream/client.go
+++ b/upstream/client.go
@@ -30,7 +30,7 @@
 }
 
 // Do sends a caller's request to the upstream, once: net/http would send it again when a kept connection fails, as the caller's method,
-// body and headers let it. An UnsentError means that the upstream did not receive it.
+// body and headers let it, or where the response redirects it. An UnsentError means that the upstream did not receive it.
 func (c *Client) Do(ctx context.Context, method, path string, header http.Header, body []byte) (*http.Response, error) {
 	var sent atomic.Bool
 	ctx, stop := context.WithCancelCause(ctx)
@@ -48,7 +48,9 @@
 		return nil, &UnsentError{Err: err}
 	}
 	req.Header = header.Clone()
-	resp, err := c.client().Do(req)
+	client := *c.client()
+	client.CheckRedirect = func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+	resp, err := client.Do(req)
 	if err == nil {
 		return resp, nil
 	}
--- a/upstream/sentonce_test.go
+++ b/upstream/sentonce_test.go
@@ -94,3 +94,18 @@
 		}
 	}
 }
+
+// TestRedirectIsNotFollowed guards against a caller's request that is sent a second time to where its upstream redirects it.
+func TestRedirectIsNotFollowed(t *testing.T) {
+	u := newClosingUpstream(t)
+	u.redirect = true
+	client := &Client{URL: "http://" + u.listener.Addr().String(), HTTP: &http.Client{Transport: &http.Transport{}}}
+	resp, err := client.Do(t.Context(), "POST", "/a", http.Header{}, []byte("x"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = resp.Body.Close()
+	if resp.StatusCode != http.StatusTemporaryRedirect || u.requests.Load() != 1 {
+		t.Errorf("status %d after %d requests, want 307 after 1", resp.StatusCode, u.requests.Load())
+	}
+}
