forward: a response without a length ends with the server that sent it

Cause: at the end of a response with neither a length nor chunks the entry asked whether the server's port refuses connections. An entry that stood still while the server crashed asked only once another process listened there. Ruled out: events dropped by the entry (all that came were passed on). Change: the server is asked for its id at the health path of its service. The id that sent the response: complete. Another id, 421 or a refused connection: cut off. Services without a health path are judged as before. Why it works: the id is of one start of the server, and the question is asked after the end was read, so a server that answers it has outlived its response. Cost: one health check in place of one connection, only for such responses. Not done: boxes on the product's own path, servers that keep their id.

--- a/contract/service.go
+++ b/contract/service.go
@@ -7,6 +7,8 @@
 	Name string
 	// MaxConns bounds the connections to a server from all callers together.
 	MaxConns int
+	// HealthPath is where its servers say who they are; empty if they don't.
+	HealthPath string
 	// Engine describes the service's model engines; nil for a plain service.
 	Engine *Engine
 	// Origin is the address at which the service serves weights; empty for all other services.
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -13,7 +13,6 @@
 
 	"github.com/coralstair/coralstair/clock"
 	"github.com/coralstair/coralstair/contract"
-	"github.com/coralstair/coralstair/probe"
 )
 
 const (
@@ -280,14 +279,6 @@
 	}
 }
 
-// verifyEnd checks that a response did not end because its server exited.
-func (a *attempt) verifyEnd() error {
-	if probe.EndedByExit(a.resp, a.choice.server.Address) {
-		return errEndedByExit
-	}
-	return nil
-}
-
 // expectedVersion returns the version that every event must have: the stream's, or else the server's.
 func (a *attempt) expectedVersion() contract.Version {
 	if s := a.callerStream(); s != nil {
--- a/forward/errors.go
+++ b/forward/errors.go
@@ -19,6 +19,20 @@
 	return fmt.Sprintf("the connection to server %s ended without a response", e.Server)
 }
 
+// UnverifiedEndError means that it can't be told whether a response without a length is complete or ended as its server exited.
+type UnverifiedEndError struct {
+	Server string
+	Err    error
+}
+
+// Error names the server and the cause.
+func (e *UnverifiedEndError) Error() string {
+	return fmt.Sprintf("end of a response without a length: server %s did not answer: %v", e.Server, e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *UnverifiedEndError) Unwrap() error { return e.Err }
+
 // SilentServerError means that a server exceeded its silence timeout.
 type SilentServerError struct{ Server string }
 
--- a/forward/fixture_test.go
+++ b/forward/fixture_test.go
@@ -64,6 +64,10 @@
 	return reply
 }
 
+func (testWire) SetHealthHeaders(h http.Header, server string) { h.Set("Expect-Server", server) }
+
+func (testWire) ParseHealth(resp *http.Response) string { return resp.Header.Get("Server-Id") }
+
 func (testWire) SetRefusalHeaders(h http.Header, id string, after time.Duration) {
 	h.Set("Id", id)
 	if after > 0 {
@@ -133,14 +137,18 @@
 		teams = []contract.Team{{Name: "team", Keys: []string{"good"}}}
 	}
 	limits := contract.Limits{HeaderBytes: 4096, BodyBytes: 1 << 20}
-	cfg := contract.NewConfig(1, limits, routes, []contract.Service{{Name: "s", MaxConns: 100}}, teams)
+	return newTestEnvFrom(t, testSource(contract.NewConfig(1, limits, routes, []contract.Service{{Name: "s", MaxConns: 100}}, teams), addresses...))
+}
+
+// testSource returns a source of a configuration and of servers at addresses.
+func testSource(cfg *contract.Config, addresses ...string) fixedSource {
 	source := fixedSource{declared: discovery.Declared{Config: cfg}}
 	for i, address := range addresses {
 		source.servers.Present = append(source.servers.Present, contract.Server{
 			ID: serverName(i), Service: "s", Address: address, Slots: 4,
 		})
 	}
-	return newTestEnvFrom(t, source)
+	return source
 }
 
 func newTestEnvFrom(t *testing.T, source discovery.Source) *testEnv {
--- a/forward/metrics.go
+++ b/forward/metrics.go
@@ -31,6 +31,11 @@
 	return metrics.GetOrCreateCounter(`coralstair_admission_total{rank="` + strconv.Itoa(rank) + `",outcome="` + outcome + `"}`)
 }
 
+// responseEnds counts the checks of responses without a length or chunks by outcome.
+func responseEnds(outcome string) *metrics.Counter {
+	return metrics.GetOrCreateCounter(`coralstair_response_ends_total{outcome="` + outcome + `"}`)
+}
+
 // handovers counts attempts started beside another one, by whether they took the request over.
 func handovers(result string) *metrics.Counter {
 	return metrics.GetOrCreateCounter(`coralstair_handovers_total{result="` + result + `"}`)
--- a/forward/wire.go
+++ b/forward/wire.go
@@ -66,6 +66,10 @@
 	// SetRequestHeaders sets the headers of an attempt in a copy of the caller's header, and removes those that servers must not see.
 	SetRequestHeaders(header http.Header, info AttemptInfo)
 	ParseResponse(resp *http.Response) ResponseInfo
+	// SetHealthHeaders sets the headers of a health check that only the server with an id is to answer.
+	SetHealthHeaders(header http.Header, server string)
+	// ParseHealth returns the id of the server that answered a health check; empty if the response does not tell.
+	ParseHealth(resp *http.Response) (server string)
 	// SetRefusalHeaders sets the headers of the entry's own response; after is the Retry-After, 0 for none.
 	SetRefusalHeaders(header http.Header, id string, after time.Duration)
 	// EventVersion returns the version that a stream event announces; ok is false if it announces none.
--- a/lab/standin/server.go
+++ b/lab/standin/server.go
@@ -22,6 +22,9 @@
 	defaultPriority = 5
 )
 
+// HealthPath is where servers say who they are.
+const HealthPath = "/health"
+
 // Faults is the set of faults that a server injects; the zero value is none. A number n selects every n-th request.
 type Faults struct {
 	// Hang starts requests and never responds.
@@ -222,6 +225,8 @@
 		s.serveOrder(w, r)
 	case strings.HasPrefix(r.URL.Path, "/stage-"):
 		s.serveStage(w, r)
+	case r.URL.Path == HealthPath:
+		w.Header().Set("X-Instance", s.ID())
 	default:
 		s.serveRequest(w, r)
 	}
--- a/probe/probe.go
+++ b/probe/probe.go
@@ -26,5 +26,10 @@
 // EndedByExit reports whether a response ended because the process at host:port exited. Only responses without a length or chunks are
 // checked: the end of their connection looks the same when they are incomplete.
 func EndedByExit(resp *http.Response, address string) bool {
-	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.Body != http.NoBody && Refuses(address)
+	return EndsWithConnection(resp) && Refuses(address)
+}
+
+// EndsWithConnection reports whether a response has neither a length nor chunks, so that only the end of its connection ends it.
+func EndsWithConnection(resp *http.Response) bool {
+	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.Body != http.NoBody
 }
--- a/soak/storewrite.go
+++ b/soak/storewrite.go
@@ -64,8 +64,8 @@
 		Version: r.revision,
 		Routes:  routes,
 		Services: []standin.Service{
-			{Name: modelService, HealthPath: "/health", MaxConns: 200, Engine: engineConfig(load), ColdStartS: cold.ColdStartS, ColdPerS: cold.ColdPerS},
-			{Name: plainService, HealthPath: "/health", MaxConns: 100, ColdStartS: cold.ColdStartS, ColdPerS: cold.ColdPerS},
+			{Name: modelService, HealthPath: standin.HealthPath, MaxConns: 200, Engine: engineConfig(load), ColdStartS: cold.ColdStartS, ColdPerS: cold.ColdPerS},
+			{Name: plainService, HealthPath: standin.HealthPath, MaxConns: 100, ColdStartS: cold.ColdStartS, ColdPerS: cold.ColdPerS},
 			{Name: originName, MaxConns: 48, Origin: hostPort(r.ip(9, 3), originPort), LinkMbps: 50},
 		},
 		Tenants: teams,
