forward: a route's attempts bound resumptions too

Cause: resume had its own bound, two servers or more. Change: it goes by the route's attempts. Test: TestResumptionKeepsToTheAttemptsOfTheRoute, the case of one server failed before (2 servers).

--- a/forward/fixture_test.go
+++ b/forward/fixture_test.go
@@ -121,6 +121,10 @@
 		Name: "stream", Host: "h", Prefix: "/stream/", Kind: contract.KindStream, TimeLimit: 3 * time.Second, Attempts: 2,
 		Resumable: true, PauseGoal: 100 * time.Millisecond,
 	},
+	{
+		Name: "stream at one server", Host: "h", Prefix: "/stream/single/", Kind: contract.KindStream, TimeLimit: 3 * time.Second, Attempts: 1,
+		Resumable: true, PauseGoal: 100 * time.Millisecond,
+	},
 	{Name: "stream once", Host: "h", Prefix: "/stream/once/", Kind: contract.KindStream, TimeLimit: 3 * time.Second, Attempts: 2},
 }
 
--- a/forward/resume_test.go
+++ b/forward/resume_test.go
@@ -58,3 +58,32 @@
 		t.Errorf("servers got timeouts of %q ms", waits)
 	}
 }
+
+// TestResumptionKeepsToTheAttemptsOfTheRoute guards against streams that run on more servers than their route permits.
+func TestResumptionKeepsToTheAttemptsOfTheRoute(t *testing.T) {
+	const events = "HTTP/1.1 200 OK\nId: r1\nSeal: s\nContent-Type: text/event-stream\nTransfer-Encoding: chunked\n\n"
+	for name, test := range map[string]struct {
+		path     string
+		arrivals int
+		whole    bool
+	}{
+		"one server":  {"/stream/single/a", 1, false},
+		"two servers": {"/stream/a", 2, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			respond := firstThen(
+				func(conn net.Conn, _ int, _ *http.Request) bool {
+					writeRaw(conn, events+"12\nid: 1\ndata: x\n\n")
+					return false
+				},
+				respondWith(events+"12\nid: 2\ndata: y\n\n\n0\n\n"),
+			)
+			one, two := newFakeServer(t, respond), newFakeServer(t, respond)
+			w := newTestEnv(t, false, one.address, two.address)
+			got := w.ask(http.MethodPost, test.path, "x", nil)
+			if n := one.arrivals() + two.arrivals(); n != test.arrivals || (got.err == nil) != test.whole {
+				t.Errorf("%d servers, want %d; body %q, error %v", n, test.arrivals, got.body, got.err)
+			}
+		})
+	}
+}
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -137,7 +137,7 @@
 	c := s.call
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !s.resumable() || c.sends >= max(c.route.Attempts, 2) || c.quarantined() {
+	if !s.resumable() || c.sends >= c.route.Attempts || c.quarantined() {
 		return errNotResumable
 	}
 	c.urgent = true
