forward: the test of surplus answers gives each request its own id

Cause: net/http gives a kept connection back before it looks whether more bytes follow the answer, so the next request may read a surplus answer. The product tells the answers apart by the requests' ids, but the test gave all its requests one id, so a surplus answer passed as the next one's own. Change: each request has an id and an answer of its own. Beside the right answer an honest 502 may come, once: the surplus answer is read by one request at most, and its connection is closed. No request may get another's answer, which the old form did not ask, as all answers were alike.

--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/http"
 	"strings"
@@ -163,16 +164,29 @@
 	}
 }
 
+// TestSurplusAnswerIsNobodys guards against a surplus answer that reaches the caller of the next request on its connection. That request
+// may read it as its own, which its id refutes, and then ends with an honest 502.
 func TestSurplusAnswerIsNobodys(t *testing.T) {
+	answer := func(id, body string) string {
+		return fmt.Sprintf("HTTP/1.1 200 OK\nId: %s\nSeal: s\nContent-Length: %d\n\n%s", id, len(body), body)
+	}
 	a := newFakeServer(t, func(conn net.Conn, n int, r *http.Request) bool {
+		id := r.Header.Get("Id")
 		if n == 1 {
-			return writeRaw(conn, okResponse+"HTTP/1.1 200 OK\nId: r1\nSeal: s\nContent-Length: 5\n\nstale")
+			return writeRaw(conn, answer(id, "answer to "+id)+answer(id, "stale"))
 		}
-		return respondOK(conn, n, r)
+		return writeRaw(conn, answer(id, "answer to "+id))
 	})
 	w := newTestEnv(t, false, a.address)
+	refuted := 0
 	for i := range 3 {
-		if got := w.ask("POST", "/once/a", "", nil); got.status != 200 || got.body != "hello" {
+		id := fmt.Sprintf("r%d", i+1)
+		got := w.ask("POST", "/once/a", "", map[string]string{"Id": id})
+		switch {
+		case got.status == http.StatusOK && got.body == "answer to "+id:
+		case got.status == http.StatusBadGateway && i > 0 && refuted == 0:
+			refuted++
+		default:
 			t.Errorf("answer %d is %d %q", i, got.status, got.body)
 		}
 	}
