box: a response without a length ends with the engine that sent it

Change: the engine is asked for its state, which must have the load, by its fence, with which requests were admitted; an engine that has restarted is empty until it is ordered anew, under a higher fence. Otherwise the end is one that may have run. Plain services can't be told apart and are judged as before.

--- a/box/ended.go
+++ b/box/ended.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/coralstair/coralstair/fleet"
 	"github.com/coralstair/coralstair/link"
 	"github.com/coralstair/coralstair/probe"
 )
@@ -41,8 +42,12 @@
 	return end
 }
 
-// endedByExit reports whether a response without a length ended because the upstream exited.
+// endedByExit reports whether a response without a length may have ended because the upstream exited. Another engine may listen at the
+// address by now, so an engine is asked for its state; plain services can't be told apart.
 func (b *Box) endedByExit(resp *http.Response) bool {
+	if b.cfg.Kind == fleet.KindModel {
+		return probe.EndsWithConnection(resp) && !b.loader.engineLives()
+	}
 	u, err := url.Parse(b.cfg.UpstreamURL)
 	return err == nil && probe.EndedByExit(resp, u.Host)
 }
--- a/box/loader.go
+++ b/box/loader.go
@@ -43,6 +43,8 @@
 	mu         sync.Mutex
 	current    Phase
 	stateStale bool
+	// servedFence is the fence of the engine's load when requests were admitted.
+	servedFence upstream.Fence
 }
 
 // Serve runs steps until ctx ends.
@@ -282,6 +284,9 @@
 	if !l.box.gate.Open(served, l.box.cfg.Checks) {
 		return
 	}
+	l.mu.Lock()
+	l.servedFence = l.state.Fence
+	l.mu.Unlock()
 	l.box.notifySessions()
 	if l.drainLease == nil {
 		return
@@ -292,6 +297,15 @@
 	l.drainLease = nil
 }
 
+// engineLives reports whether the engine still has the load with which requests were admitted: one that has restarted is empty until it is
+// ordered anew.
+func (l *loader) engineLives() bool {
+	state, err := l.client.State(context.Background())
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return err == nil && state.Phase == upstream.PhaseReady && state.Fence == l.servedFence
+}
+
 func (l *loader) clearStateStale() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
