fill: the list is searched for the server's id only before a load

Cause: load looked up the listed id on every run of its loop, also long before all pieces are there; the list of a large fleet has hundreds of servers. Change: it is looked up once the version is staged. Not measured; package fill passes under the race detector.

--- a/fill/loader.go
+++ b/fill/loader.go
@@ -88,15 +88,17 @@
 
 // load orders the server to run the version once all pieces are staged and the server's turn has come.
 func (b *Box) load(ctx context.Context, u *update) {
-	server := b.lastServerID()
 	b.mu.Lock()
-	listed := server != "" && server != b.outdatedID
-	ready := listed && u.isStaged() && !u.accepted && !b.state.Busy && clock.Since(u.orderedAt) > orderRetryDelay
-	old := b.state.Loaded[u.model]
+	ready := u.isStaged() && !u.accepted && !b.state.Busy && clock.Since(u.orderedAt) > orderRetryDelay
+	old, outdatedID := b.state.Loaded[u.model], b.outdatedID
 	b.mu.Unlock()
 	if !ready {
 		return
 	}
+	server := b.lastServerID()
+	if server == "" || server == outdatedID {
+		return
+	}
 	turn := clock.Now()
 	if deadline, ok := b.cfg.View.VersionDeadline(u.model, old); old != 0 && ok {
 		turn = b.loadTurn(b.cfg.View.NamedAt(u.model, u.version), deadline)
@@ -114,7 +116,7 @@
 	if left > 0 || !b.sealStaging(u) {
 		return
 	}
-	ordered := b.prepareLoad(ctx, u)
+	ordered := b.prepareLoad(ctx, u, server)
 	if ordered {
 		b.orderLoad(ctx, u)
 	}
@@ -133,10 +135,9 @@
 	return b.isCurrent(u) && u.isStaged() && b.staging.seal(u)
 }
 
-// prepareLoad verifies that the server can be ordered to load the version now. The pieces are verified last, since they may turn bad
+// prepareLoad verifies that the server, which is listed under an id, can be ordered to load the version now. The pieces are verified last, since they may turn bad
 // while a slow server is asked for its state.
-func (b *Box) prepareLoad(ctx context.Context, u *update) bool {
-	server := b.lastServerID()
+func (b *Box) prepareLoad(ctx context.Context, u *update, server string) bool {
 	state, err := b.refreshState(ctx)
 	if err != nil || state.Busy || state.Loaded[u.model] >= u.version || !b.verifyStaged(ctx, u) {
 		return false
