--- a/contract/service.go
+++ b/contract/service.go
@@ -7,7 +7,7 @@
 	Name string
 	// MaxConns bounds the connections to a server from all callers together.
 	MaxConns int
-	// HealthPath is where its servers say who they are; empty if they don't.
+	// HealthPath is the path of a health check that names the server; empty if its servers have none.
 	HealthPath string
 	// Engine describes the service's model engines; nil for a plain service.
 	Engine *Engine
--- a/fill/loader.go
+++ b/fill/loader.go
@@ -135,8 +135,8 @@
 	return b.isCurrent(u) && u.isStaged() && b.staging.seal(u)
 }
 
-// prepareLoad verifies that the server, which is listed under an id, can be ordered to load the version now. The pieces are verified last, since they may turn bad
-// while a slow server is asked for its state.
+// prepareLoad verifies that the server, which is listed under an id, can be ordered to load the version now. The pieces are verified last,
+// since they may turn bad while a slow server is asked for its state.
 func (b *Box) prepareLoad(ctx context.Context, u *update, server string) bool {
 	state, err := b.refreshState(ctx)
 	if err != nil || state.Busy || state.Loaded[u.model] >= u.version || !b.verifyStaged(ctx, u) {
--- a/fill/staging.go
+++ b/fill/staging.go
@@ -18,6 +18,7 @@
 	owner *update
 	// writes counts the writes in progress, which are the owner's.
 	writes int
+	// sealed is set while an update is verified and ordered.
 	sealed bool
 	// writesSettleAt and orderSettlesAt are when abandoned writes and an unanswered order can no longer be carried out.
 	writesSettleAt, orderSettlesAt time.Time
--- a/forward/responseend.go
+++ b/forward/responseend.go
@@ -67,7 +67,7 @@
 	}
 }
 
-// healthPath returns the path at which a service's servers say who they are; empty if there is none.
+// healthPath returns the path of a health check that names a service's server; empty if there is none.
 func (e *Entry) healthPath(service string) string {
 	cfg := e.cfg.View.Config()
 	if cfg == nil {
--- a/forward/responseend_test.go
+++ b/forward/responseend_test.go
@@ -12,7 +12,7 @@
 
 const testHealthPath = "/health"
 
-// newHealthEnv returns an entry for servers that say at testHealthPath who they are.
+// newHealthEnv returns an entry for servers that are named by a health check at testHealthPath.
 func newHealthEnv(t *testing.T, address string) *testEnv {
 	t.Helper()
 	routes := make([]contract.Route, len(testRoutes))
--- a/lab/standin/server.go
+++ b/lab/standin/server.go
@@ -22,7 +22,7 @@
 	defaultPriority = 5
 )
 
-// HealthPath is where servers say who they are.
+// HealthPath is the path of a health check that names the server.
 const HealthPath = "/health"
 
 // Faults is the set of faults that a server injects; the zero value is none. A number n selects every n-th request.
