forward: a follower of a test has a reader of its own

Cause: TestNextReaderKeepsFollowersWaiting called follow in a goroutine beside that of the same reader, whose checks of the store are that goroutine's alone. In the product only that one calls it. Ruled out: two goroutines of one reader in the product (serve is the only caller of follow). Change: the test follows with another reader of the same entry. What it checks is as before: with no grace for followers it still fails.

--- a/forward/silence_test.go
+++ b/forward/silence_test.go
@@ -179,7 +179,9 @@
 	// The next reader notices within listTimeout, listHeartbeat sooner at best.
 	time.Sleep(listTimeout - listHeartbeat - 300*time.Millisecond)
 	sentAway := make(chan bool, 1)
-	go func() { sentAway <- env.entries[other].reader.follow(ctx, env.entries[next].cfg.Machine.Address) }()
+	// The entry goes on following with the reader of its own, whose state is its goroutine's alone.
+	follower := newListReader(env.entries[other])
+	go func() { sentAway <- follower.follow(ctx, env.entries[next].cfg.Machine.Address) }()
 	select {
 	case failed := <-sentAway:
 		if failed {
