soak, discovery: requests that begin on a version after its bound

Callers got answers from a version past its bound (VERSION, the users' record). Plays of the kind: the origin is away, versions are named 2 to 9 s apart, daemons are killed alone, by site or all at once, stand still, or hear late. Each run of a request is checked against the acks of all newer versions.

--- a/soak/checker.go
+++ b/soak/checker.go
@@ -59,6 +59,9 @@
 	c.checkNotRepeated()
 	c.checkRevisions()
 	c.checkRetryBudget()
+	if c.rig.opts.VersionBounds {
+		c.checkVersionBounds()
+	}
 	if c.rig.opts.Sites {
 		c.checkSites()
 	}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -32,6 +32,8 @@
 	Sites bool
 	// Versions names versions in quick succession while servers are empty or slow towards their boxes.
 	Versions bool
+	// VersionBounds names versions while daemons restart, alone or together, stand still or cannot reach the store.
+	VersionBounds bool
 	// Ranks makes a team flood the less urgent of two routes to the model servers while an entry is killed and a box is cut off.
 	Ranks bool
 	// Deadly is the number of distinct requests that crash each server that runs them.
@@ -126,6 +128,9 @@
 		faults.run(r.failingPlan())
 	case opts.Ranks:
 		faults.run(r.floodPlan(ctx, &out))
+	case opts.VersionBounds:
+		faults.run(r.versionBoundPlan())
+		recovery = r.runRecovery(ctx, &faults)
 	case opts.Versions:
 		faults.run(r.versionPlan())
 		recovery = r.runRecovery(ctx, &faults)
