discovery: the bound of a version counts from when it is known not to be named yet

Callers got answers from a version past its bound (VERSION, the users' record): a daemon that started took a version that it found declared to be half a bound old, knew the newest one only, and the time of a daemon that ran was when it heard, however late.

Cause: the bound counted from when something was heard. Ruled out as the only cause, by plays on the code before: the withdrawal of waiting requests, since the late requests follow kills of all entries or all daemons and last up to 3.6 s, over thirty times the margin of a withdrawal.

Change: the store's answers tell its newest position and its steady clock, so the last answer before a version's row bounds its naming from below (store.Timeline). That time, by the store's clock, is what daemons tell each other; messages no longer age on the way. The daemons that follow the store record it there, one row a model, under a condition; a start reads it. Where neither peers nor the store know, the bound has passed. A full read counts from the read before, since a version may have come between; so do rows of a store that was restored just before.

--- a/discovery/apply.go
+++ b/discovery/apply.go
@@ -7,6 +7,7 @@
 	"github.com/apex/log"
 
 	"github.com/coralstair/coralstair/contract"
+	"github.com/coralstair/coralstair/store"
 )
 
 // recordUnreachable records a failed call to the store; first marks the first failure in a row on this feed.
@@ -40,15 +41,12 @@
 	changed := v.applyConfig(declared.Config)
 	changed = v.applyEvacuations(declared, full) || changed
 	for _, target := range declared.Targets {
-		h, observed := v.targets[target.Model], ObservedTarget{Target: target, At: v.now()}
-		if newest, _ := h.newest(); newest >= target.Version {
+		if v.targets[target.Model].newest() >= target.Version {
 			continue
 		}
-		if first && v.config != nil && h == nil {
-			// The target's age is unknown; half the bound limits the error in either direction.
-			observed.At, observed.Estimated = observed.At.Add(-v.opts.VersionBound/2), true
-		}
-		changed = v.addTarget(observed) || changed
+		v.namingsMissed = v.namingsMissed || full
+		notBefore := declared.NotBefore[target]
+		changed = v.addTarget(v.observeDeclared(target, notBefore, first), !first || notBefore != 0) || changed
 	}
 	if changed {
 		v.notify()
@@ -56,6 +54,18 @@
 	return changed
 }
 
+// observeDeclared returns a target that was read from the source; what a daemon finds at its first read may have been named at any time
+// before. mu is held.
+func (v *View) observeDeclared(target contract.Target, notBefore store.Time, first bool) ObservedTarget {
+	observed := ObservedTarget{Target: target, NotBefore: notBefore}
+	if at, ok := v.opts.Timeline.Local(notBefore); ok {
+		observed.At = at
+	} else if v.opts.Timeline == nil && !first {
+		observed.At = v.now()
+	}
+	return observed
+}
+
 // applyConfig applies a configuration if it is newer than the known one, and reports whether it was; mu is held.
 func (v *View) applyConfig(cfg *contract.Config) bool {
 	if cfg == nil || v.config != nil && cfg.Revision <= v.config.Revision {
@@ -70,20 +80,26 @@
 	return true
 }
 
-// addTarget adds a target version or corrects when it was named, and reports whether that changed anything; mu is held.
-func (v *View) addTarget(target ObservedTarget) bool {
+// addTarget adds a target version or corrects when it was named, and reports whether that changed anything; own says that this daemon
+// followed the store when it was named, and records it. mu is held.
+func (v *View) addTarget(target ObservedTarget, own bool) bool {
 	h := v.targets[target.Model]
 	if h == nil {
 		h = &history{}
 		v.targets[target.Model] = h
 	}
-	changed, newest := h.add(namedVersion{version: target.Version, at: target.At, estimated: target.Estimated})
+	changed, newest := h.add(namedVersion{
+		version: target.Version, notBefore: target.NotBefore, at: target.At, unrecorded: own,
+	})
 	if !changed {
 		return false
 	}
 	line := v.opts.Log.WithFields(log.Fields{
-		"model": target.Model, "version": int64(target.Version), "ago_ms": v.now().Sub(target.At).Milliseconds(), "estimated": target.Estimated,
+		"model": target.Model, "version": int64(target.Version), "store_ms": int64(target.NotBefore), "known": !target.At.IsZero(), "own": own,
 	})
+	if !target.At.IsZero() {
+		line = line.WithField("ago_ms", v.now().Sub(target.At).Milliseconds())
+	}
 	if newest {
 		line.Info("view: version named")
 	} else {
--- a/discovery/source.go
+++ b/discovery/source.go
@@ -19,6 +19,8 @@
 	// Config is nil if it did not change.
 	Config  *contract.Config
 	Targets []contract.Target
+	// NotBefore holds the times before which targets were not named; those of which nothing is known are missing.
+	NotBefore map[contract.Target]store.Time
 	// Evacuated maps sites to whether they are evacuated; a site that is missing in a full read is not.
 	Evacuated map[string]bool
 	// Errors are the errors of rows that could not be decoded.
--- a/discovery/view.go
+++ b/discovery/view.go
@@ -36,6 +36,10 @@
 	EvacuationBound time.Duration
 	// VersionBound is how long after a new target requests may still start on an older version.
 	VersionBound time.Duration
+	// Timeline converts times of the store; nil if the source has none.
+	Timeline *store.Timeline
+	// Namings keeps when versions were named; nil if this daemon neither reads nor writes it.
+	Namings NamingStore
 }
 
 // Defaults of Options.
@@ -69,8 +73,10 @@
 	configuredAt time.Time
 	newestPeer   peerRevision
 	targets      map[string]*history
-	evacuations  evacuations
-	servers      map[string]contract.Server
+	// namingsMissed is set once a full read shows a new version: others may have been named before it.
+	namingsMissed bool
+	evacuations   evacuations
+	servers       map[string]contract.Server
 	// idsByAddress keeps applying a list linear in its length.
 	idsByAddress map[string][]string
 	missing      map[string]absence
@@ -232,22 +238,25 @@
 	return servers
 }
 
-// Target returns the target version of a model and since when it is known; without a target, the newest version that any server runs.
+// Target returns the target version of a model and when it was named, the zero time if that is not known; without a target, the newest
+// version that any server runs.
 func (v *View) Target(model string) (contract.Version, time.Time) {
 	v.mu.RLock()
 	defer v.mu.RUnlock()
 	if h := v.targets[model]; h != nil {
-		return h.newest()
+		n, _ := h.get(h.newest())
+		return n.version, v.namedAt(n)
 	}
 	return v.newestLoaded(model), time.Time{}
 }
 
-// ObservedTarget is a target and when it was named.
+// ObservedTarget is a target and a time at which it was not named yet.
 type ObservedTarget struct {
 	contract.Target
+	// At is the zero time if nothing is known of it.
 	At time.Time
-	// Estimated says that the time is only assumed: the daemon has started since.
-	Estimated bool
+	// NotBefore is the same by the store's clock, 0 if unknown; it is exact where At has been relayed.
+	NotBefore store.Time
 }
 
 // Targets returns the latest targets of each model, sorted by model and version: older ones tell until when servers may run the versions
@@ -258,7 +267,7 @@
 	var targets []ObservedTarget
 	for model, h := range v.targets {
 		for _, n := range h.versions {
-			targets = append(targets, ObservedTarget{Target: contract.Target{Model: model, Version: n.version}, At: n.at, Estimated: n.estimated})
+			targets = append(targets, ObservedTarget{Target: contract.Target{Model: model, Version: n.version}, At: n.at, NotBefore: n.notBefore})
 		}
 	}
 	slices.SortFunc(targets, func(a, b ObservedTarget) int {
@@ -271,14 +280,16 @@
 func (v *View) NamedAt(model string, version contract.Version) time.Time {
 	v.mu.RLock()
 	defer v.mu.RUnlock()
-	if h := v.targets[model]; h != nil {
-		for _, n := range h.versions {
-			if n.version == version {
-				return n.at
-			}
-		}
+	n, _ := v.targets[model].get(version)
+	return v.namedAt(n)
+}
+
+// namedAt returns the time from which the bound of a version counts, the zero time if nothing is known; mu is held.
+func (v *View) namedAt(n namedVersion) time.Time {
+	if at, ok := v.opts.Timeline.Local(n.notBefore); ok {
+		return at
 	}
-	return time.Time{}
+	return n.at
 }
 
 // newestLoaded returns the newest version of a model that a server runs; mu is held.
@@ -290,11 +301,20 @@
 	return newest
 }
 
-// VersionDeadline returns until when requests may start on a version of a model; ok is false while no newer target is known.
+// VersionDeadline returns until when requests may start on a version of a model; ok is false while no newer target is known. It has
+// passed if it is not known when a newer version was named.
 func (v *View) VersionDeadline(model string, runs contract.Version) (due time.Time, ok bool) {
 	v.mu.RLock()
 	defer v.mu.RUnlock()
-	at, ok := v.targets[model].after(runs)
+	h, at := v.targets[model], time.Time{}
+	if h.mayHaveForgotten(runs) {
+		return at, true
+	}
+	for i, n := range h.newer(runs) {
+		if named := v.namedAt(n); i == 0 || named.Before(at) {
+			at, ok = named, true
+		}
+	}
 	return at.Add(v.opts.VersionBound), ok
 }
 
@@ -307,7 +327,7 @@
 func (v *View) ObserveTarget(target ObservedTarget) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if v.addTarget(target) {
+	if v.addTarget(target, false) {
 		v.notify()
 	}
 }
--- a/fill/fetch.go
+++ b/fill/fetch.go
@@ -40,7 +40,7 @@
 		b.log.WithField("cause", err.Error()).Warn("fill: the newest version is not known")
 		return
 	}
-	b.cfg.View.ObserveTarget(discovery.ObservedTarget{Target: contract.Target{Model: model, Version: m.Version}, At: clock.Now(), Estimated: true})
+	b.cfg.View.ObserveTarget(discovery.ObservedTarget{Target: contract.Target{Model: model, Version: m.Version}})
 }
 
 // ensureManifest gets the version's manifest from a neighbour, or from the origin if this box is the first of its site or
--- a/internal/daemoncmd/daemon.go
+++ b/internal/daemoncmd/daemon.go
@@ -54,6 +54,9 @@
 		{Name: "clock", Run: watchSuspensions(logger, d)},
 		{Name: "metrics", Run: serveMetrics(m.Address)},
 	}, d.Components()...)
+	if !r.fedByEntries {
+		components = append(components, supervise.Component{Name: "namings", Run: v.ServeNamings})
+	}
 	logger.WithFields(log.Fields{"role": r.name, "id": m.ID, "site": m.Site, "pid": os.Getpid()}).Info("daemon: started")
 	err = supervise.Run(ctx, r.name, logger, components)
 	logger.WithFields(log.Fields{"role": r.name, "id": m.ID, "ran_ms": time.Since(started).Milliseconds()}).Info("daemon: stopped")
@@ -64,10 +67,11 @@
 func newView(r role, m machine.Machine, platformStore *platform.Store, logger log.Interface) (*discovery.View, sources) {
 	opts := discovery.Options{
 		Log: logger, DrainTimeout: m.Bounds.Drain, VersionBound: m.Bounds.Version, EvacuationBound: m.Bounds.Evacuate, PollTimeout: discovery.PollTimeoutWithin(m.Bounds.Contact),
-		ServersCoalesceDelay: discovery.ServersCoalesceDelayWithin(m.Bounds.Drain),
+		ServersCoalesceDelay: discovery.ServersCoalesceDelayWithin(m.Bounds.Drain), Timeline: platformStore.Timeline(),
 	}
 	store := discovery.Hedge(platformStore)
 	if !r.fedByEntries {
+		opts.Namings = platformStore
 		source := peersource.NewEntrySource(store, forward.ListWait(m.Bounds.Drain))
 		return discovery.New(source, opts), sources{entry: source}
 	}
--- a/lab/standin/store.go
+++ b/lab/standin/store.go
@@ -98,8 +98,9 @@
 // serveTx serves a daemon's transaction of written and removed rows; daemons may not change the list of servers.
 func (s *Store) serveTx(w http.ResponseWriter, r *http.Request) {
 	var tx struct {
-		Writes []Row `json:"writes"`
-		Remove []Row `json:"remove"`
+		Expected []Row `json:"expectRev"`
+		Writes   []Row `json:"writes"`
+		Remove   []Row `json:"remove"`
 	}
 	if err := json.NewDecoder(r.Body).Decode(&tx); err != nil || len(tx.Writes)+len(tx.Remove) > maxTxRows {
 		w.WriteHeader(http.StatusBadRequest)
@@ -115,8 +116,20 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.apply(rows)
 	body := s.newBody()
+	for _, expected := range tx.Expected {
+		if row := s.rows[expected.Table+"/"+expected.Key]; row.SchemaVer != expected.SchemaVer {
+			body.Rows = append(body.Rows, row)
+		}
+	}
+	if len(body.Rows) > 0 {
+		w.Header().Set(headerEpoch, strconv.FormatInt(body.epoch, 10))
+		w.WriteHeader(http.StatusPreconditionFailed)
+		writeJSON(w, body)
+		return
+	}
+	s.apply(rows)
+	body = s.newBody()
 	body.Rows = nil
 	writeRows(w, body)
 }
@@ -201,7 +214,7 @@
 	query := r.URL.Query()
 	after, _ := strconv.ParseInt(query.Get("afterRev"), 10, 64)
 	waitMs, _ := strconv.Atoi(query.Get("waitMs"))
-	deadline := time.After(time.Duration(waitMs) * time.Millisecond)
+	deadline, expired := time.After(time.Duration(waitMs)*time.Millisecond), false
 	for {
 		s.mu.Lock()
 		body, changed := s.newBody(), s.changed
@@ -221,11 +234,14 @@
 			s.writeCounted(w, query.Get("table"), body)
 			return
 		}
+		if expired {
+			writeRows(w, body)
+			return
+		}
 		select {
 		case <-changed:
 		case <-deadline:
-			writeRows(w, body)
-			return
+			expired = true
 		case <-r.Context().Done():
 			return
 		}
--- a/link/daemon.go
+++ b/link/daemon.go
@@ -7,6 +7,7 @@
 	"github.com/coralstair/coralstair/contract"
 	"github.com/coralstair/coralstair/discovery"
 	"github.com/coralstair/coralstair/fleet"
+	"github.com/coralstair/coralstair/store"
 )
 
 // The roles of daemons in a Hello.
@@ -108,20 +109,30 @@
 	Model   string        `cbor:"1,keyasint"`
 	Version int64         `cbor:"2,keyasint"`
 	Age     time.Duration `cbor:"3,keyasint"`
-	// Estimated says that the age is only assumed.
-	Estimated bool `cbor:"4,keyasint,omitempty"`
+	// Unknown says that nothing is known of the age.
+	Unknown bool `cbor:"4,keyasint,omitempty"`
+	// NotBefore is a time of the store's clock, in milliseconds, at which the version was not named yet; 0 if unknown.
+	NotBefore int64 `cbor:"5,keyasint,omitempty"`
 }
 
 // NewTarget returns the message for a target that a daemon observed.
 func NewTarget(t discovery.ObservedTarget) *Target {
-	return &Target{Model: t.Model, Version: int64(t.Version), Age: clock.Since(t.At), Estimated: t.Estimated}
+	msg := &Target{Model: t.Model, Version: int64(t.Version), NotBefore: int64(t.NotBefore)}
+	if t.At.IsZero() {
+		msg.Unknown = true
+	} else {
+		msg.Age = clock.Since(t.At)
+	}
+	return msg
 }
 
 // Observed returns the target as of the receipt of the message.
 func (t *Target) Observed() discovery.ObservedTarget {
-	return discovery.ObservedTarget{
-		Target: contract.Target{Model: t.Model, Version: contract.Version(t.Version)}, At: clock.Now().Add(-t.Age), Estimated: t.Estimated,
+	observed := discovery.ObservedTarget{Target: contract.Target{Model: t.Model, Version: contract.Version(t.Version)}, NotBefore: store.Time(t.NotBefore)}
+	if !t.Unknown {
+		observed.At = clock.Now().Add(-t.Age)
 	}
+	return observed
 }
 
 // Kind returns KindHello.
