forward: a waiting request follows the bound of its version

Callers could get answers from a version past its bound (VERSION): a request that waited at a server when a newer version was named, or when the time of a naming became known, was never withdrawn, and one on a stream route that may not be repeated had no timer at all.

Cause: the timer was set once, when the request was sent, and only for requests that may be repeated. Ruled out: the choice of a server, which asks for the bound each time.

The measured delay of the link is added to the margin: a withdrawal travels behind what fills it.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -35,8 +35,10 @@
 	ctx          context.Context
 	cancel       context.CancelCauseFunc
 	silenceTimer *time.Timer
-	// versionTimer fires before the deadline of the server's version; nil without a deadline.
-	versionTimer *time.Timer
+	// versionTimer fires before the deadline of the server's version, if hasVersionBound; nil while there is no deadline. It is guarded by
+	// call.mu.
+	versionTimer    *time.Timer
+	hasVersionBound bool
 	// wasSilent is set once the server has exceeded its silence timeout; guarded by call.mu.
 	wasSilent bool
 	// awaitsData is set while the silence timeout applies.
@@ -109,9 +111,11 @@
 	if a.silenceTimer != nil {
 		a.silenceTimer.Stop()
 	}
+	a.call.mu.Lock()
 	if a.versionTimer != nil {
 		a.versionTimer.Stop()
 	}
+	a.call.mu.Unlock()
 	a.inFlight.release()
 	a.held.release()
 	if a.resp != nil {
--- a/forward/entry.go
+++ b/forward/entry.go
@@ -121,6 +121,7 @@
 		{Name: "callers", Run: func(ctx context.Context) error { return serve(ctx, e.callers, e.cfg.Callers) }},
 		{Name: "ready", Run: func(ctx context.Context) error { return serve(ctx, e.ready, e.cfg.Ready) }},
 		{Name: "upstreams", Run: e.followServers},
+		{Name: "versions", Run: e.followVersions},
 		{Name: "reports", Run: e.boxLinks.serve},
 		{Name: "ways", Run: e.boxLinks.measureRTTs},
 		{Name: "quarantine", Run: e.cfg.Quarantine.ServeReads},
--- a/forward/handover.go
+++ b/forward/handover.go
@@ -9,6 +9,8 @@
 	"github.com/apex/log"
 
 	"github.com/coralstair/coralstair/clock"
+	"github.com/coralstair/coralstair/contract"
+	"github.com/coralstair/coralstair/discovery"
 )
 
 // A repeatable request is handed over when its server is about to load another version, silent or broken. A server
@@ -22,8 +24,8 @@
 	// for an event.
 	// Callers give up a stream after two seconds without an event at the soonest.
 	resumeTimeout = 1500 * time.Millisecond
-	// versionDeadlineMargin is how long before the deadline of its version a waiting request is cancelled: it covers
-	// the latency of the link.
+	// versionDeadlineMargin is how long before the deadline of its version a waiting request is cancelled, beside the measured delay of the
+	// link to the server.
 	versionDeadlineMargin = 100 * time.Millisecond
 )
 
@@ -46,25 +48,64 @@
 		a.silenceTimer = time.AfterFunc(a.responseTimeout(), a.onSilence)
 		if c.service.Engine != nil {
 			a.inFlight.onClosing(a.move)
-			a.startVersionTimer()
 		}
 	}
+	if c.service.Engine != nil && (c.route.Repeatable() || c.route.Kind == contract.KindStream) {
+		a.hasVersionBound = true
+		a.setVersionTimer()
+	}
 	go a.run()
 	return a
 }
 
-// startVersionTimer cancels a request that has not begun shortly before the deadline of its server's version: a slot
-// could become free after it, and the outdated version would answer.
-func (a *attempt) startVersionTimer() {
+// setVersionTimer cancels a request that has not begun shortly before the deadline of its server's version, as known now: a slot could
+// become free after it, and the outdated version would answer. mu is held.
+func (a *attempt) setVersionTimer() {
 	due, older := a.call.entry.cfg.View.VersionDeadline(a.call.model(), a.choice.version)
-	if !older {
-		return
+	switch left := clock.Until(due) - versionDeadlineMargin - a.choice.upstream.linkDelay(clock.Now()); {
+	case !older:
+	case a.versionTimer == nil:
+		a.versionTimer = time.AfterFunc(left, a.onVersionDeadline)
+	default:
+		a.versionTimer.Reset(left)
+	}
+}
+
+// onVersionDeadline cancels the attempt unless its server has begun to respond.
+func (a *attempt) onVersionDeadline() {
+	if _, live := a.state(); live {
+		a.cancel(&VersionDeadlineError{Server: a.choice.server.ID})
 	}
-	a.versionTimer = time.AfterFunc(clock.Until(due)-versionDeadlineMargin, func() {
-		if _, live := a.state(); live {
-			a.cancel(&VersionDeadlineError{Server: a.choice.server.ID})
+}
+
+// followVersions applies the bounds of versions to the requests in progress whenever they change, until ctx ends.
+func (e *Entry) followVersions(ctx context.Context) error {
+	var targets []discovery.ObservedTarget
+	for {
+		changed := e.cfg.View.Changed()
+		if current := e.cfg.View.Targets(); !slices.Equal(current, targets) {
+			targets = current
+			e.resetVersionTimers()
 		}
-	})
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-changed:
+		}
+	}
+}
+
+// resetVersionTimers applies the current deadlines of versions to all requests that have not begun.
+func (e *Entry) resetVersionTimers() {
+	for _, c := range e.calls.list() {
+		c.mu.Lock()
+		for _, a := range c.pending {
+			if a.hasVersionBound {
+				a.setVersionTimer()
+			}
+		}
+		c.mu.Unlock()
+	}
 }
 
 // responseTimeout returns how long the server may stay silent. An attempt beside a primary gets the pause goal, or
--- a/forward/rtt.go
+++ b/forward/rtt.go
@@ -117,6 +117,13 @@
 	l.measuring = false
 }
 
+// linkDelay returns the current delay of the link to the server, 0 while it is uncongested or not measured.
+func (u *upstream) linkDelay(now time.Time) time.Duration {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.rtt.delay(now)
+}
+
 func (u *upstream) updateRTT(change func(w *rttWindow)) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
