forward, upstream, daemoncmd: a response's header is bounded

Bodies, events, trailers and chunk lengths were bounded before.

Change: 64 KiB at most, in the transports of entries, boxes and the product's own path.

--- a/box/config.go
+++ b/box/config.go
@@ -56,7 +56,7 @@
 	ListInterval time.Duration
 	// LinkClient dials other boxes; nil means http.DefaultClient.
 	LinkClient *http.Client
-	// UpstreamClient calls the upstream; nil means http.DefaultClient.
+	// UpstreamClient calls the upstream; nil means the default one of package upstream.
 	UpstreamClient *http.Client
 	Checks         *invariant.Recorder
 }
--- a/forward/conn.go
+++ b/forward/conn.go
@@ -33,6 +33,8 @@
 	// kernelBuffer bounds what the kernel holds of an answer on each side, so that a caller that does not read presses back on the server.
 	kernelBuffer   = 64 << 10
 	maxIdlePerHost = 64
+	// maxResponseHeader bounds, in bytes, the header that is held of a response, since a server in trouble may send one without end.
+	maxResponseHeader = 64 << 10
 )
 
 // conn is a connection to a server that counts the bytes written, to tell for certain that no byte of a request was or will be sent.
@@ -197,11 +199,12 @@
 			}
 			return &conn{Conn: c, opened: clock.Now()}, nil
 		},
-		DisableCompression:  true,
-		MaxIdleConnsPerHost: maxIdlePerHost,
-		IdleConnTimeout:     idleTimeout,
-		ReadBufferSize:      connBuffer,
-		WriteBufferSize:     connBuffer,
+		DisableCompression:     true,
+		MaxIdleConnsPerHost:    maxIdlePerHost,
+		MaxResponseHeaderBytes: maxResponseHeader,
+		IdleConnTimeout:        idleTimeout,
+		ReadBufferSize:         connBuffer,
+		WriteBufferSize:        connBuffer,
 	}
 }
 
--- a/internal/daemoncmd/role.go
+++ b/internal/daemoncmd/role.go
@@ -21,6 +21,8 @@
 	dialTimeout       = time.Second
 	idleConnTimeout   = 30 * time.Second
 	clientBufferBytes = 2 << 10
+	// maxResponseHeader bounds, in bytes, the header that is held of a response, since a server in trouble may send one without end.
+	maxResponseHeader = 64 << 10
 	keepAliveInterval = time.Second
 	keepAliveCount    = 2
 )
@@ -99,6 +101,6 @@
 	}
 	return &http.Client{Transport: &http.Transport{
 		DialContext: dialer.DialContext, DisableCompression: true, IdleConnTimeout: idleConnTimeout,
-		ReadBufferSize: clientBufferBytes, WriteBufferSize: clientBufferBytes,
+		ReadBufferSize: clientBufferBytes, WriteBufferSize: clientBufferBytes, MaxResponseHeaderBytes: maxResponseHeader,
 	}}
 }
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -19,13 +19,30 @@
 	PathState  = "/control/state"
 )
 
-const controlTimeout = 3 * time.Second
+const (
+	controlTimeout = 3 * time.Second
+	// maxResponseHeader bounds, in bytes, the header that is held of a response, since an upstream in trouble may send one without end.
+	maxResponseHeader = 64 << 10
+)
+
+var defaultClient = &http.Client{Transport: newDefaultTransport()}
+
+// newDefaultTransport returns a copy of the default transport of net/http that bounds the header of a response.
+func newDefaultTransport() http.RoundTripper {
+	transport, ok := http.DefaultTransport.(*http.Transport)
+	if !ok {
+		return http.DefaultTransport
+	}
+	transport = transport.Clone()
+	transport.MaxResponseHeaderBytes = maxResponseHeader
+	return transport
+}
 
 // Client calls one upstream.
 type Client struct {
 	// URL is the upstream's base URL, without a trailing slash.
 	URL string
-	// HTTP makes the calls; nil means http.DefaultClient.
+	// HTTP makes the calls; nil means a client that bounds what it holds of a response's header.
 	HTTP *http.Client
 }
 
@@ -103,7 +120,7 @@
 
 func (c *Client) client() *http.Client {
 	if c.HTTP == nil {
-		return http.DefaultClient
+		return defaultClient
 	}
 	return c.HTTP
 }
