discovery: the grace of an evacuated site ends before its bound however late it is heard of

A feed that is late by more than three quarters of the bound let requests begin there past it.

Change: the grace ends at the latest a quarter of the bound before the bound, counted from when the site was last known not to be evacuated, and there is none if that is not known. In calm times it is as long as before.

TestLateFeedShortensGrace: three of five cases fail with a grace counted from hearing, none now.

--- a/discovery/evacuation.go
+++ b/discovery/evacuation.go
@@ -120,7 +120,7 @@
 		for _, site := range e.Sites {
 			named[site] = true
 		}
-		changed = v.setEvacuated(named, e.AsOf, true, 0)
+		changed = v.setEvacuated(named, e.AsOf, true, nil)
 	}
 	for _, site := range e.Lost {
 		_, known := ev.lost[site]
@@ -142,13 +142,29 @@
 	if declared.Cursor.Position < 0 || ev.known && !declared.Cursor.after(ev.asOf) {
 		return false
 	}
-	grace := v.opts.EvacuationBound / graceDivisor
-	if full {
-		grace = 0
+	var grace map[string]time.Duration
+	if !full {
+		grace = v.evacuationGrace(declared)
 	}
 	return v.setEvacuated(declared.Evacuated, declared.Cursor, full, grace)
 }
 
+// evacuationGrace returns the grace of sites whose evacuation was read from the feed. It ends a quarter of the bound before the bound,
+// for requests that are on their way, however late the feed is. mu is held.
+func (v *View) evacuationGrace(declared Declared) map[string]time.Duration {
+	grace, now, quarter := make(map[string]time.Duration), v.now(), v.opts.EvacuationBound/graceDivisor
+	for site := range declared.Evacuated {
+		began, known := v.opts.Timeline.Local(declared.EvacuatedNotBefore[site])
+		switch {
+		case known:
+			grace[site] = max(min(quarter, began.Add(v.opts.EvacuationBound-quarter).Sub(now)), 0)
+		case v.opts.Timeline == nil:
+			grace[site] = quarter
+		}
+	}
+	return grace
+}
+
 // loseEvacuation keeps a site evacuated for a time though the store lacks its evacuation; mu is held.
 func (v *View) loseEvacuation(site string, keep time.Duration) {
 	if v.evacuations.lost == nil {
@@ -158,9 +174,9 @@
 	v.opts.Log.WithFields(log.Fields{"site": site, "for_ms": keep.Milliseconds()}).Warn("view: a copy lacks an evacuation; it stays in force")
 }
 
-// setEvacuated sets the state of the named sites as of a position; if full, all others are not evacuated, unless the store was restored
-// since. mu is held.
-func (v *View) setEvacuated(named map[string]bool, asOf Cursor, full bool, grace time.Duration) (changed bool) {
+// setEvacuated sets the state of the named sites as of a position, with the grace that is left to each; if full, all others are not
+// evacuated, unless the store was restored since. mu is held.
+func (v *View) setEvacuated(named map[string]bool, asOf Cursor, full bool, grace map[string]time.Duration) (changed bool) {
 	ev, now := &v.evacuations, v.now()
 	restored := ev.known && asOf.Epoch > ev.asOf.Epoch
 	ev.asOf, ev.known = asOf, true
@@ -173,8 +189,8 @@
 			if ev.sites == nil {
 				ev.sites = make(map[string]time.Time)
 			}
-			ev.sites[site] = now.Add(grace)
-			v.opts.Log.WithFields(log.Fields{"site": site, "grace_ms": grace.Milliseconds()}).Info("view: a site is evacuated")
+			ev.sites[site] = now.Add(grace[site])
+			v.opts.Log.WithFields(log.Fields{"site": site, "grace_ms": grace[site].Milliseconds()}).Info("view: a site is evacuated")
 			changed = true
 		case !evacuated && (known || lost):
 			v.endEvacuation(site, now)
--- a/discovery/evacuation_test.go
+++ b/discovery/evacuation_test.go
@@ -3,8 +3,10 @@
 import (
 	"slices"
 	"testing"
+	"testing/synctest"
 	"time"
 
+	"github.com/coralstair/coralstair/clock"
 	"github.com/coralstair/coralstair/store"
 )
 
@@ -114,3 +116,45 @@
 		}
 	}
 }
+
+// TestLateFeedShortensGrace guards against requests to an evacuated site past the bound, since its grace counts from when a daemon heard
+// of the evacuation.
+func TestLateFeedShortensGrace(t *testing.T) {
+	const bound = 4 * time.Second
+	for name, test := range map[string]struct {
+		// late is how long ago the site was last known not to be evacuated; known says whether that is known.
+		late  time.Duration
+		known bool
+		grace time.Duration
+	}{
+		"at once":                    {0, true, bound / 4},
+		"after a usual poll":         {bound / 2, true, bound / 4},
+		"late":                       {bound * 5 / 8, true, bound / 8},
+		"after the bound":            {2 * bound, true, 0},
+		"nothing is known of a time": {0, false, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var times store.Timeline
+				v := New(nil, Options{EvacuationBound: bound, Timeline: &times})
+				v.applyEvacuations(*read(at(0, 1)).read, true)
+				stamp := store.Time(1000)
+				times.Observe(0, 1, stamp-1, clock.Now())
+				time.Sleep(test.late)
+				step := change(at(0, 2), "a", true)
+				if test.known {
+					step.read.EvacuatedNotBefore = map[string]store.Time{"a": stamp}
+				}
+				v.applyEvacuations(*step.read, false)
+				time.Sleep(test.grace - time.Millisecond)
+				if phase, _ := v.Evacuation("a"); test.grace > 0 && phase != EvacuationBegins {
+					t.Errorf("phase %d within the grace", phase)
+				}
+				time.Sleep(3 * time.Millisecond)
+				if phase, _ := v.Evacuation("a"); phase != Evacuated {
+					t.Errorf("phase %d after the grace", phase)
+				}
+			})
+		})
+	}
+}
--- a/discovery/source.go
+++ b/discovery/source.go
@@ -23,6 +23,8 @@
 	NotBefore map[contract.Target]store.Time
 	// Evacuated maps sites to whether they are evacuated; a site that is missing in a full read is not.
 	Evacuated map[string]bool
+	// EvacuatedNotBefore holds the times before which sites were not evacuated; those of which nothing is known are missing.
+	EvacuatedNotBefore map[string]store.Time
 	// Errors are the errors of rows that could not be decoded.
 	Errors []error
 	Cursor Cursor
