--- a/forward/choose.go
+++ b/forward/choose.go
@@ -61,6 +61,9 @@
 	server   contract.Server
 	pool     connPool
 	version  contract.Version
+	// older says that a newer version was named when the request was sent; versionLeft is how long requests could begin on this one then.
+	older       bool
+	versionLeft time.Duration
 	// entries is the number of entries that share the server's limit.
 	entries int
 	// first is the predicted time to the first event, or to a plain response; cost adds penalties such as that of
--- a/forward/handover.go
+++ b/forward/handover.go
@@ -36,6 +36,12 @@
 		return nil
 	}
 	r.setRank(ch.rank)
+	if c.service.Engine != nil {
+		var due time.Time
+		if due, ch.older = c.entry.cfg.View.VersionDeadline(c.model(), ch.version); ch.older {
+			ch.versionLeft = clock.Until(due)
+		}
+	}
 	a := &attempt{call: c, choice: ch, inFlight: r, priority: c.priority(), primary: c.winner, newConn: c.useNewConns}
 	a.ctx, a.cancel = context.WithCancelCause(c.ctx)
 	c.sends++
--- a/forward/outcome.go
+++ b/forward/outcome.go
@@ -91,6 +91,12 @@
 		"writing": c.lastChoice.load.Decoding, "reading": c.lastChoice.load.Prefilling, "attempts": c.sends + c.refusalCount, "waited_ms": c.sinceFirst.Milliseconds(),
 		"goal_ms": c.route.Goal.Milliseconds(), "report_ms": c.lastChoice.reportAge.Milliseconds(),
 	}
+	if c.lastChoice.version != 0 {
+		fields["version"] = int64(c.lastChoice.version)
+	}
+	if c.lastChoice.older {
+		fields["version_left_ms"] = c.lastChoice.versionLeft.Milliseconds()
+	}
 	if c.ranked {
 		fields["rank"], fields["ahead"] = c.rank, c.lastChoice.ahead.Prefilling
 	}
