--- a/review/standins-2/held.go
+++ b/review/standins-2/held.go
@@ -11,7 +11,8 @@
 )
 
 const (
-	heldClients  = 24
+	heldClients  = 30
+	heldEntries  = 3
 	serverDown   = 2 * time.Second
 	beforeCrash  = 12 * time.Second
 	afterCrash   = 6 * time.Second
@@ -84,7 +85,7 @@
 	}
 	var entries []string
 	var processes []*process
-	for n := 1; n <= 2; n++ {
+	for n := 1; n <= heldEntries; n++ {
 		p, entry, err := r.startEntry(n)
 		if err != nil {
 			return false, err
--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -23,6 +23,7 @@
 	"reborn":  playReborn,
 	"spoilt":  playSpoilt,
 	"held":    playHeld,
+	"encoded": playEncoded,
 }
 
 func main() { os.Exit(run()) }
--- a/review/standins-2/server.go
+++ b/review/standins-2/server.go
@@ -29,6 +29,8 @@
 	listen  string
 	zone    string
 	id      string
+	// service is the server's service; the usual one if empty.
+	service string
 	// answer writes the answer to a request that runs; it returns false if the connection ends with it.
 	answer func(s *plainServer, w *bufio.Writer, req *http.Request, before int) bool
 	// early, if set, writes bytes before a request is handled.
@@ -62,7 +64,7 @@
 func (s *plainServer) sendBeats(stop chan struct{}) {
 	for seq := int64(1); ; seq++ {
 		s.rig.store.Put(standin.TableServers, s.id, standin.Heartbeat{
-			Service: serviceName, Address: s.address, Zone: s.zone, Slots: plainSlots, State: standin.StateReady,
+			Service: cmp.Or(s.service, serviceName), Address: s.address, Zone: s.zone, Slots: plainSlots, State: standin.StateReady,
 			Models: []standin.LoadedModel{}, Seq: seq, Born: s.bornAt(),
 		})
 		select {
