--- /dev/null
+++ b/abuse/doc.go
@@ -0,0 +1,2 @@
+// Package abuse tests the daemons, as separate processes, against crowds of clients that do not keep to the limits.
+package abuse
--- a/lab/standin/settings.go
+++ b/lab/standin/settings.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"cmp"
 	"fmt"
 	"strings"
 	"time"
@@ -21,7 +22,10 @@
 	UpstreamAddress string
 	Service         string
 	Store           string
-	Bounds          Bounds
+	// MemoryMB is the memory of the daemon's machine, Descriptors how many it may have open; 0 means a default.
+	MemoryMB    int
+	Descriptors int
+	Bounds      Bounds
 }
 
 // Bounds are the time and retry limits that daemons must keep.
@@ -38,7 +42,11 @@
 	Slack    int
 }
 
-const linkMbps = 20
+const (
+	linkMbps           = 20
+	defaultMemoryMB    = 200
+	defaultDescriptors = 4100
+)
 
 // String returns the content of the settings file.
 func (s Settings) String() string {
@@ -56,7 +64,7 @@
 	if s.CallerAddress != "" {
 		line("front = %q\nready = %q", s.CallerAddress, s.ReadyAddress)
 	}
-	line("[limits]\nmemoryMb = 200.0\nlinkMbps = %d.0", linkMbps)
+	line("[limits]\nmemoryMb = %d.0\nmaxFds = %d\nlinkMbps = %d.0", cmp.Or(s.MemoryMB, defaultMemoryMB), cmp.Or(s.Descriptors, defaultDescriptors), linkMbps)
 	line("[bounds]\ncontactMs = %d\ndrainMs = %d\ngraceS = %g\nversion_ms = %d", s.Bounds.Contact.Milliseconds(),
 		s.Bounds.Drain.Milliseconds(), s.Bounds.Grace.Seconds(), s.Bounds.Version.Milliseconds())
 	line("retryRatio = %g\nretryWindowS = %g\nretrySlack = %d\nevacuateMs = %d", s.Bounds.Ratio, s.Bounds.Window.Seconds(), s.Bounds.Slack, s.Bounds.Evacuate.Milliseconds())
