connlimit: what clients hold of a process is bounded on every listener

What callers see: clients that send headers without end, or hold connections, end a process, and ordinary callers get no answer.

Cause: each limit was one on a single request. Nothing bounded connections, or what all of them held together: a header of 64 KiB in short lines takes 1.1 MB once parsed, and the ports for readiness checks, links and metrics took headers of 1 MiB.

Change: package connlimit wraps every listener. It counts connections, and the memory of requests from their first byte until they are answered, against shares of the machine's memory and descriptors. When a bound is reached, the connection whose request has been unfinished for longest is closed first, then idle ones, then those whose client does not read; connections with whole requests are closed for nobody. A request runs only if its connection was open when it had arrived whole. The limits of the configuration on headers and idle time are known to the server that reads the header. Bodies end with the request's time (408).

Ruled out: a limit that blocks when it is full (a crowd that stays keeps all others out); a bound on single requests alone.

TestHeldBytesAreBounded and a case of TestRefusedRequestsNeverRun set a field that is gone; they now set the bound of the listener and send bodies as far beyond it, and ask the same.

--- a/box/box.go
+++ b/box/box.go
@@ -9,6 +9,7 @@
 
 	"github.com/apex/log"
 	"github.com/coralstair/coralstair/bandwidth"
+	"github.com/coralstair/coralstair/connlimit"
 	"github.com/coralstair/coralstair/follower"
 	"github.com/coralstair/coralstair/link"
 	"github.com/coralstair/coralstair/membership"
@@ -20,10 +21,7 @@
 	"github.com/coralstair/coralstair/weights"
 )
 
-const (
-	headerTimeout    = 5 * time.Second
-	leaveGracePeriod = 200 * time.Millisecond
-)
+const leaveGracePeriod = 200 * time.Millisecond
 
 // Box is the daemon beside one upstream.
 type Box struct {
@@ -132,9 +130,11 @@
 func (b *Box) Serve(ctx context.Context) error {
 	stop := context.AfterFunc(ctx, b.closeSessions)
 	defer stop()
+	server := &http.Server{Handler: b.Handler()}
+	listener := connlimit.NewListener(b.cfg.Listener, connlimit.Options{Name: "box", Log: b.log, Limits: b.cfg.Limits})
+	listener.Apply(server)
 	daemon := &supervise.Daemon{
-		Name: "box", Log: b.log, Listener: b.cfg.Listener,
-		Server: &http.Server{Handler: b.Handler(), ReadHeaderTimeout: headerTimeout},
+		Name: "box", Log: b.log, Listener: listener, Server: server,
 		Components: []supervise.Component{
 			{Name: "follower", Run: b.follower.Serve},
 			{Name: "membership", Run: b.members.Serve},
--- a/box/config.go
+++ b/box/config.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/coralstair/coralstair/bandwidth"
+	"github.com/coralstair/coralstair/connlimit"
 	"github.com/coralstair/coralstair/fleet"
 	"github.com/coralstair/coralstair/follower"
 	"github.com/coralstair/coralstair/invariant"
@@ -29,6 +30,8 @@
 
 	// Listener accepts links, and the upstream's requests for weights.
 	Listener net.Listener
+	// Limits bound what clients hold of the box.
+	Limits connlimit.Limits
 	// Advertise is the host and port at which the upstream reaches Listener.
 	Advertise string
 	// UpstreamURL is the base URL of the upstream.
--- a/entry/caller.go
+++ b/entry/caller.go
@@ -2,14 +2,17 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"io"
 	"net/http"
+	"os"
 	"strconv"
 	"time"
 
 	"github.com/google/uuid"
 	"go.opentelemetry.io/otel/attribute"
 
+	"github.com/coralstair/coralstair/connlimit"
 	"github.com/coralstair/coralstair/fleet"
 	"github.com/coralstair/coralstair/keys"
 	"github.com/coralstair/coralstair/problem"
@@ -37,6 +40,7 @@
 	maxIdempotencyKey = 255
 	maxTimeout        = 30 * time.Minute
 	leavingRetryAfter = time.Second
+	memoryRetryAfter  = time.Second
 )
 
 // callerRequest is a caller's request after authentication and validation.
@@ -141,11 +145,17 @@
 		e.refuse(w, p)
 		return req, false
 	}
+	control := http.NewResponseController(w)
+	_ = control.SetReadDeadline(req.deadline)
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, e.cfg.BodyLimit))
 	if err != nil {
-		e.refuse(w, notRun(http.StatusRequestEntityTooLarge, "body", "the body cannot be read: "+err.Error(), req.id))
+		e.refuse(w, bodyProblem(err, req.id))
 		return req, false
 	}
+	_ = control.SetReadDeadline(time.Time{})
+	if !connlimit.FromContext(r.Context()).Received() {
+		panic(http.ErrAbortHandler)
+	}
 	req.body = body
 	req.header = upstream.EndToEndHeader(r.Header)
 	req.header.Set(HeaderRequestID, req.id)
@@ -153,6 +163,19 @@
 	return req, true
 }
 
+// bodyProblem returns the answer to a request whose body cannot be read.
+func bodyProblem(err error, id string) problem.Problem {
+	var closed *connlimit.ClosedError
+	switch {
+	case errors.As(err, &closed):
+		return notRun(http.StatusServiceUnavailable, "no-memory", "the entry holds too many requests", id).WithRetryAfter(memoryRetryAfter)
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return notRun(http.StatusRequestTimeout, "late-body", "the body did not come in time", id)
+	default:
+		return notRun(http.StatusRequestEntityTooLarge, "body", "the body cannot be read: "+err.Error(), id)
+	}
+}
+
 // readLimits reads the deadline, the priority and the idempotency key of a request.
 func (e *Entry) readLimits(r *http.Request, req *callerRequest) (problem.Problem, bool) {
 	timeout := e.cfg.Deadline
--- a/entry/config.go
+++ b/entry/config.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/coralstair/coralstair/claim"
+	"github.com/coralstair/coralstair/connlimit"
 	"github.com/coralstair/coralstair/fleet"
 	"github.com/coralstair/coralstair/follower"
 	"github.com/coralstair/coralstair/invariant"
@@ -48,6 +49,8 @@
 	Site        string
 	Incarnation string
 	Listener    net.Listener
+	// Limits bound what clients hold of the entry.
+	Limits connlimit.Limits
 
 	// Queue is how many requests of a service may wait.
 	Queue int
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -11,6 +11,7 @@
 
 	"github.com/coralstair/coralstair/admit"
 	"github.com/coralstair/coralstair/claim"
+	"github.com/coralstair/coralstair/connlimit"
 	"github.com/coralstair/coralstair/fleet"
 	"github.com/coralstair/coralstair/follower"
 	"github.com/coralstair/coralstair/link"
@@ -24,13 +25,15 @@
 )
 
 const (
-	headerTimeout = 5 * time.Second
-	idleTimeout   = 2 * time.Minute
+	idleTimeout = 2 * time.Minute
 	// maxHeaderBytes is the longest accepted header; up to maxRawHeaderBytes it is refused with a problem, beyond that by the HTTP
 	// server itself.
 	maxHeaderBytes    = 64 << 10
 	maxRawHeaderBytes = 512 << 10
 	dispatchInterval  = 50 * time.Millisecond
+	// Limits on an HTTP/2 connection.
+	maxStreams         = 32
+	maxUnreadBodyBytes = 64 << 10
 )
 
 // Entry is the daemon of an entry.
@@ -106,13 +109,22 @@
 // Serve runs the entry until ctx ends, without draining; Leave comes first in a planned stop.
 func (e *Entry) Serve(ctx context.Context) error {
 	server := &http.Server{
-		Handler: e.Handler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxRawHeaderBytes,
-		Protocols: new(http.Protocols),
+		Handler: e.Handler(), MaxHeaderBytes: maxRawHeaderBytes, Protocols: new(http.Protocols),
+		HTTP2: &http.HTTP2Config{
+			MaxConcurrentStreams: maxStreams, MaxReceiveBufferPerConnection: maxUnreadBodyBytes, MaxReceiveBufferPerStream: maxUnreadBodyBytes,
+		},
 	}
 	server.Protocols.SetHTTP1(true)
 	server.Protocols.SetUnencryptedHTTP2(true)
+	listener := connlimit.NewListener(e.cfg.Listener, connlimit.Options{
+		Name: "entry", Log: e.log, Limits: e.cfg.Limits,
+		Request: func() connlimit.RequestLimits {
+			return connlimit.RequestLimits{HeaderBytes: maxRawHeaderBytes, IdleTime: idleTimeout}
+		},
+	})
+	listener.Apply(server)
 	daemon := &supervise.Daemon{
-		Name: "entry", Log: e.log, Listener: e.cfg.Listener, Server: server,
+		Name: "entry", Log: e.log, Listener: listener, Server: server,
 		Components: []supervise.Component{
 			{Name: "follower", Run: e.follower.Serve},
 			{Name: "membership", Run: e.members.Serve},
--- a/entry/operator.go
+++ b/entry/operator.go
@@ -10,6 +10,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/google/uuid"
 
+	"github.com/coralstair/coralstair/connlimit"
 	"github.com/coralstair/coralstair/fleet"
 	"github.com/coralstair/coralstair/keys"
 	"github.com/coralstair/coralstair/ledger"
@@ -43,6 +44,9 @@
 		e.refuse(w, problem.New(http.StatusBadRequest, "bad-body", "the body is not a statement in JSON: "+err.Error()))
 		return
 	}
+	if !connlimit.FromContext(r.Context()).Received() {
+		panic(http.ErrAbortHandler)
+	}
 	if p, ok := authorize(key, req); !ok {
 		e.refuse(w, p)
 		return
--- a/fill/box.go
+++ b/fill/box.go
@@ -13,6 +13,7 @@
 
 	"github.com/coralstair/coralstair/bandwidth"
 	"github.com/coralstair/coralstair/clock"
+	"github.com/coralstair/coralstair/connlimit"
 	"github.com/coralstair/coralstair/contract"
 	"github.com/coralstair/coralstair/discovery"
 	"github.com/coralstair/coralstair/machine"
@@ -22,7 +23,8 @@
 )
 
 const (
-	headerTimeout = 5 * time.Second
+	// linksPercent of what clients may hold is for links.
+	linksPercent = 90
 	// pieceLinkPercent is the percentage of the link that pieces may use while the server has requests; the events of
 	// streams wait behind at most one burst of a piece.
 	pieceLinkPercent = 93
@@ -47,6 +49,7 @@
 	cfg      Config
 	log      log.Interface
 	server   *http.Server
+	listener *connlimit.Listener
 	links    *links
 	uploader *uploader
 	pacer    *bandwidth.Pacer
@@ -86,7 +89,11 @@
 	}
 	b.links = newLinks(b)
 	b.uploader = newUploader(b)
-	b.server = &http.Server{Handler: http.HandlerFunc(b.links.accept), ReadHeaderTimeout: headerTimeout}
+	b.server = &http.Server{Handler: http.HandlerFunc(b.links.accept)}
+	b.listener = connlimit.NewListener(cfg.Listener, connlimit.Options{
+		Name: "links", Log: cfg.Log, Limits: connlimit.NewBudget(cfg.Machine.Memory, cfg.Machine.Descriptors).Share(linksPercent),
+	})
+	b.listener.Apply(b.server)
 	return b
 }
 
@@ -104,7 +111,7 @@
 
 // serveLinks accepts links until ctx ends.
 func (b *Box) serveLinks(ctx context.Context) error {
-	return supervise.ServeHTTP(ctx, b.server, b.cfg.Listener)
+	return supervise.ServeHTTP(ctx, b.server, b.listener)
 }
 
 // wake makes the step loop run now.
--- a/forward/entry.go
+++ b/forward/entry.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"net"
@@ -12,6 +13,7 @@
 
 	"github.com/coralstair/coralstair/admission"
 	"github.com/coralstair/coralstair/clock"
+	"github.com/coralstair/coralstair/connlimit"
 	"github.com/coralstair/coralstair/discovery"
 	"github.com/coralstair/coralstair/invariant"
 	"github.com/coralstair/coralstair/machine"
@@ -22,10 +24,14 @@
 )
 
 const (
-	// Timeouts of callers' connections, and the longest request header that net/http reads.
-	headerTimeout     = 5 * time.Second
+	// callerIdleTimeout is how long callers' connections may be idle unless the configuration says otherwise.
 	callerIdleTimeout = 60 * time.Second
-	maxHeaderBytes    = 64 << 10
+	// readyTimeout bounds writing the response to a readiness check.
+	readyTimeout = 5 * time.Second
+	// Percentages of what all clients of an entry may hold; the rest is for those that read its metrics.
+	callersPercent = 75
+	linksPercent   = 15
+	readyPercent   = 5
 )
 
 // Config holds the settings and dependencies of an entry.
@@ -64,9 +70,10 @@
 	reader           *listReader
 	callers          *http.Server
 	ready            *http.Server
+	callersListener  *connlimit.Listener
+	readyListener    *connlimit.Listener
 	conns            callerConns
-	// bodies and responses bound the bodies of requests and the complete responses held in memory.
-	bodies    holdings
+	// responses bounds the complete responses held in memory.
 	responses holdings
 	// changedBounds are the bounds that were set while the entry runs; nil while those of its start are in force.
 	changedBounds atomic.Pointer[machine.Bounds]
@@ -83,7 +90,7 @@
 	e := &Entry{
 		cfg: cfg, log: cfg.Log, transport: newTransport(), oneShotTransport: newTransport(),
 		budget: retry.NewBudget(bounds.RetryRatio, bounds.RetrySlack, bounds.RetryWindow), startedAt: clock.Now(),
-		bodies: newHoldings(cfg.Machine.Memory), responses: newHoldings(cfg.Machine.Memory),
+		responses: newHoldings(cfg.Machine.Memory),
 	}
 	e.budget.StartedAt(e.startedAt)
 	if e.cfg.Quarantine == nil {
@@ -105,21 +112,22 @@
 	e.reader = newListReader(e)
 	e.peers = newPeerNotifier(e)
 	e.callers = &http.Server{
-		Handler: countPanics(e), ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ErrorLog: e.errorLog("entry: the callers' server says"), ConnState: e.conns.setState, ConnContext: limitBuffer,
+		Handler: countPanics(e), ErrorLog: e.errorLog("entry: the callers' server says"), ConnState: e.conns.setState, ConnContext: limitBuffer,
 	}
 	e.ready = &http.Server{
-		Handler: countPanics(http.HandlerFunc(e.serveReady)), ReadHeaderTimeout: headerTimeout,
+		Handler: countPanics(http.HandlerFunc(e.serveReady)), WriteTimeout: readyTimeout,
 		ErrorLog: e.errorLog("entry: the balancer's server says"),
 	}
+	e.callersListener = e.limit("callers", cfg.Callers, e.callers, callersPercent)
+	e.readyListener = e.limit("ready", cfg.Ready, e.ready, readyPercent)
 	return e
 }
 
 // Components returns the services of the entry for its supervisor.
 func (e *Entry) Components() []supervise.Component {
 	components := []supervise.Component{
-		{Name: "callers", Run: func(ctx context.Context) error { return serve(ctx, e.callers, e.cfg.Callers) }},
-		{Name: "ready", Run: func(ctx context.Context) error { return serve(ctx, e.ready, e.cfg.Ready) }},
+		{Name: "callers", Run: func(ctx context.Context) error { return serve(ctx, e.callers, e.callersListener) }},
+		{Name: "ready", Run: func(ctx context.Context) error { return serve(ctx, e.ready, e.readyListener) }},
 		{Name: "upstreams", Run: e.followServers},
 		{Name: "versions", Run: e.followVersions},
 		{Name: "reports", Run: e.boxLinks.serve},
@@ -136,6 +144,26 @@
 	return components
 }
 
+// limit makes a server keep to a percentage of what the clients of the entry may hold, and to the limits of the configuration in force.
+func (e *Entry) limit(name string, listener net.Listener, server *http.Server, percent int64) *connlimit.Listener {
+	limited := connlimit.NewListener(listener, connlimit.Options{
+		Name: name, Log: e.log, Request: e.requestLimits,
+		Limits: connlimit.NewBudget(e.cfg.Machine.Memory, e.cfg.Machine.Descriptors).Share(percent),
+	})
+	limited.Apply(server)
+	return limited
+}
+
+// requestLimits returns the limits of the configuration on requests.
+func (e *Entry) requestLimits() connlimit.RequestLimits {
+	limits := connlimit.RequestLimits{IdleTime: callerIdleTimeout}
+	if cfg := e.cfg.View.Config(); cfg != nil {
+		limits.HeaderBytes, limits.HeaderTime = cfg.Limits.HeaderBytes, cfg.Limits.HeaderTime
+		limits.IdleTime = cmp.Or(cfg.Limits.IdleTime, callerIdleTimeout)
+	}
+	return limits
+}
+
 func serve(ctx context.Context, server *http.Server, listener net.Listener) error {
 	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 	defer stop()
--- a/forward/fixture_test.go
+++ b/forward/fixture_test.go
@@ -19,6 +19,7 @@
 	"github.com/apex/log/handlers/discard"
 
 	"github.com/coralstair/coralstair/clock"
+	"github.com/coralstair/coralstair/connlimit"
 	"github.com/coralstair/coralstair/contract"
 	"github.com/coralstair/coralstair/discovery"
 	"github.com/coralstair/coralstair/machine"
@@ -106,9 +107,10 @@
 
 // testEnv is an entry in front of test servers.
 type testEnv struct {
-	t     *testing.T
-	entry *Entry
-	url   string
+	t        *testing.T
+	entry    *Entry
+	listener *connlimit.Listener
+	url      string
 }
 
 var testRoutes = []contract.Route{
@@ -131,6 +133,11 @@
 // newTestEnv returns an entry in front of servers at addresses; all routes lead to them.
 func newTestEnv(t *testing.T, keyed bool, addresses ...string) *testEnv {
 	t.Helper()
+	return newTestEnvFrom(t, newTestSource(keyed, addresses...))
+}
+
+// newTestSource returns a source of the test routes, which all lead to servers at addresses.
+func newTestSource(keyed bool, addresses ...string) fixedSource {
 	routes := make([]contract.Route, len(testRoutes))
 	for i, route := range testRoutes {
 		route.Split = []contract.Share{{Service: "s", Weight: 1}}
@@ -141,7 +148,7 @@
 		teams = []contract.Team{{Name: "team", Keys: []string{"good"}}}
 	}
 	limits := contract.Limits{HeaderBytes: 4096, BodyBytes: 1 << 20}
-	return newTestEnvFrom(t, testSource(contract.NewConfig(1, limits, routes, []contract.Service{{Name: "s", MaxConns: 100}}, teams), addresses...))
+	return testSource(contract.NewConfig(1, limits, routes, []contract.Service{{Name: "s", MaxConns: 100}}, teams), addresses...)
 }
 
 // testSource returns a source of a configuration and of servers at addresses.
@@ -156,6 +163,12 @@
 }
 
 func newTestEnvFrom(t *testing.T, source discovery.Source) *testEnv {
+	t.Helper()
+	return newLimitedTestEnv(t, source, connlimit.Limits{})
+}
+
+// newLimitedTestEnv returns an entry whose callers keep to limits.
+func newLimitedTestEnv(t *testing.T, source discovery.Source, limits connlimit.Limits) *testEnv {
 	t.Helper()
 	logger := &log.Logger{Handler: discard.Default, Level: log.InfoLevel}
 	v := discovery.New(source, discovery.Options{Log: logger})
@@ -177,6 +190,9 @@
 	e.upstreams.update(v.Servers())
 	server := httptest.NewUnstartedServer(e)
 	server.Config.ConnContext = limitBuffer
+	listener := connlimit.NewListener(server.Listener, connlimit.Options{Limits: limits, Request: e.requestLimits})
+	listener.Apply(server.Config)
+	server.Listener = listener
 	server.Start()
 	t.Cleanup(func() {
 		server.CloseClientConnections()
@@ -184,7 +200,7 @@
 		cancel()
 		e.transport.CloseIdleConnections()
 	})
-	return &testEnv{t: t, entry: e, url: server.URL}
+	return &testEnv{t: t, entry: e, listener: listener, url: server.URL}
 }
 
 // result is a response as the caller received it; err is set if it was cut off.
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -5,17 +5,22 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"os"
 	"time"
 
 	"github.com/apex/log"
 
 	"github.com/coralstair/coralstair/clock"
+	"github.com/coralstair/coralstair/connlimit"
 	"github.com/coralstair/coralstair/contract"
 	"github.com/coralstair/coralstair/problem"
 )
 
-// defaultTimeout is the time limit of a caller that sends none.
-const defaultTimeout = 30 * time.Second
+const (
+	// defaultTimeout is the time limit of a caller that sends none, maxTimeout the longest one that a caller gets.
+	defaultTimeout = 30 * time.Second
+	maxTimeout     = 30 * time.Minute
+)
 
 // Values of the outcome member of problem responses.
 const (
@@ -27,7 +32,7 @@
 func (e *Entry) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	started := clock.Now()
 	info := e.cfg.Wire.ParseRequest(r)
-	limitWrites(w, callerTimeout(info))
+	limitWrites(w, 0)
 	if e.leaving.Load() {
 		w.Header().Set("Connection", "close")
 	}
@@ -57,15 +62,15 @@
 		e.deny(w, r, info, http.StatusRequestHeaderFieldsTooLarge, "long-header", "the header is too long", 0)
 		return
 	}
-	held := e.bodies.start()
-	defer held.release()
-	body, ok := e.readBody(w, r, info, held, cfg.Limits.BodyBytes)
-	if !ok {
+	limit := timeLimit(info, route)
+	limitWrites(w, limit)
+	body, ok := e.readBody(w, r, info, started.Add(limit), cfg.Limits.BodyBytes)
+	if !ok || !connlimit.FromContext(r.Context()).Received() {
 		return
 	}
 	c := &call{
 		entry: e, w: w, r: r, info: info, route: route, team: team, homes: homes, body: body,
-		started: started, deadline: started.Add(timeLimit(info, route)), config: cfg.Revision, excluded: make(map[string]bool),
+		started: started, deadline: started.Add(limit), config: cfg.Revision, excluded: make(map[string]bool),
 	}
 	c.service = cfg.Service(route.Service(rand.Float64()))
 	if c.service == nil {
@@ -90,7 +95,7 @@
 	if info.Timeout <= 0 {
 		return defaultTimeout
 	}
-	return info.Timeout
+	return min(info.Timeout, maxTimeout)
 }
 
 // timeLimit returns the time limit of a request: that of the caller, capped by that of the route.
@@ -102,8 +107,8 @@
 	return limit
 }
 
-// readBody reads the whole body, which several attempts may send. On failure it answers the request and returns false.
-func (e *Entry) readBody(w http.ResponseWriter, r *http.Request, info RequestInfo, held *heldBytes, limit int64) ([]byte, bool) {
+// readBody reads the whole body, which several attempts may send, until a deadline. On failure it answers the request and returns false.
+func (e *Entry) readBody(w http.ResponseWriter, r *http.Request, info RequestInfo, deadline time.Time, limit int64) ([]byte, bool) {
 	if r.ContentLength == 0 {
 		return nil, true
 	}
@@ -116,22 +121,29 @@
 	if limit > 0 {
 		reader = http.MaxBytesReader(w, r.Body, limit)
 	}
-	body, err := io.ReadAll(held.reader(reader))
+	control := http.NewResponseController(w)
+	_ = control.SetReadDeadline(deadline)
+	body, err := io.ReadAll(reader)
 	if err == nil {
+		_ = control.SetReadDeadline(time.Time{})
 		return body, true
 	}
-	if errors.Is(err, errHeldFull) {
-		w.Header().Set("Connection", "close")
-		e.deny(w, r, info, http.StatusServiceUnavailable, "no-memory", "the entry holds too many requests", loadingRetryAfter)
-		return nil, false
-	}
 	var long *http.MaxBytesError
 	if errors.As(err, &long) {
 		e.deny(w, r, info, http.StatusRequestEntityTooLarge, "long-body", "the body is too long", 0)
 		return nil, false
 	}
 	w.Header().Set("Connection", "close")
-	e.deny(w, r, info, http.StatusBadRequest, "torn-body", "the body did not come whole", 0)
+	var closed *connlimit.ClosedError
+	switch {
+	case errors.As(err, &closed):
+		heldRefused.Inc()
+		e.deny(w, r, info, http.StatusServiceUnavailable, "no-memory", "the entry holds too many requests", loadingRetryAfter)
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		e.deny(w, r, info, http.StatusRequestTimeout, "late-body", "the body did not come in time", 0)
+	default:
+		e.deny(w, r, info, http.StatusBadRequest, "torn-body", "the body did not come whole", 0)
+	}
 	return nil, false
 }
 
@@ -157,7 +169,7 @@
 func (e *Entry) refuse(w http.ResponseWriter, id string, status int, slug, detail string, after time.Duration) {
 	p := problem.New(status, slug, detail).WithRequestID(id)
 	switch status {
-	case http.StatusServiceUnavailable, http.StatusTooManyRequests:
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout:
 		p = p.WithOutcome(outcomeNotRun)
 	case http.StatusBadGateway, http.StatusGatewayTimeout:
 		p = p.WithOutcome(outcomeUnknown)
--- a/forward/held.go
+++ b/forward/held.go
@@ -10,10 +10,11 @@
 	"time"
 
 	"github.com/coralstair/coralstair/clock"
+	"github.com/coralstair/coralstair/connlimit"
 )
 
 const (
-	// Bodies of requests and complete responses may hold 1/heldDivisor of the machine's memory each, defaultHeld where that is unknown.
+	// Complete responses may hold 1/heldDivisor of the machine's memory, defaultHeld where that is unknown.
 	heldDivisor = 8
 	defaultHeld = 32 << 20
 	// unreadTimeout is how long after the time limit of its request a caller may take to read what is sent to it.
@@ -75,6 +76,9 @@
 
 // limitBuffer bounds what the kernel holds for a caller that does not read.
 func limitBuffer(ctx context.Context, c net.Conn) context.Context {
+	if limited, ok := c.(*connlimit.Conn); ok {
+		c = limited.Conn
+	}
 	if tcp, ok := c.(*net.TCPConn); ok {
 		_ = tcp.SetWriteBuffer(kernelBuffer)
 	}
--- a/forward/reader.go
+++ b/forward/reader.go
@@ -11,6 +11,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/coralstair/coralstair/clock"
+	"github.com/coralstair/coralstair/connlimit"
 	"github.com/coralstair/coralstair/contract"
 	"github.com/coralstair/coralstair/discovery"
 	"github.com/coralstair/coralstair/link"
@@ -63,8 +64,9 @@
 
 // listReader receives the server list from the site's reader, or reads it from the store while this entry is the reader.
 type listReader struct {
-	entry  *Entry
-	server *http.Server
+	entry    *Entry
+	server   *http.Server
+	listener *connlimit.Listener
 	// silentChecks counts how often in a row no other entry had a recent list, storeAnswersSince is since when the store answers this entry
 	// meanwhile; only serve's goroutine uses them.
 	silentChecks      int
@@ -82,7 +84,8 @@
 
 func newListReader(e *Entry) *listReader {
 	lr := &listReader{entry: e, hosts: make(map[string][]string), failedUntil: make(map[string]time.Time), silent: make(map[string]bool)}
-	lr.server = &http.Server{Handler: http.HandlerFunc(lr.accept), ReadHeaderTimeout: headerTimeout}
+	lr.server = &http.Server{Handler: http.HandlerFunc(lr.accept), ErrorLog: e.errorLog("entry: the links' server says")}
+	lr.listener = e.limit("links", e.cfg.Links, lr.server, linksPercent)
 	return lr
 }
 
@@ -279,7 +282,7 @@
 
 // serveLinks serves links of other entries until ctx ends.
 func (lr *listReader) serveLinks(ctx context.Context) error {
-	return supervise.ServeHTTP(ctx, lr.server, lr.entry.cfg.Links)
+	return supervise.ServeHTTP(ctx, lr.server, lr.listener)
 }
 
 // revision returns the revision of the configuration that the entry has, 0 for none.
--- a/forward/refused_test.go
+++ b/forward/refused_test.go
@@ -1,11 +1,14 @@
 package forward
 
 import (
+	"cmp"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
+	"github.com/coralstair/coralstair/connlimit"
 	"github.com/coralstair/coralstair/quarantine"
 )
 
@@ -28,7 +31,9 @@
 		ran    bool
 		header map[string]string
 		spoil  func(w *testEnv)
+		limits connlimit.Limits
 		path   string
+		body   string
 		want   int
 	}{
 		"no configuration in doubt, unknown route": {answer: respondOK, path: "/none/", want: http.StatusNotFound},
@@ -64,20 +69,16 @@
 			soon := time.Now().Add(100 * time.Millisecond)
 			w.entry.closesIdleAt.Store(&soon)
 		}, want: http.StatusServiceUnavailable},
-		"entry holds too much": {answer: respondOK, spoil: func(w *testEnv) { w.entry.bodies.limit = 0 }, want: http.StatusServiceUnavailable},
+		"entry holds too much": {answer: respondOK, limits: connlimit.Limits{RequestBytes: 1}, body: strings.Repeat("x", 20<<10), want: http.StatusServiceUnavailable},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			server := newFakeServer(t, test.answer)
-			w := newTestEnv(t, false, server.address)
+			w := newLimitedTestEnv(t, newTestSource(false, server.address), test.limits)
 			if test.spoil != nil {
 				test.spoil(w)
 			}
-			path := test.path
-			if path == "" {
-				path = "/once/"
-			}
-			got := w.ask(http.MethodPost, path, "x", test.header)
+			got := w.ask(http.MethodPost, cmp.Or(test.path, "/once/"), cmp.Or(test.body, "x"), test.header)
 			time.Sleep(150 * time.Millisecond)
 			ran := test.ran && server.arrivals() > 0
 			if got.status != test.want {
--- a/forward/slowreader_test.go
+++ b/forward/slowreader_test.go
@@ -10,6 +10,9 @@
 	"strings"
 	"testing"
 	"time"
+
+	"github.com/coralstair/coralstair/connlimit"
+	"github.com/coralstair/coralstair/contract"
 )
 
 // longStream streams events of a kilobyte until the connection breaks or total events are sent, and closes when a write blocks for too long,
@@ -118,15 +121,76 @@
 // TestHeldBytesAreBounded checks that bodies beyond the bound are refused and that the bound is free again afterwards.
 func TestHeldBytesAreBounded(t *testing.T) {
 	server := newFakeServer(t, respondOK)
-	w := newTestEnv(t, false, server.address)
-	w.entry.bodies.limit = 1000
-	if got := w.ask(http.MethodPost, "/safe/", strings.Repeat("x", 2000), nil); got.status != http.StatusServiceUnavailable || server.arrivals() != 0 {
+	w := newLimitedTestEnv(t, newTestSource(false, server.address), connlimit.Limits{RequestBytes: 100 << 10})
+	if got := w.ask(http.MethodPost, "/safe/", strings.Repeat("x", 200<<10), nil); got.status != http.StatusServiceUnavailable || server.arrivals() != 0 {
 		t.Errorf("a body beyond the bound got %d and %d sends", got.status, server.arrivals())
 	}
-	if got := w.ask(http.MethodPost, "/safe/", strings.Repeat("x", 900), nil); got.status != http.StatusOK {
+	if got := w.ask(http.MethodPost, "/safe/", strings.Repeat("x", 90<<10), nil); got.status != http.StatusOK {
 		t.Errorf("a body within the bound got %d", got.status)
 	}
-	if used := w.entry.bodies.used.Load() + w.entry.responses.used.Load(); used != 0 {
-		t.Errorf("%d bytes are still held", used)
+	if used := w.entry.responses.used.Load(); used != 0 {
+		t.Errorf("%d bytes of responses are still held", used)
+	}
+	for deadline := time.Now().Add(5 * time.Second); ; time.Sleep(time.Millisecond) {
+		if _, used := w.listener.Held(); used == 0 {
+			return
+		} else if time.Now().After(deadline) {
+			t.Fatalf("%d bytes of requests are still held", used)
+		}
+	}
+}
+
+// TestBodyThatDoesNotCome checks that a request whose body does not come is refused as not run when its time is over.
+func TestBodyThatDoesNotCome(t *testing.T) {
+	server := newFakeServer(t, respondOK)
+	w := newTestEnv(t, false, server.address)
+	for name, body := range map[string]string{
+		"length": "Content-Length: 10\r\n\r\nx",
+		"chunks": "Transfer-Encoding: chunked\r\n\r\n5\r\nx",
+	} {
+		t.Run(name, func(t *testing.T) {
+			conn, err := net.Dial("tcp", strings.TrimPrefix(w.url, "http://"))
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = conn.Close() }()
+			_, _ = io.WriteString(conn, "POST /short/ HTTP/1.1\r\nHost: h\r\nId: late\r\n"+body)
+			resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = resp.Body.Close() }()
+			if resp.StatusCode != http.StatusRequestTimeout || !resp.Close || server.arrivals() != 0 {
+				t.Errorf("got %d, closed %v, and %d sends", resp.StatusCode, resp.Close, server.arrivals())
+			}
+		})
+	}
+}
+
+// TestHeaderLimitOfTheConfiguration checks that the server which reads a header knows the limit in force.
+func TestHeaderLimitOfTheConfiguration(t *testing.T) {
+	server := newFakeServer(t, respondOK)
+	for name, test := range map[string]struct {
+		limit, header, want int
+	}{
+		"within a low limit":  {16 << 10, 15 << 10, http.StatusOK},
+		"beyond a low limit":  {16 << 10, 18 << 10, http.StatusRequestHeaderFieldsTooLarge},
+		"far beyond":          {16 << 10, 60 << 10, http.StatusRequestHeaderFieldsTooLarge},
+		"within a high limit": {256 << 10, 200 << 10, http.StatusOK},
+		"beyond a high limit": {256 << 10, 300 << 10, http.StatusRequestHeaderFieldsTooLarge},
+	} {
+		t.Run(name, func(t *testing.T) {
+			source := newTestSource(false, server.address)
+			cfg, ok := source.declared.Config.WithChange(contract.ConfigChange{Base: 1, Revision: 2, Limits: contract.Limits{HeaderBytes: test.limit}})
+			if !ok {
+				t.Fatal("the limit cannot be changed")
+			}
+			source.declared.Config = cfg
+			w := newTestEnvFrom(t, source)
+			got := w.ask(http.MethodPost, "/safe/", "x", map[string]string{"Long": strings.Repeat("x", test.header)})
+			if got.status != test.want {
+				t.Errorf("got %d (%v), want %d", got.status, got.err, test.want)
+			}
+		})
 	}
 }
--- a/internal/cmd/boxcmd.go
+++ b/internal/cmd/boxcmd.go
@@ -42,7 +42,7 @@
 	pacer := bandwidth.New(cfg.LinkRate)
 	b := box.New(box.Config{
 		ID: cfg.Daemon.ID, Fleet: cfg.Daemon.Fleet, Site: cfg.Daemon.Site, Service: cfg.Service,
-		Kind: fleet.Kind(cfg.Kind), Incarnation: newIncarnation(), Listener: listener, Advertise: cfg.Advertise,
+		Kind: fleet.Kind(cfg.Kind), Incarnation: newIncarnation(), Listener: listener, Limits: clientLimits(cfg.Daemon), Advertise: cfg.Advertise,
 		UpstreamURL: cfg.UpstreamURL, Slots: cfg.Slots, WeightsLimit: cfg.WeightsLimit, Pacer: pacer, DrainLimit: cfg.Daemon.DrainLimit,
 		UncheckedFences: cfg.ChecksFences == "no", ResumesStreams: cfg.ResumesStreams == "yes",
 		Ledger: ledger.New(table), Table: table, Origin: newObjects(cfg.Platform, pacer),
--- a/internal/cmd/daemon.go
+++ b/internal/cmd/daemon.go
@@ -13,13 +13,18 @@
 	"github.com/apex/log"
 
 	"github.com/coralstair/coralstair/bandwidth"
+	"github.com/coralstair/coralstair/connlimit"
 	"github.com/coralstair/coralstair/dynamo"
 	"github.com/coralstair/coralstair/logging"
 	"github.com/coralstair/coralstair/settings"
 	"github.com/coralstair/coralstair/tracing"
 )
 
-const traceFlushTimeout = 2 * time.Second
+const (
+	traceFlushTimeout = 2 * time.Second
+	// heapPercent of an entry's memory is the target of the garbage collector.
+	heapPercent = 75
+)
 
 // daemon is the common interface of the entry and the box.
 type daemon interface {
@@ -94,6 +99,11 @@
 	return net.Listen("tcp", address)
 }
 
+// clientLimits returns what the clients of a daemon may hold of it.
+func clientLimits(cfg settings.Daemon) connlimit.Limits {
+	return connlimit.NewBudget(cfg.Memory, connlimit.Descriptors()).Share(100)
+}
+
 func newTable(p settings.Platform) *dynamo.Table {
 	return dynamo.NewTable(dynamo.TableConfig{
 		Endpoint: p.TableURL, Table: p.Table, Region: p.Region,
--- a/internal/cmd/entrycmd.go
+++ b/internal/cmd/entrycmd.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"os"
+	"runtime/debug"
 
 	"github.com/urfave/cli/v3"
 
@@ -42,10 +43,11 @@
 	if err != nil {
 		return err
 	}
+	debug.SetMemoryLimit(cfg.Daemon.Memory * heapPercent / 100)
 	table := newTable(cfg.Platform)
 	e := entry.New(entry.Config{
 		ID: cfg.Daemon.ID, Fleet: cfg.Daemon.Fleet, Site: cfg.Daemon.Site, Incarnation: newIncarnation(),
-		Listener: listener, Queue: cfg.QueueLimit, Deadline: cfg.DefaultDeadline, BodyLimit: cfg.BodyLimit,
+		Listener: listener, Limits: clientLimits(cfg.Daemon), Queue: cfg.QueueLimit, Deadline: cfg.DefaultDeadline, BodyLimit: cfg.BodyLimit,
 		DrainLimit: cfg.Daemon.DrainLimit,
 		Ledger:     ledger.New(table), Claims: table, Keys: ring,
 		List: &dynamo.LiveList{URL: cfg.Platform.LiveURL}, ListInterval: cfg.Platform.ListInterval,
--- a/internal/daemoncmd/daemon.go
+++ b/internal/daemoncmd/daemon.go
@@ -4,6 +4,7 @@
 	"context"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -17,6 +18,10 @@
 	"github.com/coralstair/coralstair/supervise"
 )
 
+// heapPercent of the machine's memory is the target of the garbage collector: what it does not see takes up the rest, such as the program
+// and bytes in the kernel.
+const heapPercent = 75
+
 // peerCoalesceDelay is the longest delay before changes relayed by entries take effect.
 const peerCoalesceDelay = 50 * time.Millisecond
 
@@ -28,6 +33,9 @@
 	if err != nil {
 		return err
 	}
+	if m.Memory > 0 {
+		debug.SetMemoryLimit(m.Memory * heapPercent / 100)
+	}
 	logger = logger.WithField("node", m.ID)
 	if m.UpstreamAddress != "" {
 		logger = logger.WithField("upstream", m.UpstreamAddress)
@@ -52,7 +60,7 @@
 		{Name: "declared", Run: v.ServeDeclared},
 		{Name: "servers", Run: v.ServeServers},
 		{Name: "clock", Run: watchSuspensions(logger, d)},
-		{Name: "metrics", Run: serveMetrics(m.Address)},
+		{Name: "metrics", Run: serveMetrics(m, logger)},
 	}, d.Components()...)
 	if !r.fedByEntries {
 		components = append(components, supervise.Component{Name: "namings", Run: v.ServeNamings})
--- a/internal/daemoncmd/operations_test.go
+++ b/internal/daemoncmd/operations_test.go
@@ -15,9 +15,9 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	named := regexp.MustCompile(`"((?:view|fill|forward|entry|daemon|log|quarantine): [^"]+)"|(coralstair_[a-z_]+)`)
+	named := regexp.MustCompile(`"((?:view|fill|forward|entry|daemon|log|quarantine|connlimit): [^"]+)"|(coralstair_[a-z_]+)`)
 	found := 0
-	for _, dir := range []string{"forward", "fill", "discovery", "quarantine", "retry", "logging", filepath.Join("internal", "daemoncmd")} {
+	for _, dir := range []string{"forward", "fill", "discovery", "quarantine", "retry", "logging", "connlimit", filepath.Join("internal", "daemoncmd")} {
 		paths, err := filepath.Glob(filepath.Join(root, dir, "*.go"))
 		if err != nil {
 			t.Fatal(err)
--- a/link/conn.go
+++ b/link/conn.go
@@ -3,11 +3,14 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
 
 	"github.com/coder/websocket"
+
+	"github.com/coralstair/coralstair/connlimit"
 )
 
 // MaxFrame is the largest frame a peer may send, in bytes.
@@ -47,6 +50,10 @@
 	urgent chan []byte
 	bulk   chan bulkMessage
 	pacer  Pacer
+	// inbound limits what the peer may send if it opened the link.
+	inbound *connlimit.Conn
+	// greeted says that a message has been received.
+	greeted atomic.Bool
 	// writeTimer closes the link if a write takes too long.
 	writeTimer *time.Timer
 	sent       atomic.Int64
@@ -55,11 +62,17 @@
 
 // Accept accepts a link from a peer; pacer, which may be nil, limits its chunks.
 func Accept(w http.ResponseWriter, r *http.Request, pacer Pacer) (*Conn, error) {
-	ws, err := websocket.Accept(w, r, &websocket.AcceptOptions{CompressionMode: websocket.CompressionDisabled})
+	var c *Conn
+	ws, err := websocket.Accept(w, r, &websocket.AcceptOptions{
+		CompressionMode: websocket.CompressionDisabled,
+		OnPingReceived:  func(context.Context, []byte) bool { return c.answersPing() },
+	})
 	if err != nil {
 		return nil, &ClosedError{Err: err}
 	}
-	return newConn(ws, pacer), nil
+	c = newConn(ws, pacer)
+	c.inbound = connlimit.FromContext(r.Context())
+	return c, nil
 }
 
 // Dial opens a link to the daemon at a host and port; pacer, which may be nil, limits its chunks.
@@ -96,6 +109,17 @@
 	return c.sent.Load(), c.received.Load()
 }
 
+// answersPing reports whether a ping of the peer that opened the link is answered; one before its first message closes the connection.
+func (c *Conn) answersPing() bool {
+	if c.greeted.Load() {
+		return true
+	}
+	if c.inbound != nil {
+		_ = c.inbound.Close()
+	}
+	return false
+}
+
 // Close closes the link immediately, without a closing handshake.
 func (c *Conn) Close() {
 	c.cancel()
@@ -120,12 +144,18 @@
 	if err != nil {
 		return nil, &ClosedError{Err: err}
 	}
+	c.inbound.Begin()
 	data, err := io.ReadAll(&pacedReader{conn: c, r: r})
 	if err != nil {
 		return nil, &ClosedError{Err: err}
 	}
 	c.received.Add(int64(len(data)))
-	return Decode(data)
+	c.greeted.Store(true)
+	msg, err := Decode(data)
+	if err == nil && !c.inbound.Received() {
+		return nil, &ClosedError{Err: net.ErrClosed}
+	}
+	return msg, err
 }
 
 // Send queues one message and waits while the queue is full. An error means that the message will not be sent; success does not mean
--- a/machine/machine.go
+++ b/machine/machine.go
@@ -27,7 +27,9 @@
 	LinkRate float64
 	// Memory is the memory of the daemon in bytes; 0 if not limited.
 	Memory int64
-	Bounds Bounds
+	// Descriptors is how many sockets the daemon may have open; 0 if not limited.
+	Descriptors int
+	Bounds      Bounds
 }
 
 // Bounds are the time and retry limits set by operators.
--- a/settings/daemon.go
+++ b/settings/daemon.go
@@ -17,6 +17,8 @@
 	OTLPURL   string
 	// DrainLimit is how long a planned stop waits for requests in progress.
 	DrainLimit time.Duration
+	// Memory is the memory of the process in bytes, without weights.
+	Memory int64
 }
 
 // Platform holds the addresses and credentials of the platform's services.
@@ -130,6 +132,7 @@
 		nameKey("daemon", "fleet", "batbayar", "Fleet that this daemon works for.", &d.Fleet),
 		nameKey("daemon", "site", "khovd", "Site (data centre) that it stands in.", &d.Site),
 		addressKey("daemon", "listen", listen, "Address on which it listens.", &d.Listen),
+		bytesKey("daemon", "memory", "512MiB", "Memory that the process may take up, weights not counted; clients may hold half of it.", &d.Memory),
 		durationKey("daemon", "drain-limit", "10m", "How long a planned stop waits for the requests in progress.", &d.DrainLimit),
 		choiceKey("daemon", "log-level", "info", "Least level that is logged: debug, info, warn or error.", []string{"debug", "info", "warn", "error"}, &d.LogLevel),
 		choiceKey("daemon", "log-format", "auto", "Form of the log: text, json, or auto for text on a terminal and JSON otherwise.", []string{"auto", "text", "json"}, &d.LogFormat),
