link: names that peers keep are bounded

What callers see: a box or an entry that holds the memory of names of up to 8 MB for each link that is open.

Cause: a message may have 8 MB, and what a peer calls itself or a model is kept while its link is open.

Change: messages with names over 1 KiB are rejected, in one place, by the messages that have names.

Evidence: TestLongNamesAreRejected accepts all five before.

--- a/link/daemon.go
+++ b/link/daemon.go
@@ -135,6 +135,12 @@
 	return observed
 }
 
+func (h *Hello) names() []string {
+	return []string{h.ID, h.Role, h.Fleet, h.Site, h.Incarnation, h.Host}
+}
+
+func (t *Target) names() []string { return []string{t.Model} }
+
 // Kind returns KindHello.
 func (*Hello) Kind() Kind { return KindHello }
 
--- a/link/frame.go
+++ b/link/frame.go
@@ -6,6 +6,9 @@
 	"github.com/fxamacker/cbor/v2"
 )
 
+// MaxName is the longest name, in bytes, in messages whose names are kept while their link is open.
+const MaxName = 1 << 10
+
 type frame struct {
 	_    struct{} `cbor:",toarray"`
 	Kind Kind
@@ -25,6 +28,13 @@
 	if err := cbor.Unmarshal(f.Body, msg); err != nil {
 		return nil, &FrameError{Reason: fmt.Sprintf("malformed body of kind %d", f.Kind), Err: err}
 	}
+	if named, ok := msg.(interface{ names() []string }); ok {
+		for _, name := range named.names() {
+			if len(name) > MaxName {
+				return nil, &FrameError{Reason: fmt.Sprintf("name of %d bytes in a message of kind %d", len(name), f.Kind)}
+			}
+		}
+	}
 	return msg, nil
 }
 
--- a/link/frame_test.go
+++ b/link/frame_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"reflect"
+	"strings"
 	"testing"
 	"time"
 
@@ -69,6 +70,25 @@
 	}
 }
 
+// TestLongNamesAreRejected guards against peers that make a daemon keep long names while their links are open.
+func TestLongNamesAreRejected(t *testing.T) {
+	long := strings.Repeat("x", MaxName+1)
+	for name, msg := range map[string]Message{
+		"id": &Hello{ID: long}, "site": &Hello{ID: "b", Site: long}, "host": &Hello{ID: "b", Host: long}, "model": &Target{Model: long},
+		"wanted model": &WantManifest{Model: long},
+	} {
+		t.Run(name, func(t *testing.T) {
+			data, err := Encode(msg)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if _, err := Decode(data); err == nil {
+				t.Error("accepted")
+			}
+		})
+	}
+}
+
 func FuzzDecode(f *testing.F) {
 	for _, msg := range messages() {
 		data, err := Encode(msg)
--- a/link/weights.go
+++ b/link/weights.go
@@ -61,6 +61,8 @@
 // Kind returns KindDecline.
 func (*Decline) Kind() Kind { return KindDecline }
 
+func (m *WantManifest) names() []string { return []string{m.Model} }
+
 // Kind returns KindWantManifest.
 func (*WantManifest) Kind() Kind { return KindWantManifest }
 
