--- a/soak/checker.go
+++ b/soak/checker.go
@@ -82,6 +82,9 @@
 	for _, violation := range c.rig.runs.Violations() {
 		c.reportf("weights: %s", violation)
 	}
+	for name, megabytes := range c.rig.excesses {
+		c.reportf("memory: %s held %d MB, of at most %d", name, megabytes, crowdMemoryMB)
+	}
 	for _, p := range c.rig.daemons() {
 		for _, exit := range p.unexpectedExits {
 			c.reportf("process: %s", exit)
--- a/soak/rig.go
+++ b/soak/rig.go
@@ -77,10 +77,12 @@
 	version     int64
 	storeWrites []storeWrite
 	evacuations []evacuation
+	// excesses holds the memory of daemons, in MB, that exceeded their limit.
+	excesses map[string]int
 }
 
 func newRig(opts Options) (*rig, error) {
-	r := &rig{opts: opts, store: standin.NewStore(), origin: &standin.Origin{}, runs: &standin.Recorder{}, block: int(opts.Seed % addressBlocks)}
+	r := &rig{excesses: make(map[string]int), opts: opts, store: standin.NewStore(), origin: &standin.Origin{}, runs: &standin.Recorder{}, block: int(opts.Seed % addressBlocks)}
 	err := errors.Join(
 		r.serveStore(),
 		r.serve(hostPort(r.ip(9, 2), originPort), r.origin),
@@ -229,6 +231,7 @@
 	r.storeHops = append(r.storeHops, h)
 	settings.ID, settings.Zone, settings.Zones, settings.Store, settings.Bounds = name, sites[i%len(sites)], sites, storeAt, bounds
 	settings.Bounds.Grace = r.workload().grace
+	settings = r.withCrowdLimits(settings)
 	path := filepath.Join(r.opts.Dir, name+".toml")
 	if err := os.WriteFile(path, []byte(settings.String()), 0o600); err != nil {
 		return err
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -36,6 +36,8 @@
 	VersionBounds bool
 	// Ranks makes a team flood the less urgent of two routes to the model servers while an entry is killed and a box is cut off.
 	Ranks bool
+	// Crowds lets clients that do not keep to the limits come to all listeners.
+	Crowds bool
 	// Deadly is the number of distinct requests that crash each server that runs them.
 	Deadly int
 	// DeadlyParts is the number of prompt parts that crash each server that begins to respond to a prompt with one; all prompts have parts.
@@ -147,7 +149,7 @@
 	return c.buildResult(opts.Seed), nil
 }
 
-// startCallers starts the callers, probes and balancer; wait blocks until they have ended.
+// startCallers starts the callers, probes, balancer and crowds; wait blocks until they have ended.
 func (r *rig) startCallers(ctx context.Context, out *outcomes) (wait func()) {
 	var wg sync.WaitGroup
 	b := newBalancer(r)
@@ -159,6 +161,9 @@
 	for entry := range r.entries {
 		wg.Go(func() { probe(ctx, r, entry, out) })
 	}
+	if r.opts.Crowds {
+		r.startCrowds(ctx, &wg)
+	}
 	return wg.Wait
 }
 
