--- a/abuse/fleet_test.go
+++ b/abuse/fleet_test.go
@@ -198,17 +198,22 @@
 		if err != nil {
 			return err
 		}
-		client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
-		resp, err := client.Do(req)
-		if err != nil {
-			return err
-		}
-		defer func() { _ = resp.Body.Close() }()
-		if resp.StatusCode != http.StatusOK {
-			return fmt.Errorf("status %d", resp.StatusCode)
-		}
-		return nil
+		return do(req)
+	}
+}
+
+// do sends a request on a new connection; any status but 200 is an error.
+func do(req *http.Request) error {
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	resp, err := client.Do(req)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return fmt.Errorf("status %d", resp.StatusCode)
 	}
+	return nil
 }
 
 // askBox links to the box as an entry does and waits for a report of its server.
--- a/abuse/service_test.go
+++ b/abuse/service_test.go
@@ -88,14 +88,5 @@
 		return err
 	}
 	req.Header.Set("Authorization", "Bearer "+key)
-	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
-	resp, err := client.Do(req)
-	if err != nil {
-		return err
-	}
-	defer func() { _ = resp.Body.Close() }()
-	if resp.StatusCode != http.StatusOK {
-		return fmt.Errorf("status %d", resp.StatusCode)
-	}
-	return nil
+	return do(req)
 }
--- a/connlimit/conn.go
+++ b/connlimit/conn.go
@@ -155,7 +155,7 @@
 		}
 	}
 	if more := c.held - includedBytes - c.counted; more > 0 {
-		if !l.makeSpace(more, c) {
+		if !l.evictForMemory(more, c) {
 			c.stop(memoryFull)
 			return c.stopped
 		}
--- a/connlimit/errors.go
+++ b/connlimit/errors.go
@@ -4,13 +4,13 @@
 type reason string
 
 const (
-	connectionsFull   reason = "too many connections"
-	memoryFull        reason = "unfinished requests hold too much memory"
-	headerTooLong     reason = "header too long"
-	headerTooSlow     reason = "header not complete in time"
-	requestTooSlow    reason = "request not complete in time"
-	idleTooLong       reason = "idle for too long"
-	connectionRefused reason = "refused"
+	connectionsFull reason = "too many connections"
+	memoryFull      reason = "unfinished requests hold too much memory"
+	headerTooLong   reason = "header too long"
+	headerTooSlow   reason = "header not complete in time"
+	requestTooSlow  reason = "request not complete in time"
+	idleTooLong     reason = "idle for too long"
+	refused         reason = "refused"
 )
 
 // ClosedError reports that a connection was closed, or reads no more, because of a limit.
--- a/connlimit/http.go
+++ b/connlimit/http.go
@@ -97,7 +97,7 @@
 
 // count counts memory unless there is too little left. The caller holds the mutex.
 func (s *stream) count(n int64) {
-	if s.full = s.full || !s.conn.listener.makeSpace(n, nil); s.full {
+	if s.full = s.full || !s.conn.listener.evictForMemory(n, nil); s.full {
 		return
 	}
 	s.counted += n
--- a/connlimit/listener.go
+++ b/connlimit/listener.go
@@ -50,7 +50,7 @@
 type Listener struct {
 	net.Listener
 	opts      Options
-	metrics   metricSet
+	metrics   listenerMetrics
 	createdAt time.Time
 
 	mu sync.Mutex
@@ -73,7 +73,7 @@
 	}
 	limitReceiveBuffer(inner)
 	return &Listener{
-		Listener: inner, opts: opts, metrics: newMetricSet(opts.Name), createdAt: time.Now(),
+		Listener: inner, opts: opts, metrics: newListenerMetrics(opts.Name), createdAt: time.Now(),
 		conns: make(map[*Conn]struct{}), closed: make(map[reason]int),
 	}
 }
@@ -116,9 +116,9 @@
 func (l *Listener) add(inner net.Conn) *Conn {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if len(l.conns) >= l.opts.Limits.Connections && !l.makeRoom() {
+	if len(l.conns) >= l.opts.Limits.Connections && !l.evictForConnection() {
 		l.metrics.refused.Inc()
-		l.closed[connectionRefused]++
+		l.closed[refused]++
 		return nil
 	}
 	c := &Conn{Conn: inner, listener: l}
@@ -131,8 +131,8 @@
 	return c
 }
 
-// makeRoom closes a connection in favour of a new one; it returns false if all are in use. The caller holds mu.
-func (l *Listener) makeRoom() bool {
+// evictForConnection closes a connection in favour of a new one; it returns false if all are in use. The caller holds mu.
+func (l *Listener) evictForConnection() bool {
 	now := time.Now()
 	c := front(&l.unfinished)
 	if c == nil || now.Sub(c.since) < stallTime {
@@ -146,9 +146,9 @@
 	return true
 }
 
-// makeSpace makes sure that n more bytes may be counted for the request of a connection: it closes other connections whose requests have
+// evictForMemory makes sure that n more bytes may be counted for the request of a connection: it closes other connections whose requests have
 // been unfinished for longer. It returns false if that is not enough. The caller holds mu.
-func (l *Listener) makeSpace(n int64, c *Conn) bool {
+func (l *Listener) evictForMemory(n int64, c *Conn) bool {
 	for e := l.unfinished.Front(); l.counted+n > l.opts.Limits.RequestBytes; {
 		if e == nil || e.Value == any(c) {
 			return false
--- a/connlimit/metrics.go
+++ b/connlimit/metrics.go
@@ -2,16 +2,16 @@
 
 import "github.com/VictoriaMetrics/metrics"
 
-// metricSet holds the metrics of a listener.
-type metricSet struct {
+// listenerMetrics are the metrics of one listener.
+type listenerMetrics struct {
 	open    *metrics.Counter
 	closed  *metrics.Counter
 	refused *metrics.Counter
 }
 
-func newMetricSet(listener string) metricSet {
+func newListenerMetrics(listener string) listenerMetrics {
 	label := `{listener="` + listener + `"}`
-	return metricSet{
+	return listenerMetrics{
 		open:    metrics.GetOrCreateCounter("coralstair_client_connections" + label),
 		closed:  metrics.GetOrCreateCounter("coralstair_client_connections_closed_total" + label),
 		refused: metrics.GetOrCreateCounter("coralstair_client_connections_refused_total" + label),
