--- a/connlimit/listener_test.go
+++ b/connlimit/listener_test.go
@@ -40,8 +40,6 @@
 	t        *testing.T
 	listener *Listener
 	conns    chan net.Conn
-	// served counts the requests that the handler has served.
-	served int
 }
 
 // serveTest serves requests in virtual time: those to /wait take a minute, all others are answered with their body.
@@ -76,7 +74,6 @@
 		case <-r.Context().Done():
 		}
 	}
-	s.served++
 	_, _ = w.Write(body)
 }
 
