connlimit: connections are closed outside the lock

Closing a connection waits for the goroutine that reads from it; under a crowd on a slow machine that held up every accept and read of the listener. Dropped connections are now closed when the lock is released. The collector's target is 65% of the memory, so that what it does not see has room in any case.

--- a/connlimit/conn.go
+++ b/connlimit/conn.go
@@ -135,7 +135,7 @@
 func (c *Conn) count(p []byte) reason {
 	l := c.listener
 	l.mu.Lock()
-	defer l.mu.Unlock()
+	defer l.unlock()
 	if c.stopped != "" || len(p) == 0 {
 		return c.stopped
 	}
@@ -165,11 +165,11 @@
 	return ""
 }
 
-// drop closes the connection for a reason. The caller holds the mutex.
+// drop closes the connection for a reason as soon as the listener's unlock releases the mutex, which the caller holds.
 func (c *Conn) drop(why reason) {
 	c.stop(why)
 	c.remove()
-	_ = c.Conn.Close()
+	c.listener.dropped = append(c.listener.dropped, c.Conn)
 }
 
 // refuseHeader tells the client that its header is too long, and reads what it still sends for a limited time.
--- a/connlimit/http.go
+++ b/connlimit/http.go
@@ -77,7 +77,7 @@
 		}
 	}
 	c.listener.mu.Lock()
-	defer c.listener.mu.Unlock()
+	defer c.listener.unlock()
 	c.multiplexed = true
 	s.count(header)
 	return s
@@ -87,7 +87,7 @@
 func (s *stream) Read(p []byte) (int, error) {
 	n, err := s.ReadCloser.Read(p)
 	s.conn.listener.mu.Lock()
-	defer s.conn.listener.mu.Unlock()
+	defer s.conn.listener.unlock()
 	s.count(int64(n))
 	if s.full {
 		return 0, &ClosedError{Reason: string(memoryFull)}
--- a/connlimit/listener.go
+++ b/connlimit/listener.go
@@ -61,6 +61,8 @@
 	// counted is the memory of unfinished requests and of those that are served.
 	counted int64
 	sweeper *time.Timer
+	// dropped are connections to be closed once mu is released, since closing waits for those that read.
+	dropped []net.Conn
 	// closed counts the connections that were closed or refused since the last sweep.
 	closed map[reason]int
 }
@@ -115,7 +117,7 @@
 // add registers a connection; it returns nil if there is no room for it.
 func (l *Listener) add(inner net.Conn) *Conn {
 	l.mu.Lock()
-	defer l.mu.Unlock()
+	defer l.unlock()
 	if len(l.conns) >= l.opts.Limits.Connections && !l.evictForConnection() {
 		l.metrics.refused.Inc()
 		l.closed[refused]++
@@ -179,7 +181,7 @@
 func (l *Listener) sweep() {
 	limits, now := l.requestLimits(), time.Now()
 	l.mu.Lock()
-	defer l.mu.Unlock()
+	defer l.unlock()
 	for e := l.unfinished.Front(); e != nil; {
 		c := connOf(e)
 		e = e.Next()
@@ -202,6 +204,16 @@
 	l.sweeper = nil
 }
 
+// unlock releases mu and closes the connections that were dropped meanwhile.
+func (l *Listener) unlock() {
+	dropped := l.dropped
+	l.dropped = nil
+	l.mu.Unlock()
+	for _, c := range dropped {
+		_ = c.Close()
+	}
+}
+
 // logClosed logs how many connections were closed since the last sweep, but for idle ones. The caller holds mu.
 func (l *Listener) logClosed() {
 	delete(l.closed, idleTooLong)
--- a/connlimit/listener_test.go
+++ b/connlimit/listener_test.go
@@ -286,7 +286,7 @@
 	c := l.add(far)
 	l.mu.Lock()
 	c.drop(connectionsFull)
-	l.mu.Unlock()
+	l.unlock()
 	req, err := http.NewRequestWithContext(server.ConnContext(context.Background(), c), http.MethodGet, "/", nil)
 	if err != nil {
 		t.Fatal(err)
--- a/internal/cmd/daemon.go
+++ b/internal/cmd/daemon.go
@@ -23,7 +23,7 @@
 const (
 	traceFlushTimeout = 2 * time.Second
 	// heapPercent of an entry's memory is the target of the garbage collector.
-	heapPercent = 75
+	heapPercent = 65
 )
 
 // daemon is the common interface of the entry and the box.
--- a/internal/daemoncmd/daemon.go
+++ b/internal/daemoncmd/daemon.go
@@ -20,7 +20,7 @@
 
 // heapPercent of the machine's memory is the target of the garbage collector: what it does not see takes up the rest, such as the program
 // and bytes in the kernel.
-const heapPercent = 75
+const heapPercent = 65
 
 // peerCoalesceDelay is the longest delay before changes relayed by entries take effect.
 const peerCoalesceDelay = 50 * time.Millisecond
