stricthttp: heads of responses are checked before anything in them is believed

What callers saw: a response with status 099 or 600, version 0.9 or 2.0, or a field name with a blank was passed on as an answer; where the name was that of the length or the coding, with other bytes than the server's. A response with status 000 that said "not run" was believed, and a request that may not be repeated went to a second server. One with status 101 that said "not run" held its request without end. On the product's own path the entry closed the connection of a caller without an answer, as net/http panics at status 000.

Cause: the parser of net/http is more lenient than RFC 9110 and RFC 9112, and nothing checked what it let through.

Change: package stricthttp wraps a transport of net/http. Whatever it returns has a valid version, a final status, field names that are tokens, no transfer coding in HTTP/1.0 or without content, and few interim responses. Any other response is an error of the request, which may have run. The entry's requests to servers and its health checks, the box's to its upstream, the clients of the store, the origin, the tables and objects and of operators, and the callers of lab and soak use it. The status check in forward goes.

--- a/client/client.go
+++ b/client/client.go
@@ -16,6 +16,7 @@
 	"github.com/coralstair/coralstair/fleet"
 	"github.com/coralstair/coralstair/operate"
 	"github.com/coralstair/coralstair/problem"
+	"github.com/coralstair/coralstair/stricthttp"
 )
 
 const (
@@ -23,6 +24,8 @@
 	callTimeout      = 15 * time.Second
 )
 
+var defaultClient = stricthttp.NewClient()
+
 // Client sends each statement to its entries in order until one responds.
 type Client struct {
 	// Entries are base URLs, such as http://10.0.0.1:7300.
@@ -72,7 +75,7 @@
 	req.Header.Set("Authorization", "Bearer "+c.Key)
 	client := c.HTTP
 	if client == nil {
-		client = http.DefaultClient
+		client = defaultClient
 	}
 	resp, err := client.Do(req)
 	if err != nil {
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -205,8 +205,6 @@
 		return &InvalidResponseError{Reason: "seal is missing"}
 	case a.resp.Header.Get("Content-Encoding") != "":
 		return &InvalidResponseError{Reason: "unexpected Content-Encoding"}
-	case a.resp.StatusCode < 200:
-		return &InvalidResponseError{Reason: "unexpected status " + a.resp.Status}
 	}
 	return nil
 }
--- a/forward/conn.go
+++ b/forward/conn.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -13,6 +14,7 @@
 	"golang.org/x/sys/unix"
 
 	"github.com/coralstair/coralstair/clock"
+	"github.com/coralstair/coralstair/stricthttp"
 )
 
 const (
@@ -91,6 +93,9 @@
 	return c.Conn.Close()
 }
 
+// NetConn returns the connection that this one uses.
+func (c *conn) NetConn() net.Conn { return c.Conn }
+
 // beginRequest marks the connection as in use and returns the number of bytes written before.
 func (c *conn) beginRequest() int64 {
 	c.mu.Lock()
@@ -181,13 +186,13 @@
 }
 
 // newTransport returns a transport to the servers. Requests sent with it must not be sent again by net/http (see attempt.gotConn).
-func newTransport() *http.Transport {
+func newTransport() *stricthttp.Transport {
 	dialer := &net.Dialer{
 		Timeout:         dialTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveProbes},
 		Control:         setUserTimeout,
 	}
-	return &http.Transport{
+	return stricthttp.NewTransport(&http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			c, err := dialer.DialContext(ctx, network, dialAddress(ctx, address))
 			if err != nil {
@@ -205,7 +210,17 @@
 		IdleConnTimeout:        idleTimeout,
 		ReadBufferSize:         connBuffer,
 		WriteBufferSize:        connBuffer,
+	})
+}
+
+// serverConn returns the connection to a server that a request got; nil if it is of another transport.
+func serverConn(info httptrace.GotConnInfo) *conn {
+	strict, ok := info.Conn.(*stricthttp.Conn)
+	if !ok {
+		return nil
 	}
+	c, _ := strict.Conn.(*conn)
+	return c
 }
 
 func setUserTimeout(_, _ string, raw syscall.RawConn) error {
--- a/forward/entry.go
+++ b/forward/entry.go
@@ -20,6 +20,7 @@
 	"github.com/coralstair/coralstair/peersource"
 	"github.com/coralstair/coralstair/quarantine"
 	"github.com/coralstair/coralstair/retry"
+	"github.com/coralstair/coralstair/stricthttp"
 	"github.com/coralstair/coralstair/supervise"
 )
 
@@ -57,9 +58,9 @@
 type Entry struct {
 	cfg       Config
 	log       log.Interface
-	transport *http.Transport
+	transport *stricthttp.Transport
 	// oneShotTransport keeps no idle connections.
-	oneShotTransport *http.Transport
+	oneShotTransport *stricthttp.Transport
 	upstreams        upstreams
 	budget           *retry.Budget
 	admission        admission.Services
--- a/forward/request.go
+++ b/forward/request.go
@@ -49,8 +49,8 @@
 // to close. If some of the request was written to an earlier connection, net/http is about to send it again: stop ends that before
 // anything is written, since the entry alone decides what is sent how often.
 func (a *attempt) gotConn(info httptrace.GotConnInfo, stop context.CancelCauseFunc) {
-	c, ok := info.Conn.(*conn)
-	if !ok {
+	c := serverConn(info)
+	if c == nil {
 		return
 	}
 	if a.conn != nil && !a.conn.cutUnlessWritten(a.writtenBefore) {
--- a/internal/cmd/config.go
+++ b/internal/cmd/config.go
@@ -11,6 +11,7 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/coralstair/coralstair/settings"
+	"github.com/coralstair/coralstair/stricthttp"
 )
 
 // Exit codes of the commands.
@@ -43,7 +44,7 @@
 
 // NewConfig returns a Config that uses the standard streams, changed by options.
 func NewConfig(options ...Option) *Config {
-	c := &Config{stdin: os.Stdin, stdout: os.Stdout, stderr: os.Stderr, http: http.DefaultClient}
+	c := &Config{stdin: os.Stdin, stdout: os.Stdout, stderr: os.Stderr, http: stricthttp.NewClient()}
 	for _, option := range options {
 		option(c)
 	}
--- a/internal/cmd/daemon.go
+++ b/internal/cmd/daemon.go
@@ -17,6 +17,7 @@
 	"github.com/coralstair/coralstair/dynamo"
 	"github.com/coralstair/coralstair/logging"
 	"github.com/coralstair/coralstair/settings"
+	"github.com/coralstair/coralstair/stricthttp"
 	"github.com/coralstair/coralstair/tracing"
 )
 
@@ -117,6 +118,6 @@
 	return dynamo.NewObjects(dynamo.ObjectsConfig{
 		Endpoint: p.ObjectURL, Bucket: p.Bucket, Region: p.Region,
 		Credentials: dynamo.Credentials{ID: p.AccessID, Secret: p.Secret},
-		Client:      &http.Client{Transport: transport},
+		Client:      &http.Client{Transport: stricthttp.NewTransport(transport)},
 	})
 }
--- a/internal/daemoncmd/role.go
+++ b/internal/daemoncmd/role.go
@@ -14,6 +14,7 @@
 	"github.com/coralstair/coralstair/peersource"
 	"github.com/coralstair/coralstair/platform"
 	"github.com/coralstair/coralstair/quarantine"
+	"github.com/coralstair/coralstair/stricthttp"
 	"github.com/coralstair/coralstair/supervise"
 )
 
@@ -87,7 +88,7 @@
 // newOriginClient returns a client that keeps no idle connections: the origin accepts fewer connections than there are boxes.
 func newOriginClient() *http.Client {
 	client := newClient()
-	if transport, ok := client.Transport.(*http.Transport); ok {
+	if transport, ok := client.Transport.(*stricthttp.Transport); ok {
 		transport.DisableKeepAlives = true
 	}
 	return client
@@ -99,8 +100,8 @@
 		Timeout:         dialTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: keepAliveCount},
 	}
-	return &http.Client{Transport: &http.Transport{
+	return &http.Client{Transport: stricthttp.NewTransport(&http.Transport{
 		DialContext: dialer.DialContext, DisableCompression: true, IdleConnTimeout: idleConnTimeout,
 		ReadBufferSize: clientBufferBytes, WriteBufferSize: clientBufferBytes, MaxResponseHeaderBytes: maxResponseHeader,
-	}}
+	})}
 }
--- a/lab/caller.go
+++ b/lab/caller.go
@@ -11,8 +11,12 @@
 	"net/http"
 	"strings"
 	"time"
+
+	"github.com/coralstair/coralstair/stricthttp"
 )
 
+var defaultClient = stricthttp.NewClient()
+
 // Caller sends requests to an entry and checks that each answer is complete, from one version and for its own request.
 type Caller struct {
 	URL  string
@@ -132,7 +136,7 @@
 	}
 	client := c.HTTP
 	if client == nil {
-		client = http.DefaultClient
+		client = defaultClient
 	}
 	return client.Do(req)
 }
--- a/lab/drive.go
+++ b/lab/drive.go
@@ -13,6 +13,7 @@
 	"github.com/coralstair/coralstair/entry"
 	"github.com/coralstair/coralstair/invariant"
 	"github.com/coralstair/coralstair/route"
+	"github.com/coralstair/coralstair/stricthttp"
 )
 
 // Load patterns of a drive experiment.
@@ -169,7 +170,7 @@
 		for e := range d.rig.Entries {
 			caller := d.rig.Caller(team, e)
 			caller.HTTP = pooledClient(nil)
-			caller.HTTP.Transport.(*http.Transport).MaxIdleConnsPerHost = 1000
+			caller.HTTP.Transport.(*stricthttp.Transport).MaxIdleConnsPerHost = 1000
 			callers = append(callers, caller)
 		}
 		d.callers = append(d.callers, callers)
--- a/lab/rig.go
+++ b/lab/rig.go
@@ -26,6 +26,7 @@
 	"github.com/coralstair/coralstair/keys"
 	"github.com/coralstair/coralstair/ledger"
 	"github.com/coralstair/coralstair/membership"
+	"github.com/coralstair/coralstair/stricthttp"
 	"github.com/coralstair/coralstair/swarm"
 	"github.com/coralstair/coralstair/weights"
 )
@@ -401,5 +402,5 @@
 
 // pooledClient returns an HTTP client with its own connection pool; a nil dial uses the default.
 func pooledClient(dial dialFunc) *http.Client {
-	return &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16, DialContext: dial}}
+	return &http.Client{Transport: stricthttp.NewTransport(&http.Transport{MaxIdleConnsPerHost: 16, DialContext: dial})}
 }
--- a/soak/caller.go
+++ b/soak/caller.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/coralstair/coralstair/lab/standin"
+	"github.com/coralstair/coralstair/stricthttp"
 )
 
 const (
@@ -166,10 +167,10 @@
 }
 
 func newCallerClient() *http.Client {
-	return &http.Client{Transport: &http.Transport{
+	return &http.Client{Transport: stricthttp.NewTransport(&http.Transport{
 		DialContext:         (&net.Dialer{Timeout: time.Second}).DialContext,
 		MaxIdleConnsPerHost: 1, DisableCompression: true,
-	}}
+	})}
 }
 
 func (c *caller) sendRequest(ctx context.Context, count int) standin.Response {
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -11,6 +11,8 @@
 	"strings"
 	"sync/atomic"
 	"time"
+
+	"github.com/coralstair/coralstair/stricthttp"
 )
 
 // Paths of an engine's control interface.
@@ -19,30 +21,15 @@
 	PathState  = "/control/state"
 )
 
-const (
-	controlTimeout = 3 * time.Second
-	// maxResponseHeader bounds, in bytes, the header that is held of a response, since an upstream in trouble may send one without end.
-	maxResponseHeader = 64 << 10
-)
-
-var defaultClient = &http.Client{Transport: newDefaultTransport()}
+const controlTimeout = 3 * time.Second
 
-// newDefaultTransport returns a copy of the default transport of net/http that bounds the header of a response.
-func newDefaultTransport() http.RoundTripper {
-	transport, ok := http.DefaultTransport.(*http.Transport)
-	if !ok {
-		return http.DefaultTransport
-	}
-	transport = transport.Clone()
-	transport.MaxResponseHeaderBytes = maxResponseHeader
-	return transport
-}
+var defaultClient = stricthttp.NewClient()
 
 // Client calls one upstream.
 type Client struct {
 	// URL is the upstream's base URL, without a trailing slash.
 	URL string
-	// HTTP makes the calls; nil means a client that bounds what it holds of a response's header.
+	// HTTP makes the calls; nil means stricthttp.NewClient().
 	HTTP *http.Client
 }
 
--- /dev/null
+++ b/upstream/response_test.go
@@ -0,0 +1,77 @@
+package upstream
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+
+	"github.com/coralstair/coralstair/lab/rawhttp"
+	"github.com/coralstair/coralstair/stricthttp"
+)
+
+// newRawUpstream returns a client of an upstream that answers with raw bytes, over connections of which a Write reports a reset first.
+func newRawUpstream(t *testing.T, answer rawhttp.Answer) *Client {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	go rawhttp.Serve(listener, answer)
+	transport := stricthttp.NewTransport(&http.Transport{DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+		c, err := new(net.Dialer).DialContext(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		_ = c.(*net.TCPConn).SetWriteBuffer(64 << 10)
+		return rawhttp.NewWriteFirstConn(c), nil
+	}})
+	t.Cleanup(transport.CloseIdleConnections)
+	return &Client{URL: "http://" + listener.Addr().String(), HTTP: &http.Client{Transport: transport}}
+}
+
+// read sends a request and returns the whole response.
+func read(t *testing.T, client *Client, request string) (status int, body string, err error) {
+	t.Helper()
+	resp, err := client.Do(t.Context(), http.MethodPost, "/a", http.Header{}, []byte(request))
+	if err != nil {
+		return 0, "", err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	got, err := io.ReadAll(resp.Body)
+	return resp.StatusCode, string(got), err
+}
+
+// TestInvalidHeadsAreNotBelieved guards against responses that net/http accepts although their heads are invalid: whether the request ran
+// is not known.
+func TestInvalidHeadsAreNotBelieved(t *testing.T) {
+	for name, response := range rawhttp.InvalidHeads() {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			client := newRawUpstream(t, func(conn *net.TCPConn, _ *http.Request) { _, _ = io.WriteString(conn, response) })
+			status, body, err := read(t, client, "x")
+			if !errors.As(err, new(*CallError)) {
+				t.Errorf("status %d, body %q, error %v, want one that leaves open whether the request ran", status, body, err)
+			}
+		})
+	}
+}
+
+// TestValidHeadsAreAccepted guards against the rejection of unusual heads that RFC 9110 and RFC 9112 allow.
+func TestValidHeadsAreAccepted(t *testing.T) {
+	for name, test := range rawhttp.ValidHeads() {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			client := newRawUpstream(t, func(conn *net.TCPConn, r *http.Request) {
+				_, _ = io.Copy(io.Discard, r.Body)
+				_, _ = io.WriteString(conn, test.Response)
+			})
+			if status, body, err := read(t, client, "x"); err != nil || status != test.Status || body != test.Body {
+				t.Errorf("status %d, body %q, error %v", status, body, err)
+			}
+		})
+	}
+}
