upstream: an order is accepted by a success alone

A box took any status below 400 for an engine's word that it has accepted an order, such as 304. The order then counted as given, and was repeated only because the engine did not load. Any other status leaves open whether it was accepted.

TestOrdersAreAcceptedBySuccesses failed before for 304.

--- a/upstream/client.go
+++ b/upstream/client.go
@@ -76,7 +76,7 @@
 		return &CallError{Call: "order", Err: err}
 	case status == http.StatusConflict:
 		return &StaleFenceError{Sent: order.Fence}
-	case status >= http.StatusBadRequest:
+	case status/100 != http.StatusOK/100:
 		return &CallError{Call: "order", Err: &StatusError{Status: status}}
 	default:
 		return nil
--- a/upstream/response_test.go
+++ b/upstream/response_test.go
@@ -75,3 +75,24 @@
 		})
 	}
 }
+
+// TestOrdersAreAcceptedBySuccesses guards against taking for an accepted order what does not say so.
+func TestOrdersAreAcceptedBySuccesses(t *testing.T) {
+	for name, test := range map[string]struct {
+		response string
+		accepted bool
+	}{
+		"success":      {"HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n", true},
+		"not modified": {"HTTP/1.1 304 Not Modified\r\n\r\n", false},
+		"status 000":   {"HTTP/1.1 000 OK\r\nContent-Length: 0\r\n\r\n", false},
+		"failure":      {"HTTP/1.1 500 Failed\r\nContent-Length: 0\r\n\r\n", false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			client := newRawUpstream(t, func(conn *net.TCPConn, _ *http.Request) { _, _ = io.WriteString(conn, test.response) })
+			if err := client.Order(t.Context(), Order{}); (err == nil) != test.accepted {
+				t.Errorf("error %v, want the order accepted: %t", err, test.accepted)
+			}
+		})
+	}
+}
