stricthttp: a reset while a request is written does not complete its response

What callers saw: a server answered a long upload at once with a 200 that had no length, sent part of its body and reset the connection while the upload was still being written. The caller got that part as a complete answer.

Cause: the kernel reports a reset once, to whoever asks first. Where a write of the upload took it, the read found a plain end of the connection, and net/http ends the body there. The check of the end then asked whether the server lives, and it did.

Change: one rule, at the connection and for both paths. What forward and box ask of the server afterwards is as before. A server that ends its response early and reads the rest of the upload is still believed, as RFC 9112 section 8 allows.

Evidence: TestResponsesOfResetConnectionsAreNotComplete lets a write take the reset first, so it needs no luck.

--- a/forward/responseend.go
+++ b/forward/responseend.go
@@ -20,8 +20,9 @@
 	endCheckPause = 100 * time.Millisecond
 )
 
-// verifyEnd checks that a response is complete. One without a length or chunks ends with its connection, also when its server exits within
-// it, and another server may listen at the address by the time the end is read. It is complete if the server that sent it is still there.
+// verifyEnd checks that a response is complete. One without a length or chunks ends with its connection, which stricthttp.Conn has checked,
+// but the connection also ends when its server exits within it, and another server may listen at the address by the time the end is read. It
+// is complete if the server that sent it is still there.
 func (a *attempt) verifyEnd() error {
 	if !probe.EndsWithConnection(a.resp) {
 		return nil
--- a/stricthttp/transport.go
+++ b/stricthttp/transport.go
@@ -59,6 +59,12 @@
 			c.beginRequest()
 			current.Store(c)
 		},
+		WroteRequest: func(info httptrace.WroteRequestInfo) {
+			// The connection knows the errors of its own writes.
+			if c := current.Load(); c != nil && info.Err == nil {
+				c.endRequest()
+			}
+		},
 		Got1xxResponse: func(_ int, header textproto.MIMEHeader) error {
 			if interim++; interim > maxInterim {
 				return &InvalidHeadError{Reason: "too many interim responses"}
--- a/upstream/response_test.go
+++ b/upstream/response_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 
 	"github.com/coralstair/coralstair/lab/rawhttp"
@@ -45,6 +46,23 @@
 	return resp.StatusCode, string(got), err
 }
 
+// TestResponsesOfResetConnectionsAreNotComplete guards against taking for complete what an upstream has sent of a response without a length
+// when it resets the connection while the request is still being written.
+func TestResponsesOfResetConnectionsAreNotComplete(t *testing.T) {
+	for name, end := range rawhttp.Ends() {
+		for _, version := range []string{"HTTP/1.0", "HTTP/1.1"} {
+			t.Run(name+", "+version, func(t *testing.T) {
+				t.Parallel()
+				client := newRawUpstream(t, end.Answer(version+" 200 OK\r\n\r\nhell"))
+				status, body, err := read(t, client, strings.Repeat("x", 900<<10))
+				if complete := err == nil && status == http.StatusOK; complete != end.Complete {
+					t.Errorf("status %d, body %q, error %v", status, body, err)
+				}
+			})
+		}
+	}
+}
+
 // TestInvalidHeadsAreNotBelieved guards against responses that net/http accepts although their heads are invalid: whether the request ran
 // is not known.
 func TestInvalidHeadsAreNotBelieved(t *testing.T) {
