--- a/abuse/service_test.go
+++ b/abuse/service_test.go
@@ -33,13 +33,19 @@
 }
 
 func newService(t *testing.T) *service {
+	t.Helper()
+	return newServiceBefore(t, func(address string) { serve(t, address, new(lab.Plain).Handler()) })
+}
+
+// newServiceBefore returns a service whose upstream is started at an address.
+func newServiceBefore(t *testing.T, startUpstream func(address string)) *service {
 	t.Helper()
 	at := newAddresses()
 	s := &service{entryAddr: at(1, ownEntryPort), boxAddr: at(2, ownBoxPort)}
 	platform := &lab.Platform{}
 	platform.Live.Put(membership.Member{ID: "box-1", Role: membership.RoleBox, Fleet: ownFleet, Site: site, Address: s.boxAddr, Service: ownService})
 	serve(t, at(9, storePort), platform.Handler())
-	serve(t, at(3, serverPort), new(lab.Plain).Handler())
+	startUpstream(at(3, serverPort))
 	dir := t.TempDir()
 	write := func(name string, lines ...string) string {
 		path := filepath.Join(dir, name)
