forward: a closed connection gets no empty 200

What callers saw: beside more uploads than the entry has memory for, an empty, whole 200 from the entry itself for a request that no server had received.

Cause: once connlimit has closed a connection in favour of others, ServeHTTP returned without a response, and net/http completes that as an empty 200. Connections are closed outside the lock, so the response could still be written.

Change: the handler aborts, as those of package entry and of connlimit do already.

--- a/forward/handler.go
+++ b/forward/handler.go
@@ -65,9 +65,13 @@
 	limit := timeLimit(info, route)
 	limitWrites(w, limit)
 	body, ok := e.readBody(w, r, info, started.Add(limit), cfg.Limits.BodyBytes)
-	if !ok || !connlimit.FromContext(r.Context()).Received() {
+	if !ok {
 		return
 	}
+	if !connlimit.FromContext(r.Context()).Received() {
+		// Returning would let net/http complete the response as an empty success.
+		panic(http.ErrAbortHandler)
+	}
 	c := &call{
 		entry: e, w: w, r: r, info: info, route: route, team: team, homes: homes, body: body,
 		started: started, deadline: started.Add(limit), config: cfg.Revision, excluded: make(map[string]bool),
