dynamo: an odd entry does not spoil the list of live boxes

What operators saw on systems of this kind: another writer left one odd entry in the list, very deeply nested, with a number too large or a port out of range, and the machines that read the list stopped following it.

Cause: on the product's own path the list was decoded whole, so one such entry made all of it an error, and a daemon that starts with it never learns of a box. null counted as an empty list, and a list without end was read without a bound.

Change: entries are read token by token, and those that are no members with an address that can be dialled are left out and counted. The list is bounded to 16 MiB.

--- a/dynamo/livelist.go
+++ b/dynamo/livelist.go
@@ -1,23 +1,44 @@
 package dynamo
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
+	"io"
+	"net"
 	"net/http"
+	"net/url"
+	"strconv"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"github.com/coralstair/coralstair/membership"
 	"github.com/coralstair/coralstair/store"
+	"github.com/coralstair/coralstair/stricthttp"
+)
+
+const (
+	liveListTimeout = 2 * time.Second
+	// maxListBytes bounds the list: some 10,000 members have 4 MB.
+	maxListBytes = 16 << 20
+	// maxMemberID is the longest id of a member, in bytes.
+	maxMemberID = 1 << 10
 )
 
-const liveListTimeout = 2 * time.Second
+var (
+	defaultClient  = stricthttp.NewClient()
+	skippedEntries = metrics.NewCounter("coralstair_list_entries_skipped_total")
+	errNoList      = errors.New("the response is no list")
+)
 
 // LiveList reads the platform's list of live and leaving boxes, which is eventually consistent.
 type LiveList struct {
 	// URL returns the list as a JSON array of members.
 	URL string
-	// Client sends the requests; nil means http.DefaultClient.
+	// Client sends the requests; nil means stricthttp.NewClient().
 	Client *http.Client
 }
 
@@ -31,7 +52,7 @@
 	}
 	client := l.Client
 	if client == nil {
-		client = http.DefaultClient
+		client = defaultClient
 	}
 	resp, err := client.Do(req)
 	if err != nil {
@@ -41,9 +62,108 @@
 	if resp.StatusCode != http.StatusOK {
 		return nil, &store.UnavailableError{Service: "live list", Call: "get", Err: fmt.Errorf("status %s", resp.Status)}
 	}
-	var members []membership.Member
-	if err := json.NewDecoder(resp.Body).Decode(&members); err != nil {
+	members, err := decodeMembers(io.LimitReader(resp.Body, maxListBytes))
+	if err != nil {
 		return nil, &store.UnavailableError{Service: "live list", Call: "get", Err: err}
 	}
 	return members, nil
 }
+
+// decodeMembers decodes a list and leaves out entries that are no members, which other writers may have left there.
+func decodeMembers(r io.Reader) ([]membership.Member, error) {
+	dec := json.NewDecoder(r)
+	dec.UseNumber()
+	if start, err := dec.Token(); err != nil || start != json.Delim('[') {
+		return nil, cmp.Or(err, errNoList)
+	}
+	var members []membership.Member
+	for dec.More() {
+		entry, err := readEntry(dec)
+		if err != nil {
+			return nil, err
+		}
+		if member, ok := parseMember(entry); ok {
+			members = append(members, member)
+		} else {
+			skippedEntries.Inc()
+		}
+	}
+	if _, err := dec.Token(); err != nil {
+		return nil, err
+	}
+	if _, err := dec.Token(); !errors.Is(err, io.EOF) {
+		return nil, cmp.Or(err, errNoList)
+	}
+	return members, nil
+}
+
+// readEntry reads the next entry of a list and returns the fields of an object without nested values; nil for anything else. It reads token
+// by token, since decoding a value that is nested too deeply would end the whole list.
+func readEntry(dec *json.Decoder) (map[string]any, error) {
+	start, err := dec.Token()
+	if err != nil {
+		return nil, err
+	}
+	if start != json.Delim('{') {
+		return nil, skipNested(dec, start)
+	}
+	fields := make(map[string]any)
+	for dec.More() {
+		name, err := dec.Token()
+		if err != nil {
+			return nil, err
+		}
+		value, err := dec.Token()
+		if err != nil {
+			return nil, err
+		}
+		if _, nested := value.(json.Delim); nested {
+			if err := skipNested(dec, value); err != nil {
+				return nil, err
+			}
+			value = json.RawMessage("[]")
+		}
+		fields[fmt.Sprint(name)] = value
+	}
+	_, err = dec.Token()
+	return fields, err
+}
+
+// skipNested reads the rest of a value that begins with a token.
+func skipNested(dec *json.Decoder, start json.Token) error {
+	for depth := 0; ; {
+		switch start {
+		case json.Delim('{'), json.Delim('['):
+			depth++
+		case json.Delim('}'), json.Delim(']'):
+			depth--
+		}
+		if depth == 0 {
+			return nil
+		}
+		var err error
+		if start, err = dec.Token(); err != nil {
+			return err
+		}
+	}
+}
+
+// parseMember returns the member that the fields of an entry describe.
+func parseMember(fields map[string]any) (member membership.Member, ok bool) {
+	text, err := json.Marshal(fields)
+	if err != nil || json.Unmarshal(text, &member) != nil {
+		return membership.Member{}, false
+	}
+	return member, member.ID != "" && len(member.ID) <= maxMemberID && isAddress(member.Address)
+}
+
+// isAddress reports whether a text is a host and a port that can be dialled.
+func isAddress(text string) bool {
+	host, port, err := net.SplitHostPort(text)
+	if err != nil {
+		return false
+	}
+	n, err := strconv.ParseUint(port, 10, 16)
+	_, hostErr := url.Parse("http://" + text)
+	return err == nil && hostErr == nil && n > 0 && host != ""
+}
--- a/dynamo/table.go
+++ b/dynamo/table.go
@@ -12,7 +12,6 @@
 	"github.com/aws/aws-sdk-go-v2/service/dynamodb/types"
 
 	"github.com/coralstair/coralstair/store"
-	"github.com/coralstair/coralstair/stricthttp"
 )
 
 // Attribute names and write conditions of the table.
@@ -210,7 +209,7 @@
 // clientOrDefault replaces a nil client, which the SDK's interface field would not recognise as unset.
 func clientOrDefault(client *http.Client) *http.Client {
 	if client == nil {
-		return stricthttp.NewClient()
+		return defaultClient
 	}
 	return client
 }
