forward: long events count as held

Bytes without end: an event of a stream may have 1 MiB and was counted nowhere, unlike complete responses, so 300 streams of one faulty server might hold 300 MB of an entry that has 284. Events of more than 4 KiB now count with the complete responses, to an eighth of the memory; a stream whose event finds no room breaks off like one whose event is too long. Usual events are not counted.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -257,8 +257,9 @@
 // readFirstEvent reads a stream up to the first event that the caller lacks, or to its end.
 func (a *attempt) readFirstEvent() (attemptResult, error) {
 	a.events = bufio.NewReaderSize(a.resp.Body, connBuffer)
+	a.held = a.call.entry.responses.start()
 	for {
-		event, err := readEvent(a.events, a.nextEvent[:0])
+		event, err := a.readEvent(a.nextEvent)
 		if errors.Is(err, io.EOF) && len(event) == 0 {
 			if err = a.verifyEnd(); err == nil {
 				a.streamEnded = true
--- a/forward/entry.go
+++ b/forward/entry.go
@@ -74,7 +74,7 @@
 	callersListener  *connlimit.Listener
 	readyListener    *connlimit.Listener
 	conns            callerConns
-	// responses bounds the complete responses held in memory.
+	// responses bounds the complete responses and long events held in memory.
 	responses holdings
 	// changedBounds are the bounds that were set while the entry runs; nil while those of its start are in force.
 	changedBounds atomic.Pointer[machine.Bounds]
--- a/forward/held.go
+++ b/forward/held.go
@@ -14,7 +14,7 @@
 )
 
 const (
-	// Complete responses may hold 1/heldDivisor of the machine's memory, defaultHeld where that is unknown.
+	// Complete responses and long events may hold 1/heldDivisor of the machine's memory, defaultHeld where that is unknown.
 	heldDivisor = 8
 	defaultHeld = 32 << 20
 	// unreadTimeout is how long after the time limit of its request a caller may take to read what is sent to it.
@@ -50,7 +50,22 @@
 // reader returns a reader that accounts for what it reads, and fails with errHeldFull when nothing more may be held.
 func (b *heldBytes) reader(r io.Reader) io.Reader { return &heldReader{held: b, r: r} }
 
-// release ends the account; only the first call has an effect.
+// resize sets how much is held. It returns errHeldFull, and changes nothing, when that is too much.
+func (b *heldBytes) resize(n int64) error {
+	more := n - b.n
+	if more == 0 {
+		return nil
+	}
+	if b.holdings.used.Add(more) > b.holdings.limit && more > 0 {
+		b.holdings.used.Add(-more)
+		heldRefused.Inc()
+		return errHeldFull
+	}
+	b.n = n
+	return nil
+}
+
+// release empties the account.
 func (b *heldBytes) release() {
 	if b != nil {
 		b.holdings.used.Add(-b.n)
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -17,8 +17,9 @@
 )
 
 const (
-	// maxEvent bounds an event, in bytes.
-	maxEvent = 1 << 20
+	// maxEvent bounds an event, in bytes. One of up to usualEvent does not count as held.
+	maxEvent   = 1 << 20
+	usualEvent = 4 << 10
 	// A stream that pauses for pauseFactor times the route's pause goal, at least minPause, is hedged.
 	pauseFactor = 2
 	minPause    = 800 * time.Millisecond
@@ -171,7 +172,7 @@
 		}
 		a.call.confirmAnswer(a)
 		a.startSilenceTimer(max(pauseFactor*a.call.route.PauseGoal, minPause))
-		event, err = readEvent(a.events, event[:0])
+		event, err = a.readEvent(event)
 		a.stopSilenceTimer()
 		if err != nil {
 			if errors.Is(err, io.EOF) && len(event) == 0 {
@@ -322,11 +323,22 @@
 	return n <= had
 }
 
-// readEvent appends the next whole event, including the blank line that ends it.
-func readEvent(r *bufio.Reader, event []byte) ([]byte, error) {
+// readEvent returns the next whole event, including the blank line that ends it, in a buffer that is used again unless it is large.
+func (a *attempt) readEvent(buf []byte) ([]byte, error) {
+	event := buf[:0]
+	if cap(buf) > usualEvent {
+		event = nil
+		a.held.release()
+	}
 	for {
-		line, err := r.ReadSlice('\n')
+		line, err := a.events.ReadSlice('\n')
 		event = append(event, line...)
+		// Usual events are not counted, so that streams go on when nothing more may be held.
+		if size := cap(event); size > usualEvent {
+			if heldErr := a.held.resize(int64(size)); heldErr != nil {
+				return event, heldErr
+			}
+		}
 		switch {
 		case errors.Is(err, bufio.ErrBufferFull):
 			if len(event) > maxEvent {
