--- a/stricthttp/head.go
+++ b/stricthttp/head.go
@@ -11,8 +11,8 @@
 // maxStatus is the highest valid status code (RFC 9110, section 15).
 const maxStatus = 599
 
-// CheckHead checks the head of a final response; the error is an *InvalidHeadError.
-func CheckHead(resp *http.Response) error {
+// checkHead checks the head of a final response; the error is an *InvalidHeadError.
+func checkHead(resp *http.Response) error {
 	switch {
 	case resp.ProtoMajor != 1 && resp.TLS == nil:
 		return &InvalidHeadError{Reason: "version " + resp.Proto}
--- a/stricthttp/transport.go
+++ b/stricthttp/transport.go
@@ -76,7 +76,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := CheckHead(resp); err != nil {
+	if err := checkHead(resp); err != nil {
 		// A response without content has left its connection for further requests already.
 		if c := current.Load(); c != nil {
 			_ = c.Close()
