stricthttp: a length beside a transfer coding, or content announced with 204, is invalid

A caller got the decoded content of a response that had both a length and a transfer coding, which disagree about its end, and a 204 whose head announced content, whose bytes are left on the connection. RFC 9112 section 6.3 and RFC 9110 section 8.6 forbid both to a server. The two cases of the tests failed before in forward and upstream.

--- a/lab/rawhttp/heads.go
+++ b/lab/rawhttp/heads.go
@@ -39,6 +39,8 @@
 	"chunked before another coding":              "HTTP/1.1 200 OK\n%\nTransfer-Encoding: chunked, gzip\n\n5\nhello\n0\n\n",
 	"chunked twice":                              "HTTP/1.1 200 OK\n%\nTransfer-Encoding: chunked\nTransfer-Encoding: chunked\n\n5\nhello\n0\n\n",
 	"coding without a body":                      "HTTP/1.1 204 No Content\n%\nTransfer-Encoding: chunked\n\n",
+	"coding and length":                          "HTTP/1.1 200 OK\n%\nContent-Length: 3\nTransfer-Encoding: chunked\n\n5\nhello\n0\n\n",
+	"length without a body":                      "HTTP/1.1 204 No Content\n%\nContent-Length: 5\n\nhello",
 	"two lengths":                                "HTTP/1.1 200 OK\n%\nContent-Length: 5\nContent-Length: 4\n\nhello",
 	"length with a sign":                         "HTTP/1.1 200 OK\n%\nContent-Length: +5\n\nhello",
 	"negative length":                            "HTTP/1.1 200 OK\n%\nContent-Length: -5\n\nhello",
--- a/stricthttp/head.go
+++ b/stricthttp/head.go
@@ -20,8 +20,8 @@
 		return &InvalidHeadError{Reason: fmt.Sprintf("status %03d", resp.StatusCode)}
 	case !httpguts.ValidHeaderFieldValue(resp.Status):
 		return &InvalidHeadError{Reason: "control character in the reason phrase"}
-	case resp.StatusCode == http.StatusNoContent && len(resp.TransferEncoding) > 0:
-		return &InvalidHeadError{Reason: "transfer coding of a response without content"}
+	case resp.StatusCode == http.StatusNoContent && announcesContent(resp):
+		return &InvalidHeadError{Reason: "content of a response with status 204"}
 	}
 	return checkFields(resp.Header)
 }
@@ -34,6 +34,12 @@
 	return resp.StatusCode >= http.StatusOK && resp.StatusCode <= maxStatus
 }
 
+// announcesContent reports whether the head says that content follows, whatever the status.
+func announcesContent(resp *http.Response) bool {
+	length := resp.Header.Get("Content-Length")
+	return len(resp.TransferEncoding) > 0 || length != "" && length != "0"
+}
+
 // checkFields checks the names and values of a header.
 func checkFields(header http.Header) error {
 	for name, values := range header {
@@ -52,10 +58,11 @@
 var (
 	version10       = []byte("HTTP/1.0 ")
 	codingFieldName = []byte("transfer-encoding:")
+	lengthFieldName = []byte("content-length:")
 )
 
-// headScanner looks for a Transfer-Encoding field in the heads of HTTP/1.0 responses, whose framing it makes faulty (RFC 9112, section 6.1).
-// net/http removes the field and takes the coded bytes for the content.
+// headScanner looks for faulty framing (RFC 9112, sections 6.1 and 6.3) that net/http does not report: a Transfer-Encoding field in HTTP/1.0,
+// which it removes, taking the coded bytes for the content, or one beside a Content-Length field, which it removes.
 type headScanner struct {
 	// line is the start of the current line, and length how long the line is so far.
 	line   [len("transfer-encoding:")]byte
@@ -63,7 +70,7 @@
 	// inFields is set after the status line, done after the head of the final response.
 	inFields, done         bool
 	isVersion10, isInterim bool
-	hasCoding              bool
+	hasCoding, hasLength   bool
 }
 
 // scan reads a part of the response.
@@ -80,8 +87,12 @@
 			continue
 		}
 		s.endLine()
-		if s.done && s.isVersion10 && s.hasCoding {
+		switch {
+		case !s.done || !s.hasCoding:
+		case s.isVersion10:
 			return &InvalidHeadError{Reason: "transfer coding in HTTP/1.0"}
+		case s.hasLength:
+			return &InvalidHeadError{Reason: "transfer coding and length"}
 		}
 	}
 	return nil
@@ -102,6 +113,8 @@
 		s.done = true
 	case bytes.EqualFold(start, codingFieldName):
 		s.hasCoding = true
+	case len(start) >= len(lengthFieldName) && bytes.EqualFold(start[:len(lengthFieldName)], lengthFieldName):
+		s.hasLength = true
 	}
 }
 
