--- a/abuse/responses_test.go
+++ b/abuse/responses_test.go
@@ -29,23 +29,23 @@
 	resetTries = 12
 )
 
-// rawServers answer POST requests as they are told, and count them. All others are health checks.
+// rawServers answer POST requests with the same answer, and count them. All other requests are health checks.
 type rawServers struct {
 	mu       sync.Mutex
 	answer   rawhttp.Answer
 	arrivals int
 }
 
-// tell sets the answer to further requests; nil stands for an ordinary one.
-func (s *rawServers) tell(answer rawhttp.Answer) {
+// setAnswer sets the answer to further requests; nil stands for an ordinary one.
+func (s *rawServers) setAnswer(answer rawhttp.Answer) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.answer, s.arrivals = answer, 0
 }
 
-// tellResponse sets a response, in which ID stands for the id of the request.
-func (s *rawServers) tellResponse(response string) {
-	s.tell(func(conn *net.TCPConn, r *http.Request) {
+// setResponse sets a response, in which ID stands for the id of the request.
+func (s *rawServers) setResponse(response string) {
+	s.setAnswer(func(conn *net.TCPConn, r *http.Request) {
 		_, _ = io.Copy(io.Discard, r.Body)
 		_, _ = io.WriteString(conn, withID(response, r))
 	})
@@ -55,7 +55,7 @@
 	return strings.ReplaceAll(response, "ID", r.Header.Get("X-Request-Id"))
 }
 
-func (s *rawServers) arrived() int {
+func (s *rawServers) arrivalCount() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.arrivals
@@ -170,7 +170,7 @@
 // awaitServed waits until an ordinary response is delivered.
 func (g rawTarget) awaitServed(t *testing.T) {
 	t.Helper()
-	g.servers.tell(nil)
+	g.servers.setAnswer(nil)
 	if err := eventually(t.Context(), startLimit, func(ctx context.Context) error {
 		status, body, err := g.send(ctx, g.oncePath, "x")
 		if err == nil && (status != http.StatusOK || body != rawBody) {
@@ -186,7 +186,7 @@
 func (g rawTarget) checkNotBelieved(t *testing.T, path, body string) {
 	t.Helper()
 	status, got, err := g.send(t.Context(), path, body)
-	arrived := g.servers.arrived()
+	arrived := g.servers.arrivalCount()
 	switch {
 	case err != nil || status != http.StatusBadGateway && status != http.StatusServiceUnavailable:
 		t.Errorf("status %d, body %q, error %v, want an error response of the entry", status, got, err)
@@ -205,7 +205,7 @@
 		for head, response := range rawhttp.InvalidHeads(fields...) {
 			for _, path := range []string{g.oncePath, g.safePath} {
 				t.Run(head+name+", "+path, func(t *testing.T) {
-					g.servers.tellResponse(response)
+					g.servers.setResponse(response)
 					g.checkNotBelieved(t, path, "x")
 				})
 			}
@@ -216,7 +216,7 @@
 			t.Run(name+", "+version, func(t *testing.T) {
 				response := strings.Join(append([]string{version + " 200 OK"}, g.fields...), "\r\n") + "\r\n\r\nhell"
 				for range resetTries {
-					g.servers.tell(func(conn *net.TCPConn, r *http.Request) { end.Answer(withID(response, r))(conn, r) })
+					g.servers.setAnswer(func(conn *net.TCPConn, r *http.Request) { end.Answer(withID(response, r))(conn, r) })
 					if !end.Complete {
 						g.checkNotBelieved(t, g.oncePath, strings.Repeat("x", uploadBytes))
 						continue
--- a/abuse/stop_test.go
+++ b/abuse/stop_test.go
@@ -30,7 +30,7 @@
 	g := newRawFleet(t)
 	g.awaitServed(t)
 	var reached sync.Map
-	g.servers.tell(func(conn *net.TCPConn, r *http.Request) {
+	g.servers.setAnswer(func(conn *net.TCPConn, r *http.Request) {
 		reached.Store(r.Header.Get("X-Request-Id"), time.Now())
 		_, _ = io.Copy(io.Discard, r.Body)
 		time.Sleep(minWork + rand.N(maxWork-minWork))
--- a/dynamo/livelist.go
+++ b/dynamo/livelist.go
@@ -31,7 +31,7 @@
 var (
 	defaultClient  = stricthttp.NewClient()
 	skippedEntries = metrics.NewCounter("coralstair_list_entries_skipped_total")
-	errNoList      = errors.New("the response is no list")
+	errNotArray    = errors.New("response is not a JSON array")
 )
 
 // LiveList reads the platform's list of live and leaving boxes, which is eventually consistent.
@@ -69,12 +69,12 @@
 	return members, nil
 }
 
-// decodeMembers decodes a list and leaves out entries that are no members, which other writers may have left there.
+// decodeMembers decodes a list and skips entries that are not members, which other writers may have left there.
 func decodeMembers(r io.Reader) ([]membership.Member, error) {
 	dec := json.NewDecoder(r)
 	dec.UseNumber()
 	if start, err := dec.Token(); err != nil || start != json.Delim('[') {
-		return nil, cmp.Or(err, errNoList)
+		return nil, cmp.Or(err, errNotArray)
 	}
 	var members []membership.Member
 	for dec.More() {
@@ -92,7 +92,7 @@
 		return nil, err
 	}
 	if _, err := dec.Token(); !errors.Is(err, io.EOF) {
-		return nil, cmp.Or(err, errNoList)
+		return nil, cmp.Or(err, errNotArray)
 	}
 	return members, nil
 }
--- a/dynamo/livelist_test.go
+++ b/dynamo/livelist_test.go
@@ -11,8 +11,8 @@
 	"github.com/coralstair/coralstair/membership"
 )
 
-// oddEntries are entries of a list that are no members.
-var oddEntries = map[string]string{
+// invalidEntries are entries of a list that are not members.
+var invalidEntries = map[string]string{
 	"nested objects":            strings.Repeat(`{"a":`, 100_000) + "1" + strings.Repeat("}", 100_000),
 	"nested arrays":             strings.Repeat("[", 1_000_000) + strings.Repeat("]", 1_000_000),
 	"nested value":              `{"id":"b2","address":"127.0.0.1:1","x":` + strings.Repeat("[", 100_000) + strings.Repeat("]", 100_000) + `,"leaving":3}`,
@@ -49,15 +49,15 @@
 	return &LiveList{URL: server.URL}
 }
 
-// TestOddEntriesAreLeftOut guards against a list that is not followed any more because another writer left an entry in it that is no member.
-func TestOddEntriesAreLeftOut(t *testing.T) {
+// TestInvalidEntriesAreSkipped guards against a list that is not followed any more because another writer left an invalid entry in it.
+func TestInvalidEntriesAreSkipped(t *testing.T) {
 	want := []membership.Member{
 		{ID: "b1", Role: membership.RoleBox, Fleet: "f", Site: "s", Address: "127.0.0.1:7400", Service: "x", Incarnation: "2"},
 		{ID: "e1", Role: membership.RoleEntry, Fleet: "f", Site: "s", Address: "[::1]:7300", Leaving: true},
 	}
 	const first, last = `{"id":"b1","role":"box","fleet":"f","site":"s","address":"127.0.0.1:7400","service":"x","incarnation":"2"}`,
 		`{"id":"e1","role":"entry","fleet":"f","site":"s","address":"[::1]:7300","leaving":true,"later":{"field":[1,2]}}`
-	for name, entry := range oddEntries {
+	for name, entry := range invalidEntries {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			list := serveList(t, func(w http.ResponseWriter) { _, _ = fmt.Fprintf(w, "[%s, %s, %s, %s]", entry, first, entry, last) })
@@ -68,8 +68,8 @@
 	}
 }
 
-// TestBrokenListsAreErrors guards against taking a part of a list, or something else, for the whole list.
-func TestBrokenListsAreErrors(t *testing.T) {
+// TestInvalidListsAreErrors guards against taking a part of a list, or something else, for the whole list.
+func TestInvalidListsAreErrors(t *testing.T) {
 	const member = `{"id":"b1","address":"127.0.0.1:7400"}`
 	for name, text := range map[string]string{
 		"empty": "", "object": "{}", "null": "null", "member": member, "no end": "[" + member, "end within a member": "[" + member + `,{"id":`,
