dynamo: a usual list is decoded at once, a test counts without a race

The handler was still writing since decoding 16 MiB token by token takes longer than the 2 s of a call, so the time ended the read, not the bound.

--- a/dynamo/livelist.go
+++ b/dynamo/livelist.go
@@ -1,6 +1,7 @@
 package dynamo
 
 import (
+	"bytes"
 	"cmp"
 	"context"
 	"encoding/json"
@@ -10,6 +11,7 @@
 	"net"
 	"net/http"
 	"net/url"
+	"slices"
 	"strconv"
 	"time"
 
@@ -62,7 +64,11 @@
 	if resp.StatusCode != http.StatusOK {
 		return nil, &store.UnavailableError{Service: "live list", Call: "get", Err: fmt.Errorf("status %s", resp.Status)}
 	}
-	members, err := decodeMembers(io.LimitReader(resp.Body, maxListBytes))
+	text, err := io.ReadAll(io.LimitReader(resp.Body, maxListBytes))
+	if err != nil {
+		return nil, &store.UnavailableError{Service: "live list", Call: "get", Err: err}
+	}
+	members, err := decodeMembers(text)
 	if err != nil {
 		return nil, &store.UnavailableError{Service: "live list", Call: "get", Err: err}
 	}
@@ -70,8 +76,17 @@
 }
 
 // decodeMembers decodes a list and skips entries that are not members, which other writers may have left there.
-func decodeMembers(r io.Reader) ([]membership.Member, error) {
-	dec := json.NewDecoder(r)
+func decodeMembers(text []byte) ([]membership.Member, error) {
+	var members []membership.Member
+	if json.Unmarshal(text, &members) == nil && members != nil && !slices.ContainsFunc(members, isInvalid) {
+		return members, nil
+	}
+	return decodeValid(text)
+}
+
+// decodeValid decodes the valid entries of a list one by one.
+func decodeValid(text []byte) ([]membership.Member, error) {
+	dec := json.NewDecoder(bytes.NewReader(text))
 	dec.UseNumber()
 	if start, err := dec.Token(); err != nil || start != json.Delim('[') {
 		return nil, cmp.Or(err, errNotArray)
@@ -82,7 +97,7 @@
 		if err != nil {
 			return nil, err
 		}
-		if member, ok := parseMember(entry); ok {
+		if member, err := parseMember(entry); err == nil && !isInvalid(member) {
 			members = append(members, member)
 		} else {
 			skippedEntries.Inc()
@@ -149,21 +164,24 @@
 }
 
 // parseMember returns the member that the fields of an entry describe.
-func parseMember(fields map[string]any) (member membership.Member, ok bool) {
+func parseMember(fields map[string]any) (member membership.Member, err error) {
 	text, err := json.Marshal(fields)
-	if err != nil || json.Unmarshal(text, &member) != nil {
-		return membership.Member{}, false
+	if err != nil {
+		return membership.Member{}, err
 	}
-	return member, member.ID != "" && len(member.ID) <= maxMemberID && isAddress(member.Address)
+	return member, json.Unmarshal(text, &member)
 }
 
-// isAddress reports whether a text is a host and a port that can be dialled.
-func isAddress(text string) bool {
-	host, port, err := net.SplitHostPort(text)
-	if err != nil {
-		return false
+// isInvalid reports whether a member has no valid id, or no host and port that can be dialled.
+func isInvalid(member membership.Member) bool {
+	if member.ID == "" || len(member.ID) > maxMemberID {
+		return true
+	}
+	host, port, err := net.SplitHostPort(member.Address)
+	if err != nil || host == "" {
+		return true
 	}
 	n, err := strconv.ParseUint(port, 10, 16)
-	_, hostErr := url.Parse("http://" + text)
-	return err == nil && hostErr == nil && n > 0 && host != ""
+	_, hostErr := url.Parse("http://" + member.Address)
+	return err != nil || n == 0 || hostErr != nil
 }
--- a/dynamo/livelist_test.go
+++ b/dynamo/livelist_test.go
@@ -6,6 +6,7 @@
 	"net/http/httptest"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"testing"
 
 	"github.com/coralstair/coralstair/membership"
@@ -83,19 +84,19 @@
 		})
 	}
 	t.Run("without end", func(t *testing.T) {
-		written := 0
+		var written atomic.Int64
 		list := serveList(t, func(w http.ResponseWriter) {
 			part := []byte(strings.Repeat(member+",", 1000))
 			_, _ = fmt.Fprint(w, "[")
-			for written < 4*maxListBytes {
+			for written.Load() < 4*maxListBytes {
 				n, err := w.Write(part)
-				if written += n; err != nil {
+				if written.Add(int64(n)); err != nil {
 					return
 				}
 			}
 		})
-		if members, err := list.Members(t.Context()); err == nil || written >= 4*maxListBytes {
-			t.Errorf("%d members, error %v, after %d bytes", len(members), err, written)
+		if members, err := list.Members(t.Context()); err == nil || written.Load() >= 4*maxListBytes {
+			t.Errorf("%d members, error %v, after %d bytes", len(members), err, written.Load())
 		}
 	})
 }
