--- a/abuse/responses_test.go
+++ b/abuse/responses_test.go
@@ -27,6 +27,9 @@
 	resetTries = 12
 )
 
+// resetPauses are how long uploads go on until their connections are reset.
+var resetPauses = []time.Duration{time.Millisecond, 5 * time.Millisecond, 30 * time.Millisecond, 60 * time.Millisecond}
+
 // ordinaryResponse is a response of the platform, in which ID stands for the id of the request.
 var ordinaryResponse = "HTTP/1.1 200 OK\r\n" + strings.Join(standin.ResponseFields("s", "ID"), "\r\n") + "\r\nContent-Length: 5\r\n\r\n" + rawBody
 
@@ -213,8 +216,9 @@
 		for _, version := range []string{"HTTP/1.0", "HTTP/1.1"} {
 			t.Run(name+", "+version, func(t *testing.T) {
 				response := strings.Join(append([]string{version + " 200 OK"}, g.fields...), "\r\n") + "\r\n\r\nhell"
-				for range resetTries {
-					g.servers.setAnswer(func(conn *net.TCPConn, r *http.Request) { end.Answer(withID(response, r))(conn, r) })
+				for try := range resetTries {
+					paused := end.WithPause(resetPauses[try%len(resetPauses)])
+					g.servers.setAnswer(func(conn *net.TCPConn, r *http.Request) { paused.Answer(withID(response, r))(conn, r) })
 					if !end.Complete {
 						g.checkNotBelieved(t, g.oncePath, strings.Repeat("x", uploadBytes))
 						continue
--- a/lab/rawhttp/server.go
+++ b/lab/rawhttp/server.go
@@ -2,14 +2,15 @@
 
 import (
 	"bufio"
+	"cmp"
 	"io"
 	"net"
 	"net/http"
 	"time"
 )
 
-// resetPause is how long an upload goes on until its connection is reset.
-const resetPause = 30 * time.Millisecond
+// defaultPause is how long an upload goes on until its connection is reset.
+const defaultPause = 30 * time.Millisecond
 
 // Answer answers a request whose body has not been read. The connection is closed after it.
 type Answer func(conn *net.TCPConn, r *http.Request)
@@ -34,14 +35,21 @@
 type End struct {
 	// Complete says that the response is complete.
 	Complete bool
-	end      func(conn *net.TCPConn, r *http.Request)
+	pause    time.Duration
+	end      func(conn *net.TCPConn, r *http.Request, pause time.Duration)
+}
+
+// WithPause returns the same end after another pause.
+func (e End) WithPause(pause time.Duration) End {
+	e.pause = pause
+	return e
 }
 
 // Answer returns an Answer that writes a response and then ends the connection.
 func (e End) Answer(response string) Answer {
 	return func(conn *net.TCPConn, r *http.Request) {
 		if _, err := io.WriteString(conn, response); err == nil {
-			e.end(conn, r)
+			e.end(conn, r, cmp.Or(e.pause, defaultPause))
 		}
 	}
 }
@@ -50,20 +58,20 @@
 func Ends() map[string]End {
 	readBody := func(r *http.Request) { _, _ = io.Copy(io.Discard, r.Body) }
 	return map[string]End{
-		"reset": {end: func(conn *net.TCPConn, _ *http.Request) {
-			time.Sleep(resetPause)
+		"reset": {end: func(conn *net.TCPConn, _ *http.Request, pause time.Duration) {
+			time.Sleep(pause)
 			_ = conn.SetLinger(0)
 		}},
-		"close while the upload is unread": {end: func(*net.TCPConn, *http.Request) { time.Sleep(resetPause) }},
-		"end, then reset": {end: func(conn *net.TCPConn, _ *http.Request) {
+		"close while the upload is unread": {end: func(_ *net.TCPConn, _ *http.Request, pause time.Duration) { time.Sleep(pause) }},
+		"end, then reset": {end: func(conn *net.TCPConn, _ *http.Request, pause time.Duration) {
 			_ = conn.CloseWrite()
-			time.Sleep(resetPause)
+			time.Sleep(pause)
 			_ = conn.SetLinger(0)
 		}},
-		"end, the rest of the upload is read": {Complete: true, end: func(conn *net.TCPConn, r *http.Request) {
+		"end, the rest of the upload is read": {Complete: true, end: func(conn *net.TCPConn, r *http.Request, _ time.Duration) {
 			_ = conn.CloseWrite()
 			readBody(r)
 		}},
-		"close after the upload was read": {Complete: true, end: func(_ *net.TCPConn, r *http.Request) { readBody(r) }},
+		"close after the upload was read": {Complete: true, end: func(_ *net.TCPConn, r *http.Request, _ time.Duration) { readBody(r) }},
 	}
 }
