--- a/abuse/abuse_test.go
+++ b/abuse/abuse_test.go
@@ -66,10 +66,21 @@
 }
 
 func TestClientsOfBoxLinks(t *testing.T) {
-	play(t, linkKinds(), func(t *testing.T) target {
-		f := newFleet(t)
-		return target{process: f.box, address: f.boxAddr, memoryMB: memoryMB, ask: f.askBox, askOther: f.ask}
-	})
+	kinds := linkKinds()
+	delete(kinds, crowd.RequestsAhead)
+	play(t, kinds, newBoxLinks)
+}
+
+// TestRequestsAheadAtBoxLinks plays the kind that TestClientsOfBoxLinks leaves out.
+func TestRequestsAheadAtBoxLinks(t *testing.T) {
+	play(t, map[string]crowd.Kind{crowd.RequestsAhead: linkKinds()[crowd.RequestsAhead]}, newBoxLinks)
+}
+
+// newBoxLinks returns the listener of a box for links.
+func newBoxLinks(t *testing.T) target {
+	t.Helper()
+	f := newFleet(t)
+	return target{process: f.box, address: f.boxAddr, memoryMB: memoryMB, ask: f.askBox, askOther: f.ask}
 }
 
 func TestClientsOfBoxMetrics(t *testing.T) {
--- a/lab/crowd/kinds.go
+++ b/lab/crowd/kinds.go
@@ -29,6 +29,9 @@
 	Fields                string
 }
 
+// RequestsAhead is the name of the kind that sends requests without reading the responses.
+const RequestsAhead = "requests ahead and responses unread"
+
 // Kinds returns the kinds of clients by name.
 func (r Requests) Kinds() map[string]Kind {
 	head := func(method, path string) string {
@@ -37,18 +40,18 @@
 	get, post := head("GET", r.Path), head("POST", r.Path)
 	chunked := post + "Transfer-Encoding: chunked\r\n\r\n"
 	return map[string]Kind{
-		"nothing":                             {},
-		"request line without end":            {Start: "GET /", Next: repeat("x")},
-		"empty lines without end":             {Next: repeat("\r\n")},
-		"header in short lines":               {Start: get, Next: shortLine, Bytes: longHeaderBytes},
-		"header lines without end":            {Start: get, Next: shortLine},
-		"header line without end":             {Start: get + "Field: ", Next: repeat("x")},
-		"body that does not come":             {Start: post + "Content-Length: 65536\r\n\r\n"},
-		"header in short lines and no body":   {Start: post + "Content-Length: 10\r\n" + shortLines(allowedHeaderBytes) + "\r\n"},
-		"body without end":                    {Start: chunked, Next: repeat("400\r\n" + strings.Repeat("x", 0x400) + "\r\n")},
-		"chunk extension without end":         {Start: chunked + "1;", Next: repeat("x")},
-		"trailers without end":                {Start: chunked + "1\r\nx\r\n0\r\n", Next: shortLine},
-		"requests ahead and responses unread": {Next: repeat(head("GET", r.AheadPath) + "\r\n"), Unread: true},
+		"nothing":                           {},
+		"request line without end":          {Start: "GET /", Next: repeat("x")},
+		"empty lines without end":           {Next: repeat("\r\n")},
+		"header in short lines":             {Start: get, Next: shortLine, Bytes: longHeaderBytes},
+		"header lines without end":          {Start: get, Next: shortLine},
+		"header line without end":           {Start: get + "Field: ", Next: repeat("x")},
+		"body that does not come":           {Start: post + "Content-Length: 65536\r\n\r\n"},
+		"header in short lines and no body": {Start: post + "Content-Length: 10\r\n" + shortLines(allowedHeaderBytes) + "\r\n"},
+		"body without end":                  {Start: chunked, Next: repeat("400\r\n" + strings.Repeat("x", 0x400) + "\r\n")},
+		"chunk extension without end":       {Start: chunked + "1;", Next: repeat("x")},
+		"trailers without end":              {Start: chunked + "1\r\nx\r\n0\r\n", Next: shortLine},
+		RequestsAhead:                       {Next: repeat(head("GET", r.AheadPath) + "\r\n"), Unread: true},
 	}
 }
 
